--- /dev/null
+++ b/packages/base/constants.ts
@@ -0,0 +1,12 @@
+/** Milliseconds in one second. */
+export const SECOND_MS = 1_000;
+
+/** Milliseconds in one minute. */
+export const MINUTE_MS = 60 * SECOND_MS;
+
+/** Bytes in one mebibyte. */
+export const MEBIBYTE = 1024 * 1024;
+
+/** Smallest and largest advice on when to come back, in milliseconds. */
+export const MIN_RETRY_AFTER_MS = 500;
+export const MAX_RETRY_AFTER_MS = 30 * SECOND_MS;
--- /dev/null
+++ b/packages/cli/commands/apply.ts
@@ -0,0 +1,84 @@
+import os from "node:os";
+import { callEntry, ENTRY_HELP, ENTRY_OPTIONS } from "../entry_api.ts";
+import { CommandError } from "../errors.ts";
+import { requireArgument } from "../require_option.ts";
+import { type Command, type CommandOutput, ExitCode } from "../types.ts";
+import { loadConfiguration } from "./check.ts";
+
+/** Applies a directory as one whole. */
+export const applyCommand: Command = {
+  name: "apply",
+  summary: "apply a configuration directory as one whole",
+  usage: "baobabhead apply DIRECTORY [--base VERSION] [--author NAME]",
+  options: {
+    ...ENTRY_OPTIONS,
+    base: { type: "string" },
+    author: { type: "string" },
+  },
+  help: [
+    "--base VERSION   version that `plan` was read against (default: the " +
+    "version of now)",
+    "--author NAME    who changes it (default: the login name)",
+    ...ENTRY_HELP,
+  ],
+  async run(input) {
+    const directory = requireArgument(input, "DIRECTORY");
+    const { teams, keys, queues } = loadConfiguration(directory);
+    const base = await findBase(input);
+    const author = String(input.values.author ?? os.userInfo().username);
+    const answer = await callEntry(input, {
+      method: "POST",
+      path: "/v1/admin/config",
+      body: {
+        base,
+        author,
+        configuration: { team: teams, key: keys, queue: queues },
+      },
+    });
+    return describeAnswer(answer.status, answer.body);
+  },
+};
+
+async function findBase(
+  input: Parameters<Command["run"]>[0],
+): Promise<number> {
+  if (input.values.base !== undefined) {
+    const base = Number(input.values.base);
+    if (Number.isSafeInteger(base) && base >= 0) return base;
+    throw new CommandError(
+      "Cannot use --base; it must be a version number",
+      ExitCode.Usage,
+    );
+  }
+  const { body } = await callEntry(input, {
+    method: "GET",
+    path: "/v1/admin/config",
+  });
+  return body.head.version;
+}
+
+function describeAnswer(
+  status: number,
+  // deno-lint-ignore no-explicit-any
+  body: any,
+): CommandOutput {
+  if (status === 409) {
+    const error = `${body.error}. Run \`baobabhead plan\` again`;
+    return { code: ExitCode.Conflict, error, json: body };
+  }
+  if (status !== 200) {
+    return { code: ExitCode.Failed, error: body.error, json: body };
+  }
+  const changed = `version ${body.version}, ${body.changes} changes`;
+  if (body.accepted && body.missing.length === 0) {
+    const text = `accepted and in force on every entry: ${changed}`;
+    return { code: ExitCode.Ok, text, json: body };
+  }
+  const state = body.accepted ? "accepted" : "staged, not yet accepted";
+  const rule = body.accepted
+    ? "they take it over when they are back"
+    : "what restricts is in force on the others; what grants waits for them";
+  const names = body.missing.map((name: string) => `  ${name}`).join("\n");
+  const error = `${state}: ${changed}. Not confirmed by:\n${names}\n${rule}`;
+  return { code: ExitCode.Partial, error, json: body };
+}
--- /dev/null
+++ b/packages/cli/commands/cancel.ts
@@ -0,0 +1,22 @@
+import { callEntry, ENTRY_HELP, ENTRY_OPTIONS } from "../entry_api.ts";
+import { requireArgument } from "../require_option.ts";
+import { type Command, ExitCode } from "../types.ts";
+
+/** Cancels one piece of work. */
+export const cancelCommand: Command = {
+  name: "cancel",
+  summary: "cancel one piece of work, or stop a service",
+  usage: "baobabhead cancel WORK-ID",
+  options: ENTRY_OPTIONS,
+  help: ENTRY_HELP,
+  async run(input) {
+    const id = encodeURIComponent(requireArgument(input, "WORK-ID"));
+    const path = `/v1/work/${id}`;
+    const answer = await callEntry(input, { method: "DELETE", path });
+    const text = JSON.stringify(answer.body, null, 2);
+    if (answer.status === 404) {
+      return { code: ExitCode.Failed, error: text, json: answer.body };
+    }
+    return { code: ExitCode.Ok, text, json: answer.body };
+  },
+};
--- /dev/null
+++ b/packages/cli/commands/drain.ts
@@ -0,0 +1,17 @@
+import { callEntry, ENTRY_HELP, ENTRY_OPTIONS } from "../entry_api.ts";
+import { type Command, ExitCode } from "../types.ts";
+
+/** Drains one entry. */
+export const drainCommand: Command = {
+  name: "drain",
+  summary: "let one entry finish its work, hand over and stop",
+  usage: "baobabhead drain --entry URL",
+  options: ENTRY_OPTIONS,
+  help: ENTRY_HELP,
+  async run(input) {
+    const path = "/v1/admin/drain";
+    const { body } = await callEntry(input, { method: "POST", path });
+    const text = "draining; the process stops when nothing is in flight";
+    return { code: ExitCode.Ok, text, json: body };
+  },
+};
--- /dev/null
+++ b/packages/cli/commands/dump.ts
@@ -0,0 +1,17 @@
+import { callEntry, ENTRY_HELP, ENTRY_OPTIONS } from "../entry_api.ts";
+import { type Command, ExitCode } from "../types.ts";
+
+/** Prints a process's whole state. */
+export const dumpCommand: Command = {
+  name: "dump",
+  summary: "print the whole state of one entry as JSON",
+  usage: "baobabhead dump [--entry URL]",
+  options: ENTRY_OPTIONS,
+  help: ENTRY_HELP,
+  async run(input) {
+    const path = "/v1/admin/dump";
+    const { body } = await callEntry(input, { method: "GET", path });
+    const text = JSON.stringify(body, null, 2);
+    return { code: ExitCode.Ok, text, json: body };
+  },
+};
--- /dev/null
+++ b/packages/cli/commands/plan.ts
@@ -0,0 +1,48 @@
+import {
+  ChangeKind,
+  type ConfigChange,
+  diffItems,
+  splitConfiguration,
+} from "../../config/mod.ts";
+import { callEntry, ENTRY_HELP, ENTRY_OPTIONS } from "../entry_api.ts";
+import { requireArgument } from "../require_option.ts";
+import { type Command, ExitCode } from "../types.ts";
+import { loadConfiguration } from "./check.ts";
+
+/** Shows what an apply would change. */
+export const planCommand: Command = {
+  name: "plan",
+  summary: "show what `apply` would change, and the version to apply against",
+  usage: "baobabhead plan DIRECTORY [--entry URL]",
+  options: ENTRY_OPTIONS,
+  help: ENTRY_HELP,
+  async run(input) {
+    const directory = requireArgument(input, "DIRECTORY");
+    const items = splitConfiguration(loadConfiguration(directory));
+    const { body } = await callEntry(input, {
+      method: "GET",
+      path: "/v1/admin/config",
+    });
+    const changes = diffItems(body.newest, items);
+    const lines = changes.map(formatChange);
+    lines.push(
+      `${changes.length} changes against version ${body.head.version}`,
+    );
+    return {
+      code: ExitCode.Ok,
+      text: lines.join("\n"),
+      json: { base: body.head.version, changes },
+    };
+  },
+};
+
+const SIGNS: Record<ChangeKind, string> = {
+  [ChangeKind.Added]: "+",
+  [ChangeKind.Changed]: "~",
+  [ChangeKind.Removed]: "-",
+};
+
+function formatChange(change: ConfigChange): string {
+  const values = [change.before, change.after].filter((value) => value);
+  return `${SIGNS[change.kind]} ${change.item} ${values.join(" -> ")}`;
+}
--- /dev/null
+++ b/packages/cli/commands/status.ts
@@ -0,0 +1,49 @@
+import { callEntry, ENTRY_HELP, ENTRY_OPTIONS } from "../entry_api.ts";
+import { formatTable } from "../format_table.ts";
+import { type Command, ExitCode } from "../types.ts";
+
+/** Shows an entry's view of all entries. */
+export const statusCommand: Command = {
+  name: "status",
+  summary: "show the entries as one of them sees them",
+  usage: "baobabhead status [--entry URL]",
+  options: ENTRY_OPTIONS,
+  help: ENTRY_HELP,
+  async run(input) {
+    const path = "/v1/admin/status";
+    const { body } = await callEntry(input, { method: "GET", path });
+    const header = [
+      "entry",
+      "reachable",
+      "draining",
+      "config",
+      "endpoints",
+      "free/slots",
+      "waiting",
+    ];
+    const rows = body.entries.map(describeEntry);
+    const store = body.platform.store ? "up" : "DOWN";
+    const list = body.platform.vmList ? "up" : "DOWN";
+    const { version, accepted } = body.config;
+    const text = [
+      `seen by ${body.domain}/${body.vm}: store ${store}, VM list ${list}, ` +
+      `configuration ${version} (accepted ${accepted})`,
+      formatTable([header, ...rows]),
+    ].join("\n");
+    return { code: ExitCode.Ok, text, json: body };
+  },
+};
+
+// deno-lint-ignore no-explicit-any
+function describeEntry(entry: any): string[] {
+  const { load } = entry;
+  return [
+    `${entry.domain}/${entry.vm}`,
+    entry.reachable ? "yes" : "NO",
+    entry.draining ? "yes" : "no",
+    `${entry.config_version}/${entry.config_accepted}`,
+    String(load?.endpoints ?? "?"),
+    load ? `${load.freeSlots}/${load.slots}` : "?",
+    String(load?.waiting ?? "?"),
+  ];
+}
--- /dev/null
+++ b/packages/cli/entry_api.ts
@@ -0,0 +1,91 @@
+import process from "node:process";
+import { request } from "undici";
+import {
+  CALL_TIMEOUT_MS,
+  DEFAULT_ENTRY,
+  ENTRY_VARIABLE,
+  KEY_VARIABLE,
+} from "./constants.ts";
+import { CommandError } from "./errors.ts";
+import { type CommandInput, ExitCode } from "./types.ts";
+
+/** Options of every command that calls an entry. */
+export const ENTRY_OPTIONS = {
+  entry: { type: "string" },
+  key: { type: "string" },
+} as const;
+
+/** Help lines for the options of `ENTRY_OPTIONS`. */
+export const ENTRY_HELP = [
+  `--entry URL   an entry's address (default ${DEFAULT_ENTRY}, or ` +
+  `$${ENTRY_VARIABLE})`,
+  `--key KEY     your key (default $${KEY_VARIABLE})`,
+];
+
+/** One answer of an entry. */
+export interface EntryAnswer {
+  status: number;
+  headers: Record<string, string | string[] | undefined>;
+  // deno-lint-ignore no-explicit-any
+  body: any;
+}
+
+/** One call to an entry. */
+export interface EntryCall {
+  method: "GET" | "POST" | "DELETE";
+  path: string;
+  body?: unknown;
+  headers?: Record<string, string>;
+  timeoutMs?: number;
+}
+
+/**
+ * Calls an entry with the key of the command line.
+ *
+ * @throws {CommandError} when the entry cannot be reached or refuses the key
+ */
+export async function callEntry(
+  input: CommandInput,
+  call: EntryCall,
+): Promise<EntryAnswer> {
+  const entry = String(
+    input.values.entry ?? process.env[ENTRY_VARIABLE] ?? DEFAULT_ENTRY,
+  );
+  const key = String(input.values.key ?? process.env[KEY_VARIABLE] ?? "");
+  const answer = await sendCall(entry, call, { key });
+  if (answer.status !== 401) return answer;
+  throw new CommandError(
+    `${entry} does not accept the key; give --key or set $${KEY_VARIABLE}`,
+    ExitCode.Unreachable,
+  );
+}
+
+async function sendCall(
+  entry: string,
+  call: EntryCall,
+  options: { key: string },
+): Promise<EntryAnswer> {
+  try {
+    const response = await request(`${entry}${call.path}`, {
+      method: call.method,
+      headers: {
+        "content-type": "application/json",
+        authorization: `Bearer ${options.key}`,
+        ...call.headers,
+      },
+      body: call.body === undefined ? undefined : JSON.stringify(call.body),
+      signal: AbortSignal.timeout(call.timeoutMs ?? CALL_TIMEOUT_MS),
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+    const body = await response.body.json();
+    const { statusCode: status, headers } = response;
+    return { status, headers, body };
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    throw new CommandError(
+      `Cannot call ${entry}: ${reason}`,
+      ExitCode.Unreachable,
+    );
+  }
+}
--- /dev/null
+++ b/packages/cli/mod.ts
@@ -0,0 +1,5 @@
+/** The operator's and caller's command line. */
+export { formatTable } from "./format_table.ts";
+export * from "./run.ts";
+export * from "./registry.ts";
+export * from "./types.ts";
--- /dev/null
+++ b/packages/config/constants.ts
@@ -0,0 +1,17 @@
+import { MEBIBYTE } from "../base/mod.ts";
+
+/** Number of pages that a configuration's items are spread over. */
+export const CONFIG_PAGES = 64;
+
+/** Default bound on attempts waiting per queue on one entry. */
+export const DEFAULT_MAX_QUEUED = 2_000;
+
+/** Default and largest size of a request body in bytes. */
+export const DEFAULT_MAX_BODY_BYTES = 256 * 1024;
+export const MAX_BODY_BYTES = MEBIBYTE;
+
+/** Bytes of randomness in a caller's key. */
+export const KEY_SECRET_BYTES = 24;
+
+/** Prefix that marks a caller's key. */
+export const KEY_PREFIX = "bbh";
--- /dev/null
+++ b/packages/config/items.ts
@@ -0,0 +1,67 @@
+import { FormatError, hashToBucket } from "../base/mod.ts";
+import { CONFIG_PAGES } from "./constants.ts";
+import {
+  ChangeKind,
+  type ConfigChange,
+  type ConfigItems,
+  type Configuration,
+} from "./types.ts";
+
+const ITEM_KINDS = ["teams", "keys", "queues"] as const;
+
+/** Splits a configuration into items, one for each section. */
+export function splitConfiguration(configuration: Configuration): ConfigItems {
+  const items: ConfigItems = {};
+  for (const kind of ITEM_KINDS) {
+    for (const [name, value] of Object.entries(configuration[kind])) {
+      items[`${kind}.${name}`] = JSON.stringify(value);
+    }
+  }
+  return items;
+}
+
+/**
+ * Joins items into a configuration.
+ *
+ * @throws {FormatError} for an item of an unknown kind
+ */
+export function joinItems(items: ConfigItems): Configuration {
+  const configuration: Configuration = { teams: {}, keys: {}, queues: {} };
+  for (const [id, value] of Object.entries(items)) {
+    const [kind, name] = id.split(".");
+    const known = ITEM_KINDS.find((candidate) => candidate === kind);
+    if (!known) throw new FormatError(`Cannot read configuration item ${id}`);
+    configuration[known][name] = JSON.parse(value);
+  }
+  return configuration;
+}
+
+/** Returns the number of the page that holds an item. */
+export function findPage(item: string): number {
+  return hashToBucket(item, CONFIG_PAGES);
+}
+
+/** Lists what changes between two sets of items, in the order of their ids. */
+export function diffItems(
+  before: ConfigItems,
+  after: ConfigItems,
+): ConfigChange[] {
+  const ids = new Set([...Object.keys(before), ...Object.keys(after)]);
+  const changes: ConfigChange[] = [];
+  for (const item of [...ids].sort()) {
+    if (before[item] === after[item]) continue;
+    changes.push({
+      kind: classifyChange(before[item], after[item]),
+      item,
+      before: before[item],
+      after: after[item],
+    });
+  }
+  return changes;
+}
+
+function classifyChange(before?: string, after?: string): ChangeKind {
+  if (before === undefined) return ChangeKind.Added;
+  if (after === undefined) return ChangeKind.Removed;
+  return ChangeKind.Changed;
+}
--- /dev/null
+++ b/packages/config/keys.ts
@@ -0,0 +1,42 @@
+import { Buffer } from "node:buffer";
+import { createHash, randomBytes, timingSafeEqual } from "node:crypto";
+import { KEY_PREFIX, KEY_SECRET_BYTES } from "./constants.ts";
+import type { Configuration } from "./types.ts";
+
+/** A fresh key: the text is shown once, only the hash is kept. */
+export interface NewKey {
+  name: string;
+  text: string;
+  hash: string;
+}
+
+/** Creates a key with a random secret. */
+export function createKey(name: string): NewKey {
+  const secret = randomBytes(KEY_SECRET_BYTES).toString("base64url");
+  return { name, text: `${KEY_PREFIX}.${name}.${secret}`, hash: hash(secret) };
+}
+
+/** Returns the team of a key, or nothing for a key that is not valid. */
+export function findTeamOfKey(
+  configuration: Configuration,
+  text: string,
+): string | undefined {
+  const [prefix, name, secret] = text.split(".");
+  if (prefix !== KEY_PREFIX || !name || !secret) return undefined;
+  const key = Object.hasOwn(configuration.keys, name)
+    ? configuration.keys[name]
+    : undefined;
+  if (!key || !matchesHash(secret, key.hash)) return undefined;
+  return key.team in configuration.teams ? key.team : undefined;
+}
+
+/** Compares a secret with a stored hash in constant time. */
+export function matchesHash(secret: string, expected: string): boolean {
+  const actual = Buffer.from(hash(secret), "hex");
+  const wanted = Buffer.from(expected, "hex");
+  return actual.length === wanted.length && timingSafeEqual(actual, wanted);
+}
+
+function hash(secret: string): string {
+  return createHash("sha256").update(secret).digest("hex");
+}
--- /dev/null
+++ b/packages/endpoints/mod.ts
@@ -0,0 +1,5 @@
+/** Starting, listing and stopping tasks on endpoints. */
+export * from "./constants.ts";
+export * from "./endpoint_client.ts";
+export * from "./http_endpoint_client.ts";
+export * from "./types.ts";
--- /dev/null
+++ b/packages/engine/actions/cancel.ts
@@ -0,0 +1,61 @@
+import { Cause, makeNotRun } from "../../base/mod.ts";
+import { finishAttempt } from "../attempts.ts";
+import type { ActionContext } from "../state.ts";
+import { AttemptStage, DecisionType } from "../types.ts";
+
+/**
+ * Cancels an attempt: a waiting one ends at once, a running one is stopped and
+ * ends when its endpoint says so. One that is unknown never runs from now on.
+ */
+export function cancelAttempt(
+  context: ActionContext,
+  event: { attempt: string; expires: number },
+): void {
+  const { state, decisions } = context;
+  const record = state.attempts.get(event.attempt);
+  if (record?.stage === AttemptStage.Ended) {
+    stopService(context, event.attempt);
+    return;
+  }
+  if (record?.stage !== AttemptStage.Running) {
+    const outcome = makeNotRun(Cause.Cancelled, "cancelled before it started");
+    const deadline = record?.attempt?.deadline ?? event.expires;
+    return finishAttempt(context, event.attempt, { outcome, deadline });
+  }
+  record.cancelled = true;
+  const endpoint = state.endpoints.get(record.endpoint!)?.ledger.spec;
+  if (!endpoint) return;
+  decisions.push({ type: DecisionType.Stop, endpoint, task: event.attempt });
+}
+
+/** Returns what is known of an attempt; refuses it for ever if unknown. */
+export function settleAttempt(
+  context: ActionContext,
+  event: { attempt: string; expires: number },
+): void {
+  const { state, decisions } = context;
+  const { attempt } = event;
+  const record = state.attempts.get(attempt);
+  if (record?.stage === AttemptStage.Running) return;
+  if (record?.stage === AttemptStage.Ended) {
+    const outcome = record.outcome!;
+    decisions.push({ type: DecisionType.Finish, attempt, outcome });
+    return;
+  }
+  const outcome = makeNotRun(Cause.LateAttempt, "dropped before it started");
+  const deadline = record?.attempt?.deadline ?? event.expires;
+  finishAttempt(context, attempt, { outcome, deadline });
+}
+
+function stopService(context: ActionContext, task: string): void {
+  for (const endpoint of context.state.endpointList) {
+    if (!endpoint.ledger.get(task)) continue;
+    const { spec } = endpoint.ledger;
+    context.decisions.push({
+      type: DecisionType.Stop,
+      endpoint: spec,
+      task,
+    });
+    return;
+  }
+}
--- /dev/null
+++ b/packages/engine/actions/changes.ts
@@ -0,0 +1,113 @@
+import { Cause, makeMayHaveRun, makeNotRun } from "../../base/mod.ts";
+import { finishAttempt } from "../attempts.ts";
+import { EndpointState } from "../endpoint_state.ts";
+import type { ActionContext } from "../state.ts";
+import {
+  AttemptStage,
+  DecisionType,
+  EndpointStatus,
+  type EngineEvent,
+  EngineEventType,
+} from "../types.ts";
+import { releaseHold } from "./gang.ts";
+import { expireWaiting, pumpQueue } from "./pump.ts";
+
+type EndpointsChanged = Extract<
+  EngineEvent,
+  { type: EngineEventType.EndpointsChanged }
+>;
+
+/** Adopts the set of owned endpoints. */
+export function changeEndpoints(
+  context: ActionContext,
+  event: EndpointsChanged,
+): void {
+  const { state } = context;
+  const kept = new Set(event.endpoints.map((spec) => spec.id));
+  for (const id of [...state.endpoints.keys()]) {
+    if (!kept.has(id)) dropEndpoint(context, id, event);
+  }
+  for (const spec of event.endpoints) {
+    let endpoint = state.endpoints.get(spec.id);
+    if (!endpoint) {
+      endpoint = new EndpointState(spec);
+      state.endpoints.set(spec.id, endpoint);
+    }
+    endpoint.ledger.spec = spec;
+    endpoint.quiescing = event.quiescing.has(spec.shard);
+  }
+  state.leftBehind = event.leftBehind;
+  state.endpointList = [...state.endpoints.values()];
+  sumCapacity(context);
+  pumpQueue(context);
+}
+
+/** Refuses what waits and takes nothing more. */
+export function drainEngine(context: ActionContext): void {
+  const { state } = context;
+  state.draining = true;
+  for (const waiting of [...state.queue.list()]) {
+    const outcome = makeNotRun(Cause.Draining, "entry is draining");
+    const { deadline } = waiting;
+    finishAttempt(context, waiting.id, { outcome, deadline });
+  }
+}
+
+/** Ends what has run out: waits, holds, old outcomes. */
+export function tickEngine(context: ActionContext): void {
+  const { state, now } = context;
+  for (const waiting of [...state.queue.list()]) {
+    if (now >= waiting.deadline) expireWaiting(context, waiting);
+  }
+  for (const [id, hold] of [...state.holds]) {
+    if (now >= hold.request.expires) releaseHold(context, id);
+  }
+  for (const [id, record] of state.attempts) {
+    if (record.stage !== AttemptStage.Ended) continue;
+    if (now >= record.expires) state.attempts.delete(id);
+  }
+  for (const [team, shortfall] of state.shortfalls) {
+    if (now >= shortfall.until) state.shortfalls.delete(team);
+  }
+  pumpQueue(context);
+}
+
+/**
+ * Forgets an endpoint. Its tasks are counted by the new owner of its shard; if
+ * the shard is still owned here, they are gone with the VM.
+ */
+function dropEndpoint(
+  context: ActionContext,
+  id: string,
+  event: EndpointsChanged,
+): void {
+  const { state, decisions } = context;
+  const { ledger } = state.endpoints.get(id)!;
+  state.endpoints.delete(id);
+  for (const hold of ledger.list()) {
+    state.dischargeTask(hold.id);
+    if (event.owned.has(ledger.spec.shard)) loseAttempt(context, hold.id);
+  }
+  const status = EndpointStatus.Gone;
+  decisions.push({ type: DecisionType.EndpointStatus, endpoint: id, status });
+}
+
+function loseAttempt(context: ActionContext, id: string): void {
+  const record = context.state.attempts.get(id);
+  if (record?.stage !== AttemptStage.Running) return;
+  const outcome = makeMayHaveRun(Cause.EndpointLost, "endpoint is gone");
+  const { deadline } = record.attempt!;
+  finishAttempt(context, id, { outcome, deadline });
+}
+
+function sumCapacity(context: ActionContext): void {
+  const { state } = context;
+  const capacity = { slots: 0, cores: 0, memoryMb: 0, accelerators: 0 };
+  for (const { ledger } of state.endpointList) {
+    capacity.slots += ledger.spec.slots;
+    capacity.cores += ledger.spec.size.cores;
+    capacity.memoryMb += ledger.spec.size.memoryMb;
+    capacity.accelerators += ledger.spec.size.accelerators;
+  }
+  state.capacity = capacity;
+}
--- /dev/null
+++ b/packages/engine/actions/pump.ts
@@ -0,0 +1,57 @@
+import { Cause, makeNotRun } from "../../base/mod.ts";
+import { finishAttempt, startAttempt } from "../attempts.ts";
+import { PROBE_DELAY_MS } from "../constants.ts";
+import type { EndpointState } from "../endpoint_state.ts";
+import type { ActionContext } from "../state.ts";
+import { EndpointStatus, type WaitingAttempt } from "../types.ts";
+
+/** Starts waiting attempts while there is room. */
+export function pumpQueue(context: ActionContext): void {
+  const { state, now } = context;
+  const blocked = new Set<string>();
+  const loadOf = (team: string) => state.loadPerShare(team);
+  for (;;) {
+    const waiting = state.queue.peek(loadOf, blocked);
+    if (!waiting) return;
+    if (now >= waiting.deadline) {
+      expireWaiting(context, waiting);
+      continue;
+    }
+    const endpoint = findEndpoint(context, waiting);
+    if (!endpoint) {
+      blocked.add(waiting.team);
+      continue;
+    }
+    const { attempt, refusals, enqueuedAt } = waiting;
+    startAttempt(context, attempt, { endpoint, refusals, enqueuedAt });
+  }
+}
+
+/** Refuses a waiting attempt whose deadline has passed. */
+export function expireWaiting(
+  context: ActionContext,
+  waiting: WaitingAttempt,
+): void {
+  const outcome = makeNotRun(
+    Cause.DeadlinePassed,
+    "deadline passed before a task could start",
+  );
+  const { deadline } = waiting;
+  finishAttempt(context, waiting.id, { outcome, deadline });
+}
+
+function findEndpoint(
+  context: ActionContext,
+  waiting: WaitingAttempt,
+): EndpointState | undefined {
+  const { state, now } = context;
+  if (!state.hasGrant(waiting.team)) return undefined;
+  const endpoint = state.placement.choose(waiting.attempt, {
+    endpoints: state.endpointList,
+    canUse: (candidate) => candidate.canStart(now),
+  });
+  if (endpoint?.status === EndpointStatus.Ejected) {
+    endpoint.probeAt = now + PROBE_DELAY_MS;
+  }
+  return endpoint;
+}
--- /dev/null
+++ b/packages/engine/actions/task_ended.ts
@@ -0,0 +1,94 @@
+import { match } from "ts-pattern";
+import { type Answer, Cause, makeMayHaveRun, makeRan } from "../../base/mod.ts";
+import { type TaskResult, TaskResultKind } from "../../endpoints/mod.ts";
+import { finishAttempt, releaseTask, retryAttempt } from "../attempts.ts";
+import type { EndpointState } from "../endpoint_state.ts";
+import { HoldReason } from "../ledger.ts";
+import type { ActionContext } from "../state.ts";
+import { type AttemptRecord, AttemptStage } from "../types.ts";
+import { judgeEndpoint } from "./eject.ts";
+import { pumpQueue } from "./pump.ts";
+
+/** Lowest status of an answer that counts as the endpoint's failure. */
+const FAILURE_STATUS = 500;
+
+/** Settles an attempt whose exchange with its endpoint has ended. */
+export function endTask(
+  context: ActionContext,
+  event: { attempt: string; result: TaskResult },
+): void {
+  const { state } = context;
+  const record = state.attempts.get(event.attempt);
+  if (record?.stage !== AttemptStage.Running) return;
+  const endpoint = state.endpoints.get(record.endpoint!);
+  const ended: EndedTask = { record, endpoint, id: event.attempt };
+  match(event.result)
+    .with({ kind: TaskResultKind.NotStarted }, ({ detail, reachable }) => {
+      if (endpoint && !reachable) endpoint.reachable = false;
+      releaseTask(state, endpoint, event.attempt);
+      retryAttempt(context, record, detail);
+    })
+    .with({ kind: TaskResultKind.Answered }, ({ answer }) => {
+      endAnswered(context, ended, answer);
+    })
+    .with({ kind: TaskResultKind.Running }, ({ answer }) => {
+      keepHold(context, ended, HoldReason.Service);
+      endWith(context, ended, makeRan([answer], Cause.Started));
+    })
+    .with({ kind: TaskResultKind.Stopped }, ({ detail }) => {
+      releaseTask(state, endpoint, event.attempt);
+      endWith(context, ended, makeMayHaveRun(Cause.Cancelled, detail));
+    })
+    .with({ kind: TaskResultKind.Unknown }, ({ detail }) => {
+      keepHold(context, ended, HoldReason.Uncertain);
+      endpoint?.recordResult(false);
+      endWith(context, ended, makeMayHaveRun(Cause.EndpointLost, detail));
+    })
+    .exhaustive();
+  if (endpoint) judgeEndpoint(context, endpoint);
+  pumpQueue(context);
+}
+
+interface EndedTask {
+  id: string;
+  record: AttemptRecord;
+  endpoint: EndpointState | undefined;
+}
+
+function endAnswered(
+  context: ActionContext,
+  ended: EndedTask,
+  answer: Answer,
+): void {
+  const { state, now } = context;
+  const { record, endpoint, id } = ended;
+  const succeeded = answer.status < FAILURE_STATUS;
+  endpoint?.recordResult(succeeded);
+  if (succeeded) {
+    state.times.observe(record.attempt!.queue, now - record.startedAt!);
+  }
+  releaseTask(state, endpoint, id);
+  endWith(context, ended, makeRan([answer]));
+}
+
+/** The task may still run, so its room stays taken until a listing clears it. */
+function keepHold(
+  context: ActionContext,
+  ended: EndedTask,
+  reason: HoldReason,
+): void {
+  const hold = ended.endpoint?.ledger.get(ended.id);
+  if (!hold) return;
+  hold.reason = reason;
+  hold.since = context.now;
+  hold.missing = 0;
+}
+
+function endWith(
+  context: ActionContext,
+  ended: EndedTask,
+  outcome: Parameters<typeof finishAttempt>[2]["outcome"],
+): void {
+  const { deadline } = ended.record.attempt!;
+  finishAttempt(context, ended.id, { outcome, deadline });
+}
--- /dev/null
+++ b/packages/engine/mod.ts
@@ -0,0 +1,8 @@
+/** Decisions of one owner: queueing, limits, placement, settling. */
+export * from "./constants.ts";
+export * from "./endpoint_state.ts";
+export * from "./engine.ts";
+export * from "./ledger.ts";
+export * from "./placement.ts";
+export * from "./state.ts";
+export * from "./types.ts";
--- /dev/null
+++ b/packages/entry/caller_app.ts
@@ -0,0 +1,106 @@
+import { type Context, Hono } from "hono";
+import { bodyLimit } from "hono/body-limit";
+import type { ContentfulStatusCode } from "hono/utils/http-status";
+import { Cause, makeNotRun, type Outcome } from "../base/mod.ts";
+import { findTeamOfKey, MAX_BODY_BYTES } from "../config/mod.ts";
+import { WorkState, type WorkView } from "../peers/mod.ts";
+import { renderOutcome } from "../pipeline/mod.ts";
+import type { EntryNode } from "./entry_node.ts";
+
+/** Builds the HTTP application for callers and the balancer. */
+export function createCallerApp(node: EntryNode): Hono {
+  const app = new Hono();
+  const limit = bodyLimit({
+    maxSize: MAX_BODY_BYTES,
+    onError: (context) =>
+      sendRefusal(
+        context,
+        Cause.BodyTooLarge,
+        `the body may have at most ${MAX_BODY_BYTES} bytes`,
+      ),
+  });
+  app.post("/v1/queues/:queue/work", limit, (c) => takeWork(node, c));
+  app.get("/v1/work/:id", (c) => showWork(node, c, { cancel: false }));
+  app.delete("/v1/work/:id", (c) => showWork(node, c, { cancel: true }));
+  app.get("/healthz", (c) => c.text("ok\n"));
+  app.get("/readyz", (c) => {
+    const isReady = node.isReady() && !node.isDraining;
+    return c.text(isReady ? "ready\n" : "not ready\n", isReady ? 200 : 503);
+  });
+  app.get("/metrics", async (c) => c.text(await renderMetrics(node)));
+  app.notFound((c) => sendRefusal(c, Cause.NotFound, "no such path"));
+  app.onError((error, c) => sendRefusal(c, Cause.BadRequest, error.message));
+  return app;
+}
+
+async function takeWork(node: EntryNode, c: Context): Promise<Response> {
+  const body = await c.req.text();
+  const { id, outcome } = node.submit({
+    queue: c.req.param("queue") ?? "",
+    authorization: c.req.header("authorization") ?? "",
+    idempotencyKey: c.req.header("idempotency-key"),
+    body,
+  });
+  if (!prefersAsync(c)) return sendOutcome(c, await outcome, { id });
+  const early = await Promise.race([outcome, Promise.resolve(undefined)]);
+  if (early) return sendOutcome(c, early, { id });
+  const location = `/v1/work/${id}`;
+  return c.json({ work: id, state: WorkState.Pending }, 202, { location });
+}
+
+async function showWork(
+  node: EntryNode,
+  c: Context,
+  options: { cancel: boolean },
+): Promise<Response> {
+  const id = c.req.param("id") ?? "";
+  const [, key = ""] = (c.req.header("authorization") ?? "").split(" ");
+  const team = findTeamOfKey(node.getConfiguration(), key);
+  if (!team) {
+    const detail = "a valid key is needed: `Authorization: Bearer KEY`";
+    return sendRefusal(c, Cause.Unauthenticated, detail);
+  }
+  let view: WorkView | null;
+  try {
+    view = options.cancel
+      ? await node.cancelWork(id, team)
+      : await node.findWork(id, team);
+  } catch {
+    const detail = "the entry that took the work in cannot be reached";
+    return c.json({ title: "entry lost", status: 502, detail, work: id }, 502);
+  }
+  if (!view) {
+    const detail = "no such work of this team is remembered here";
+    return c.json({ title: "not found", status: 404, detail, work: id }, 404);
+  }
+  if (view.outcome) return sendOutcome(c, view.outcome, { id });
+  return c.json({ work: id, state: view.state }, 202);
+}
+
+function sendRefusal(c: Context, cause: Cause, detail: string): Response {
+  return sendOutcome(c, makeNotRun(cause, detail), { id: "" });
+}
+
+function sendOutcome(
+  c: Context,
+  outcome: Outcome,
+  options: { id: string },
+): Response {
+  const answer = renderOutcome(options.id, outcome);
+  const status = answer.status as ContentfulStatusCode;
+  return c.json(answer.body, status, answer.headers);
+}
+
+function prefersAsync(c: Context): boolean {
+  return (c.req.header("prefer") ?? "").includes("respond-async");
+}
+
+async function renderMetrics(node: EntryNode): Promise<string> {
+  const { metrics } = node.parts;
+  const { load } = node.describeSelf();
+  metrics.setGauge("owned_endpoints", {}, load.endpoints);
+  metrics.setGauge("free_slots", {}, load.freeSlots);
+  metrics.setGauge("waiting", {}, load.waiting);
+  metrics.setGauge("config_version", {}, node.config.state.head.version);
+  return await metrics.renderText();
+}
--- /dev/null
+++ b/packages/entry/control_loop.ts
@@ -0,0 +1,305 @@
+import type { Clock } from "../base/mod.ts";
+import { CommitStatus, type ControlState } from "../control/mod.ts";
+import { type Engine, EngineEventType } from "../engine/mod.ts";
+import { EventCode, type EventLog } from "../events/mod.ts";
+import { findBucket, LIMIT_BUCKETS, type TeamDemand } from "../limits/mod.ts";
+import {
+  createDomainRecord,
+  type MembershipPlan,
+  selectShardsToRelease,
+} from "../membership/mod.ts";
+import type { Store, VmList } from "../platform/mod.ts";
+import { Committer } from "./committer.ts";
+import type { ConfigService } from "./config_service.ts";
+import { ACCEPT_TAKEOVER_MS } from "./constants.ts";
+import type { EndpointDirectory } from "./endpoint_directory.ts";
+import type { EngineDriver } from "./engine_driver.ts";
+import type { PauseGuard } from "./pause_guard.ts";
+import type { PeerTable } from "./peer_table.ts";
+
+/** What the control loop works on. */
+export interface ControlLoopParts {
+  control: ControlState;
+  config: ConfigService;
+  directory: EndpointDirectory;
+  driver: EngineDriver;
+  peers: PeerTable;
+  pause: PauseGuard;
+  store: Store;
+  vmList: VmList;
+  clock: Clock;
+  log: EventLog;
+  makeId: () => string;
+  /** True when no accepted request is in flight on this entry. */
+  isIdle: () => boolean;
+  onLeft: () => void;
+}
+
+/** Keeps one entry in step with the platform. No request waits for it. */
+export class ControlLoop {
+  readonly #parts: ControlLoopParts;
+  readonly #committer: Committer;
+  readonly #ownedSince = new Map<number, number>();
+  #quiescing = new Set<number>();
+  #appliedEndpoints = "";
+  #storeUp = true;
+  #vmListUp = true;
+  #stagedSince = 0;
+  #homesChangedAt = 0;
+  #settledDomains = "";
+  draining = false;
+
+  constructor(parts: ControlLoopParts) {
+    this.#parts = parts;
+    this.#committer = new Committer({
+      control: parts.control,
+      store: parts.store,
+      onEffect: () => this.applyToEngine(),
+    });
+  }
+
+  /** True once the store and the VM list have been read. */
+  get isReady(): boolean {
+    const { control, directory } = this.#parts;
+    return control.hasJoined && directory.tracker.revision > 0;
+  }
+
+  /** True while shards wait to be handed over. */
+  get isHandingOver(): boolean {
+    return this.#quiescing.size > 0;
+  }
+
+  /** Whether the platform's services answered the last call. */
+  get platform(): { store: boolean; vmList: boolean } {
+    return { store: this.#storeUp, vmList: this.#vmListUp };
+  }
+
+  /**
+   * Returns since when this entry is the home of a shard's keys, or nothing
+   * when it is not: in milliseconds since the Unix epoch.
+   */
+  findTenure(shard: number): number | undefined {
+    const since = this.#ownedSince.get(shard);
+    if (since === undefined || this.#quiescing.has(shard)) return undefined;
+    return Math.max(since, this.#homesChangedAt);
+  }
+
+  /** Reads the VM list. */
+  async readVmList(): Promise<void> {
+    const { vmList, directory, clock } = this.#parts;
+    const sentAt = clock.now();
+    try {
+      const listing = await vmList.fetch(directory.tracker.revision);
+      directory.observe(listing, sentAt);
+      this.#noteVmList(true);
+      this.applyToEngine();
+    } catch {
+      this.#noteVmList(false);
+    }
+  }
+
+  /** Reads the shared records, adopts them, and writes what has to change. */
+  async step(): Promise<void> {
+    const { control, store } = this.#parts;
+    try {
+      const snapshot = await store.read(control.listRanges());
+      this.#observe(control.observe(snapshot));
+      this.#noteStore(true);
+    } catch (error) {
+      this.#noteStore(false, error);
+      return;
+    }
+    await this.#changeMembership();
+    await this.#changeLimits();
+    await this.#acceptConfig();
+  }
+
+  /** Tells the engine what it owns and what it may run. */
+  applyToEngine(): void {
+    const { control, directory, driver, clock } = this.#parts;
+    const owned = control.listOwnedShards();
+    this.#noteOwned(owned, clock.now());
+    const quiescing = new Set([
+      ...this.#quiescing,
+      ...control.listUncertainShards(),
+    ]);
+    const endpoints = directory.listOfShards(owned);
+    const leftBehind = control.countLeftBehind();
+    const signature = JSON.stringify([
+      endpoints,
+      [...owned],
+      [...quiescing],
+      leftBehind,
+    ]);
+    if (signature !== this.#appliedEndpoints) {
+      this.#appliedEndpoints = signature;
+      driver.handle({
+        type: EngineEventType.EndpointsChanged,
+        endpoints,
+        owned,
+        quiescing,
+        leftBehind,
+      });
+    }
+    const grants = control.isExpelled() ? {} : control.listGrants();
+    driver.handle({ type: EngineEventType.GrantsChanged, grants });
+  }
+
+  #observe(observation: ReturnType<ControlState["observe"]>): void {
+    const { control, config, peers, log, pause, clock } = this.#parts;
+    if (observation.reverted) {
+      log.record(EventCode.StoreReverted, {});
+      return;
+    }
+    config.adoptStored(control.config);
+    pause.noteRefresh();
+    if (control.isExpelled()) log.record(EventCode.Expelled, {});
+    peers.setMembers(
+      control.listMembers().filter(({ member }) =>
+        member.incarnation !== control.self.incarnation
+      ),
+    );
+    this.#noteHomes(clock.now());
+    this.#selectQuiescing();
+    this.applyToEngine();
+  }
+
+  async #changeMembership(): Promise<void> {
+    const { control, log, makeId, clock } = this.#parts;
+    const options = { writer: makeId(), now: clock.now() };
+    const planned = control.planMembership(this.#makeView(), options);
+    if (!planned) return;
+    const status = await this.#committer.send(planned);
+    if (status === CommitStatus.Unknown) {
+      log.record(EventCode.WriteEffectUnknown, { key: "domain" });
+    }
+    if (status !== CommitStatus.Succeeded) return;
+    this.#reportMembership(planned.plan as MembershipPlan);
+    this.#selectQuiescing();
+    this.applyToEngine();
+  }
+
+  async #changeLimits(): Promise<void> {
+    const { control, config, driver, makeId } = this.#parts;
+    const members = control.findDomain(control.domain)?.members ?? {};
+    const holders = Object.values(members).map((member) => member.incarnation);
+    const { teams } = config.state.effective;
+    const limits = Object.fromEntries(
+      Object.entries(teams).map(([name, team]) => [name, team.limit]),
+    );
+    for (let bucket = 0; bucket < LIMIT_BUCKETS; bucket++) {
+      const planned = control.planLimits({
+        holders,
+        version: config.order,
+        limits,
+        demand: measureDemand(driver.engine, bucket),
+        draining: this.draining,
+      }, { bucket, writer: makeId() });
+      if (planned) await this.#committer.send(planned);
+    }
+  }
+
+  /** Takes up an acceptance whose initiator did not finish it. */
+  async #acceptConfig(): Promise<void> {
+    const { config, clock } = this.#parts;
+    const { head } = config.state;
+    const now = clock.now();
+    if (head.accepted === head.version) {
+      this.#stagedSince = now;
+      return;
+    }
+    if (now - this.#stagedSince < ACCEPT_TAKEOVER_MS) return;
+    await config.tryAccept().catch(() => {});
+  }
+
+  #makeView() {
+    const { control, directory, driver, peers, clock, isIdle } = this.#parts;
+    const now = clock.now();
+    const record = control.findDomain(control.domain);
+    const owned = control.listOwnedShards();
+    const vms = Object.keys(record?.members ?? {});
+    const reachable = peers.listReachable(now)
+      .filter((peer) =>
+        peer.domain === control.domain && !peer.heartbeat?.draining
+      );
+    return {
+      draining: this.draining,
+      idle: isIdle(),
+      goneVms: directory.tracker.findGone(vms, now),
+      reachable: new Set(reachable.map((peer) => peer.member.incarnation)),
+      shardSizes: directory.countByShard(),
+      quiesced: driver.engine.listQuiesced(this.#quiescing),
+      recovered: driver.engine.listRecovered(owned),
+    };
+  }
+
+  #selectQuiescing(): void {
+    const { control, clock } = this.#parts;
+    const record = control.findDomain(control.domain) ??
+      createDomainRecord(clock.now());
+    const view = { ...this.#makeView(), self: control.self, hasJoined: true };
+    this.#quiescing = new Set(selectShardsToRelease(record, view));
+  }
+
+  #reportMembership(plan: MembershipPlan): void {
+    const { log, onLeft } = this.#parts;
+    if (plan.joined) log.record(EventCode.DomainJoined, {});
+    for (const incarnation of plan.buried) {
+      log.record(EventCode.MemberBuried, { incarnation });
+    }
+    const lists: [EventCode, number[]][] = [
+      [EventCode.ShardsClaimed, plan.claimed],
+      [EventCode.ShardsReleased, plan.released],
+      [EventCode.ShardsRecovered, plan.recovered],
+    ];
+    for (const [code, shards] of lists) {
+      if (shards.length > 0) log.record(code, { shards: shards.length });
+    }
+    if (plan.left) onLeft();
+  }
+
+  #noteOwned(owned: ReadonlySet<number>, now: number): void {
+    for (const shard of [...this.#ownedSince.keys()]) {
+      if (!owned.has(shard)) this.#ownedSince.delete(shard);
+    }
+    for (const shard of owned) {
+      if (!this.#ownedSince.has(shard)) this.#ownedSince.set(shard, now);
+    }
+  }
+
+  #noteHomes(now: number): void {
+    const settled = this.#parts.control.listSettledDomains(now).sort().join();
+    if (settled === this.#settledDomains) return;
+    this.#settledDomains = settled;
+    this.#homesChangedAt = now;
+  }
+
+  #noteStore(isUp: boolean, error?: unknown): void {
+    if (isUp === this.#storeUp) return;
+    this.#storeUp = isUp;
+    this.#parts.log.record(
+      isUp ? EventCode.StoreRecovered : EventCode.StoreUnavailable,
+      error ? { error: String(error) } : {},
+    );
+  }
+
+  #noteVmList(isUp: boolean): void {
+    if (isUp === this.#vmListUp) return;
+    this.#vmListUp = isUp;
+    this.#parts.log.record(
+      isUp ? EventCode.VmListRecovered : EventCode.VmListUnavailable,
+    );
+  }
+}
+
+function measureDemand(
+  engine: Engine,
+  bucket: number,
+): Map<string, TeamDemand> {
+  const demand = new Map<string, TeamDemand>();
+  for (const team of engine.state.listTeams()) {
+    if (findBucket(team) !== bucket) continue;
+    demand.set(team, engine.measureDemand(team));
+  }
+  return demand;
+}
--- /dev/null
+++ b/packages/entry/endpoint_directory.ts
@@ -0,0 +1,54 @@
+import { findShard, SHARDS_PER_DOMAIN, VmTracker } from "../membership/mod.ts";
+import { type Vm, type VmListing, VmRole, VmState } from "../platform/mod.ts";
+import type { EndpointSpec } from "../engine/mod.ts";
+
+/** The endpoints of one failure domain, from the platform's VM list. */
+export class EndpointDirectory {
+  readonly tracker: VmTracker;
+  readonly #specs = new Map<string, EndpointSpec>();
+
+  /** `lagMs` is the longest delay of the list, in milliseconds. */
+  constructor(lagMs: number) {
+    this.tracker = new VmTracker(lagMs);
+  }
+
+  /** Adopts an answer of the VM list to a call that was sent at `sentAt`. */
+  observe(listing: VmListing, sentAt: number): void {
+    this.tracker.observe(listing, sentAt);
+    for (const vm of this.tracker.vms.values()) {
+      if (vm.role === VmRole.Endpoint) this.#specs.set(vm.id, makeSpec(vm));
+    }
+    const listed = this.tracker.vms;
+    for (const [id, spec] of this.#specs) {
+      if (!listed.has(id)) this.#specs.set(id, { ...spec, leaving: true });
+    }
+    for (const id of this.tracker.findGone(this.#specs.keys(), sentAt)) {
+      this.#specs.delete(id);
+    }
+  }
+
+  /** Lists the endpoints of some shards. */
+  listOfShards(shards: ReadonlySet<number>): EndpointSpec[] {
+    return [...this.#specs.values()].filter((spec) => shards.has(spec.shard));
+  }
+
+  /** Returns the number of endpoints in each shard. */
+  countByShard(): number[] {
+    const counts = new Array<number>(SHARDS_PER_DOMAIN).fill(0);
+    for (const { shard } of this.#specs.values()) counts[shard] += 1;
+    return counts;
+  }
+}
+
+function makeSpec(vm: Vm): EndpointSpec {
+  return {
+    id: vm.id,
+    address: vm.address,
+    rack: vm.rack,
+    shard: findShard(vm.id),
+    size: vm.size,
+    slots: vm.slots,
+    connections: vm.connections,
+    leaving: vm.state === VmState.Leaving,
+  };
+}
--- /dev/null
+++ b/packages/entry/endpoint_poller.ts
@@ -0,0 +1,69 @@
+import type { Clock } from "../base/mod.ts";
+import type { EndpointClient } from "../endpoints/mod.ts";
+import { EndpointStatus, EngineEventType } from "../engine/mod.ts";
+import { MAX_POLLS, RECOVERY_POLL_MS } from "./constants.ts";
+import type { EngineDriver } from "./engine_driver.ts";
+
+/** Renews task leases and reads what the owned endpoints run. */
+export class EndpointPoller {
+  readonly #driver: EngineDriver;
+  readonly #client: EndpointClient;
+  readonly #clock: Clock;
+  readonly #pollMs: number;
+  readonly #leaseMs: number;
+  readonly #nextPoll = new Map<string, number>();
+  readonly #inFlight = new Set<string>();
+
+  constructor(
+    options: {
+      driver: EngineDriver;
+      client: EndpointClient;
+      clock: Clock;
+      pollMs: number;
+      leaseMs: number;
+    },
+  ) {
+    this.#driver = options.driver;
+    this.#client = options.client;
+    this.#clock = options.clock;
+    this.#pollMs = options.pollMs;
+    this.#leaseMs = options.leaseMs;
+  }
+
+  /** Polls the endpoints whose turn it is. */
+  pollDue(): void {
+    const now = this.#clock.now();
+    const { endpoints } = this.#driver.engine.state;
+    for (const id of [...this.#nextPoll.keys()]) {
+      if (!endpoints.has(id)) this.#nextPoll.delete(id);
+    }
+    for (const id of endpoints.keys()) {
+      if (this.#inFlight.size >= MAX_POLLS) return;
+      if (this.#inFlight.has(id)) continue;
+      if ((this.#nextPoll.get(id) ?? 0) <= now) void this.#poll(id);
+    }
+  }
+
+  async #poll(id: string): Promise<void> {
+    const { spec } = this.#driver.engine.state.endpoints.get(id)!.ledger;
+    const sentAt = this.#clock.now();
+    this.#inFlight.add(id);
+    try {
+      const listing = await this.#client.renew(spec, this.#leaseMs);
+      const type = EngineEventType.Listed;
+      this.#driver.handle({ type, endpoint: id, listing, sentAt });
+    } catch {
+      const type = EngineEventType.ListFailed;
+      this.#driver.handle({ type, endpoint: id });
+    }
+    this.#inFlight.delete(id);
+    this.#nextPoll.set(id, this.#clock.now() + this.#findInterval(id));
+  }
+
+  #findInterval(id: string): number {
+    const status = this.#driver.engine.state.endpoints.get(id)?.status;
+    const isSteady = status === EndpointStatus.Serving ||
+      status === EndpointStatus.Ejected;
+    return isSteady ? this.#pollMs : Math.min(this.#pollMs, RECOVERY_POLL_MS);
+  }
+}
--- /dev/null
+++ b/packages/entry/engine_driver.ts
@@ -0,0 +1,143 @@
+import { match } from "ts-pattern";
+import type { Clock, Outcome } from "../base/mod.ts";
+import type { EndpointClient } from "../endpoints/mod.ts";
+import {
+  type Attempt,
+  type Decision,
+  DecisionType,
+  EndpointStatus,
+  type Engine,
+  type EngineEvent,
+  EngineEventType,
+  type HoldRequest,
+} from "../engine/mod.ts";
+import { EventCode, type EventLog } from "../events/mod.ts";
+import type { Metrics } from "../metrics/mod.ts";
+
+type Waiter = (outcome: Outcome) => void;
+
+/** Carries out an engine's decisions: the only place where tasks are sent. */
+export class EngineDriver {
+  readonly engine: Engine;
+  readonly #endpoints: EndpointClient;
+  readonly #clock: Clock;
+  readonly #log: EventLog;
+  readonly #metrics: Metrics;
+  readonly #taskLeaseMs: number;
+  readonly #waiters = new Map<string, Waiter[]>();
+  #held = 0;
+
+  constructor(
+    options: {
+      engine: Engine;
+      endpoints: EndpointClient;
+      clock: Clock;
+      log: EventLog;
+      metrics: Metrics;
+      taskLeaseMs: number;
+    },
+  ) {
+    this.engine = options.engine;
+    this.#endpoints = options.endpoints;
+    this.#clock = options.clock;
+    this.#log = options.log;
+    this.#metrics = options.metrics;
+    this.#taskLeaseMs = options.taskLeaseMs;
+  }
+
+  /** Runs an attempt and resolves with its outcome. */
+  runAttempt(attempt: Attempt): Promise<Outcome> {
+    return new Promise((resolve) => {
+      const waiters = this.#waiters.get(attempt.id) ?? [];
+      waiters.push(resolve);
+      this.#waiters.set(attempt.id, waiters);
+      this.handle({ type: EngineEventType.Submit, attempt });
+    });
+  }
+
+  /** Returns how an attempt ended; an unknown one never runs from now on. */
+  settleAttempt(attempt: string, expires: number): Outcome | null {
+    this.handle({ type: EngineEventType.Settle, attempt, expires });
+    return this.engine.findOutcome(attempt) ?? null;
+  }
+
+  /** Reserves room for tasks of a gang and returns for how many. */
+  reserve(request: HoldRequest): number {
+    this.#held = 0;
+    this.handle({ type: EngineEventType.Reserve, request });
+    return this.#held;
+  }
+
+  /** Lets the engine decide on an event and carries out its decisions. */
+  handle(event: EngineEvent): void {
+    try {
+      const decisions = this.engine.handle(event, this.#clock.now());
+      for (const decision of decisions) this.#carryOut(decision);
+    } catch (error) {
+      this.#metrics.countEvent("invariant_failures");
+      this.#log.record(EventCode.InvariantBroken, {
+        event: event.type,
+        error: String(error),
+      });
+    }
+  }
+
+  #carryOut(decision: Decision): void {
+    match(decision)
+      .with({ type: DecisionType.Start }, (start) => {
+        void this.#startTask(start);
+      })
+      .with({ type: DecisionType.Stop }, ({ endpoint, task }) => {
+        this.#endpoints.stop(endpoint, task).catch(() => {});
+      })
+      .with({ type: DecisionType.Finish }, ({ attempt, outcome }) => {
+        this.#resolve(attempt, outcome);
+      })
+      .with({ type: DecisionType.Held }, ({ tasks }) => {
+        this.#held = tasks;
+      })
+      .with({ type: DecisionType.EndpointStatus }, ({ endpoint, status }) => {
+        this.#log.record(STATUS_EVENTS[status], { endpoint, status });
+      })
+      .exhaustive();
+  }
+
+  async #startTask(
+    start: Extract<Decision, { type: DecisionType.Start }>,
+  ): Promise<void> {
+    const { attempt, endpoint, labels, waitedMs } = start;
+    const labelsOfWait = { team: attempt.team, queue: attempt.queue };
+    this.#metrics.observeDuration("wait", labelsOfWait, waitedMs);
+    this.#metrics.countEvent("starts", { team: attempt.team });
+    const result = await this.#endpoints.start(endpoint, {
+      id: attempt.id,
+      labels,
+      kind: attempt.kind,
+      size: attempt.size,
+      leaseMs: this.#taskLeaseMs,
+      timeoutMs: attempt.deadline - this.#clock.now(),
+      payload: attempt.payload,
+    });
+    this.handle({
+      type: EngineEventType.TaskEnded,
+      attempt: attempt.id,
+      result,
+    });
+  }
+
+  #resolve(attempt: string, outcome: Outcome): void {
+    const waiters = this.#waiters.get(attempt) ?? [];
+    this.#waiters.delete(attempt);
+    for (const resolve of waiters) resolve(outcome);
+  }
+}
+
+const STATUS_EVENTS: Record<EndpointStatus, EventCode> = {
+  [EndpointStatus.Recovering]: EventCode.EndpointUnreachable,
+  [EndpointStatus.Serving]: EventCode.EndpointServing,
+  [EndpointStatus.Quiescing]: EventCode.EndpointLeaving,
+  [EndpointStatus.Leaving]: EventCode.EndpointLeaving,
+  [EndpointStatus.Unreachable]: EventCode.EndpointUnreachable,
+  [EndpointStatus.Ejected]: EventCode.EndpointEjected,
+  [EndpointStatus.Gone]: EventCode.EndpointGone,
+};
--- /dev/null
+++ b/packages/entry/entry_node.ts
@@ -0,0 +1,435 @@
+import { v7 as makeUuid } from "uuid";
+import {
+  Cause,
+  jitterRetryAfter,
+  makeNotRun,
+  NotSentError,
+  type Outcome,
+  SECOND_MS,
+} from "../base/mod.ts";
+import type { Configuration } from "../config/mod.ts";
+import { ControlState } from "../control/mod.ts";
+import { Engine, EngineEventType } from "../engine/mod.ts";
+import { EventCode } from "../events/mod.ts";
+import {
+  findHome,
+  type KeyBegin,
+  KeyHome,
+  type KeyStanding,
+  parseKey,
+} from "../idempotency/mod.ts";
+import type { Member } from "../membership/mod.ts";
+import {
+  type Heartbeat,
+  NOT_OWNER_CODE,
+  PEER_TIMEOUT_MS,
+  PeerRefusedError,
+  type WorkView,
+} from "../peers/mod.ts";
+import {
+  type FleetCapacity,
+  Pipeline,
+  PipelineHost,
+  type RawRequest,
+} from "../pipeline/mod.ts";
+import { type RoutedWork, Router } from "../routing/mod.ts";
+import { formatAddress } from "../settings/mod.ts";
+import { ConfigService, type HeadTest } from "./config_service.ts";
+import {
+  CONTROL_INTERVAL_MS,
+  DRAIN_HANDOVER_MS,
+  GANG_BACKOFF_MS,
+  GANG_HOLD_MS,
+  HANDOVER_INTERVAL_MS,
+  LOST_HEARTBEATS,
+  MAX_ROUTE_TRIES,
+  REMOTE_HEARTBEAT_FACTOR,
+  TICK_INTERVAL_MS,
+  WORK_RETENTION_MS,
+} from "./constants.ts";
+import { ControlLoop } from "./control_loop.ts";
+import { EndpointDirectory } from "./endpoint_directory.ts";
+import { EndpointPoller } from "./endpoint_poller.ts";
+import { EngineDriver } from "./engine_driver.ts";
+import { listCandidates, measureFleet, measureLoad } from "./fleet_view.ts";
+import { EntryGateway } from "./gateway.ts";
+import { Heartbeats } from "./heartbeats.ts";
+import { Loop } from "./loop.ts";
+import { PauseGuard } from "./pause_guard.ts";
+import { PeerTable } from "./peer_table.ts";
+import type { EntryParts } from "./types.ts";
+import { WorkRegistry } from "./work_registry.ts";
+
+/** One entry: everything of a daemon but its listening sockets. */
+export class EntryNode extends PipelineHost {
+  readonly parts: EntryParts;
+  readonly member: Member;
+  readonly control: ControlState;
+  readonly config: ConfigService;
+  readonly driver: EngineDriver;
+  readonly peers: PeerTable;
+  readonly heartbeats: Heartbeats;
+  readonly registry = new WorkRegistry();
+  readonly keys = new KeyHome();
+  readonly controlLoop: ControlLoop;
+  readonly #directory: EndpointDirectory;
+  readonly #pause: PauseGuard;
+  readonly #pipeline: Pipeline;
+  readonly #router: Router;
+  readonly #poller: EndpointPoller;
+  readonly #loops: Loop[];
+  readonly #controlTimer: Loop;
+  #left: () => void = () => {};
+  #drained: Promise<void> | undefined;
+
+  constructor(parts: EntryParts) {
+    super();
+    this.parts = parts;
+    const { settings, clock, log, random, metrics } = parts;
+    const { id: vm, domain } = settings.vm;
+    this.member = {
+      vm,
+      incarnation: `${domain}/${vm}/${makeUuid()}`,
+      callers: formatAddress(settings.listen.callers),
+      peers: formatAddress(settings.listen.peers),
+    };
+    const { incarnation } = this.member;
+    this.control = new ControlState({ domain, self: this.member });
+    this.#directory = new EndpointDirectory(settings.platform.vm_list_lag_ms);
+    this.#pause = new PauseGuard(clock.now());
+    const { heartbeat_ms } = settings.peers;
+    const lostMs = heartbeat_ms * LOST_HEARTBEATS;
+    this.peers = new PeerTable((of) =>
+      of === domain ? lostMs : lostMs * REMOTE_HEARTBEAT_FACTOR
+    );
+    this.driver = new EngineDriver({
+      engine: new Engine({ incarnation, random, placement: parts.placement }),
+      endpoints: parts.endpoints,
+      clock,
+      log,
+      metrics,
+      taskLeaseMs: settings.endpoints.task_lease_ms,
+    });
+    this.config = new ConfigService({
+      store: parts.store,
+      clock,
+      log,
+      makeId: makeUuid,
+      onChange: () => this.#adoptConfiguration(),
+      findUnconfirmed: (isDone) => this.#findUnconfirmed(isDone),
+    });
+    this.heartbeats = new Heartbeats({
+      control: this.control,
+      config: this.config,
+      peers: this.peers,
+      client: parts.peers,
+      pause: this.#pause,
+      clock,
+      log,
+      describeSelf: () => this.describeSelf(),
+    });
+    this.controlLoop = new ControlLoop({
+      control: this.control,
+      config: this.config,
+      directory: this.#directory,
+      driver: this.driver,
+      peers: this.peers,
+      pause: this.#pause,
+      store: parts.store,
+      vmList: parts.vmList,
+      clock,
+      log,
+      makeId: makeUuid,
+      isIdle: () => this.isIdle(),
+      onLeft: () => this.#left(),
+    });
+    this.#router = new Router({
+      gateway: new EntryGateway({
+        driver: this.driver,
+        peers: parts.peers,
+        clock,
+        listCandidates: (now) => this.#listCandidates(now),
+        noteForward: (to) => this.peers.noteForward(to),
+      }),
+      clock,
+      random,
+      domain,
+      maxTries: MAX_ROUTE_TRIES,
+      gangHoldMs: GANG_HOLD_MS,
+      gangBackoffMs: GANG_BACKOFF_MS,
+    });
+    this.#pipeline = new Pipeline({ host: this, clock, metrics });
+    this.#poller = new EndpointPoller({
+      driver: this.driver,
+      client: parts.endpoints,
+      clock,
+      pollMs: settings.endpoints.poll_ms,
+      leaseMs: settings.endpoints.task_lease_ms,
+    });
+    this.#controlTimer = new Loop(
+      () => this.controlLoop.step(),
+      () => this.#findControlInterval(),
+    );
+    this.#loops = [
+      this.#controlTimer,
+      new Loop(() => this.controlLoop.readVmList(), () => CONTROL_INTERVAL_MS),
+      new Loop(() => this.heartbeats.sendRound(), () => heartbeat_ms),
+      new Loop(() => this.#tick(), () => TICK_INTERVAL_MS),
+    ];
+  }
+
+  /** Starts the loops. */
+  start(): void {
+    const { vm, incarnation } = this.member;
+    this.parts.log.record(EventCode.EntryStarted, { vm, incarnation });
+    for (const loop of this.#loops) loop.start();
+  }
+
+  /** Takes in one request and resolves with its id and outcome. */
+  submit(
+    raw: Omit<RawRequest, "id" | "arrivedAt">,
+  ): { id: string; outcome: Promise<Outcome> } {
+    const { id: vm, domain } = this.parts.settings.vm;
+    const id = `${domain}~${vm}~${makeUuid()}`;
+    const arrivedAt = this.parts.clock.now();
+    const context = this.#pipeline.createContext({ ...raw, id, arrivedAt });
+    this.registry.add(context);
+    const outcome = this.#pipeline.run(context).then((settled) => {
+      const now = this.parts.clock.now();
+      this.registry.finish(id, settled, { now });
+      return settled;
+    });
+    return { id, outcome };
+  }
+
+  /** Finds work of a team, here or at the entry that took it in. */
+  async findWork(id: string, team: string): Promise<WorkView | null> {
+    const peer = this.#findTaker(id);
+    if (!peer) return this.registry.describe(id, team);
+    return await this.parts.peers.call("work.find", {
+      target: peer.incarnation,
+      id,
+      team,
+    }, { address: peer.peers, timeoutMs: PEER_TIMEOUT_MS });
+  }
+
+  /** Cancels work of a team and tells how it stands. */
+  async cancelWork(id: string, team: string): Promise<WorkView | null> {
+    const peer = this.#findTaker(id);
+    if (!peer) return await this.cancelOwnWork(id, team);
+    return await this.parts.peers.call("work.cancel", {
+      target: peer.incarnation,
+      id,
+      team,
+    }, { address: peer.peers, timeoutMs: PEER_TIMEOUT_MS });
+  }
+
+  /** Cancels work that this entry took in. */
+  async cancelOwnWork(id: string, team: string): Promise<WorkView | null> {
+    const context = this.registry.find(id, team);
+    if (context?.routed) await this.#router.cancel(context.routed);
+    return this.registry.describe(id, team);
+  }
+
+  /**
+   * Refuses new work, hands the endpoints over, waits for what is in flight,
+   * and leaves the failure domain.
+   */
+  drain(): Promise<void> {
+    this.#drained ??= this.#drain();
+    return this.#drained;
+  }
+
+  /** Stops all loops and frees the connections. */
+  async stop(): Promise<void> {
+    for (const loop of this.#loops) loop.stop();
+    const { store, vmList, endpoints, peers, log } = this.parts;
+    await Promise.all([
+      store.close(),
+      vmList.close(),
+      endpoints.close(),
+      peers.close(),
+    ]);
+    log.record(EventCode.EntryStopped);
+  }
+
+  /** True when nothing accepted is in flight here. */
+  isIdle(): boolean {
+    return this.registry.pending === 0 && this.driver.engine.isIdle();
+  }
+
+  /** True while this entry drains. */
+  get isDraining(): boolean {
+    return this.controlLoop.draining;
+  }
+
+  /** What this entry tells its peers. */
+  describeSelf(): Heartbeat {
+    const now = this.parts.clock.now();
+    return {
+      incarnation: this.member.incarnation,
+      head: this.config.state.head,
+      draining: this.isDraining,
+      load: measureLoad(this.driver.engine.state, now),
+    };
+  }
+
+  /** Registers an idempotency key here, as its home. */
+  beginKeyHere(begin: KeyBegin): KeyStanding {
+    const now = this.parts.clock.now();
+    const home = this.#findHome(begin.key);
+    const isOwn = home.domain === this.control.domain;
+    const tenure = isOwn ? this.controlLoop.findTenure(home.shard) : undefined;
+    if (tenure === undefined) {
+      throw new PeerRefusedError("Cannot keep a key of others", NOT_OWNER_CODE);
+    }
+    return this.keys.begin(begin, { tenure, now });
+  }
+
+  override getConfiguration(): Configuration {
+    return this.config.state.effective;
+  }
+
+  override findObstacle(now: number): Outcome | undefined {
+    const retryAfterMs = jitterRetryAfter(SECOND_MS, this.parts.random);
+    if (this.isDraining) {
+      const detail = "this entry is draining";
+      return makeNotRun(Cause.Draining, detail, { retryAfterMs });
+    }
+    if (this.isReady() && !this.#pause.isStale(now)) return undefined;
+    const detail = "this entry has not caught up with the platform yet";
+    return makeNotRun(Cause.NotReady, detail, { retryAfterMs });
+  }
+
+  override measureFleet(now: number): FleetCapacity {
+    const isComplete = this.peers.list().every((peer) =>
+      peer.heartbeat !== undefined
+    );
+    return measureFleet(this.#listCandidates(now), isComplete);
+  }
+
+  override async beginKey(begin: KeyBegin): Promise<KeyStanding> {
+    const owner = this.#findKeyOwner(begin.key);
+    if (owner === this.member) return this.beginKeyHere(begin);
+    const params = { target: owner.incarnation, begin };
+    const options = { address: owner.peers, timeoutMs: PEER_TIMEOUT_MS };
+    return await this.parts.peers.call("key.begin", params, options);
+  }
+
+  override finishKey(begin: KeyBegin, outcome: Outcome): void {
+    const { key, token } = begin;
+    const owner = this.#findKeyOwner(key);
+    if (owner === this.member) {
+      this.keys.finish(key, token, { outcome });
+      return;
+    }
+    this.parts.peers.call(
+      "key.finish",
+      { target: owner.incarnation, key, token, outcome },
+      { address: owner.peers, timeoutMs: PEER_TIMEOUT_MS },
+    ).catch(() => {});
+  }
+
+  override async route(routed: RoutedWork): Promise<Outcome> {
+    return await this.#router.route(routed);
+  }
+
+  /** True once this entry can take work. */
+  isReady(): boolean {
+    return this.controlLoop.isReady && this.config.state.head.version > 0 &&
+      !this.control.isExpelled();
+  }
+
+  #tick(): void {
+    const now = this.parts.clock.now();
+    const pausedMs = this.#pause.tick(now);
+    if (pausedMs > 0) {
+      this.parts.log.record(EventCode.LoopPaused, { paused_ms: pausedMs });
+      this.#controlTimer.wake();
+    }
+    this.driver.handle({ type: EngineEventType.Tick });
+    this.#poller.pollDue();
+    this.registry.expire(now - WORK_RETENTION_MS);
+    this.keys.expire(now);
+  }
+
+  #adoptConfiguration(): void {
+    const shares: Record<string, number> = {};
+    for (const [name, team] of Object.entries(this.getConfiguration().teams)) {
+      shares[name] = team.share;
+    }
+    this.driver.handle({ type: EngineEventType.SharesChanged, shares });
+    this.#controlTimer?.wake();
+  }
+
+  #findUnconfirmed(isDone: HeadTest): string[] {
+    const missing = this.peers.list()
+      .map((peer) => peer.member.incarnation)
+      .filter((incarnation) => !isDone(this.peers.findHead(incarnation)));
+    this.heartbeats.sendTo(missing);
+    return missing;
+  }
+
+  #listCandidates(now: number) {
+    const { control, peers } = this;
+    const engine = this.driver.engine.state;
+    return listCandidates({ control, peers, engine }, now);
+  }
+
+  #findControlInterval(): number {
+    return this.controlLoop.isHandingOver || this.isDraining ||
+        !this.controlLoop.isReady
+      ? HANDOVER_INTERVAL_MS
+      : CONTROL_INTERVAL_MS;
+  }
+
+  #findHome(text: string): { domain: string; shard: number } {
+    const now = this.parts.clock.now();
+    const domains = this.control.listSettledDomains(now);
+    const key = parseKey(text)!;
+    if (!key.domain && domains.length === 0) {
+      throw new NotSentError("Cannot find a home for the key yet");
+    }
+    return findHome(key, domains);
+  }
+
+  #findKeyOwner(text: string): Member {
+    const { domain, shard } = this.#findHome(text);
+    const record = this.control.findDomain(domain);
+    const owner = record?.shards[shard].owner;
+    const member = Object.values(record?.members ?? {}).find((candidate) =>
+      candidate.incarnation === owner
+    );
+    if (!member) throw new NotSentError("Cannot find the home of the key");
+    const isSelf = member.incarnation === this.member.incarnation;
+    return isSelf ? this.member : member;
+  }
+
+  /** Returns the entry that took work in, unless it is this one. */
+  #findTaker(id: string): Member | undefined {
+    const [domain, vm] = id.split("~");
+    if (vm === this.member.vm && domain === this.control.domain) {
+      return undefined;
+    }
+    return this.control.findDomain(domain)?.members[vm];
+  }
+
+  async #drain(): Promise<void> {
+    const { log, clock } = this.parts;
+    log.record(EventCode.DrainStarted);
+    this.controlLoop.draining = true;
+    this.driver.handle({ type: EngineEventType.Drain });
+    this.heartbeats.sendTo(this.peers.list().map((p) => p.member.incarnation));
+    this.#controlTimer.wake();
+    const left = new Promise<void>((resolve) => {
+      this.#left = resolve;
+    });
+    let isLeft = false;
+    left.then(() => isLeft = true);
+    const until = clock.now() + DRAIN_HANDOVER_MS;
+    while (!isLeft && !(this.isIdle() && clock.now() >= until)) {
+      await new Promise((resolve) => setTimeout(resolve, TICK_INTERVAL_MS));
+    }
+    log.record(EventCode.DrainFinished, { left: isLeft });
+  }
+}
--- /dev/null
+++ b/packages/entry/fleet_view.ts
@@ -0,0 +1,75 @@
+import type { Size } from "../base/mod.ts";
+import type { ControlState } from "../control/mod.ts";
+import type { EngineState } from "../engine/mod.ts";
+import type { OwnerLoad } from "../peers/mod.ts";
+import type { FleetCapacity } from "../pipeline/mod.ts";
+import type { OwnerCandidate } from "../routing/mod.ts";
+import type { PeerTable } from "./peer_table.ts";
+
+const NOTHING: Size = { cores: 0, memoryMb: 0, accelerators: 0 };
+
+/** Returns the larger of two sizes in each resource. */
+export function takeLargest(a: Size, b: Size): Size {
+  return {
+    cores: Math.max(a.cores, b.cores),
+    memoryMb: Math.max(a.memoryMb, b.memoryMb),
+    accelerators: Math.max(a.accelerators, b.accelerators),
+  };
+}
+
+/** Measures what an engine's endpoints can take now. */
+export function measureLoad(state: EngineState, now: number): OwnerLoad {
+  const load: OwnerLoad = {
+    endpoints: 0,
+    slots: 0,
+    freeSlots: 0,
+    waiting: state.queue.size,
+    largest: NOTHING,
+  };
+  for (const endpoint of state.endpointList) {
+    if (!endpoint.canStart(now)) continue;
+    const { spec, freeSlots } = endpoint.ledger;
+    load.endpoints += 1;
+    load.slots += spec.slots;
+    load.freeSlots += freeSlots;
+    load.largest = takeLargest(load.largest, spec.size);
+  }
+  return load;
+}
+
+/** Lists the entries that may own endpoints: this one and reachable peers. */
+export function listCandidates(
+  sources: { control: ControlState; peers: PeerTable; engine: EngineState },
+  now: number,
+): OwnerCandidate[] {
+  const { control, peers, engine } = sources;
+  const self: OwnerCandidate = {
+    incarnation: control.self.incarnation,
+    domain: control.domain,
+    address: control.self.peers,
+    isSelf: true,
+    draining: engine.draining,
+    load: measureLoad(engine, now),
+  };
+  const others = peers.listReachable(now).flatMap((peer) => {
+    if (!peer.heartbeat) return [];
+    const { load, draining, incarnation } = peer.heartbeat;
+    const { domain, member } = peer;
+    const address = member.peers;
+    return [{ incarnation, domain, address, isSelf: false, draining, load }];
+  });
+  return [self, ...others];
+}
+
+/** Adds up what the candidates can hold. */
+export function measureFleet(
+  candidates: readonly OwnerCandidate[],
+  isKnown: boolean,
+): FleetCapacity {
+  const capacity: FleetCapacity = { isKnown, largest: NOTHING, slots: 0 };
+  for (const { load } of candidates) {
+    capacity.slots += load.slots;
+    capacity.largest = takeLargest(capacity.largest, load.largest);
+  }
+  return capacity;
+}
--- /dev/null
+++ b/packages/entry/gateway.ts
@@ -0,0 +1,165 @@
+import {
+  Cause,
+  type Clock,
+  makeMayHaveRun,
+  makeNotRun,
+  NotSentError,
+  type Outcome,
+} from "../base/mod.ts";
+import {
+  type Attempt,
+  EngineEventType,
+  type HoldRequest,
+} from "../engine/mod.ts";
+import {
+  PEER_TIMEOUT_MS,
+  type PeerClient,
+  PeerRefusedError,
+} from "../peers/mod.ts";
+import { type OwnerCandidate, OwnerGateway } from "../routing/mod.ts";
+import { DEADLINE_GRACE_MS, RECOVER_INTERVAL_MS } from "./constants.ts";
+import type { EngineDriver } from "./engine_driver.ts";
+
+/** Reaches owners: this entry directly, peers by JSON-RPC, one hop. */
+export class EntryGateway extends OwnerGateway {
+  readonly #driver: EngineDriver;
+  readonly #peers: PeerClient;
+  readonly #clock: Clock;
+  readonly #listCandidates: (now: number) => OwnerCandidate[];
+  readonly #noteForward: (incarnation: string) => void;
+
+  constructor(
+    options: {
+      driver: EngineDriver;
+      peers: PeerClient;
+      clock: Clock;
+      listCandidates: (now: number) => OwnerCandidate[];
+      noteForward: (incarnation: string) => void;
+    },
+  ) {
+    super();
+    this.#driver = options.driver;
+    this.#peers = options.peers;
+    this.#clock = options.clock;
+    this.#listCandidates = options.listCandidates;
+    this.#noteForward = options.noteForward;
+  }
+
+  override listCandidates(now: number): OwnerCandidate[] {
+    return this.#listCandidates(now);
+  }
+
+  override async runAttempt(
+    owner: OwnerCandidate,
+    attempt: Attempt,
+  ): Promise<Outcome> {
+    if (owner.isSelf) return await this.#driver.runAttempt(attempt);
+    this.#noteForward(owner.incarnation);
+    try {
+      return await this.#forward(owner, attempt);
+    } catch (error) {
+      return await this.#recover(owner, attempt, { error });
+    }
+  }
+
+  override async cancelAttempt(
+    owner: OwnerCandidate,
+    attempt: { id: string; expires: number },
+  ): Promise<void> {
+    const params = { attempt: attempt.id, expires: attempt.expires };
+    if (owner.isSelf) {
+      this.#driver.handle({ type: EngineEventType.Cancel, ...params });
+      return;
+    }
+    const { address } = owner;
+    await this.#peers.call(
+      "attempt.cancel",
+      { target: owner.incarnation, ...params },
+      { address, timeoutMs: PEER_TIMEOUT_MS },
+    ).catch(() => null);
+  }
+
+  override async reserve(
+    owner: OwnerCandidate,
+    request: HoldRequest,
+  ): Promise<number> {
+    if (owner.isSelf) return this.#driver.reserve(request);
+    const { address } = owner;
+    return await this.#peers.call(
+      "gang.reserve",
+      { target: owner.incarnation, request },
+      { address, timeoutMs: PEER_TIMEOUT_MS },
+    ).catch(() => 0);
+  }
+
+  override async release(owner: OwnerCandidate, hold: string): Promise<void> {
+    if (owner.isSelf) {
+      this.#driver.handle({ type: EngineEventType.ReleaseHold, hold });
+      return;
+    }
+    const { address } = owner;
+    await this.#peers.call(
+      "gang.release",
+      { target: owner.incarnation, hold },
+      { address, timeoutMs: PEER_TIMEOUT_MS },
+    ).catch(() => null);
+  }
+
+  #forward(owner: OwnerCandidate, attempt: Attempt): Promise<Outcome> {
+    const left = attempt.deadline - this.#clock.now() + DEADLINE_GRACE_MS;
+    return this.#peers.call(
+      "attempt.run",
+      { target: owner.incarnation, attempt },
+      { address: owner.address, timeoutMs: Math.max(1, left) },
+    );
+  }
+
+  /**
+   * A forward without a reply: the same attempt may be sent again, because its
+   * owner knows it by id; in the end only the owner's word makes it not run.
+   */
+  async #recover(
+    owner: OwnerCandidate,
+    attempt: Attempt,
+    options: { error: unknown },
+  ): Promise<Outcome> {
+    let { error } = options;
+    if (error instanceof NotSentError) {
+      return makeNotRun(Cause.EntryLost, "the owner could not be reached");
+    }
+    while (!(error instanceof PeerRefusedError)) {
+      if (this.#clock.now() >= attempt.deadline) {
+        return await this.#settle(owner, attempt);
+      }
+      await waitFor(RECOVER_INTERVAL_MS);
+      try {
+        return await this.#forward(owner, attempt);
+      } catch (next) {
+        error = next;
+      }
+    }
+    const detail = "the owner restarted while it had the work";
+    return makeMayHaveRun(Cause.EntryLost, detail);
+  }
+
+  async #settle(owner: OwnerCandidate, attempt: Attempt): Promise<Outcome> {
+    const { address, incarnation } = owner;
+    const expires = attempt.deadline;
+    try {
+      const outcome = await this.#peers.call(
+        "attempt.settle",
+        { target: incarnation, attempt: attempt.id, expires },
+        { address, timeoutMs: DEADLINE_GRACE_MS },
+      );
+      if (outcome) return outcome;
+    } catch {
+      // Without the owner's word the work may have run.
+    }
+    const detail = "the owner did not answer before the deadline";
+    return makeMayHaveRun(Cause.EntryLost, detail);
+  }
+}
+
+function waitFor(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/packages/entry/mod.ts
@@ -0,0 +1,6 @@
+/** One entry: loops, services, sockets, wiring. */
+export * from "./config_service.ts";
+export * from "./daemon.ts";
+export * from "./entry_node.ts";
+export * from "./types.ts";
+export * from "./wiring.ts";
--- /dev/null
+++ b/packages/entry/peer_handlers.ts
@@ -0,0 +1,60 @@
+import { EngineEventType } from "../engine/mod.ts";
+import {
+  type PeerHandlers,
+  PeerRefusedError,
+  WRONG_INCARNATION_CODE,
+} from "../peers/mod.ts";
+import type { EntryNode } from "./entry_node.ts";
+
+/** Serves the calls of other entries. */
+export function createPeerHandlers(node: EntryNode): PeerHandlers {
+  const checkTarget = (target: string) => {
+    if (target === node.member.incarnation) return;
+    const message = "Cannot serve a call for another incarnation";
+    throw new PeerRefusedError(message, WRONG_INCARNATION_CODE);
+  };
+  return {
+    "peer.heartbeat": (heartbeat) => node.heartbeats.receive(heartbeat),
+    "config.fetch": ({ have }) => node.config.listUpdate(have),
+    "attempt.run": async ({ target, attempt }) => {
+      checkTarget(target);
+      return await node.driver.runAttempt(attempt);
+    },
+    "attempt.settle": ({ target, attempt, expires }) => {
+      checkTarget(target);
+      return node.driver.settleAttempt(attempt, expires);
+    },
+    "attempt.cancel": ({ target, attempt, expires }) => {
+      checkTarget(target);
+      const type = EngineEventType.Cancel;
+      node.driver.handle({ type, attempt, expires });
+      return null;
+    },
+    "gang.reserve": ({ target, request }) => {
+      checkTarget(target);
+      return node.driver.reserve(request);
+    },
+    "gang.release": ({ target, hold }) => {
+      checkTarget(target);
+      node.driver.handle({ type: EngineEventType.ReleaseHold, hold });
+      return null;
+    },
+    "key.begin": ({ target, begin }) => {
+      checkTarget(target);
+      return node.beginKeyHere(begin);
+    },
+    "key.finish": ({ target, key, token, outcome }) => {
+      checkTarget(target);
+      node.keys.finish(key, token, { outcome });
+      return null;
+    },
+    "work.find": ({ target, id, team }) => {
+      checkTarget(target);
+      return node.registry.describe(id, team);
+    },
+    "work.cancel": async ({ target, id, team }) => {
+      checkTarget(target);
+      return await node.cancelOwnWork(id, team);
+    },
+  };
+}
--- /dev/null
+++ b/packages/entry/wiring.ts
@@ -0,0 +1,35 @@
+import { randomInt } from "node:crypto";
+import { SeededRandom, SystemClock } from "../base/mod.ts";
+import { HttpEndpointClient } from "../endpoints/mod.ts";
+import { SampledPlacement } from "../engine/mod.ts";
+import { PinoEventLog } from "../events/mod.ts";
+import { Metrics } from "../metrics/mod.ts";
+import { RpcPeerClient } from "../peers/mod.ts";
+import { EtcdStore, HttpVmList } from "../platform/mod.ts";
+import type { Settings } from "../settings/mod.ts";
+import { EntryNode } from "./entry_node.ts";
+
+const SEED_BOUND = 2 ** 31;
+
+/** Builds an entry from its settings: the one place that names adapters. */
+export function buildEntryNode(settings: Settings): EntryNode {
+  const { platform, vm, log } = settings;
+  const timeoutMs = platform.timeout_ms;
+  const random = new SeededRandom(randomInt(SEED_BOUND));
+  return new EntryNode({
+    settings,
+    clock: new SystemClock(),
+    random,
+    store: new EtcdStore({ url: platform.store, timeoutMs }),
+    vmList: new HttpVmList({
+      url: platform.vm_list,
+      domain: vm.domain,
+      timeoutMs,
+    }),
+    endpoints: new HttpEndpointClient(),
+    peers: new RpcPeerClient(settings.peers.token),
+    placement: new SampledPlacement(random),
+    log: new PinoEventLog(log.level, { vm: vm.id, domain: vm.domain }),
+    metrics: new Metrics(),
+  });
+}
--- /dev/null
+++ b/packages/events/explain.ts
@@ -0,0 +1,26 @@
+import { CATALOGUE, EventCode } from "./catalogue.ts";
+
+/** Describes one event for an operator, or nothing when it is unknown. */
+export function explainEvent(code: number): string | undefined {
+  const entry = CATALOGUE[code as EventCode];
+  if (!entry) return undefined;
+  return [
+    `${code} ${EventCode[code]} (${entry.severity})`,
+    `  ${entry.message}`,
+    `  What to do: ${entry.remedy}`,
+  ].join("\n");
+}
+
+/** Renders the catalogue as the Markdown table of docs/EVENTS.md. */
+export function renderCatalogue(): string {
+  const rows = Object.entries(CATALOGUE).map(([code, entry]) =>
+    `| ${code} | ${
+      EventCode[Number(code)]
+    } | ${entry.severity} | ${entry.message} | ${entry.remedy} |`
+  );
+  return [
+    "| code | name | severity | message | what to do |",
+    "| --- | --- | --- | --- | --- |",
+    ...rows,
+  ].join("\n");
+}
--- /dev/null
+++ b/packages/idempotency/key.ts
@@ -0,0 +1,36 @@
+import { validate, version } from "uuid";
+import { Buffer } from "node:buffer";
+import { hashToBucket } from "../base/mod.ts";
+import { SHARDS_PER_DOMAIN } from "../membership/mod.ts";
+
+const UUID_V7 = 7;
+
+/** A parsed idempotency key: `UUIDv7` or `domain/UUIDv7`. */
+export interface IdempotencyKey {
+  text: string;
+  /** Failure domain that the caller chose as the key's home. */
+  domain?: string;
+  /** When the key was made, in milliseconds since the Unix epoch. */
+  madeAt: number;
+}
+
+/** Parses a key; returns nothing when it does not have the right form. */
+export function parseKey(text: string): IdempotencyKey | undefined {
+  const slash = text.indexOf("/");
+  const id = text.slice(slash + 1);
+  if (!validate(id) || version(id) !== UUID_V7) return undefined;
+  const hex = id.replaceAll("-", "").slice(0, 12);
+  const madeAt = Buffer.from(hex, "hex").readUIntBE(0, 6);
+  if (slash < 0) return { text, madeAt };
+  return { text, domain: text.slice(0, slash), madeAt };
+}
+
+/** Returns the failure domain and shard whose owner is the key's home. */
+export function findHome(
+  key: IdempotencyKey,
+  domains: readonly string[],
+): { domain: string; shard: number } {
+  const sorted = [...domains].sort();
+  const domain = key.domain ?? sorted[hashToBucket(key.text, sorted.length)];
+  return { domain, shard: hashToBucket(`home ${key.text}`, SHARDS_PER_DOMAIN) };
+}
--- /dev/null
+++ b/packages/limits/plan.ts
@@ -0,0 +1,277 @@
+import { assertInvariant, hashToBucket } from "../base/mod.ts";
+import { LIMIT_BUCKETS } from "./constants.ts";
+import type {
+  DomainBucket,
+  FleetBucket,
+  LimitsPlan,
+  LimitsView,
+  TeamGrants,
+} from "./types.ts";
+
+/** Returns the bucket that holds a team's grants. */
+export function findBucket(team: string): number {
+  return hashToBucket(team, LIMIT_BUCKETS);
+}
+
+/** Returns a bucket without grants. */
+export function createFleetBucket(): FleetBucket {
+  return { writer: "", version: 0, teams: {} };
+}
+
+/** Returns a failure domain's bucket without grants. */
+export function createDomainBucket(): DomainBucket {
+  return { writer: "", teams: {} };
+}
+
+/** Adds up the grants of all holders. */
+export function sumGrants(team: TeamGrants | undefined): number {
+  if (!team) return 0;
+  return Object.values(team.grants).reduce((sum, part) => sum + part, 0);
+}
+
+/**
+ * Decides how the grants of one bucket change. Both buckets are written in one
+ * compare-and-swap, so that no failure in between can raise a sum.
+ */
+export function planLimits(
+  current: { fleet: FleetBucket; domain: DomainBucket; bucket: number },
+  view: LimitsView,
+  options: { writer: string },
+): LimitsPlan {
+  const fleet = structuredClone(current.fleet);
+  const domain = structuredClone(current.domain);
+  adoptLimits(fleet, view, current.bucket);
+  for (const name of listTeams(fleet, domain)) {
+    planTeam({ fleet, domain, name }, view);
+  }
+  dropEmptyTeams(fleet, domain);
+  const plan: LimitsPlan = { granted: listGranted(domain, view.holder) };
+  if (!isSame(fleet, current.fleet)) {
+    plan.fleet = { ...fleet, writer: options.writer };
+  }
+  if (!isSame(domain, current.domain)) {
+    plan.domain = { ...domain, writer: options.writer };
+  }
+  return plan;
+}
+
+/** Lists what a holder is granted, by team. */
+export function listGranted(
+  domain: DomainBucket,
+  holder: string,
+): Record<string, number> {
+  const granted: Record<string, number> = {};
+  for (const [name, team] of Object.entries(domain.teams)) {
+    granted[name] = team.grants[holder] ?? 0;
+  }
+  return granted;
+}
+
+function createFleetTeam(): FleetBucket["teams"][string] {
+  return { limit: 0, grants: {}, wants: {} };
+}
+
+interface TeamPlace {
+  fleet: FleetBucket;
+  domain: DomainBucket;
+  name: string;
+}
+
+/** A stale entry never overwrites limits of a newer configuration. */
+function adoptLimits(
+  fleet: FleetBucket,
+  view: LimitsView,
+  bucket: number,
+): void {
+  if (view.version < fleet.version) return;
+  const limits = Object.entries(view.limits).filter(([name]) =>
+    findBucket(name) === bucket
+  );
+  const wanted = new Map(limits);
+  const names = new Set([...Object.keys(fleet.teams), ...wanted.keys()]);
+  for (const name of names) {
+    const limit = wanted.get(name) ?? 0;
+    const team = fleet.teams[name] ??= createFleetTeam();
+    if (team.limit === limit) continue;
+    team.limit = limit;
+    fleet.version = view.version;
+  }
+}
+
+function planTeam(place: TeamPlace, view: LimitsView): void {
+  const team = place.fleet.teams[place.name] ??= createFleetTeam();
+  const own = place.domain.teams[place.name] ??= { grants: {}, wants: {} };
+  reclaimLeftovers(own, place.name, view);
+  shrinkOwn(team, own, { name: place.name, view });
+  growOwn(team, own, { name: place.name, view });
+  returnToFleet(team, own, view);
+  assertInvariant(
+    sumGrants(own) <= (team.grants[view.domain] ?? 0),
+    `Grants of ${place.name} exceed what ${view.domain} was granted`,
+  );
+}
+
+/** A former member keeps only what its leftover tasks still use. */
+function reclaimLeftovers(
+  own: TeamGrants,
+  name: string,
+  view: LimitsView,
+): void {
+  for (const holder of Object.keys(own.grants)) {
+    if (view.holders.includes(holder)) continue;
+    delete own.wants[holder];
+    const left = view.leftovers[holder];
+    if (left === null) continue;
+    const running = left?.[name] ?? 0;
+    setPart(own.grants, holder, Math.min(own.grants[holder], running));
+  }
+}
+
+function shrinkOwn(
+  team: FleetBucket["teams"][string],
+  own: TeamGrants,
+  options: { name: string; view: LimitsView },
+): void {
+  const { name, view } = options;
+  const mine = own.grants[view.holder] ?? 0;
+  const { usage, waiting } = findDemand(name, view);
+  const cap = computeCap(team, own, view);
+  const kept = view.draining
+    ? usage
+    : Math.max(usage, Math.min(usage + waiting, cap));
+  const next = isContended(team, own, view) || view.draining
+    ? Math.min(mine, kept)
+    : mine;
+  setPart(own.grants, view.holder, next);
+}
+
+function growOwn(
+  team: FleetBucket["teams"][string],
+  own: TeamGrants,
+  options: { name: string; view: LimitsView },
+): void {
+  const { name, view } = options;
+  const mine = own.grants[view.holder] ?? 0;
+  const wanted = view.draining ? 0 : computeWanted(team, name, view);
+  const fromDomain = Math.max(
+    0,
+    (team.grants[view.domain] ?? 0) - sumGrants(own),
+  );
+  const fromFleet = Math.max(0, team.limit - sumGrants(team));
+  const room = sumGrants(team) > team.limit ? 0 : fromDomain + fromFleet;
+  const taken = Math.min(Math.max(0, wanted - mine), room);
+  setPart(
+    team.grants,
+    view.domain,
+    (team.grants[view.domain] ?? 0) + Math.max(0, taken - fromDomain),
+  );
+  setPart(own.grants, view.holder, mine + taken);
+  const { usage, waiting } = findDemand(name, view);
+  const lacking = view.draining ? 0 : usage + waiting - mine - taken;
+  setPart(own.wants, view.holder, Math.max(0, lacking));
+  setPart(team.wants, view.domain, sumParts(own.wants));
+}
+
+/** Gives unused parts back when other domains lack some or a limit fell. */
+function returnToFleet(
+  team: FleetBucket["teams"][string],
+  own: TeamGrants,
+  view: LimitsView,
+): void {
+  const granted = team.grants[view.domain] ?? 0;
+  const isOver = sumGrants(team) > team.limit;
+  if (!isOver && !hasOtherWants(team.wants, view.domain)) return;
+  setPart(team.grants, view.domain, Math.min(granted, sumGrants(own)));
+}
+
+function computeWanted(
+  team: FleetBucket["teams"][string],
+  name: string,
+  view: LimitsView,
+): number {
+  const { usage, waiting } = findDemand(name, view);
+  const entries = view.domains.length * view.holders.length;
+  const resting = Math.floor(team.limit / Math.max(1, entries));
+  return Math.max(usage + waiting, resting);
+}
+
+/** The part of this entry when others lack some. */
+function computeCap(
+  team: FleetBucket["teams"][string],
+  own: TeamGrants,
+  view: LimitsView,
+): number {
+  const holders = Math.max(1, view.holders.length);
+  const domains = Math.max(1, view.domains.length);
+  const granted = team.grants[view.domain] ?? 0;
+  const ofDomain = hasOtherWants(team.wants, view.domain)
+    ? Math.min(granted, Math.ceil(team.limit / domains))
+    : granted;
+  const cap = Math.ceil(ofDomain / holders);
+  const sum = sumGrants(team);
+  if (sum <= team.limit) return cap;
+  const mine = own.grants[view.holder] ?? 0;
+  return Math.min(cap, Math.floor(mine * team.limit / sum));
+}
+
+function isContended(
+  team: FleetBucket["teams"][string],
+  own: TeamGrants,
+  view: LimitsView,
+): boolean {
+  return sumGrants(team) > team.limit ||
+    hasOtherWants(own.wants, view.holder) ||
+    hasOtherWants(team.wants, view.domain);
+}
+
+function hasOtherWants(
+  wants: Record<string, number>,
+  self: string,
+): boolean {
+  return Object.entries(wants).some(([name, part]) =>
+    name !== self && part > 0
+  );
+}
+
+function findDemand(
+  name: string,
+  view: LimitsView,
+): { usage: number; waiting: number } {
+  return view.demand.get(name) ?? { usage: 0, waiting: 0 };
+}
+
+function setPart(
+  parts: Record<string, number>,
+  holder: string,
+  value: number,
+): void {
+  if (value === 0) delete parts[holder];
+  else parts[holder] = value;
+}
+
+function sumParts(parts: Record<string, number>): number {
+  return Object.values(parts).reduce((sum, part) => sum + part, 0);
+}
+
+function listTeams(fleet: FleetBucket, domain: DomainBucket): string[] {
+  const names = [...Object.keys(fleet.teams), ...Object.keys(domain.teams)];
+  return [...new Set(names)];
+}
+
+function dropEmptyTeams(fleet: FleetBucket, domain: DomainBucket): void {
+  for (const [name, team] of Object.entries(domain.teams)) {
+    if (isEmpty(team)) delete domain.teams[name];
+  }
+  for (const [name, team] of Object.entries(fleet.teams)) {
+    if (team.limit === 0 && isEmpty(team)) delete fleet.teams[name];
+  }
+}
+
+function isEmpty(team: TeamGrants): boolean {
+  return Object.keys(team.grants).length === 0 &&
+    Object.keys(team.wants).length === 0;
+}
+
+function isSame(a: unknown, b: unknown): boolean {
+  return JSON.stringify(a) === JSON.stringify(b);
+}
--- /dev/null
+++ b/packages/membership/plan.ts
@@ -0,0 +1,171 @@
+import { SHARDS_PER_DOMAIN } from "./constants.ts";
+import {
+  listOwnedShards,
+  selectShardsToClaim,
+  selectShardsToRelease,
+} from "./shards.ts";
+import type {
+  DomainRecord,
+  MembershipPlan,
+  MembershipView,
+  ShardRecord,
+  TaskCounts,
+} from "./types.ts";
+
+/** Returns the record of a failure domain that nobody has joined yet. */
+export function createDomainRecord(now: number): DomainRecord {
+  const shards = Array.from(
+    { length: SHARDS_PER_DOMAIN },
+    (): ShardRecord => ({ owner: null, epoch: 0, predecessors: {} }),
+  );
+  return { epoch: 0, writer: "", createdAt: now, members: {}, shards };
+}
+
+/** Tells whether this entry was a member and is not one any more. */
+export function isExpelled(
+  record: DomainRecord,
+  view: MembershipView,
+): boolean {
+  if (!view.hasJoined) return false;
+  const member = record.members[view.self.vm];
+  return member?.incarnation !== view.self.incarnation;
+}
+
+/**
+ * Decides what this entry writes into the domain record, or nothing. The
+ * result is written by compare-and-swap, so a stale decision is harmless.
+ */
+export function planMembership(
+  current: DomainRecord,
+  view: MembershipView,
+  options: { writer: string },
+): MembershipPlan | undefined {
+  if (isExpelled(current, view)) return undefined;
+  const plan = createMembershipPlan(current, options.writer);
+  joinDomain(plan, view);
+  buryGoneMembers(plan, view);
+  recordRecovered(plan, view);
+  if (!view.draining) claimShards(plan, view);
+  releaseShards(plan, view);
+  leaveDomain(plan, view);
+  return isChanged(plan) ? plan : undefined;
+}
+
+/** Returns a plan that writes the record as it is, under a new epoch. */
+export function createMembershipPlan(
+  current: DomainRecord,
+  writer: string,
+): MembershipPlan {
+  const record = structuredClone(current);
+  record.epoch += 1;
+  record.writer = writer;
+  return {
+    record,
+    joined: false,
+    left: false,
+    buried: [],
+    claimed: [],
+    released: [],
+    recovered: [],
+  };
+}
+
+function isChanged(plan: MembershipPlan): boolean {
+  const lists = [plan.buried, plan.claimed, plan.released, plan.recovered];
+  return plan.joined || plan.left || lists.some((list) => list.length > 0);
+}
+
+/**
+ * A newer process on the same VM holds the VM's addresses, so the earlier
+ * process has ended and its shards are free.
+ */
+function joinDomain(plan: MembershipPlan, view: MembershipView): void {
+  if (view.hasJoined || view.draining) return;
+  const earlier = plan.record.members[view.self.vm];
+  if (earlier) buryMember(plan, earlier.incarnation);
+  plan.record.members[view.self.vm] = view.self;
+  plan.joined = true;
+}
+
+function buryGoneMembers(plan: MembershipPlan, view: MembershipView): void {
+  for (const member of Object.values(plan.record.members)) {
+    if (member.vm === view.self.vm) continue;
+    if (!view.goneVms.has(member.vm)) continue;
+    delete plan.record.members[member.vm];
+    buryMember(plan, member.incarnation);
+  }
+}
+
+function buryMember(plan: MembershipPlan, incarnation: string): void {
+  plan.buried.push(incarnation);
+  for (const shard of plan.record.shards) {
+    if (shard.owner !== incarnation) continue;
+    shard.owner = null;
+    shard.epoch += 1;
+    shard.predecessors[incarnation] = null;
+  }
+}
+
+function recordRecovered(plan: MembershipPlan, view: MembershipView): void {
+  for (const [index, counts] of view.recovered) {
+    const shard = plan.record.shards[index];
+    if (shard.owner !== view.self.incarnation) continue;
+    if (updatePredecessors(shard, counts)) plan.recovered.push(index);
+  }
+}
+
+function updatePredecessors(
+  shard: ShardRecord,
+  counts: Record<string, TaskCounts>,
+): boolean {
+  let changed = false;
+  for (const [incarnation, known] of Object.entries(shard.predecessors)) {
+    const next = counts[incarnation] ?? {};
+    if (Object.keys(next).length === 0) {
+      delete shard.predecessors[incarnation];
+      changed = true;
+      continue;
+    }
+    if (known !== null && sameCounts(known, next)) continue;
+    shard.predecessors[incarnation] = next;
+    changed = true;
+  }
+  return changed;
+}
+
+function claimShards(plan: MembershipPlan, view: MembershipView): void {
+  for (const index of selectShardsToClaim(plan.record, view)) {
+    const shard = plan.record.shards[index];
+    shard.owner = view.self.incarnation;
+    shard.epoch += 1;
+    plan.claimed.push(index);
+  }
+}
+
+function releaseShards(plan: MembershipPlan, view: MembershipView): void {
+  for (const index of selectShardsToRelease(plan.record, view)) {
+    const running = view.quiesced.get(index);
+    if (!running) continue;
+    const shard = plan.record.shards[index];
+    shard.owner = null;
+    shard.epoch += 1;
+    if (Object.keys(running).length > 0) {
+      shard.predecessors[view.self.incarnation] = running;
+    }
+    plan.released.push(index);
+  }
+}
+
+function leaveDomain(plan: MembershipPlan, view: MembershipView): void {
+  if (!view.draining || !view.hasJoined || !view.idle) return;
+  const owned = listOwnedShards(plan.record, view.self.incarnation);
+  if (owned.length > 0) return;
+  delete plan.record.members[view.self.vm];
+  plan.left = true;
+}
+
+function sameCounts(a: TaskCounts, b: TaskCounts): boolean {
+  const keys = Object.keys(a);
+  return keys.length === Object.keys(b).length &&
+    keys.every((key) => a[key] === b[key]);
+}
--- /dev/null
+++ b/packages/membership/shards.ts
@@ -0,0 +1,107 @@
+import { hashToBucket } from "../base/mod.ts";
+import { REBALANCE_SLACK, SHARDS_PER_DOMAIN } from "./constants.ts";
+import type { DomainRecord, MembershipView } from "./types.ts";
+
+/** Returns the shard of an endpoint. */
+export function findShard(endpoint: string): number {
+  return hashToBucket(endpoint, SHARDS_PER_DOMAIN);
+}
+
+/** Lists the shards that an incarnation owns. */
+export function listOwnedShards(
+  record: DomainRecord | undefined,
+  incarnation: string,
+): number[] {
+  const shards = record?.shards ?? [];
+  return shards.flatMap((shard, index) =>
+    shard.owner === incarnation ? [index] : []
+  );
+}
+
+/** Returns how many endpoints one entry should own, rounded up. */
+export function computeFairPart(
+  record: DomainRecord,
+  view: MembershipView,
+): number {
+  const total = view.shardSizes.reduce((sum, size) => sum + size, 0);
+  return Math.ceil(total / countActiveMembers(record, view));
+}
+
+/** Returns the number of endpoints that an incarnation owns. */
+export function countOwnedEndpoints(
+  record: DomainRecord,
+  incarnation: string,
+  options: { shardSizes: readonly number[] },
+): number {
+  return listOwnedShards(record, incarnation)
+    .reduce((sum, shard) => sum + options.shardSizes[shard], 0);
+}
+
+/** Selects unowned shards to claim so that this entry reaches its part. */
+export function selectShardsToClaim(
+  record: DomainRecord,
+  view: MembershipView,
+): number[] {
+  const fair = computeFairPart(record, view);
+  const { shardSizes, self } = view;
+  let load = countOwnedEndpoints(record, self.incarnation, view);
+  const claimed: number[] = [];
+  for (const shard of listUnownedShards(record)) {
+    const size = shardSizes[shard];
+    if (size > 0 && load + size > fair && load > 0) continue;
+    claimed.push(shard);
+    load += size;
+  }
+  return claimed;
+}
+
+/**
+ * Selects own shards to hand over: all of them during a drain, otherwise what
+ * exceeds this entry's part while another entry is below its own.
+ */
+export function selectShardsToRelease(
+  record: DomainRecord,
+  view: MembershipView,
+): number[] {
+  const { self, shardSizes } = view;
+  const owned = listOwnedShards(record, self.incarnation);
+  if (view.draining) return view.reachable.size > 0 || view.idle ? owned : [];
+  const fair = computeFairPart(record, view);
+  if (!hasMemberBelow(record, view)) return [];
+  let load = countOwnedEndpoints(record, self.incarnation, view);
+  const released: number[] = [];
+  for (const shard of owned) {
+    const size = shardSizes[shard];
+    if (size === 0 || load - size < fair - REBALANCE_SLACK) continue;
+    if (load <= fair) break;
+    released.push(shard);
+    load -= size;
+  }
+  return released;
+}
+
+function listUnownedShards(record: DomainRecord): number[] {
+  return record.shards.flatMap((shard, index) =>
+    shard.owner === null ? [index] : []
+  );
+}
+
+function countActiveMembers(
+  record: DomainRecord,
+  view: MembershipView,
+): number {
+  const others = Object.values(record.members).filter((member) =>
+    view.reachable.has(member.incarnation)
+  );
+  return Math.max(1, others.length + (view.draining ? 0 : 1));
+}
+
+function hasMemberBelow(record: DomainRecord, view: MembershipView): boolean {
+  const fair = computeFairPart(record, view);
+  return Object.values(record.members).some((member) => {
+    if (!view.reachable.has(member.incarnation)) return false;
+    const { incarnation } = member;
+    const load = countOwnedEndpoints(record, incarnation, view);
+    return load < fair - REBALANCE_SLACK + 1;
+  });
+}
--- /dev/null
+++ b/packages/metrics/metrics.ts
@@ -0,0 +1,93 @@
+import { build, type Histogram } from "hdr-histogram-js";
+import { Counter, Gauge, Registry } from "prom-client";
+import {
+  EXPOSED_PERCENTILES,
+  HISTOGRAM_DIGITS,
+  MAX_DURATION_US,
+} from "./constants.ts";
+import type { HistogramSummary, Labels } from "./types.ts";
+
+/** Counters and histograms of one process. */
+export class Metrics {
+  readonly #registry = new Registry();
+  readonly #histograms = new Map<string, Histogram>();
+  readonly #counters = new Map<string, Counter>();
+  readonly #gauges = new Map<string, Gauge>();
+
+  /** Records one duration in milliseconds. */
+  observeDuration(name: string, labels: Labels, ms: number): void {
+    const key = `${name} ${JSON.stringify(labels)}`;
+    let histogram = this.#histograms.get(key);
+    if (!histogram) {
+      histogram = build({
+        highestTrackableValue: MAX_DURATION_US,
+        numberOfSignificantValueDigits: HISTOGRAM_DIGITS,
+        bitBucketSize: 32,
+        useWebAssembly: false,
+      });
+      histogram.autoResize = true;
+      this.#histograms.set(key, histogram);
+    }
+    const us = Math.round(ms * 1_000);
+    histogram.recordValue(Math.min(MAX_DURATION_US, Math.max(0, us)));
+  }
+
+  /** Adds one to a counter. */
+  countEvent(name: string, labels: Labels = {}): void {
+    let counter = this.#counters.get(name);
+    if (!counter) {
+      counter = new Counter({
+        name: `baobabhead_${name}_total`,
+        help: name.replaceAll("_", " "),
+        labelNames: Object.keys(labels),
+        registers: [this.#registry],
+      });
+      this.#counters.set(name, counter);
+    }
+    counter.inc(labels);
+  }
+
+  /** Sets a gauge. */
+  setGauge(name: string, labels: Labels, value: number): void {
+    let gauge = this.#gauges.get(name);
+    if (!gauge) {
+      gauge = new Gauge({
+        name: `baobabhead_${name}`,
+        help: name.replaceAll("_", " "),
+        labelNames: Object.keys(labels),
+        registers: [this.#registry],
+      });
+      this.#gauges.set(name, gauge);
+    }
+    gauge.set(labels, value);
+  }
+
+  /** Returns the quantiles of each histogram, in milliseconds. */
+  summarizeHistograms(): HistogramSummary[] {
+    return [...this.#histograms].map(([key, histogram]) => {
+      const space = key.indexOf(" ");
+      return {
+        name: key.slice(0, space),
+        labels: JSON.parse(key.slice(space + 1)),
+        count: histogram.totalCount,
+        percentiles: EXPOSED_PERCENTILES.map((percentile) => ({
+          percentile,
+          ms: histogram.getValueAtPercentile(percentile) / 1_000,
+        })),
+      };
+    });
+  }
+
+  /** Renders everything in the Prometheus text format. */
+  async renderText(): Promise<string> {
+    for (const summary of this.summarizeHistograms()) {
+      this.setGauge(`${summary.name}_count`, summary.labels, summary.count);
+      for (const { percentile, ms } of summary.percentiles) {
+        const quantile = String(percentile / 100);
+        const labels = { ...summary.labels, quantile };
+        this.setGauge(`${summary.name}_ms`, labels, ms);
+      }
+    }
+    return await this.#registry.metrics();
+  }
+}
--- /dev/null
+++ b/packages/peers/rpc_peer_client.ts
@@ -0,0 +1,95 @@
+import {
+  JSONRPCClient,
+  JSONRPCErrorException,
+  type JSONRPCRequest,
+  type JSONRPCResponse,
+} from "json-rpc-2.0";
+import { UnknownEffectError } from "../base/mod.ts";
+import { HttpJsonClient } from "../platform/mod.ts";
+import {
+  NOT_OWNER_CODE,
+  PEER_CONNECT_TIMEOUT_MS,
+  RPC_PATH,
+  WRONG_INCARNATION_CODE,
+} from "./constants.ts";
+import { PeerRefusedError } from "./errors.ts";
+import { PeerClient } from "./peer_client.ts";
+import type { PeerMethod, PeerMethods } from "./types.ts";
+
+const PEER_CONNECTIONS = 256;
+
+interface CallTarget {
+  address: string;
+  timeoutMs: number;
+  /** The transport's own error, which the JSON-RPC client would flatten. */
+  failure?: unknown;
+}
+
+/** JSON-RPC 2.0 over HTTP keep-alive connections. */
+export class RpcPeerClient extends PeerClient {
+  readonly #http = new HttpJsonClient({
+    connections: PEER_CONNECTIONS,
+    connectTimeoutMs: PEER_CONNECT_TIMEOUT_MS,
+  });
+  readonly #rpc: JSONRPCClient<CallTarget>;
+  readonly #token: string;
+
+  /** `token` is the secret that all entries share. */
+  constructor(token: string) {
+    super();
+    this.#token = token;
+    this.#rpc = new JSONRPCClient<CallTarget>(
+      (request, target) => this.#send(request, target),
+    );
+  }
+
+  override async call<M extends PeerMethod>(
+    method: M,
+    params: PeerMethods[M]["params"],
+    options: { address: string; timeoutMs: number },
+  ): Promise<PeerMethods[M]["result"]> {
+    const target: CallTarget = { ...options };
+    try {
+      return await this.#rpc.request(method, params, target);
+    } catch (error) {
+      throw classifyRpcError(error, target);
+    }
+  }
+
+  override async close(): Promise<void> {
+    await this.#http.close();
+  }
+
+  async #send(
+    request: JSONRPCRequest | JSONRPCRequest[],
+    target: CallTarget,
+  ): Promise<void> {
+    try {
+      const response = await this.#http.send({
+        method: "POST",
+        url: `http://${target.address}${RPC_PATH}`,
+        body: request,
+        headers: { authorization: `Bearer ${this.#token}` },
+        timeoutMs: target.timeoutMs,
+      }) as JSONRPCResponse;
+      if (Array.isArray(request) || response?.id !== request.id) {
+        throw new UnknownEffectError("Cannot match the answer to its call");
+      }
+      this.#rpc.receive(response);
+    } catch (error) {
+      target.failure = error;
+      throw error;
+    }
+  }
+}
+
+const REFUSAL_CODES = new Set([WRONG_INCARNATION_CODE, NOT_OWNER_CODE]);
+
+function classifyRpcError(error: unknown, target: CallTarget): unknown {
+  if (target.failure) return target.failure;
+  if (!(error instanceof JSONRPCErrorException)) return error;
+  if (REFUSAL_CODES.has(error.code)) {
+    return new PeerRefusedError(error.message, error.code);
+  }
+  return new UnknownEffectError(error.message, { cause: error });
+}
--- /dev/null
+++ b/packages/pipeline/filters/1_receive.ts
@@ -0,0 +1,66 @@
+import { z } from "zod";
+import { Buffer } from "node:buffer";
+import { Cause, makeNotRun, type Outcome, WorkKind } from "../../base/mod.ts";
+import { describeIssue } from "../../config/mod.ts";
+import {
+  MAX_GANG_TASKS,
+  MAX_TASK_ACCELERATORS,
+  MAX_TASK_CORES,
+  MAX_TASK_MEMORY_MB,
+  MAX_TIMEOUT_MS,
+} from "../constants.ts";
+import { Filter } from "../filter.ts";
+import type { RequestContext } from "../types.ts";
+
+const formSchema = z.strictObject({
+  kind: z.enum(WorkKind).default(WorkKind.Batch),
+  tasks: z.number().int().min(1).max(MAX_GANG_TASKS).default(1),
+  cores: z.number().positive().max(MAX_TASK_CORES).default(1),
+  memory_mb: z.number().positive().max(MAX_TASK_MEMORY_MB).default(256),
+  accelerators: z.number().int().min(0).max(MAX_TASK_ACCELERATORS).default(0),
+  deadline: z.iso.datetime({ offset: true }).optional(),
+  timeout_ms: z.number().int().min(1).max(MAX_TIMEOUT_MS).optional(),
+  idempotent: z.boolean().default(false),
+  payload: z.unknown(),
+}).refine((form) => !(form.deadline && form.timeout_ms), {
+  message: "give `deadline` or `timeout_ms`, not both",
+}).refine((form) => form.kind === WorkKind.Gang || form.tasks === 1, {
+  message: "`tasks` above 1 needs the kind `gang`",
+});
+
+/** Finds the queue and reads the body. */
+export class ReceiveFilter extends Filter {
+  override readonly name = "receive";
+
+  override apply(context: RequestContext): Outcome | undefined {
+    const { raw, configuration } = context;
+    if (!Object.hasOwn(configuration.queues, raw.queue)) {
+      return makeNotRun(Cause.UnknownQueue, `no queue named \`${raw.queue}\``);
+    }
+    context.queue = configuration.queues[raw.queue];
+    const { max_body_bytes } = context.queue;
+    if (Buffer.byteLength(raw.body) > max_body_bytes) {
+      const detail = `the body may have at most ${max_body_bytes} bytes`;
+      return makeNotRun(Cause.BodyTooLarge, detail);
+    }
+    return readForm(context);
+  }
+}
+
+function readForm(context: RequestContext): Outcome | undefined {
+  let body: unknown;
+  try {
+    body = JSON.parse(context.raw.body);
+  } catch {
+    return makeNotRun(Cause.BadRequest, "the body is not JSON");
+  }
+  const parsed = formSchema.safeParse(body);
+  if (!parsed.success) {
+    const faults = parsed.error.issues.map((issue) =>
+      [issue.path.join("."), describeIssue(issue)].filter(Boolean).join(": ")
+    );
+    return makeNotRun(Cause.BadRequest, faults.join("; "));
+  }
+  context.form = { ...parsed.data, payload: parsed.data.payload ?? null };
+  return undefined;
+}
--- /dev/null
+++ b/packages/pipeline/filters/2_authenticate.ts
@@ -0,0 +1,34 @@
+import { Cause, makeNotRun, type Outcome } from "../../base/mod.ts";
+import { findTeamOfKey } from "../../config/mod.ts";
+import { Filter } from "../filter.ts";
+import type { RequestContext } from "../types.ts";
+
+/** Finds the team that the work is for. */
+export class AuthenticateFilter extends Filter {
+  override readonly name = "authenticate";
+
+  override apply(context: RequestContext): Outcome | undefined {
+    const queue = context.queue!;
+    if (queue.open) {
+      context.team = queue.open_team;
+      return undefined;
+    }
+    const team = findTeam(context);
+    if (!team) {
+      const detail = "a valid key is needed: `Authorization: Bearer KEY`";
+      return makeNotRun(Cause.Unauthenticated, detail);
+    }
+    if (!queue.teams.includes(team)) {
+      const detail = `team \`${team}\` may not use this queue`;
+      return makeNotRun(Cause.Forbidden, detail);
+    }
+    context.team = team;
+    return undefined;
+  }
+}
+
+function findTeam(context: RequestContext): string | undefined {
+  const [scheme, key] = context.raw.authorization.split(" ");
+  if (scheme !== "Bearer" || !key) return undefined;
+  return findTeamOfKey(context.configuration, key);
+}
--- /dev/null
+++ b/packages/pipeline/filters/4_admit.ts
@@ -0,0 +1,15 @@
+import type { Outcome } from "../../base/mod.ts";
+import { Filter } from "../filter.ts";
+import type { RequestContext } from "../types.ts";
+
+/** Refuses work while this entry cannot take any. */
+export class AdmitFilter extends Filter {
+  override readonly name = "admit";
+
+  override apply(
+    _context: RequestContext,
+    now: number,
+  ): Outcome | undefined {
+    return this.host.findObstacle(now);
+  }
+}
--- /dev/null
+++ b/packages/platform/etcd_store.ts
@@ -0,0 +1,115 @@
+import { Buffer } from "node:buffer";
+import { z } from "zod";
+import { FormatError } from "../base/mod.ts";
+import { HttpJsonClient } from "./http_json.ts";
+import { Store } from "./store.ts";
+import type {
+  CommitResult,
+  KeyRange,
+  StoreCommit,
+  StoreRecord,
+  StoreSnapshot,
+} from "./types.ts";
+
+const STORE_CONNECTIONS = 2;
+
+const kvSchema = z.object({
+  key: z.string(),
+  value: z.string().default(""),
+  mod_revision: z.coerce.number(),
+});
+
+const txnSchema = z.object({
+  header: z.object({ revision: z.coerce.number() }),
+  succeeded: z.boolean().default(false),
+  responses: z.array(z.object({
+    response_range: z.object({ kvs: z.array(kvSchema).default([]) })
+      .optional(),
+  })).default([]),
+});
+
+/** Store over the JSON gateway of the etcd v3 API. */
+export class EtcdStore extends Store {
+  readonly #url: string;
+  readonly #timeoutMs: number;
+  readonly #client: HttpJsonClient;
+
+  constructor(options: { url: string; timeoutMs: number }) {
+    super();
+    this.#url = options.url;
+    this.#timeoutMs = options.timeoutMs;
+    this.#client = new HttpJsonClient({
+      connections: STORE_CONNECTIONS,
+      connectTimeoutMs: options.timeoutMs,
+    });
+  }
+
+  override async read(ranges: KeyRange[]): Promise<StoreSnapshot> {
+    const success = ranges.map((range) => ({
+      request_range: {
+        key: encodeText(range.prefix),
+        range_end: encodeBytes(findPrefixEnd(range.prefix)),
+        min_mod_revision: String(range.minModRevision ?? 0),
+      },
+    }));
+    const answer = await this.#sendTxn({ compare: [], success });
+    return {
+      revision: answer.header.revision,
+      ranges: answer.responses.map((response) =>
+        (response.response_range?.kvs ?? []).map(decodeRecord)
+      ),
+    };
+  }
+
+  override async commit(commit: StoreCommit): Promise<CommitResult> {
+    const compare = commit.compares.map(({ key, modRevision }) => ({
+      key: encodeText(key),
+      target: "MOD",
+      result: "EQUAL",
+      mod_revision: String(modRevision),
+    }));
+    const success = commit.puts.map(({ key, value }) => ({
+      request_put: { key: encodeText(key), value: encodeText(value) },
+    }));
+    const answer = await this.#sendTxn({ compare, success });
+    return { succeeded: answer.succeeded, revision: answer.header.revision };
+  }
+
+  override async close(): Promise<void> {
+    await this.#client.close();
+  }
+
+  async #sendTxn(body: unknown): Promise<z.infer<typeof txnSchema>> {
+    const answer = await this.#client.send({
+      method: "POST",
+      url: `${this.#url}/v3/kv/txn`,
+      body,
+      timeoutMs: this.#timeoutMs,
+    });
+    const parsed = txnSchema.safeParse(answer);
+    if (parsed.success) return parsed.data;
+    throw new FormatError("Cannot read the answer of the store");
+  }
+}
+
+function decodeRecord(kv: z.infer<typeof kvSchema>): StoreRecord {
+  return {
+    key: Buffer.from(kv.key, "base64").toString(),
+    value: Buffer.from(kv.value, "base64").toString(),
+    modRevision: kv.mod_revision,
+  };
+}
+
+function encodeText(text: string): string {
+  return encodeBytes(Buffer.from(text));
+}
+
+function encodeBytes(bytes: Buffer): string {
+  return bytes.toString("base64");
+}
+
+function findPrefixEnd(prefix: string): Buffer {
+  const end = Buffer.from(prefix);
+  end[end.length - 1]++;
+  return end;
+}
--- /dev/null
+++ b/packages/platform/http_json.ts
@@ -0,0 +1,84 @@
+import { Agent, request } from "undici";
+import { NotSentError, UnknownEffectError } from "../base/mod.ts";
+
+/** One HTTP call with a JSON body in each direction. */
+export interface JsonCall {
+  method: "GET" | "POST";
+  url: string;
+  body?: unknown;
+  headers?: Record<string, string>;
+  timeoutMs: number;
+}
+
+const NOT_SENT_CODES = new Set([
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "EADDRNOTAVAIL",
+  "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+/** JSON over HTTP with errors that say whether the call may have had effect. */
+export class HttpJsonClient {
+  readonly #agent: Agent;
+
+  constructor(options: { connections: number; connectTimeoutMs: number }) {
+    this.#agent = new Agent({
+      connections: options.connections,
+      connect: { timeout: options.connectTimeoutMs },
+      pipelining: 1,
+    });
+  }
+
+  /**
+   * Sends one call and returns the parsed body of a 2xx answer.
+   *
+   * @throws {NotSentError} when nothing reached the other side
+   * @throws {UnknownEffectError} for any other failure
+   */
+  async send(call: JsonCall): Promise<unknown> {
+    try {
+      return await this.#exchange(call);
+    } catch (error) {
+      throw classifyError(call, error);
+    }
+  }
+
+  /** Closes idle connections and fails open calls. */
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  async #exchange(call: JsonCall): Promise<unknown> {
+    const response = await request(call.url, {
+      dispatcher: this.#agent,
+      method: call.method,
+      headers: { "content-type": "application/json", ...call.headers },
+      body: call.body === undefined ? undefined : JSON.stringify(call.body),
+      signal: AbortSignal.timeout(call.timeoutMs),
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+    const text = await response.body.text();
+    if (response.statusCode >= 300) {
+      throw new UnknownEffectError(
+        `Cannot use the answer of ${call.url}: status ${response.statusCode}`,
+      );
+    }
+    return JSON.parse(text);
+  }
+}
+
+/** Tells whether a failed call certainly never reached the other side. */
+export function isNotSent(error: unknown): boolean {
+  const code = (error as { code?: string } | null)?.code ?? "";
+  return NOT_SENT_CODES.has(code);
+}
+
+function classifyError(call: JsonCall, error: unknown): Error {
+  if (error instanceof UnknownEffectError) return error;
+  const reason = error instanceof Error ? error.message : String(error);
+  const message = `Cannot call ${call.url}: ${reason}`;
+  if (isNotSent(error)) return new NotSentError(message, { cause: error });
+  return new UnknownEffectError(message, { cause: error });
+}
--- /dev/null
+++ b/packages/queueing/fair_queue.ts
@@ -0,0 +1,125 @@
+import TinyQueue from "tinyqueue";
+import type { LoadOfTeam, QueueEntry } from "./types.ts";
+
+/**
+ * Waiting attempts: fair between teams by load per share, earliest deadline
+ * first inside a team, urgent attempts before others.
+ */
+export class FairQueue<T extends QueueEntry> {
+  readonly #teams = new Map<string, TinyQueue<T>>();
+  readonly #waiting = new Map<string, T>();
+  readonly #queues = new Map<string, number>();
+  readonly #teamCounts = new Map<string, number>();
+
+  /** Number of waiting attempts. */
+  get size(): number {
+    return this.#waiting.size;
+  }
+
+  /** Returns the number of attempts that wait in a queue. */
+  countInQueue(queue: string): number {
+    return this.#queues.get(queue) ?? 0;
+  }
+
+  /** Returns the number of attempts that wait for a team. */
+  countOfTeam(team: string): number {
+    return this.#teamCounts.get(team) ?? 0;
+  }
+
+  /** Lists the teams with waiting attempts. */
+  listTeams(): string[] {
+    return [...this.#teamCounts.keys()];
+  }
+
+  /** Returns a waiting attempt. */
+  get(id: string): T | undefined {
+    return this.#waiting.get(id);
+  }
+
+  /** Lists the waiting attempts. */
+  list(): IterableIterator<T> {
+    return this.#waiting.values();
+  }
+
+  /** Adds an attempt. */
+  add(entry: T): void {
+    this.#waiting.set(entry.id, entry);
+    addCount(this.#queues, entry.queue, 1);
+    addCount(this.#teamCounts, entry.team, 1);
+    let heap = this.#teams.get(entry.team);
+    if (!heap) {
+      heap = new TinyQueue<T>([], compareEntries);
+      this.#teams.set(entry.team, heap);
+    }
+    heap.push(entry);
+  }
+
+  /** Removes an attempt wherever it stands, in constant time. */
+  remove(id: string): T | undefined {
+    const entry = this.#waiting.get(id);
+    if (!entry) return undefined;
+    this.#waiting.delete(id);
+    addCount(this.#queues, entry.queue, -1);
+    addCount(this.#teamCounts, entry.team, -1);
+    return entry;
+  }
+
+  /** Returns the next attempt of the teams that are not blocked. */
+  peek(loadOf: LoadOfTeam, blocked: ReadonlySet<string>): T | undefined {
+    let best: T | undefined;
+    let bestLoad = Infinity;
+    for (const [team, heap] of this.#teams) {
+      if (blocked.has(team)) continue;
+      const head = this.#peekTeam(team, heap);
+      if (!head) continue;
+      const load = loadOf(team);
+      if (!precedes({ head, load }, { head: best, load: bestLoad })) continue;
+      best = head;
+      bestLoad = load;
+    }
+    return best;
+  }
+
+  /** Drops entries at the head of a heap that were removed meanwhile. */
+  #peekTeam(team: string, heap: TinyQueue<T>): T | undefined {
+    for (;;) {
+      const head = heap.peek();
+      if (!head) {
+        this.#teams.delete(team);
+        return undefined;
+      }
+      if (this.#waiting.get(head.id) === head) return head;
+      heap.pop();
+    }
+  }
+}
+
+interface Candidate<T> {
+  head: T;
+  load: number;
+}
+
+function precedes<T extends QueueEntry>(
+  a: Candidate<T>,
+  b: Candidate<T | undefined>,
+): boolean {
+  if (!b.head) return true;
+  if (a.head.urgent !== b.head.urgent) return a.head.urgent;
+  if (a.load !== b.load) return a.load < b.load;
+  return a.head.sequence < b.head.sequence;
+}
+
+function compareEntries(a: QueueEntry, b: QueueEntry): number {
+  if (a.urgent !== b.urgent) return a.urgent ? -1 : 1;
+  return a.deadline - b.deadline || a.sequence - b.sequence;
+}
+
+function addCount(
+  counts: Map<string, number>,
+  name: string,
+  delta: number,
+): void {
+  const next = (counts.get(name) ?? 0) + delta;
+  if (next === 0) counts.delete(name);
+  else counts.set(name, next);
+}
--- /dev/null
+++ b/packages/routing/gang_router.ts
@@ -0,0 +1,155 @@
+import {
+  Cause,
+  type Clock,
+  jitterRetryAfter,
+  makeMayHaveRun,
+  makeNotRun,
+  makeRan,
+  type Outcome,
+  type Random,
+  Verdict,
+} from "../base/mod.ts";
+import type { OwnerGateway } from "./owner_gateway.ts";
+import { makeAttempt, type RoutedWork } from "./router.ts";
+import type { OwnerCandidate } from "./types.ts";
+
+interface Reservation {
+  owner: OwnerCandidate;
+  hold: string;
+  tasks: number;
+}
+
+/**
+ * Places all tasks of a gang or none. Owners are asked in the order of their
+ * names, so that two gangs cannot each hold what the other lacks for long;
+ * holds end by themselves.
+ */
+export class GangRouter {
+  readonly #gateway: OwnerGateway;
+  readonly #clock: Clock;
+  readonly #random: Random;
+  readonly #holdMs: number;
+  readonly #backoffMs: number;
+
+  constructor(
+    options: {
+      gateway: OwnerGateway;
+      clock: Clock;
+      random: Random;
+      gangHoldMs: number;
+      gangBackoffMs: number;
+    },
+  ) {
+    this.#gateway = options.gateway;
+    this.#clock = options.clock;
+    this.#random = options.random;
+    this.#holdMs = options.gangHoldMs;
+    this.#backoffMs = options.gangBackoffMs;
+  }
+
+  /** Routes a gang and resolves with its outcome; never throws. */
+  async route(routed: RoutedWork): Promise<Outcome> {
+    for (let round = 0;; round++) {
+      if (routed.cancelled) return makeNotRun(Cause.Cancelled, "cancelled");
+      const reservations = await this.#reserveAll(routed, round);
+      if (countTasks(reservations) === routed.work.tasks) {
+        return await this.#startAll(routed, reservations);
+      }
+      await this.#releaseAll(reservations);
+      const pauseMs = this.#backoffMs * (0.5 + this.#random.nextFloat() / 2);
+      if (this.#clock.now() + pauseMs >= routed.work.deadline) {
+        return this.#makeRefusal();
+      }
+      await waitFor(pauseMs);
+    }
+  }
+
+  async #reserveAll(
+    routed: RoutedWork,
+    round: number,
+  ): Promise<Reservation[]> {
+    const { work } = routed;
+    const reservations: Reservation[] = [];
+    const owners = this.#gateway.listCandidates(this.#clock.now())
+      .filter((owner) => !owner.draining && owner.load.endpoints > 0)
+      .sort((a, b) => a.incarnation < b.incarnation ? -1 : 1);
+    for (const owner of owners) {
+      const missing = work.tasks - countTasks(reservations);
+      if (missing === 0) break;
+      const hold = `${work.id}.${round}.${owner.incarnation}`;
+      const reservation = { owner, hold, tasks: 0 };
+      reservations.push(reservation);
+      reservation.tasks = await this.#gateway.reserve(owner, {
+        hold,
+        team: work.team,
+        tasks: missing,
+        size: work.size,
+        expires: this.#clock.now() + this.#holdMs,
+      });
+    }
+    return reservations;
+  }
+
+  async #releaseAll(reservations: Reservation[]): Promise<void> {
+    await Promise.all(
+      reservations.map(({ owner, hold }) => this.#gateway.release(owner, hold)),
+    );
+  }
+
+  async #startAll(
+    routed: RoutedWork,
+    reservations: Reservation[],
+  ): Promise<Outcome> {
+    const runs: Promise<Outcome>[] = [];
+    for (const { owner, hold, tasks } of reservations) {
+      for (let task = 0; task < tasks; task++) {
+        const attempt = { ...makeAttempt(routed, `t${runs.length}`), hold };
+        routed.sent.push({ id: attempt.id, owner });
+        runs.push(this.#gateway.runAttempt(owner, attempt));
+      }
+    }
+    const stopOnFailure = runs.map(async (run) => {
+      const outcome = await run;
+      if (outcome.verdict === Verdict.NotRun) await this.#stopAll(routed);
+      return outcome;
+    });
+    return joinOutcomes(await Promise.all(stopOnFailure));
+  }
+
+  async #stopAll(routed: RoutedWork): Promise<void> {
+    const expires = routed.work.deadline;
+    await Promise.all(
+      routed.sent.map(({ id, owner }) =>
+        this.#gateway.cancelAttempt(owner, { id, expires })
+      ),
+    );
+  }
+
+  #makeRefusal(): Outcome {
+    const retryAfterMs = jitterRetryAfter(this.#backoffMs, this.#random);
+    const detail = "no room for all tasks at once before the deadline";
+    return makeNotRun(Cause.GangIncomplete, detail, { retryAfterMs });
+  }
+}
+
+/** Joins the outcomes of all tasks into one for the gang. */
+export function joinOutcomes(outcomes: Outcome[]): Outcome {
+  const has = (verdict: Verdict) =>
+    outcomes.some((outcome) => outcome.verdict === verdict);
+  const answers = outcomes.flatMap((outcome) => outcome.answers);
+  if (!has(Verdict.NotRun) && !has(Verdict.MayHaveRun)) return makeRan(answers);
+  const failed = outcomes.find((outcome) => outcome.verdict !== Verdict.Ran)!;
+  if (!has(Verdict.Ran) && !has(Verdict.MayHaveRun)) {
+    return makeNotRun(failed.cause, failed.detail);
+  }
+  const detail = `only a part of the tasks ran: ${failed.detail}`;
+  return makeMayHaveRun(Cause.GangIncomplete, detail);
+}
+
+function countTasks(reservations: Reservation[]): number {
+  return reservations.reduce((sum, { tasks }) => sum + tasks, 0);
+}
+
+function waitFor(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/packages/routing/owner_gateway.ts
@@ -0,0 +1,30 @@
+import type { Outcome } from "../base/mod.ts";
+import type { Attempt, HoldRequest } from "../engine/mod.ts";
+import type { OwnerCandidate } from "./types.ts";
+
+/** Access to the owners of endpoints: this entry and its peers. */
+export abstract class OwnerGateway {
+  /** Lists the entries that may own endpoints now. */
+  abstract listCandidates(now: number): OwnerCandidate[];
+
+  /** Runs an attempt on an owner; never throws. */
+  abstract runAttempt(
+    owner: OwnerCandidate,
+    attempt: Attempt,
+  ): Promise<Outcome>;
+
+  /** Cancels an attempt on an owner; never throws. */
+  abstract cancelAttempt(
+    owner: OwnerCandidate,
+    attempt: { id: string; expires: number },
+  ): Promise<void>;
+
+  /** Reserves room on an owner and returns for how many tasks. */
+  abstract reserve(
+    owner: OwnerCandidate,
+    request: HoldRequest,
+  ): Promise<number>;
+
+  /** Frees a reservation; never throws. */
+  abstract release(owner: OwnerCandidate, hold: string): Promise<void>;
+}
--- /dev/null
+++ b/packages/routing/router.ts
@@ -0,0 +1,137 @@
+import {
+  Cause,
+  type Clock,
+  jitterRetryAfter,
+  makeNotRun,
+  type Outcome,
+  type Random,
+  Verdict,
+  type Work,
+  WorkKind,
+} from "../base/mod.ts";
+import type { Attempt } from "../engine/mod.ts";
+import { chooseOwner } from "./choose_owner.ts";
+import { REROUTED_CAUSES } from "./constants.ts";
+import { GangRouter } from "./gang_router.ts";
+import type { OwnerGateway } from "./owner_gateway.ts";
+import type { OwnerCandidate } from "./types.ts";
+
+/** Where an attempt was sent, so that it can be cancelled. */
+export interface SentAttempt {
+  id: string;
+  owner: OwnerCandidate;
+}
+
+/** One piece of work on its way. */
+export interface RoutedWork {
+  work: Work;
+  maxQueued: number;
+  /** Attempts sent so far. */
+  sent: SentAttempt[];
+  cancelled: boolean;
+}
+
+/** Sends work to owners until one has run it or nothing can. */
+export class Router {
+  readonly #gateway: OwnerGateway;
+  readonly #clock: Clock;
+  readonly #random: Random;
+  readonly #domain: string;
+  readonly #maxTries: number;
+  readonly #gangs: GangRouter;
+
+  constructor(
+    options: {
+      gateway: OwnerGateway;
+      clock: Clock;
+      random: Random;
+      domain: string;
+      maxTries: number;
+      gangHoldMs: number;
+      gangBackoffMs: number;
+    },
+  ) {
+    this.#gateway = options.gateway;
+    this.#clock = options.clock;
+    this.#random = options.random;
+    this.#domain = options.domain;
+    this.#maxTries = options.maxTries;
+    this.#gangs = new GangRouter(options);
+  }
+
+  /** Routes work and resolves with its outcome; never throws. */
+  async route(routed: RoutedWork): Promise<Outcome> {
+    return routed.work.kind === WorkKind.Gang
+      ? await this.#gangs.route(routed)
+      : await this.#routeSingle(routed);
+  }
+
+  /** Cancels work wherever its attempts are. */
+  async cancel(routed: RoutedWork): Promise<void> {
+    routed.cancelled = true;
+    const expires = routed.work.deadline;
+    await Promise.all(
+      routed.sent.map(({ id, owner }) =>
+        this.#gateway.cancelAttempt(owner, { id, expires })
+      ),
+    );
+  }
+
+  async #routeSingle(routed: RoutedWork): Promise<Outcome> {
+    const excluded = new Set<string>();
+    let refusal = this.#makeNoEndpoint();
+    for (let number = 0; number < this.#maxTries; number++) {
+      if (routed.cancelled) return makeNotRun(Cause.Cancelled, "cancelled");
+      if (this.#clock.now() >= routed.work.deadline) break;
+      const owner = this.#chooseOwner(routed.work, excluded);
+      if (!owner) break;
+      const attempt = makeAttempt(routed, String(number));
+      routed.sent.push({ id: attempt.id, owner });
+      const outcome = await this.#gateway.runAttempt(owner, attempt);
+      if (!mayReroute(outcome)) return outcome;
+      refusal = outcome;
+      excluded.add(owner.incarnation);
+    }
+    return refusal;
+  }
+
+  #chooseOwner(
+    work: Work,
+    excluded: ReadonlySet<string>,
+  ): OwnerCandidate | undefined {
+    const candidates = this.#gateway.listCandidates(this.#clock.now());
+    const request = { size: work.size, excluded };
+    return chooseOwner(candidates, request, {
+      domain: this.#domain,
+      random: this.#random,
+    });
+  }
+
+  #makeNoEndpoint(): Outcome {
+    const retryAfterMs = jitterRetryAfter(0, this.#random);
+    const detail = "no endpoint can take the work now";
+    return makeNotRun(Cause.NoEndpoint, detail, { retryAfterMs });
+  }
+}
+
+/** Builds one attempt of a piece of work. */
+export function makeAttempt(routed: RoutedWork, suffix: string): Attempt {
+  const { work } = routed;
+  return {
+    id: `${work.id}.${suffix}`,
+    work: work.id,
+    team: work.team,
+    queue: work.queue,
+    kind: work.kind,
+    size: work.size,
+    deadline: work.deadline,
+    urgent: work.urgent,
+    payload: work.payload,
+    maxQueued: routed.maxQueued,
+  };
+}
+
+function mayReroute(outcome: Outcome): boolean {
+  return outcome.verdict === Verdict.NotRun &&
+    REROUTED_CAUSES.has(outcome.cause);
+}
--- /dev/null
+++ b/tests/harness/check_history.ts
@@ -0,0 +1,73 @@
+import type { HistoryLine } from "../standins/endpoint_host.ts";
+import type { ClientRecord } from "./client.ts";
+
+/** What a history is checked against. */
+export interface HistoryLimits {
+  /** Most running tasks of each team, as configured. */
+  teams: Record<string, number>;
+}
+
+/**
+ * Checks the histories of clients and endpoints, and nothing of the program's
+ * own: returns one line for each fault.
+ */
+export function checkHistory(
+  records: ClientRecord[],
+  history: HistoryLine[],
+  limits: HistoryLimits,
+): string[] {
+  const starts = countStarts(history);
+  return [
+    ...history.filter((line) => line.event === "violation").map((line) =>
+      `${line.endpoint}: ${line.detail} (${line.task})`
+    ),
+    ...findLimitFaults(history, limits),
+    ...records.flatMap((record) => findRecordFaults(record, starts)),
+  ];
+}
+
+function countStarts(history: HistoryLine[]): Map<string, number> {
+  const starts = new Map<string, number>();
+  for (const line of history) {
+    if (line.event !== "start" || line.ref === "") continue;
+    starts.set(line.ref, (starts.get(line.ref) ?? 0) + 1);
+  }
+  return starts;
+}
+
+function findLimitFaults(
+  history: HistoryLine[],
+  limits: HistoryLimits,
+): string[] {
+  const faults: string[] = [];
+  const running = new Map<string, number>();
+  for (const line of history) {
+    if (line.event === "violation") continue;
+    const delta = line.event === "start" ? 1 : -1;
+    const count = (running.get(line.team) ?? 0) + delta;
+    running.set(line.team, count);
+    const limit = limits.teams[line.team] ?? 0;
+    if (delta > 0 && count > limit) {
+      faults.push(`${line.team} runs ${count} tasks, limit ${limit}`);
+    }
+  }
+  return faults;
+}
+
+function findRecordFaults(
+  record: ClientRecord,
+  starts: Map<string, number>,
+): string[] {
+  const name = `request ${record.ref || record.queue} of ${record.team}`;
+  const faults = record.faults.map((fault) => `${name}: ${fault}`);
+  if (record.ref === "") return faults;
+  const count = starts.get(record.ref) ?? 0;
+  if (count > 1) faults.push(`${name}: started ${count} times`);
+  if (record.verdict === "not_run" && count > 0) {
+    faults.push(`${name}: told not run (${record.cause}), but it ran`);
+  }
+  if (record.verdict === "ran" && count !== 1) {
+    faults.push(`${name}: told ran, but it started ${count} times`);
+  }
+  return faults;
+}
--- /dev/null
+++ b/tests/harness/fleet.ts
@@ -0,0 +1,291 @@
+import { type ChildProcess, spawn } from "node:child_process";
+import {
+  cpSync,
+  mkdirSync,
+  mkdtempSync,
+  openSync,
+  readdirSync,
+  readFileSync,
+  writeFileSync,
+} from "node:fs";
+import { join } from "node:path";
+import process from "node:process";
+import { request } from "undici";
+import type { EndpointFaults, HistoryLine } from "../standins/endpoint_host.ts";
+import type { PlatformFaults } from "../standins/platform.ts";
+import { sleep } from "../standins/http_server.ts";
+
+const START_TIMEOUT_MS = 30_000;
+const POLL_MS = 100;
+const OPERATOR_KEY = "bbh.operator.example-operator-secret";
+
+/** How to start a fleet. */
+export interface FleetOptions {
+  /** Directory below examples/. */
+  example: string;
+  /** Replaces the example's network, so that fleets can run side by side. */
+  network?: string;
+  /** Lines added to each entry's settings, by section. */
+  settings?: Record<string, string>;
+}
+
+/** One entry process. */
+export interface EntryProcess {
+  vm: string;
+  domain: string;
+  url: string;
+  settings: string;
+  child: ChildProcess;
+}
+
+/** A whole site as separate processes on loopback. */
+export class Fleet {
+  readonly directory: string;
+  readonly entries = new Map<string, EntryProcess>();
+  readonly #network: string;
+  readonly #children: ChildProcess[] = [];
+  readonly #domains: string[];
+
+  private constructor(directory: string, network: string, domains: string[]) {
+    this.directory = directory;
+    this.#network = network;
+    this.#domains = domains;
+  }
+
+  /** Starts the stand-ins and all entries, and waits until they listen. */
+  static async start(options: FleetOptions): Promise<Fleet> {
+    const { directory, network } = copyExample(options);
+    const vms: { domain: string }[] = JSON.parse(
+      readFileSync(join(directory, "vms.json"), "utf8"),
+    );
+    const domains = [...new Set(vms.map((vm) => vm.domain))];
+    const fleet = new Fleet(directory, network, domains);
+    await fleet.#startStandIns();
+    for (const file of readdirSync(join(directory, "entries")).sort()) {
+      fleet.startEntry(file.replace(/\.ini$/, ""));
+    }
+    return fleet;
+  }
+
+  /** Key for the operator's commands. */
+  get operatorKey(): string {
+    return OPERATOR_KEY;
+  }
+
+  /** Starts one entry's process. */
+  startEntry(vm: string): EntryProcess {
+    const settings = join(this.directory, "entries", `${vm}.ini`);
+    const text = readFileSync(settings, "utf8");
+    const read = (key: string) =>
+      new RegExp(`^${key} = (.*)$`, "m").exec(text)![1];
+    const child = this.#spawn(
+      ["dist/packages/cli/main.js", "serve", "--settings", settings],
+      vm,
+    );
+    const url = `http://${read("callers")}`;
+    const entry = { vm, domain: read("domain"), url, settings, child };
+    this.entries.set(vm, entry);
+    return entry;
+  }
+
+  /** Sends a signal to an entry's process. */
+  signal(vm: string, signal: NodeJS.Signals): void {
+    this.entries.get(vm)!.child.kill(signal);
+  }
+
+  /** Waits until an entry's process has ended and returns its exit code. */
+  async waitForExit(vm: string): Promise<number | null> {
+    const { child } = this.entries.get(vm)!;
+    if (child.exitCode !== null) return child.exitCode;
+    if (child.signalCode !== null) return null;
+    return await new Promise((resolve) => child.once("exit", resolve));
+  }
+
+  /** Runs the command line and returns its exit code and output. */
+  async runCommand(
+    args: string[],
+  ): Promise<{ code: number | null; stdout: string; stderr: string }> {
+    const child = spawn(
+      process.execPath,
+      ["dist/packages/cli/main.js", ...args],
+      { stdio: ["ignore", "pipe", "pipe"] },
+    );
+    let stdout = "";
+    let stderr = "";
+    child.stdout.on("data", (chunk) => stdout += chunk);
+    child.stderr.on("data", (chunk) => stderr += chunk);
+    const code = await new Promise<number | null>((resolve) =>
+      child.once("close", resolve)
+    );
+    return { code, stdout, stderr };
+  }
+
+  /** Applies the example's configuration through one entry. */
+  async applyConfig(entry: EntryProcess): Promise<void> {
+    const config = join(this.directory, "config");
+    const result = await this.runCommand([
+      "apply",
+      config,
+      "--entry",
+      entry.url,
+      "--key",
+      OPERATOR_KEY,
+    ]);
+    if (result.code !== 0) throw new Error(`Cannot apply: ${result.stderr}`);
+  }
+
+  /** Waits until a condition holds for an entry's status. */
+  async waitForStatus(
+    entry: EntryProcess,
+    // deno-lint-ignore no-explicit-any
+    holds: (status: any) => boolean,
+    timeoutMs = START_TIMEOUT_MS,
+  ): Promise<void> {
+    const until = Date.now() + timeoutMs;
+    while (Date.now() < until) {
+      const status = await this.readAdmin(entry, "status").catch(() => null);
+      if (status && holds(status)) return;
+      await sleep(POLL_MS);
+    }
+    throw new Error(`Cannot wait longer for the status of ${entry.vm}`);
+  }
+
+  /** Waits until all endpoints are owned and serving. */
+  async waitForEndpoints(count: number): Promise<void> {
+    const [entry] = this.entries.values();
+    await this.waitForStatus(entry, (status) => {
+      const loads = status.entries.map((
+        one: { load?: { endpoints: number } },
+      ) => one.load?.endpoints ?? 0);
+      return loads.reduce((sum: number, n: number) => sum + n, 0) === count;
+    });
+  }
+
+  /** Reads `status`, `dump` or `config` of an entry. */
+  async readAdmin(entry: EntryProcess, path: string) {
+    const response = await request(`${entry.url}/v1/admin/${path}`, {
+      headers: { authorization: `Bearer ${OPERATOR_KEY}` },
+      signal: AbortSignal.timeout(5_000),
+    });
+    // deno-lint-ignore no-explicit-any
+    return await response.body.json() as any;
+  }
+
+  /** Brings about faults of the platform and returns its call counts. */
+  async setPlatform(
+    faults: PlatformFaults,
+  ): Promise<{ reads: number; commits: number; vmLists: number }> {
+    const url = `http://${this.#network}.0.1:2379/control`;
+    return await postJson(url, faults) as {
+      reads: number;
+      commits: number;
+      vmLists: number;
+    };
+  }
+
+  /** Brings about faults of endpoints in one failure domain. */
+  async setEndpoints(domain: string, faults: EndpointFaults): Promise<void> {
+    await postJson(`${this.#findHostUrl(domain)}/control`, faults);
+  }
+
+  /** Reads what all endpoints saw. */
+  async readHistory(): Promise<HistoryLine[]> {
+    const parts = await Promise.all(
+      this.#domains.map((domain) =>
+        postJson(`${this.#findHostUrl(domain)}/history`, {})
+      ),
+    );
+    return (parts as HistoryLine[][]).flat().sort((a, b) => a.at - b.at);
+  }
+
+  /** Ends every process that this fleet started. */
+  async stop(): Promise<void> {
+    await Promise.all(this.#children.map(endChild));
+  }
+
+  async #startStandIns(): Promise<void> {
+    const vmsFile = join(this.directory, "vms.json");
+    const host = `${this.#network}.0.1`;
+    const platform = this.#spawn(
+      ["dist/tests/standins/platform.js", host, "2379", "2380", vmsFile],
+      "platform",
+    );
+    const hosts = this.#domains.map((domain, index) => {
+      const port = String(3_000 + index);
+      const script = "dist/tests/standins/endpoint_host.js";
+      return this.#spawn([script, domain, vmsFile, host, port], domain);
+    });
+    await Promise.all([platform, ...hosts].map(waitForReady));
+  }
+
+  #findHostUrl(domain: string): string {
+    const port = 3_000 + this.#domains.indexOf(domain);
+    return `http://${this.#network}.0.1:${port}`;
+  }
+
+  #spawn(args: string[], name: string): ChildProcess {
+    const log = openSync(join(this.directory, `${name}.log`), "a");
+    const child = spawn(process.execPath, args, {
+      stdio: ["ignore", "pipe", log],
+    });
+    this.#children.push(child);
+    return child;
+  }
+}
+
+/** Sends JSON and returns the JSON answer. */
+export async function postJson(url: string, body: unknown): Promise<unknown> {
+  const response = await request(url, {
+    method: "POST",
+    body: JSON.stringify(body),
+    headers: { "content-type": "application/json" },
+  });
+  return await response.body.json();
+}
+
+function copyExample(
+  options: FleetOptions,
+): { directory: string; network: string } {
+  mkdirSync("run", { recursive: true });
+  const directory = mkdtempSync(join("run", `${options.example}-`));
+  cpSync(join("examples", options.example), directory, { recursive: true });
+  const vms = readFileSync(join(directory, "vms.json"), "utf8");
+  const own = /"address": "(\d+\.\d+)\./.exec(vms)![1];
+  const network = options.network ?? own;
+  const replace = (text: string) => text.replaceAll(`${own}.`, `${network}.`);
+  writeFileSync(join(directory, "vms.json"), replace(vms));
+  for (const file of readdirSync(join(directory, "entries"))) {
+    const path = join(directory, "entries", file);
+    let text = replace(readFileSync(path, "utf8"));
+    for (const [section, lines] of Object.entries(options.settings ?? {})) {
+      text = addLines(text, section, lines);
+    }
+    writeFileSync(path, text);
+  }
+  return { directory, network };
+}
+
+function addLines(text: string, section: string, lines: string): string {
+  const header = `[${section}]`;
+  return text.includes(header)
+    ? text.replace(header, `${header}\n${lines}`)
+    : `${text}\n${header}\n${lines}\n`;
+}
+
+function waitForReady(child: ChildProcess): Promise<void> {
+  return new Promise((resolve, reject) => {
+    child.stdout!.once("data", () => resolve());
+    child.once("exit", () => reject(new Error("Cannot start a stand-in")));
+  });
+}
+
+function endChild(child: ChildProcess): Promise<void> {
+  if (child.exitCode !== null || child.signalCode !== null) {
+    return Promise.resolve();
+  }
+  return new Promise((resolve) => {
+    child.once("exit", () => resolve());
+    child.kill("SIGCONT");
+    child.kill("SIGKILL");
+  });
+}
--- /dev/null
+++ b/tests/standins/platform.ts
@@ -0,0 +1,225 @@
+/**
+ * Stand-in for the platform: the key-value service with the transactions of
+ * etcd's JSON gateway, and the VM list. `POST /control` brings about faults.
+ *
+ * Usage: node platform.js HOST STORE_PORT VM_LIST_PORT VMS_FILE
+ */
+import { Buffer } from "node:buffer";
+import { readFileSync } from "node:fs";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import process from "node:process";
+import { listen, sendJson, sleep } from "./http_server.ts";
+
+/** Faults of the platform; what is left out stays as it is. */
+export interface PlatformFaults {
+  /** Closes every connection without an answer. */
+  storeDown?: boolean;
+  vmListDown?: boolean;
+  /** Delay of each answer in milliseconds. */
+  slowMs?: number;
+  /** Commits that take effect and whose answers are then lost. */
+  loseAnswers?: number;
+  /** Source addresses, by prefix, that cannot reach the platform. */
+  cutSources?: string[];
+  /** VMs to take off the list, or to mark as leaving. */
+  removeVms?: string[];
+  leavingVms?: string[];
+  /** VMs to put back on the list. */
+  restoreVms?: string[];
+  /** Takes a copy of the store, or puts the copy back. */
+  backup?: "take" | "restore";
+}
+
+interface Stored {
+  value: string;
+  modRevision: number;
+}
+
+interface Vm {
+  id: string;
+  domain: string;
+  state: string;
+}
+
+const faults = {
+  storeDown: false,
+  vmListDown: false,
+  slowMs: 0,
+  loseAnswers: 0,
+  cutSources: [] as string[],
+};
+const counts = { reads: 0, commits: 0, vmLists: 0 };
+
+class StandInStore {
+  #values = new Map<string, Stored>();
+  #revision = 1;
+  #backup: { values: Map<string, Stored>; revision: number } | undefined;
+
+  // deno-lint-ignore no-explicit-any
+  runTxn(txn: any) {
+    const succeeded = (txn.compare ?? []).every((compare: {
+      key: string;
+      mod_revision?: string;
+    }) =>
+      (this.#values.get(decode(compare.key))?.modRevision ?? 0) ===
+        Number(compare.mod_revision ?? 0)
+    );
+    const operations = succeeded ? txn.success ?? [] : txn.failure ?? [];
+    if (operations.some((operation: object) => "request_put" in operation)) {
+      this.#revision += 1;
+    }
+    const responses = operations.map((operation: object) =>
+      this.#run(operation)
+    );
+    const header = { revision: String(this.#revision) };
+    return { header, succeeded, responses };
+  }
+
+  takeBackup(): void {
+    this.#backup = {
+      values: new Map(this.#values),
+      revision: this.#revision,
+    };
+  }
+
+  restoreBackup(): void {
+    if (!this.#backup) return;
+    this.#values = new Map(this.#backup.values);
+    this.#revision = this.#backup.revision;
+  }
+
+  // deno-lint-ignore no-explicit-any
+  #run(operation: any) {
+    const { request_put: put, request_range: range } = operation;
+    if (put) {
+      this.#values.set(decode(put.key), {
+        value: put.value,
+        modRevision: this.#revision,
+      });
+      return { response_put: {} };
+    }
+    const from = decode(range.key);
+    const to = decode(range.range_end ?? "");
+    const min = Number(range.min_mod_revision ?? 0);
+    const kvs = [...this.#values].flatMap(([key, stored]) => {
+      const inRange = to === "" ? key === from : key >= from && key < to;
+      if (!inRange || stored.modRevision < min) return [];
+      return [{
+        key: Buffer.from(key).toString("base64"),
+        value: stored.value,
+        mod_revision: String(stored.modRevision),
+      }];
+    });
+    return { response_range: { kvs } };
+  }
+}
+
+class StandInVmList {
+  readonly #vms = new Map<string, Vm & { revision: number }>();
+  readonly #removed = new Map<string, { revision: number; vm: Vm }>();
+  #revision = 1;
+
+  constructor(vms: Vm[]) {
+    for (const vm of vms) this.#vms.set(vm.id, { ...vm, revision: 1 });
+  }
+
+  list(domain: string, since: number) {
+    const ofDomain = [...this.#vms.values()].filter((vm) =>
+      vm.domain === domain
+    );
+    const changed = ofDomain.filter((vm) => vm.revision > since);
+    const removed = [...this.#removed].flatMap(([id, { revision, vm }]) =>
+      revision > since && vm.domain === domain ? [id] : []
+    );
+    const complete = since === 0;
+    return { revision: this.#revision, complete, changed, removed };
+  }
+
+  remove(id: string): void {
+    const vm = this.#vms.get(id);
+    if (!vm) return;
+    this.#vms.delete(id);
+    this.#removed.set(id, { revision: ++this.#revision, vm });
+  }
+
+  restore(id: string): void {
+    const removed = this.#removed.get(id);
+    if (!removed) return;
+    this.#removed.delete(id);
+    this.#vms.set(id, { ...removed.vm, revision: ++this.#revision });
+  }
+
+  markLeaving(id: string): void {
+    const vm = this.#vms.get(id);
+    if (!vm) return;
+    vm.state = "leaving";
+    vm.revision = ++this.#revision;
+  }
+}
+
+function decode(text: string): string {
+  return Buffer.from(text, "base64").toString();
+}
+
+function isCut(request: IncomingMessage): boolean {
+  const source = request.socket.remoteAddress ?? "";
+  return faults.cutSources.some((prefix) => source.startsWith(prefix));
+}
+
+async function serveStore(
+  request: IncomingMessage,
+  response: ServerResponse,
+  body: string,
+): Promise<void> {
+  if (request.url === "/control") return control(response, body);
+  if (faults.storeDown || isCut(request)) {
+    response.destroy();
+    return;
+  }
+  const txn = JSON.parse(body);
+  const isCommit = (txn.compare ?? []).length > 0;
+  counts[isCommit ? "commits" : "reads"] += 1;
+  const answer = store.runTxn(txn);
+  if (isCommit && faults.loseAnswers > 0) {
+    faults.loseAnswers -= 1;
+    response.destroy();
+    return;
+  }
+  if (faults.slowMs > 0) await sleep(faults.slowMs);
+  sendJson(response, answer);
+}
+
+async function serveVmList(
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  if (faults.vmListDown || isCut(request)) {
+    response.destroy();
+    return;
+  }
+  counts.vmLists += 1;
+  if (faults.slowMs > 0) await sleep(faults.slowMs);
+  const url = new URL(request.url ?? "", "http://platform");
+  const domain = url.searchParams.get("domain") ?? "";
+  const since = Number(url.searchParams.get("since") ?? 0);
+  sendJson(response, vmList.list(domain, since));
+}
+
+function control(response: ServerResponse, body: string): void {
+  const change: PlatformFaults = JSON.parse(body);
+  const { removeVms, leavingVms, restoreVms, backup, ...rest } = change;
+  Object.assign(faults, rest);
+  for (const id of removeVms ?? []) vmList.remove(id);
+  for (const id of leavingVms ?? []) vmList.markLeaving(id);
+  for (const id of restoreVms ?? []) vmList.restore(id);
+  if (backup === "take") store.takeBackup();
+  if (backup === "restore") store.restoreBackup();
+  sendJson(response, counts);
+}
+
+const [host, storePort, vmListPort, vmsFile] = process.argv.slice(2);
+const store = new StandInStore();
+const vmList = new StandInVmList(JSON.parse(readFileSync(vmsFile, "utf8")));
+await listen({ host, port: Number(storePort) }, serveStore);
+await listen({ host, port: Number(vmListPort) }, serveVmList);
+process.stdout.write("ready\n");
--- /dev/null
+++ b/tools/demo.ts
@@ -0,0 +1,186 @@
+/**
+ * Starts an example site as separate processes on loopback, applies its
+ * configuration, sends work from several teams, drains one entry in the
+ * middle, and checks every answer.
+ *
+ * Usage: node dist/tools/demo.js [EXAMPLE]
+ */
+import { readFileSync } from "node:fs";
+import { join } from "node:path";
+import process from "node:process";
+import { build } from "hdr-histogram-js";
+import { v7 as makeUuid } from "uuid";
+import { checkDirectory, type Configuration } from "../packages/config/mod.ts";
+import { WorkKind } from "../packages/base/mod.ts";
+import { formatTable } from "../packages/cli/mod.ts";
+import { checkHistory } from "../tests/harness/check_history.ts";
+import { type ClientRecord, sendRequest } from "../tests/harness/client.ts";
+import { type EntryProcess, Fleet } from "../tests/harness/fleet.ts";
+import { sleep } from "../tests/standins/http_server.ts";
+
+const REQUESTS = 400;
+const ARRIVAL_MS = 15;
+const RUN_MS = 120;
+const TIMEOUT_MS = 20_000;
+const GANG_TASKS = 12;
+const MAX_RETRIES = 8;
+
+interface DemoSite {
+  fleet: Fleet;
+  configuration: Configuration;
+  entries: EntryProcess[];
+}
+
+const example = process.argv[2] ?? "guanacaste";
+const fleet = await Fleet.start({ example });
+let faults: string[];
+try {
+  faults = await runDemo(fleet);
+} finally {
+  await fleet.stop();
+}
+for (const fault of faults) print(`FAULT ${fault}`);
+print(faults.length === 0 ? "all answers are whole and right" : "FAILED");
+process.exit(faults.length === 0 ? 0 : 1);
+
+async function runDemo(fleet: Fleet): Promise<string[]> {
+  const entries = [...fleet.entries.values()];
+  const [first] = entries;
+  await fleet.waitForStatus(
+    first,
+    (status) => status.entries.length === entries.length,
+  );
+  print(`${entries.length} entries have joined; applying the configuration`);
+  await fleet.applyConfig(first);
+  const vms: { role: string }[] = JSON.parse(
+    readFileSync(join(fleet.directory, "vms.json"), "utf8"),
+  );
+  const endpoints = vms.filter((vm) => vm.role === "endpoint").length;
+  await fleet.waitForEndpoints(endpoints);
+  print(`${endpoints} endpoints serve; sending ${REQUESTS} requests`);
+  const { configuration } = checkDirectory(join(fleet.directory, "config"));
+  const site = { fleet, configuration: configuration!, entries };
+  const records = await sendAll(site);
+  printTeams(records);
+  await printEntries(site);
+  const limits = Object.entries(site.configuration.teams).map((
+    [name, team],
+  ) => [name, team.limit]);
+  const history = await fleet.readHistory();
+  const lost = records.filter((record) => record.status === 0);
+  return [
+    ...checkHistory(records, history, { teams: Object.fromEntries(limits) }),
+    ...lost.map((record) => `no answer for ${record.ref}: ${record.detail}`),
+    ...findUnexpected(records),
+  ];
+}
+
+async function sendAll(site: DemoSite): Promise<ClientRecord[]> {
+  const sent: Promise<ClientRecord>[] = [];
+  const leaving = site.entries[site.entries.length - 1];
+  for (let number = 0; number < REQUESTS; number++) {
+    if (number === REQUESTS / 2) {
+      print(`draining ${leaving.vm}`);
+      site.fleet.signal(leaving.vm, "SIGTERM");
+    }
+    if (number === REQUESTS / 4) sent.push(sendGang(site));
+    sent.push(sendOne(site, number));
+    await sleep(ARRIVAL_MS);
+  }
+  const records = await Promise.all(sent);
+  const code = await site.fleet.waitForExit(leaving.vm);
+  print(`${leaving.vm} has left with exit code ${code}`);
+  return records;
+}
+
+/** Sends to a ready entry, as a balancer does; comes back when told to. */
+async function sendOne(
+  site: DemoSite,
+  number: number,
+): Promise<ClientRecord> {
+  const queues = Object.entries(site.configuration.queues).filter((
+    [, queue],
+  ) => queue.kinds.includes(WorkKind.Batch) && !queue.open);
+  const [queue, { teams }] = queues[number % 4 === 0 ? 1 : 0];
+  const team = teams[number % teams.length];
+  const idempotencyKey = `${site.entries[0].domain}/${makeUuid()}`;
+  const ref = makeUuid();
+  for (let retry = 0;; retry++) {
+    const entry = site.entries[(number + retry) % site.entries.length];
+    const record = await sendRequest({
+      url: entry.url,
+      team,
+      queue,
+      ref,
+      idempotencyKey,
+      runMs: RUN_MS,
+      timeoutMs: TIMEOUT_MS,
+      extra: { document: `${queue} ${number}`, head_count: 1 + number % 40 },
+    });
+    const isRefused = record.status === 503 || record.status === 0;
+    if (!isRefused || retry === MAX_RETRIES) return record;
+    await sleep(100);
+  }
+}
+
+async function sendGang(site: DemoSite): Promise<ClientRecord> {
+  const [queue, { teams }] = Object.entries(site.configuration.queues).find((
+    [, queue],
+  ) => queue.kinds.includes(WorkKind.Gang))!;
+  return await sendRequest({
+    url: site.entries[0].url,
+    team: teams[0],
+    queue,
+    kind: WorkKind.Gang,
+    tasks: GANG_TASKS,
+    runMs: RUN_MS,
+    timeoutMs: TIMEOUT_MS,
+  });
+}
+
+function findUnexpected(records: ClientRecord[]): string[] {
+  return records.filter((record) => record.verdict !== "ran").map((record) =>
+    `request ${record.ref} ended as ${record.verdict}: ${record.cause} ` +
+    record.detail
+  );
+}
+
+function printTeams(records: ClientRecord[]): void {
+  const rows = [["team", "sent", "ran", "refused", "median ms", "p99 ms"]];
+  const teams = [...new Set(records.map((record) => record.team))].sort();
+  for (const team of teams) {
+    const own = records.filter((record) => record.team === team);
+    const ran = own.filter((record) => record.verdict === "ran");
+    const waits = build();
+    for (const record of ran) {
+      const ms = record.endedAt - record.sentAt - RUN_MS;
+      waits.recordValue(Math.max(0, ms));
+    }
+    rows.push([
+      team,
+      String(own.length),
+      String(ran.length),
+      String(own.length - ran.length),
+      String(waits.getValueAtPercentile(50)),
+      String(waits.getValueAtPercentile(99)),
+    ]);
+  }
+  print(formatTable(rows));
+}
+
+async function printEntries(site: DemoSite): Promise<void> {
+  const rows = [["entry", "owned endpoints", "starts"]];
+  for (const entry of site.entries) {
+    const dump = await site.fleet.readAdmin(entry, "dump").catch(() => null);
+    rows.push([
+      entry.vm,
+      dump ? String(dump.endpoints.length) : "left",
+      dump ? String(dump.starts) : "left",
+    ]);
+  }
+  print(formatTable(rows));
+}
+
+function print(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
