Hand over key history with shards; inject timers

Cause: a keyed request that reached a home right after a planned handover, or right after the first start of a site, was answered "may have run", because the new owner of the shard cannot know earlier keys. Ruled out: a longer allowed clock skew; the keys were seconds younger than the tenure. Change: a planned handover names the next owner, which gets the key history first; the record says by an id whether it has it. A shard that never had an owner has no history to miss. A home that is moving is asked again for 2.5 s. Timers come from the clock, so that runs on virtual time can drive them.

--- a/packages/base/clock.ts
+++ b/packages/base/clock.ts
@@ -1,7 +1,15 @@
-/** Source of the present time for the outermost loops. */
+/** Source of the present time and of timers for the outermost loops. */
 export abstract class Clock {
   /** Returns milliseconds since the Unix epoch. */
   abstract now(): number;
+
+  /** Runs a function once after some milliseconds; returns how to cancel. */
+  abstract schedule(run: () => void, delayMs: number): () => void;
+
+  /** Resolves after some milliseconds. */
+  sleep(delayMs: number): Promise<void> {
+    return new Promise((resolve) => this.schedule(resolve, delayMs));
+  }
 }
 
 /** The machine's clock. */
@@ -9,4 +17,9 @@
   override now(): number {
     return Date.now();
   }
+
+  override schedule(run: () => void, delayMs: number): () => void {
+    const timer = setTimeout(run, delayMs);
+    return () => clearTimeout(timer);
+  }
 }
--- a/packages/control/control_state.ts
+++ b/packages/control/control_state.ts
@@ -243,17 +243,7 @@
     const plan = planMembership(current, whole, { writer }) ??
       this.#planFence(current, writer);
     if (!plan) return undefined;
-    const commit: StoreCommit = {
-      compares: [{
-        key: this.#domains.keyOf(this.domain),
-        modRevision: this.#domains.revisionOf(this.domain),
-      }],
-      puts: [{
-        key: this.#domains.keyOf(this.domain),
-        value: JSON.stringify(plan.record),
-      }],
-    };
-    return { purpose: CommitPurpose.Membership, commit, plan };
+    return { purpose: CommitPurpose.Membership, plan };
   }
 
   /** Plans this entry's change of one bucket of grants. */
@@ -279,8 +269,18 @@
     const isUnsettled = this.#unsettledLimits.has(bucket);
     if (!plan.fleet && !plan.domain && !isUnsettled) return undefined;
     if (isUnsettled) plan.domain ??= { ...current.domain, writer };
-    const commit = this.#makeLimitsCommit(name, plan);
-    return { purpose: CommitPurpose.Limits, commit, plan, bucket };
+    return { purpose: CommitPurpose.Limits, plan, bucket };
+  }
+
+  /** Builds the compare-and-swap of a planned commit. */
+  buildCommit(planned: PlannedCommit): StoreCommit {
+    if (planned.purpose === CommitPurpose.Limits) {
+      return this.#makeLimitsCommit(String(planned.bucket), planned.plan);
+    }
+    const key = this.#domains.keyOf(this.domain);
+    const modRevision = this.#domains.revisionOf(this.domain);
+    const value = JSON.stringify(planned.plan.record);
+    return { compares: [{ key, modRevision }], puts: [{ key, value }] };
   }
 
   /** Call right before a planned commit is sent: what it gives up is gone. */
--- a/packages/control/types.ts
+++ b/packages/control/types.ts
@@ -1,6 +1,5 @@
 import type { LimitsPlan } from "../limits/mod.ts";
 import type { MembershipPlan } from "../membership/mod.ts";
-import type { StoreCommit } from "../platform/mod.ts";
 
 /** What a commit is for. */
 export enum CommitPurpose {
@@ -10,17 +9,8 @@
 
 /** A commit that an entry wants to make, and what it means. */
 export type PlannedCommit =
-  | {
-    purpose: CommitPurpose.Membership;
-    commit: StoreCommit;
-    plan: MembershipPlan;
-  }
-  | {
-    purpose: CommitPurpose.Limits;
-    commit: StoreCommit;
-    plan: LimitsPlan;
-    bucket: number;
-  };
+  | { purpose: CommitPurpose.Membership; plan: MembershipPlan }
+  | { purpose: CommitPurpose.Limits; plan: LimitsPlan; bucket: number };
 
 /** How a commit went. */
 export enum CommitStatus {
--- a/packages/entry/committer.ts
+++ b/packages/entry/committer.ts
@@ -4,7 +4,7 @@
   type ControlState,
   type PlannedCommit,
 } from "../control/mod.ts";
-import type { Store } from "../platform/mod.ts";
+import type { Store, StoreCommit } from "../platform/mod.ts";
 
 /** Sends planned commits and settles them. */
 export class Committer {
@@ -27,19 +27,20 @@
 
   /** Sends one commit; what it gives up is given up before it is sent. */
   async send(planned: PlannedCommit): Promise<CommitStatus> {
+    const commit = this.#control.buildCommit(planned);
     this.#control.begin(planned);
     this.#onEffect();
-    const result = await this.#commit(planned);
+    const result = await this.#commit(commit);
     this.#control.settle(planned, result);
     this.#onEffect();
     return result.status;
   }
 
   async #commit(
-    planned: PlannedCommit,
+    commit: StoreCommit,
   ): Promise<{ status: CommitStatus; revision: number }> {
     try {
-      const result = await this.#store.commit(planned.commit);
+      const result = await this.#store.commit(commit);
       const status = result.succeeded
         ? CommitStatus.Succeeded
         : CommitStatus.Conflicted;
--- a/packages/entry/config_service.ts
+++ b/packages/entry/config_service.ts
@@ -180,7 +180,7 @@
         return { version, accepted, missing };
       }
       if (this.#clock.now() >= until) return { version, accepted, missing };
-      await waitFor(APPLY_POLL_MS);
+      await this.#clock.sleep(APPLY_POLL_MS);
     }
   }
 
@@ -266,7 +266,3 @@
 function isCallFailure(error: unknown): boolean {
   return error instanceof NotSentError || error instanceof UnknownEffectError;
 }
-
-function waitFor(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/entry/constants.ts
+++ b/packages/entry/constants.ts
@@ -60,3 +60,12 @@
 
 /** Interval at which idle connections are closed during a stop, in ms. */
 export const CLOSE_INTERVAL_MS = 50;
+
+/** Longest wait for the home of a key while it is handed over, in ms. */
+export const KEY_HOME_WAIT_MS = 2_500;
+
+/** Pause before the home of a key is asked again, in milliseconds. */
+export const KEY_RETRY_MS = 150;
+
+/** Tries to tell the home of a key how its request ended. */
+export const KEY_FINISH_TRIES = 5;
--- a/packages/entry/control_loop.ts
+++ b/packages/entry/control_loop.ts
@@ -1,5 +1,9 @@
 import type { Clock } from "../base/mod.ts";
-import { CommitStatus, type ControlState } from "../control/mod.ts";
+import {
+  CommitPurpose,
+  CommitStatus,
+  type ControlState,
+} from "../control/mod.ts";
 import { type Engine, EngineEventType } from "../engine/mod.ts";
 import { EventCode, type EventLog } from "../events/mod.ts";
 import { findBucket, LIMIT_BUCKETS, type TeamDemand } from "../limits/mod.ts";
@@ -14,6 +18,7 @@
 import { ACCEPT_TAKEOVER_MS } from "./constants.ts";
 import type { EndpointDirectory } from "./endpoint_directory.ts";
 import type { EngineDriver } from "./engine_driver.ts";
+import type { KeyService } from "./key_service.ts";
 import type { PauseGuard } from "./pause_guard.ts";
 import type { PeerTable } from "./peer_table.ts";
 
@@ -25,6 +30,7 @@
   driver: EngineDriver;
   peers: PeerTable;
   pause: PauseGuard;
+  keys: KeyService;
   store: Store;
   vmList: VmList;
   clock: Clock;
@@ -39,14 +45,11 @@
 export class ControlLoop {
   readonly #parts: ControlLoopParts;
   readonly #committer: Committer;
-  readonly #ownedSince = new Map<number, number>();
   #quiescing = new Set<number>();
   #appliedEndpoints = "";
   #storeUp = true;
   #vmListUp = true;
   #stagedSince = 0;
-  #homesChangedAt = 0;
-  #settledDomains = "";
   draining = false;
 
   constructor(parts: ControlLoopParts) {
@@ -74,16 +77,6 @@
     return { store: this.#storeUp, vmList: this.#vmListUp };
   }
 
-  /**
-   * Returns since when this entry is the home of a shard's keys, or nothing
-   * when it is not: in milliseconds since the Unix epoch.
-   */
-  findTenure(shard: number): number | undefined {
-    const since = this.#ownedSince.get(shard);
-    if (since === undefined || this.#quiescing.has(shard)) return undefined;
-    return Math.max(since, this.#homesChangedAt);
-  }
-
   /** Reads the VM list. */
   async readVmList(): Promise<void> {
     const { vmList, directory, clock } = this.#parts;
@@ -116,9 +109,9 @@
 
   /** Tells the engine what it owns and what it may run. */
   applyToEngine(): void {
-    const { control, directory, driver, clock } = this.#parts;
+    const { control, directory, driver, clock, keys } = this.#parts;
     const owned = control.listOwnedShards();
-    this.#noteOwned(owned, clock.now());
+    keys.noteOwned(owned, clock.now());
     const quiescing = new Set([
       ...this.#quiescing,
       ...control.listUncertainShards(),
@@ -146,7 +139,7 @@
   }
 
   #observe(observation: ReturnType<ControlState["observe"]>): void {
-    const { control, config, peers, log, pause, clock } = this.#parts;
+    const { control, config, peers, log, pause } = this.#parts;
     if (observation.reverted) {
       log.record(EventCode.StoreReverted, {});
       return;
@@ -159,22 +152,28 @@
         member.incarnation !== control.self.incarnation
       ),
     );
-    this.#noteHomes(clock.now());
     this.#selectQuiescing();
     this.applyToEngine();
   }
 
   async #changeMembership(): Promise<void> {
-    const { control, log, makeId, clock } = this.#parts;
+    const { control, log, makeId, clock, keys } = this.#parts;
     const options = { writer: makeId(), now: clock.now() };
     const planned = control.planMembership(this.#makeView(), options);
-    if (!planned) return;
+    if (planned?.purpose !== CommitPurpose.Membership) return;
+    const { plan } = planned;
+    await keys.transfer(plan);
     const status = await this.#committer.send(planned);
     if (status === CommitStatus.Unknown) {
       log.record(EventCode.WriteEffectUnknown, { key: "domain" });
+      return;
     }
+    keys.cancelTransfers(
+      control.listOwnedShards(),
+      control.listUncertainShards(),
+    );
     if (status !== CommitStatus.Succeeded) return;
-    this.#reportMembership(planned.plan as MembershipPlan);
+    this.#reportMembership(plan);
     this.#selectQuiescing();
     this.applyToEngine();
   }
@@ -258,22 +257,6 @@
     if (plan.left) onLeft();
   }
 
-  #noteOwned(owned: ReadonlySet<number>, now: number): void {
-    for (const shard of [...this.#ownedSince.keys()]) {
-      if (!owned.has(shard)) this.#ownedSince.delete(shard);
-    }
-    for (const shard of owned) {
-      if (!this.#ownedSince.has(shard)) this.#ownedSince.set(shard, now);
-    }
-  }
-
-  #noteHomes(now: number): void {
-    const settled = this.#parts.control.listSettledDomains(now).sort().join();
-    if (settled === this.#settledDomains) return;
-    this.#settledDomains = settled;
-    this.#homesChangedAt = now;
-  }
-
   #noteStore(isUp: boolean, error?: unknown): void {
     if (isUp === this.#storeUp) return;
     this.#storeUp = isUp;
--- a/packages/entry/dump.ts
+++ b/packages/entry/dump.ts
@@ -73,7 +73,7 @@
     attempts: state.attempts.size,
     starts: state.starts,
     requests: { pending: registry.pending, remembered: registry.size },
-    idempotency_keys: keys.size,
+    idempotency_keys: keys.home.size,
     histograms: node.parts.metrics.summarizeHistograms(),
     memory: process.memoryUsage(),
   };
--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -3,7 +3,6 @@
   Cause,
   jitterRetryAfter,
   makeNotRun,
-  NotSentError,
   type Outcome,
   SECOND_MS,
 } from "../base/mod.ts";
@@ -11,19 +10,11 @@
 import { ControlState } from "../control/mod.ts";
 import { Engine, EngineEventType } from "../engine/mod.ts";
 import { EventCode } from "../events/mod.ts";
-import {
-  findHome,
-  type KeyBegin,
-  KeyHome,
-  type KeyStanding,
-  parseKey,
-} from "../idempotency/mod.ts";
+import type { KeyBegin, KeyStanding } from "../idempotency/mod.ts";
 import type { Member } from "../membership/mod.ts";
 import {
   type Heartbeat,
-  NOT_OWNER_CODE,
   PEER_TIMEOUT_MS,
-  PeerRefusedError,
   type WorkView,
 } from "../peers/mod.ts";
 import {
@@ -54,6 +45,7 @@
 import { listCandidates, measureFleet, measureLoad } from "./fleet_view.ts";
 import { EntryGateway } from "./gateway.ts";
 import { Heartbeats } from "./heartbeats.ts";
+import { KeyService } from "./key_service.ts";
 import { Loop } from "./loop.ts";
 import { PauseGuard } from "./pause_guard.ts";
 import { PeerTable } from "./peer_table.ts";
@@ -70,7 +62,7 @@
   readonly peers: PeerTable;
   readonly heartbeats: Heartbeats;
   readonly registry = new WorkRegistry();
-  readonly keys = new KeyHome();
+  readonly keys: KeyService;
   readonly controlLoop: ControlLoop;
   readonly #directory: EndpointDirectory;
   readonly #pause: PauseGuard;
@@ -128,7 +120,14 @@
       log,
       describeSelf: () => this.describeSelf(),
     });
+    this.keys = new KeyService({
+      control: this.control,
+      client: parts.peers,
+      clock,
+      refresh: () => this.#controlTimer.wake(),
+    });
     this.controlLoop = new ControlLoop({
+      keys: this.keys,
       control: this.control,
       config: this.config,
       directory: this.#directory,
@@ -166,15 +165,24 @@
       pollMs: settings.endpoints.poll_ms,
       leaseMs: settings.endpoints.task_lease_ms,
     });
-    this.#controlTimer = new Loop(
-      () => this.controlLoop.step(),
-      () => this.#findControlInterval(),
-    );
+    this.#controlTimer = new Loop(clock, {
+      step: () => this.controlLoop.step(),
+      intervalMs: () => this.#findControlInterval(),
+    });
     this.#loops = [
       this.#controlTimer,
-      new Loop(() => this.controlLoop.readVmList(), () => CONTROL_INTERVAL_MS),
-      new Loop(() => this.heartbeats.sendRound(), () => heartbeat_ms),
-      new Loop(() => this.#tick(), () => TICK_INTERVAL_MS),
+      new Loop(clock, {
+        step: () => this.controlLoop.readVmList(),
+        intervalMs: () => CONTROL_INTERVAL_MS,
+      }),
+      new Loop(clock, {
+        step: () => this.heartbeats.sendRound(),
+        intervalMs: () => heartbeat_ms,
+      }),
+      new Loop(clock, {
+        step: () => this.#tick(),
+        intervalMs: () => TICK_INTERVAL_MS,
+      }),
     ];
   }
 
@@ -274,18 +282,6 @@
     };
   }
 
-  /** Registers an idempotency key here, as its home. */
-  beginKeyHere(begin: KeyBegin): KeyStanding {
-    const now = this.parts.clock.now();
-    const home = this.#findHome(begin.key);
-    const isOwn = home.domain === this.control.domain;
-    const tenure = isOwn ? this.controlLoop.findTenure(home.shard) : undefined;
-    if (tenure === undefined) {
-      throw new PeerRefusedError("Cannot keep a key of others", NOT_OWNER_CODE);
-    }
-    return this.keys.begin(begin, { tenure, now });
-  }
-
   override getConfiguration(): Configuration {
     return this.config.state.effective;
   }
@@ -309,25 +305,11 @@
   }
 
   override async beginKey(begin: KeyBegin): Promise<KeyStanding> {
-    const owner = this.#findKeyOwner(begin.key);
-    if (owner === this.member) return this.beginKeyHere(begin);
-    const params = { target: owner.incarnation, begin };
-    const options = { address: owner.peers, timeoutMs: PEER_TIMEOUT_MS };
-    return await this.parts.peers.call("key.begin", params, options);
+    return await this.keys.begin(begin);
   }
 
   override finishKey(begin: KeyBegin, outcome: Outcome): void {
-    const { key, token } = begin;
-    const owner = this.#findKeyOwner(key);
-    if (owner === this.member) {
-      this.keys.finish(key, token, { outcome });
-      return;
-    }
-    this.parts.peers.call(
-      "key.finish",
-      { target: owner.incarnation, key, token, outcome },
-      { address: owner.peers, timeoutMs: PEER_TIMEOUT_MS },
-    ).catch(() => {});
+    void this.keys.finish(begin, outcome);
   }
 
   override async route(routed: RoutedWork): Promise<Outcome> {
@@ -383,28 +365,6 @@
       : CONTROL_INTERVAL_MS;
   }
 
-  #findHome(text: string): { domain: string; shard: number } {
-    const now = this.parts.clock.now();
-    const domains = this.control.listSettledDomains(now);
-    const key = parseKey(text)!;
-    if (!key.domain && domains.length === 0) {
-      throw new NotSentError("Cannot find a home for the key yet");
-    }
-    return findHome(key, domains);
-  }
-
-  #findKeyOwner(text: string): Member {
-    const { domain, shard } = this.#findHome(text);
-    const record = this.control.findDomain(domain);
-    const owner = record?.shards[shard].owner;
-    const member = Object.values(record?.members ?? {}).find((candidate) =>
-      candidate.incarnation === owner
-    );
-    if (!member) throw new NotSentError("Cannot find the home of the key");
-    const isSelf = member.incarnation === this.member.incarnation;
-    return isSelf ? this.member : member;
-  }
-
   /** Returns the entry that took work in, unless it is this one. */
   #findTaker(id: string): Member | undefined {
     const [domain, vm] = id.split("~");
@@ -428,7 +388,7 @@
     left.then(() => isLeft = true);
     const until = clock.now() + DRAIN_HANDOVER_MS;
     while (!isLeft && !(this.isIdle() && clock.now() >= until)) {
-      await new Promise((resolve) => setTimeout(resolve, TICK_INTERVAL_MS));
+      await clock.sleep(TICK_INTERVAL_MS);
     }
     log.record(EventCode.DrainFinished, { left: isLeft });
   }
--- a/packages/entry/gateway.ts
+++ b/packages/entry/gateway.ts
@@ -131,7 +131,7 @@
       if (this.#clock.now() >= attempt.deadline) {
         return await this.#settle(owner, attempt);
       }
-      await waitFor(RECOVER_INTERVAL_MS);
+      await this.#clock.sleep(RECOVER_INTERVAL_MS);
       try {
         return await this.#forward(owner, attempt);
       } catch (next) {
@@ -159,7 +159,3 @@
     return makeMayHaveRun(Cause.EntryLost, detail);
   }
 }
-
-function waitFor(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/entry/loop.ts
+++ b/packages/entry/loop.ts
@@ -1,18 +1,25 @@
+import type { Clock } from "../base/mod.ts";
+
 /** Repeats a step on the event loop until it is stopped. */
 export class Loop {
   readonly #step: () => Promise<void> | void;
   readonly #intervalMs: () => number;
-  #timer: NodeJS.Timeout | undefined;
+  readonly #clock: Clock;
+  #cancel: () => void = () => {};
   #stopped = true;
   #running = false;
 
   /** `intervalMs` is asked after each step. */
   constructor(
-    step: () => Promise<void> | void,
-    intervalMs: () => number,
+    clock: Clock,
+    options: {
+      step: () => Promise<void> | void;
+      intervalMs: () => number;
+    },
   ) {
-    this.#step = step;
-    this.#intervalMs = intervalMs;
+    this.#clock = clock;
+    this.#step = options.step;
+    this.#intervalMs = options.intervalMs;
   }
 
   /** Starts with a step at once. */
@@ -24,14 +31,14 @@
   /** Runs the next step at once unless one is under way. */
   wake(): void {
     if (this.#stopped || this.#running) return;
-    clearTimeout(this.#timer);
+    this.#cancel();
     void this.#run();
   }
 
   /** Takes no further step. */
   stop(): void {
     this.#stopped = true;
-    clearTimeout(this.#timer);
+    this.#cancel();
   }
 
   async #run(): Promise<void> {
@@ -45,6 +52,9 @@
   }
 
   #schedule(): void {
-    this.#timer = setTimeout(() => void this.#run(), this.#intervalMs());
+    this.#cancel = this.#clock.schedule(
+      () => void this.#run(),
+      this.#intervalMs(),
+    );
   }
 }
--- a/packages/entry/peer_handlers.ts
+++ b/packages/entry/peer_handlers.ts
@@ -41,11 +41,16 @@
     },
     "key.begin": ({ target, begin }) => {
       checkTarget(target);
-      return node.beginKeyHere(begin);
+      return node.keys.beginHere(begin);
     },
     "key.finish": ({ target, key, token, outcome }) => {
       checkTarget(target);
-      node.keys.finish(key, token, { outcome });
+      node.keys.finishHere(key, token, { outcome });
+      return null;
+    },
+    "key.adopt": ({ target, transfers }) => {
+      checkTarget(target);
+      node.keys.adopt(transfers);
       return null;
     },
     "work.find": ({ target, id, team }) => {
--- a/packages/idempotency/key.ts
+++ b/packages/idempotency/key.ts
@@ -25,6 +25,11 @@
   return { text, domain: text.slice(0, slash), madeAt };
 }
 
+/** Returns the shard whose owner is the home of a key. */
+export function findKeyShard(key: string): number {
+  return hashToBucket(`home ${key}`, SHARDS_PER_DOMAIN);
+}
+
 /** Returns the failure domain and shard whose owner is the key's home. */
 export function findHome(
   key: IdempotencyKey,
@@ -32,5 +37,5 @@
 ): { domain: string; shard: number } {
   const sorted = [...domains].sort();
   const domain = key.domain ?? sorted[hashToBucket(key.text, sorted.length)];
-  return { domain, shard: hashToBucket(`home ${key.text}`, SHARDS_PER_DOMAIN) };
+  return { domain, shard: findKeyShard(key.text) };
 }
--- a/packages/idempotency/key_home.ts
+++ b/packages/idempotency/key_home.ts
@@ -1,13 +1,12 @@
 import { type Outcome, Verdict } from "../base/mod.ts";
 import { CLOCK_SKEW_MS, KEY_RETENTION_MS } from "./constants.ts";
-import { parseKey } from "./key.ts";
-import { type KeyBegin, type KeyStanding, KeyStandingKind } from "./types.ts";
-
-interface KeyRecord {
-  begin: KeyBegin;
-  outcome?: Outcome;
-  expires: number;
-}
+import { findKeyShard, parseKey } from "./key.ts";
+import {
+  type KeyBegin,
+  type KeyRecord,
+  type KeyStanding,
+  KeyStandingKind,
+} from "./types.ts";
 
 /** Remembers the outcomes of requests by idempotency key. */
 export class KeyHome {
@@ -51,6 +50,18 @@
     else record.outcome = outcome;
   }
 
+  /** Lists what is remembered of a shard's keys. */
+  listOfShard(shard: number): KeyRecord[] {
+    return [...this.#records].flatMap(([key, record]) =>
+      findKeyShard(key) === shard ? [record] : []
+    );
+  }
+
+  /** Takes over what another home remembered. */
+  adopt(records: KeyRecord[]): void {
+    for (const record of records) this.#records.set(record.begin.key, record);
+  }
+
   /** Forgets keys whose time is over. */
   expire(now: number): void {
     for (const [key, record] of this.#records) {
--- a/packages/idempotency/types.ts
+++ b/packages/idempotency/types.ts
@@ -23,6 +23,23 @@
   Reused = "reused",
 }
 
+/** What a home remembers of a key. */
+export interface KeyRecord {
+  begin: KeyBegin;
+  outcome?: Outcome;
+  /** When the key may be forgotten, in milliseconds since the Unix epoch. */
+  expires: number;
+}
+
+/** The key history of one shard, on its way to the shard's next owner. */
+export interface KeyTransfer {
+  id: string;
+  shard: number;
+  /** Since when the history is complete. */
+  tenure: number;
+  records: KeyRecord[];
+}
+
 /** Standing of a key, with the outcome if there is one. */
 export interface KeyStanding {
   kind: KeyStandingKind;
--- a/packages/membership/plan.ts
+++ b/packages/membership/plan.ts
@@ -3,6 +3,7 @@
   listOwnedShards,
   selectShardsToClaim,
   selectShardsToRelease,
+  selectSuccessor,
 } from "./shards.ts";
 import type {
   DomainRecord,
@@ -16,7 +17,12 @@
 export function createDomainRecord(now: number): DomainRecord {
   const shards = Array.from(
     { length: SHARDS_PER_DOMAIN },
-    (): ShardRecord => ({ owner: null, epoch: 0, predecessors: {} }),
+    (): ShardRecord => ({
+      owner: null,
+      epoch: 0,
+      transfer: null,
+      predecessors: {},
+    }),
   );
   return { epoch: 0, writer: "", createdAt: now, members: {}, shards };
 }
@@ -100,8 +106,7 @@
   plan.buried.push(incarnation);
   for (const shard of plan.record.shards) {
     if (shard.owner !== incarnation) continue;
-    shard.owner = null;
-    shard.epoch += 1;
+    changeOwner(shard, null);
     shard.predecessors[incarnation] = null;
   }
 }
@@ -135,9 +140,7 @@
 
 function claimShards(plan: MembershipPlan, view: MembershipView): void {
   for (const index of selectShardsToClaim(plan.record, view)) {
-    const shard = plan.record.shards[index];
-    shard.owner = view.self.incarnation;
-    shard.epoch += 1;
+    changeOwner(plan.record.shards[index], view.self.incarnation);
     plan.claimed.push(index);
   }
 }
@@ -147,8 +150,7 @@
     const running = view.quiesced.get(index);
     if (!running) continue;
     const shard = plan.record.shards[index];
-    shard.owner = null;
-    shard.epoch += 1;
+    changeOwner(shard, selectSuccessor(plan.record, view) ?? null);
     if (Object.keys(running).length > 0) {
       shard.predecessors[view.self.incarnation] = running;
     }
@@ -156,6 +158,12 @@
   }
 }
 
+function changeOwner(shard: ShardRecord, owner: string | null): void {
+  shard.owner = owner;
+  shard.epoch += 1;
+  shard.transfer = null;
+}
+
 function leaveDomain(plan: MembershipPlan, view: MembershipView): void {
   if (!view.draining || !view.hasJoined || !view.idle) return;
   const owned = listOwnedShards(plan.record, view.self.incarnation);
--- a/packages/membership/shards.ts
+++ b/packages/membership/shards.ts
@@ -80,6 +80,22 @@
   return released;
 }
 
+/** Selects the reachable member with the fewest endpoints. */
+export function selectSuccessor(
+  record: DomainRecord,
+  view: MembershipView,
+): string | undefined {
+  const loads = Object.values(record.members)
+    .map(({ incarnation }) => incarnation)
+    .filter((incarnation) => view.reachable.has(incarnation))
+    .map((incarnation) => ({
+      incarnation,
+      load: countOwnedEndpoints(record, incarnation, view),
+    }));
+  loads.sort((a, b) => a.load - b.load);
+  return loads[0]?.incarnation;
+}
+
 function listUnownedShards(record: DomainRecord): number[] {
   return record.shards.flatMap((shard, index) =>
     shard.owner === null ? [index] : []
--- a/packages/membership/types.ts
+++ b/packages/membership/types.ts
@@ -16,6 +16,8 @@
 export interface ShardRecord {
   owner: string | null;
   epoch: number;
+  /** Id of the transfer of key history that came with the ownership, if any. */
+  transfer: string | null;
   /**
    * Former owners with tasks that may still run, and how many for each team;
    * null while that is not known.
--- a/packages/peers/types.ts
+++ b/packages/peers/types.ts
@@ -1,7 +1,7 @@
 import type { Outcome, Size } from "../base/mod.ts";
 import type { ConfigHead, ConfigUpdate } from "../config/mod.ts";
 import type { Attempt, HoldRequest } from "../engine/mod.ts";
-import type { KeyBegin, KeyStanding } from "../idempotency/mod.ts";
+import type { KeyBegin, KeyStanding, KeyTransfer } from "../idempotency/mod.ts";
 
 /** What an entry tells its peers about itself. */
 export interface Heartbeat {
@@ -50,6 +50,10 @@
     params: { target: string; key: string; token: string; outcome: Outcome };
     result: null;
   };
+  "key.adopt": {
+    params: { target: string; transfers: KeyTransfer[] };
+    result: null;
+  };
   "work.find": {
     params: { target: string; id: string; team: string };
     result: WorkView | null;
--- a/packages/routing/gang_router.ts
+++ b/packages/routing/gang_router.ts
@@ -60,7 +60,7 @@
       if (this.#clock.now() + pauseMs >= routed.work.deadline) {
         return this.#makeRefusal();
       }
-      await waitFor(pauseMs);
+      await this.#clock.sleep(pauseMs);
     }
   }
 
@@ -149,7 +149,3 @@
 function countTasks(reservations: Reservation[]): number {
   return reservations.reduce((sum, { tasks }) => sum + tasks, 0);
 }
-
-function waitFor(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
