Prove the invariants on virtual time; count limits as in force only once seen

A VM that came back under its name was buried at once, because the evidence that it was gone was older than the new process. 2. Change: evidence belongs to an incarnation and begins after it was first seen; an entry confirms a version only after it has read limits at or below it from the store, keeps its part of a lowered limit until then, and starts nothing of a team while the records hold more than the limit.

--- a/packages/control/control_state.ts
+++ b/packages/control/control_state.ts
@@ -3,11 +3,13 @@
   createDomainBucket,
   createFleetBucket,
   type DomainBucket,
+  findBucket,
   type FleetBucket,
   LIMIT_BUCKETS,
   type LimitsView,
   listGranted,
   planLimits,
+  sumGrants,
 } from "../limits/mod.ts";
 import {
   createDomainRecord,
@@ -196,8 +198,40 @@
     return counts;
   }
 
-  /** What this entry may run for each team. */
-  listGrants(): Record<string, number> {
+  /**
+   * What this entry may run for each team under the limits in force. While a
+   * lowered limit is not in the records yet, each entry keeps its part of it;
+   * while the records hold more than the limit, nothing starts.
+   */
+  listGrants(limits: Readonly<Record<string, number>>): Record<string, number> {
+    const grants = this.#listRecordedGrants();
+    for (const [team, granted] of Object.entries(grants)) {
+      const limit = limits[team] ?? 0;
+      const record = this.#findFleetTeam(team);
+      const recorded = record?.limit ?? 0;
+      const sum = sumGrants(record);
+      if (recorded > limit) {
+        const whole = Math.max(recorded, sum);
+        grants[team] = Math.floor(granted * limit / whole);
+      } else if (sum > limit) grants[team] = 0;
+    }
+    return grants;
+  }
+
+  /** Tells whether the records are at or below these limits. */
+  coversLimits(limits: Readonly<Record<string, number>>): boolean {
+    return [...this.#fleet.list()].every(([, { value }]) =>
+      Object.entries(value.teams).every(([name, team]) =>
+        team.limit <= (limits[name] ?? 0)
+      )
+    );
+  }
+
+  #findFleetTeam(team: string): FleetBucket["teams"][string] | undefined {
+    return this.#fleet.get(String(findBucket(team)))?.value.teams[team];
+  }
+
+  #listRecordedGrants(): Record<string, number> {
     const grants: Record<string, number> = {};
     for (let bucket = 0; bucket < LIMIT_BUCKETS; bucket++) {
       const record = this.#buckets.get(String(bucket))?.value;
--- a/packages/engine/actions/changes.ts
+++ b/packages/engine/actions/changes.ts
@@ -1,5 +1,6 @@
 import { Cause, makeMayHaveRun, makeNotRun } from "../../base/mod.ts";
 import { finishAttempt } from "../attempts.ts";
+import { SWEEP_INTERVAL_MS } from "../constants.ts";
 import { EndpointState } from "../endpoint_state.ts";
 import type { ActionContext } from "../state.ts";
 import {
@@ -62,6 +63,14 @@
   for (const [id, hold] of [...state.holds]) {
     if (now >= hold.request.expires) releaseHold(context, id);
   }
+  if (now >= state.nextSweep) sweepState(context);
+  pumpQueue(context);
+}
+
+/** Forgets old outcomes and shortfalls. */
+function sweepState(context: ActionContext): void {
+  const { state, now } = context;
+  state.nextSweep = now + SWEEP_INTERVAL_MS;
   for (const [id, record] of state.attempts) {
     if (record.stage !== AttemptStage.Ended) continue;
     if (now >= record.expires) state.attempts.delete(id);
@@ -69,7 +78,6 @@
   for (const [team, shortfall] of state.shortfalls) {
     if (now >= shortfall.until) state.shortfalls.delete(team);
   }
-  pumpQueue(context);
 }
 
 /**
--- a/packages/engine/constants.ts
+++ b/packages/engine/constants.ts
@@ -33,3 +33,6 @@
 
 /** How long a failed reservation counts as demand, in milliseconds. */
 export const RESERVE_DEMAND_MS = 3_000;
+
+/** Interval at which old outcomes are forgotten, in milliseconds. */
+export const SWEEP_INTERVAL_MS = 1_000;
--- a/packages/engine/state.ts
+++ b/packages/engine/state.ts
@@ -41,6 +41,8 @@
   endpointList: EndpointState[] = [];
   draining = false;
   sequence = 0;
+  /** When old outcomes are forgotten next. */
+  nextSweep = 0;
   starts = 0;
 
   constructor(
--- a/packages/entry/config_service.ts
+++ b/packages/entry/config_service.ts
@@ -1,4 +1,5 @@
 import {
+  assertInvariant,
   BaobabheadError,
   type Clock,
   NotSentError,
@@ -24,6 +25,7 @@
 } from "../control/mod.ts";
 import { EventCode, type EventLog } from "../events/mod.ts";
 import type { Store, StoreCommit } from "../platform/mod.ts";
+import type { Heartbeat } from "../peers/mod.ts";
 import { APPLY_POLL_MS, APPLY_WAIT_MS } from "./constants.ts";
 
 /** Another change came first, or the version is not the one that was read. */
@@ -38,8 +40,11 @@
   }
 }
 
-/** Tells whether the head that an entry has told is far enough. */
-export type HeadTest = (head?: ConfigHead) => boolean;
+/** How far an entry is with the configuration. */
+export type ConfigStanding = Pick<Heartbeat, "head" | "confirmed">;
+
+/** Tells whether an entry is far enough. */
+export type StandingTest = (standing: ConfigStanding) => boolean;
 
 /** Result of an apply. */
 export interface ApplyResult {
@@ -59,8 +64,10 @@
   readonly #log: EventLog;
   readonly #makeId: () => string;
   readonly #onChange: () => void;
-  readonly #findUnconfirmed: (isDone: HeadTest) => string[];
+  readonly #findUnconfirmed: (isDone: StandingTest) => string[];
   #state: ConfigState = createConfigState();
+  #confirmed = 0;
+  #limits: Record<string, number> = {};
 
   constructor(
     options: {
@@ -70,8 +77,8 @@
       makeId: () => string;
       /** Called after a newer configuration was adopted. */
       onChange: () => void;
-      /** Lists the other members whose head does not satisfy a test. */
-      findUnconfirmed: (isDone: HeadTest) => string[];
+      /** Lists the other members that are not far enough. */
+      findUnconfirmed: (isDone: StandingTest) => string[];
     },
   ) {
     this.#store = options.store;
@@ -93,12 +100,34 @@
     return version * 2 + (accepted === version ? 1 : 0);
   }
 
+  /** Newest version whose restrictions are certainly in force here. */
+  get confirmed(): number {
+    return this.#confirmed;
+  }
+
+  /** Notes that the restrictions of a version are in force here. */
+  confirm(version: number): void {
+    this.#confirmed = Math.max(this.#confirmed, version);
+  }
+
+  /** Returns the limits in force, by team. */
+  listLimits(): Record<string, number> {
+    return this.#limits;
+  }
+
   /** Adopts records unless they would revert the configuration. */
   adopt(update: ConfigUpdate): void {
     const before = this.#state.head;
     this.#state = adoptUpdate(this.#state, update);
-    const { head } = this.#state;
+    const { head, effective } = this.#state;
     if (head === before) return;
+    assertInvariant(
+      head.version >= before.version && head.accepted >= before.accepted,
+      `Configuration ${before.version} would revert to ${head.version}`,
+    );
+    this.#limits = Object.fromEntries(
+      Object.entries(effective.teams).map(([name, { limit }]) => [name, limit]),
+    );
     const fields = { version: head.version, author: head.author };
     const isAccepted = head.accepted === head.version;
     this.#log.record(
@@ -152,9 +181,10 @@
   async tryAccept(): Promise<void> {
     const { head } = this.#state;
     if (head.accepted === head.version) return;
-    const isStaged = (other?: ConfigHead) =>
-      other !== undefined && other.version >= head.version;
-    if (this.#findUnconfirmed(isStaged).length > 0) return;
+    const isConfirmed = (other: ConfigStanding) =>
+      other.confirmed >= head.version;
+    if (this.#confirmed < head.version) return;
+    if (this.#findUnconfirmed(isConfirmed).length > 0) return;
     const stored = await this.#readStored();
     if (this.#state.head !== head) return;
     if (this.#isStoreBehind(stored)) return;
@@ -169,9 +199,8 @@
   async #finishApply(): Promise<Omit<ApplyResult, "changes">> {
     const { version } = this.#state.head;
     const until = this.#clock.now() + APPLY_WAIT_MS;
-    const isInForce = (head?: ConfigHead) =>
-      head !== undefined &&
-      (head.accepted >= version || head.version > version);
+    const isInForce = ({ head }: ConfigStanding) =>
+      head.accepted >= version || head.version > version;
     for (;;) {
       await this.tryAccept().catch(() => {});
       const accepted = this.#state.head.accepted >= version;
--- a/packages/entry/constants.ts
+++ b/packages/entry/constants.ts
@@ -69,3 +69,6 @@
 
 /** Tries to tell the home of a key how its request ended. */
 export const KEY_FINISH_TRIES = 5;
+
+/** Interval at which old requests and keys are forgotten, in ms. */
+export const EXPIRE_INTERVAL_MS = 1_000;
--- a/packages/entry/control_loop.ts
+++ b/packages/entry/control_loop.ts
@@ -93,10 +93,12 @@
 
   /** Reads the shared records, adopts them, and writes what has to change. */
   async step(): Promise<void> {
-    const { control, store } = this.#parts;
+    const { control, store, config } = this.#parts;
+    const { version } = config.state.head;
     try {
       const snapshot = await store.read(control.listRanges());
       this.#observe(control.observe(snapshot));
+      if (control.coversLimits(config.listLimits())) config.confirm(version);
       this.#noteStore(true);
     } catch (error) {
       this.#noteStore(false, error);
@@ -109,7 +111,7 @@
 
   /** Tells the engine what it owns and what it may run. */
   applyToEngine(): void {
-    const { control, directory, driver, clock, keys } = this.#parts;
+    const { control, directory, driver, clock, keys, config } = this.#parts;
     const owned = control.listOwnedShards();
     keys.noteOwned(owned, clock.now());
     const quiescing = new Set([
@@ -134,7 +136,9 @@
         leftBehind,
       });
     }
-    const grants = control.isExpelled() ? {} : control.listGrants();
+    const grants = control.isExpelled()
+      ? {}
+      : control.listGrants(config.listLimits());
     driver.handle({ type: EngineEventType.GrantsChanged, grants });
   }
 
@@ -182,15 +186,11 @@
     const { control, config, driver, makeId } = this.#parts;
     const members = control.findDomain(control.domain)?.members ?? {};
     const holders = Object.values(members).map((member) => member.incarnation);
-    const { teams } = config.state.effective;
-    const limits = Object.fromEntries(
-      Object.entries(teams).map(([name, team]) => [name, team.limit]),
-    );
     for (let bucket = 0; bucket < LIMIT_BUCKETS; bucket++) {
       const planned = control.planLimits({
         holders,
         version: config.order,
-        limits,
+        limits: config.listLimits(),
         demand: measureDemand(driver.engine, bucket),
         draining: this.draining,
       }, { bucket, writer: makeId() });
@@ -216,7 +216,9 @@
     const now = clock.now();
     const record = control.findDomain(control.domain);
     const owned = control.listOwnedShards();
-    const vms = Object.keys(record?.members ?? {});
+    const members = Object.values(record?.members ?? {}).map((
+      { incarnation, vm },
+    ) => ({ id: incarnation, vm }));
     const reachable = peers.listReachable(now)
       .filter((peer) =>
         peer.domain === control.domain && !peer.heartbeat?.draining
@@ -224,7 +226,7 @@
     return {
       draining: this.draining,
       idle: isIdle(),
-      goneVms: directory.tracker.findGone(vms, now),
+      gone: directory.tracker.findGone(members, now),
       reachable: new Set(reachable.map((peer) => peer.member.incarnation)),
       shardSizes: directory.countByShard(),
       quiesced: driver.engine.listQuiesced(this.#quiescing),
--- a/packages/entry/dump.ts
+++ b/packages/entry/dump.ts
@@ -25,6 +25,7 @@
         reachable: isSelf || (!!peer && node.peers.isReachable(peer, now)),
         draining: heartbeat?.draining ?? false,
         config_version: heartbeat?.head.version ?? 0,
+        config_confirmed: heartbeat?.confirmed ?? 0,
         config_accepted: heartbeat?.head.accepted ?? 0,
         shards: shards.length,
         load: heartbeat?.load,
@@ -51,7 +52,7 @@
     domains: Object.fromEntries(
       control.listDomains().map((name) => [name, control.findDomain(name)]),
     ),
-    grants: control.listGrants(),
+    grants: control.listGrants(config.listLimits()),
     usage: state.listUsage(),
     left_behind: state.leftBehind,
     leftovers: control.listLeftovers(),
--- a/packages/entry/endpoint_directory.ts
+++ b/packages/entry/endpoint_directory.ts
@@ -22,7 +22,8 @@
     for (const [id, spec] of this.#specs) {
       if (!listed.has(id)) this.#specs.set(id, { ...spec, leaving: true });
     }
-    for (const id of this.tracker.findGone(this.#specs.keys(), sentAt)) {
+    const subjects = [...this.#specs.keys()].map((id) => ({ id, vm: id }));
+    for (const id of this.tracker.findGone(subjects, sentAt)) {
       this.#specs.delete(id);
     }
   }
--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -1,4 +1,3 @@
-import { v7 as makeUuid } from "uuid";
 import {
   Cause,
   jitterRetryAfter,
@@ -25,10 +24,11 @@
 } from "../pipeline/mod.ts";
 import { type RoutedWork, Router } from "../routing/mod.ts";
 import { formatAddress } from "../settings/mod.ts";
-import { ConfigService, type HeadTest } from "./config_service.ts";
+import { ConfigService, type StandingTest } from "./config_service.ts";
 import {
   CONTROL_INTERVAL_MS,
   DRAIN_HANDOVER_MS,
+  EXPIRE_INTERVAL_MS,
   GANG_BACKOFF_MS,
   GANG_HOLD_MS,
   HANDOVER_INTERVAL_MS,
@@ -81,7 +81,7 @@
     const { id: vm, domain } = settings.vm;
     this.member = {
       vm,
-      incarnation: `${domain}/${vm}/${makeUuid()}`,
+      incarnation: `${domain}/${vm}/${parts.makeId()}`,
       callers: formatAddress(settings.listen.callers),
       peers: formatAddress(settings.listen.peers),
     };
@@ -106,7 +106,7 @@
       store: parts.store,
       clock,
       log,
-      makeId: makeUuid,
+      makeId: parts.makeId,
       onChange: () => this.#adoptConfiguration(),
       findUnconfirmed: (isDone) => this.#findUnconfirmed(isDone),
     });
@@ -138,7 +138,7 @@
       vmList: parts.vmList,
       clock,
       log,
-      makeId: makeUuid,
+      makeId: parts.makeId,
       isIdle: () => this.isIdle(),
       onLeft: () => this.#left(),
     });
@@ -183,6 +183,10 @@
         step: () => this.#tick(),
         intervalMs: () => TICK_INTERVAL_MS,
       }),
+      new Loop(clock, {
+        step: () => this.#expire(),
+        intervalMs: () => EXPIRE_INTERVAL_MS,
+      }),
     ];
   }
 
@@ -198,7 +202,7 @@
     raw: Omit<RawRequest, "id" | "arrivedAt">,
   ): { id: string; outcome: Promise<Outcome> } {
     const { id: vm, domain } = this.parts.settings.vm;
-    const id = `${domain}~${vm}~${makeUuid()}`;
+    const id = `${domain}~${vm}~${this.parts.makeId()}`;
     const arrivedAt = this.parts.clock.now();
     const context = this.#pipeline.createContext({ ...raw, id, arrivedAt });
     this.registry.add(context);
@@ -277,6 +281,7 @@
     return {
       incarnation: this.member.incarnation,
       head: this.config.state.head,
+      confirmed: this.config.confirmed,
       draining: this.isDraining,
       load: measureLoad(this.driver.engine.state, now),
     };
@@ -331,6 +336,10 @@
     }
     this.driver.handle({ type: EngineEventType.Tick });
     this.#poller.pollDue();
+  }
+
+  #expire(): void {
+    const now = this.parts.clock.now();
     this.registry.expire(now - WORK_RETENTION_MS);
     this.keys.expire(now);
   }
@@ -344,10 +353,10 @@
     this.#controlTimer?.wake();
   }
 
-  #findUnconfirmed(isDone: HeadTest): string[] {
+  #findUnconfirmed(isDone: StandingTest): string[] {
     const missing = this.peers.list()
-      .map((peer) => peer.member.incarnation)
-      .filter((incarnation) => !isDone(this.peers.findHead(incarnation)));
+      .filter(({ heartbeat }) => !heartbeat || !isDone(heartbeat))
+      .map((peer) => peer.member.incarnation);
     this.heartbeats.sendTo(missing);
     return missing;
   }
@@ -359,8 +368,10 @@
   }
 
   #findControlInterval(): number {
+    const { confirmed, state } = this.config;
+    const isBehind = confirmed < state.head.version;
     return this.controlLoop.isHandingOver || this.isDraining ||
-        !this.controlLoop.isReady
+        !this.controlLoop.isReady || isBehind
       ? HANDOVER_INTERVAL_MS
       : CONTROL_INTERVAL_MS;
   }
--- a/packages/entry/mod.ts
+++ b/packages/entry/mod.ts
@@ -2,5 +2,6 @@
 export * from "./config_service.ts";
 export * from "./daemon.ts";
 export * from "./entry_node.ts";
+export * from "./peer_handlers.ts";
 export * from "./types.ts";
 export * from "./wiring.ts";
--- a/packages/entry/peer_table.ts
+++ b/packages/entry/peer_table.ts
@@ -1,4 +1,3 @@
-import type { ConfigHead } from "../config/mod.ts";
 import type { Member } from "../membership/mod.ts";
 import type { Heartbeat, OwnerLoad } from "../peers/mod.ts";
 
@@ -74,9 +73,4 @@
   findLoad(incarnation: string): OwnerLoad | undefined {
     return this.#peers.get(incarnation)?.heartbeat?.load;
   }
-
-  /** Returns the newest configuration head that a peer has confirmed. */
-  findHead(incarnation: string): ConfigHead | undefined {
-    return this.#peers.get(incarnation)?.heartbeat?.head;
-  }
 }
--- a/packages/entry/types.ts
+++ b/packages/entry/types.ts
@@ -19,4 +19,6 @@
   placement: PlacementPolicy;
   log: EventLog;
   metrics: Metrics;
+  /** Makes an id that is unique for ever. */
+  makeId: () => string;
 }
--- a/packages/entry/wiring.ts
+++ b/packages/entry/wiring.ts
@@ -1,4 +1,5 @@
 import { randomInt } from "node:crypto";
+import { v7 as makeUuid } from "uuid";
 import { SeededRandom, SystemClock } from "../base/mod.ts";
 import { HttpEndpointClient } from "../endpoints/mod.ts";
 import { SampledPlacement } from "../engine/mod.ts";
@@ -31,5 +32,6 @@
     placement: new SampledPlacement(random),
     log: new PinoEventLog(log.level, { vm: vm.id, domain: vm.domain }),
     metrics: new Metrics(),
+    makeId: makeUuid,
   });
 }
--- a/packages/membership/plan.ts
+++ b/packages/membership/plan.ts
@@ -96,7 +96,7 @@
 function buryGoneMembers(plan: MembershipPlan, view: MembershipView): void {
   for (const member of Object.values(plan.record.members)) {
     if (member.vm === view.self.vm) continue;
-    if (!view.goneVms.has(member.vm)) continue;
+    if (!view.gone.has(member.incarnation)) continue;
     delete plan.record.members[member.vm];
     buryMember(plan, member.incarnation);
   }
--- a/packages/membership/types.ts
+++ b/packages/membership/types.ts
@@ -43,8 +43,8 @@
   draining: boolean;
   /** True when nothing accepted is in flight any more. */
   idle: boolean;
-  /** VMs that are certainly gone. */
-  goneVms: ReadonlySet<string>;
+  /** Incarnations that are certainly gone with their VMs. */
+  gone: ReadonlySet<string>;
   /** Incarnations that answer heartbeats, without this one. */
   reachable: ReadonlySet<string>;
   /** Number of endpoints in each shard. */
--- a/packages/membership/vm_tracker.ts
+++ b/packages/membership/vm_tracker.ts
@@ -1,6 +1,12 @@
 import type { Vm, VmListing } from "../platform/mod.ts";
 import { NEW_VM_GRACE_MS } from "./constants.ts";
 
+/** Something that ends with its VM. */
+export interface VmSubject {
+  id: string;
+  vm: string;
+}
+
 /** Follows the platform's VM list and tells which VMs are certainly gone. */
 export class VmTracker {
   readonly #lagMs: number;
@@ -30,33 +36,34 @@
     if (listing.complete) this.#vms.clear();
     for (const vm of listing.changed) this.#vms.set(vm.id, vm);
     for (const id of listing.removed) this.#vms.delete(id);
-    for (const id of this.#vms.keys()) {
-      this.#everListed.add(id);
-      this.#missingSince.delete(id);
-    }
+    for (const id of this.#vms.keys()) this.#everListed.add(id);
     this.#revision = listing.revision;
     this.#fetchedAt = sentAt;
   }
 
   /**
-   * Returns those of `names` that are gone: absent from lists fetched over
-   * more than the list's lag. A VM that was never listed gets a longer grace,
+   * Returns the ids of those subjects that are gone with their VM: absent from
+   * lists fetched over more than the list's lag, all of them after the subject
+   * was first asked for. A VM that was never listed gets a longer grace,
    * because the list may not show it yet.
    */
-  findGone(names: Iterable<string>, now: number): Set<string> {
+  findGone(subjects: Iterable<VmSubject>, now: number): Set<string> {
     const gone = new Set<string>();
     if (this.#revision === 0) return gone;
-    for (const name of names) {
-      if (this.#vms.has(name)) continue;
-      const since = this.#missingSince.get(name) ?? now;
-      this.#missingSince.set(name, since);
-      if (this.#fetchedAt - since > this.#findGrace(name)) gone.add(name);
+    for (const { id, vm } of subjects) {
+      if (this.#vms.has(vm)) {
+        this.#missingSince.delete(id);
+        continue;
+      }
+      const since = this.#missingSince.get(id) ?? now;
+      this.#missingSince.set(id, since);
+      if (this.#fetchedAt - since > this.#findGrace(vm)) gone.add(id);
     }
     return gone;
   }
 
-  #findGrace(name: string): number {
-    if (this.#everListed.has(name)) return this.#lagMs;
+  #findGrace(vm: string): number {
+    if (this.#everListed.has(vm)) return this.#lagMs;
     return Math.max(this.#lagMs, NEW_VM_GRACE_MS);
   }
 }
--- a/packages/peers/types.ts
+++ b/packages/peers/types.ts
@@ -7,6 +7,8 @@
 export interface Heartbeat {
   incarnation: string;
   head: ConfigHead;
+  /** Newest version whose limits this entry knows to be in force. */
+  confirmed: number;
   draining: boolean;
   load: OwnerLoad;
 }
