--- a/packages/config/items.ts
+++ b/packages/config/items.ts
@@ -21,11 +21,33 @@
 }
 
 /**
- * Joins items into a configuration.
+ * Joins the items of several pages into a configuration. Pages never change,
+ * so each is parsed once.
  *
  * @throws {FormatError} for an item of an unknown kind
  */
-export function joinItems(items: ConfigItems): Configuration {
+export function joinPages(pages: readonly ConfigItems[]): Configuration {
+  const configuration: Configuration = { teams: {}, keys: {}, queues: {} };
+  for (const items of pages) {
+    const parsed = parsePage(items);
+    for (const kind of ITEM_KINDS) {
+      Object.assign(configuration[kind], parsed[kind]);
+    }
+  }
+  return configuration;
+}
+
+const parsedPages = new WeakMap<ConfigItems, Configuration>();
+
+function parsePage(items: ConfigItems): Configuration {
+  const known = parsedPages.get(items);
+  if (known) return known;
+  const parsed = parseItems(items);
+  parsedPages.set(items, parsed);
+  return parsed;
+}
+
+function parseItems(items: ConfigItems): Configuration {
   const configuration: Configuration = { teams: {}, keys: {}, queues: {} };
   for (const [id, value] of Object.entries(items)) {
     const [kind, name] = id.split(".");
--- a/packages/config/state.ts
+++ b/packages/config/state.ts
@@ -1,5 +1,5 @@
 import { CONFIG_PAGES } from "./constants.ts";
-import { findPage, joinItems } from "./items.ts";
+import { findPage, joinPages } from "./items.ts";
 import { restrictConfiguration } from "./restrict.ts";
 import type {
   ConfigHead,
@@ -62,7 +62,8 @@
 
 /** Returns the items of the newest accepted version. */
 export function listAcceptedItems(state: ConfigState): ConfigItems {
-  return collectAccepted(state.pages, state.head.accepted);
+  const pages = selectAccepted(state.pages, state.head.accepted);
+  return Object.assign({}, ...pages);
 }
 
 /** Builds the records that stage `items` on top of a state. */
@@ -96,22 +97,15 @@
   pages: ConfigPage[],
   accepted: number,
 ): Configuration {
-  const newest = joinItems(
-    Object.assign({}, ...pages.map((page) => page.items)),
-  );
+  const newest = joinPages(pages.map((page) => page.items));
   if (pages.every((page) => page.version <= accepted)) return newest;
-  return restrictConfiguration(
-    joinItems(collectAccepted(pages, accepted)),
-    newest,
-  );
+  const before = joinPages(selectAccepted(pages, accepted));
+  return restrictConfiguration(before, newest);
 }
 
-function collectAccepted(pages: ConfigPage[], accepted: number): ConfigItems {
-  return Object.assign(
-    {},
-    ...pages.map((page) =>
-      page.version <= accepted ? page.items : page.prior ?? {}
-    ),
+function selectAccepted(pages: ConfigPage[], accepted: number): ConfigItems[] {
+  return pages.map((page) =>
+    page.version <= accepted ? page.items : page.prior ?? {}
   );
 }
 
--- a/packages/endpoints/http_endpoint_client.ts
+++ b/packages/endpoints/http_endpoint_client.ts
@@ -47,14 +47,23 @@
 
 /** Endpoint protocol over HTTP/1.1. */
 export class HttpEndpointClient extends EndpointClient {
-  readonly #agent = new Agent({
-    connect: { timeout: CONNECT_TIMEOUT_MS },
-    pipelining: 1,
-  });
-  readonly #control = new HttpJsonClient({
-    connections: 1,
-    connectTimeoutMs: CONNECT_TIMEOUT_MS,
-  });
+  readonly #agent: Agent;
+  readonly #control: HttpJsonClient;
+
+  constructor(options: { localAddress?: string } = {}) {
+    super();
+    const { localAddress } = options;
+    const timeout = CONNECT_TIMEOUT_MS;
+    this.#agent = new Agent({
+      connect: { timeout, localAddress },
+      pipelining: 1,
+    });
+    this.#control = new HttpJsonClient({
+      connections: 1,
+      connectTimeoutMs: timeout,
+      localAddress,
+    });
+  }
 
   override async start(
     endpoint: EndpointAddress,
--- a/packages/engine/actions/changes.ts
+++ b/packages/engine/actions/changes.ts
@@ -31,7 +31,10 @@
   for (const spec of event.endpoints) {
     let endpoint = state.endpoints.get(spec.id);
     if (!endpoint) {
-      endpoint = new EndpointState(spec);
+      endpoint = new EndpointState(
+        spec,
+        (changed) => state.open.update(changed),
+      );
       state.endpoints.set(spec.id, endpoint);
     }
     endpoint.ledger.spec = spec;
@@ -91,6 +94,7 @@
 ): void {
   const { state, decisions } = context;
   const { ledger } = state.endpoints.get(id)!;
+  state.open.remove(state.endpoints.get(id)!);
   state.endpoints.delete(id);
   for (const hold of ledger.list()) {
     state.dischargeTask(hold.id);
--- a/packages/engine/actions/gang.ts
+++ b/packages/engine/actions/gang.ts
@@ -42,7 +42,7 @@
     kind: WorkKind.Gang,
     size: request.size,
   }, {
-    endpoints: state.endpointList,
+    endpoints: state.open.list,
     canUse: (candidate) => candidate.status === EndpointStatus.Serving,
   });
   if (!endpoint) return false;
--- a/packages/engine/actions/pump.ts
+++ b/packages/engine/actions/pump.ts
@@ -10,7 +10,7 @@
   const { state, now } = context;
   const blocked = new Set<string>();
   const loadOf = (team: string) => state.computeLoadPerShare(team);
-  for (;;) {
+  while (state.open.list.length > 0) {
     const waiting = state.queue.peek(loadOf, blocked);
     if (!waiting) return;
     if (now >= waiting.deadline) {
@@ -47,7 +47,7 @@
   const { state, now } = context;
   if (!state.hasGrant(waiting.team)) return undefined;
   const endpoint = state.placement.choose(waiting.attempt, {
-    endpoints: state.endpointList,
+    endpoints: state.open.list,
     canUse: (candidate) => candidate.canStart(now),
   });
   if (endpoint?.status === EndpointStatus.Ejected) {
--- a/packages/engine/constants.ts
+++ b/packages/engine/constants.ts
@@ -1,6 +1,9 @@
 /** Endpoints that are looked at for one placement. */
 export const PLACEMENT_SAMPLE = 8;
 
+/** Endpoints that are searched for one placement. */
+export const PLACEMENT_SCAN = 256;
+
 /** Endpoints that may refuse an attempt before it is given up. */
 export const MAX_REFUSALS = 3;
 
--- a/packages/engine/endpoint_state.ts
+++ b/packages/engine/endpoint_state.ts
@@ -16,8 +16,13 @@
   probeAt: number | undefined;
   readonly #results: boolean[] = [];
 
-  constructor(spec: EndpointSpec) {
-    this.ledger = new EndpointLedger(spec);
+  /** `onChange` is called after the free room has changed. */
+  constructor(
+    spec: EndpointSpec,
+    onChange: (endpoint: EndpointState) => void = () => {},
+  ) {
+    this.ledger = new EndpointLedger(spec, () => onChange(this));
+    onChange(this);
   }
 
   /** Why the endpoint does or does not take work. */
--- a/packages/engine/ledger.ts
+++ b/packages/engine/ledger.ts
@@ -35,10 +35,23 @@
 export class EndpointLedger {
   readonly #holds = new Map<string, Hold>();
   readonly #used: Size = { cores: 0, memoryMb: 0, accelerators: 0 };
-  spec: EndpointSpec;
+  readonly #onChange: () => void;
+  #spec: EndpointSpec;
 
-  constructor(spec: EndpointSpec) {
-    this.spec = spec;
+  /** `onChange` is called after the free room has changed. */
+  constructor(spec: EndpointSpec, onChange: () => void = () => {}) {
+    this.#spec = spec;
+    this.#onChange = onChange;
+  }
+
+  /** The endpoint as the VM list describes it. */
+  get spec(): EndpointSpec {
+    return this.#spec;
+  }
+
+  set spec(spec: EndpointSpec) {
+    this.#spec = spec;
+    this.#onChange();
   }
 
   /** Resources in use or reserved. */
@@ -120,6 +133,7 @@
     this.#used.cores += sign * size.cores;
     this.#used.memoryMb += sign * size.memoryMb;
     this.#used.accelerators += sign * size.accelerators;
+    this.#onChange();
   }
 
   #fitsBeside(size: Size): boolean {
--- a/packages/engine/placement.ts
+++ b/packages/engine/placement.ts
@@ -1,6 +1,6 @@
 import type { Random, Size } from "../base/mod.ts";
 import { WorkKind } from "../base/mod.ts";
-import { PLACEMENT_SAMPLE } from "./constants.ts";
+import { PLACEMENT_SAMPLE, PLACEMENT_SCAN } from "./constants.ts";
 import type { EndpointState } from "./endpoint_state.ts";
 
 /** What has to be placed. */
@@ -58,7 +58,8 @@
     let best: EndpointState | undefined;
     let bestScore = Infinity;
     let seen = 0;
-    for (let step = 0; step < endpoints.length; step++) {
+    const steps = Math.min(endpoints.length, PLACEMENT_SCAN);
+    for (let step = 0; step < steps; step++) {
       const endpoint = endpoints[(offset + step) % endpoints.length];
       if (!endpoint.ledger.fits(request.size)) continue;
       if (!choice.canUse(endpoint)) continue;
--- a/packages/engine/state.ts
+++ b/packages/engine/state.ts
@@ -2,6 +2,7 @@
 import type { TaskCounts } from "../membership/mod.ts";
 import { FairQueue, ServiceTimes } from "../queueing/mod.ts";
 import { EndpointState } from "./endpoint_state.ts";
+import { OpenEndpoints } from "./open_endpoints.ts";
 import type { PlacementPolicy } from "./placement.ts";
 import type {
   AttemptRecord,
@@ -23,6 +24,7 @@
   readonly random: Random;
   readonly placement: PlacementPolicy;
   readonly endpoints = new Map<string, EndpointState>();
+  readonly open = new OpenEndpoints();
   readonly queue = new FairQueue<WaitingAttempt>();
   readonly times = new ServiceTimes();
   readonly attempts = new Map<string, AttemptRecord>();
--- a/packages/entry/dump.ts
+++ b/packages/entry/dump.ts
@@ -77,5 +77,6 @@
     idempotency_keys: keys.home.size,
     histograms: node.parts.metrics.summarizeHistograms(),
     memory: process.memoryUsage(),
+    cpu_us: process.cpuUsage(),
   };
 }
--- a/packages/entry/wiring.ts
+++ b/packages/entry/wiring.ts
@@ -14,21 +14,23 @@
 
 /** Builds an entry from its settings: the one place that names adapters. */
 export function buildEntryNode(settings: Settings): EntryNode {
-  const { platform, vm, log } = settings;
+  const { platform, vm, log, listen } = settings;
+  const localAddress = listen.peers.host;
   const timeoutMs = platform.timeout_ms;
   const random = new SeededRandom(randomInt(SEED_BOUND));
   return new EntryNode({
     settings,
     clock: new SystemClock(),
     random,
-    store: new EtcdStore({ url: platform.store, timeoutMs }),
+    store: new EtcdStore({ url: platform.store, timeoutMs, localAddress }),
     vmList: new HttpVmList({
       url: platform.vm_list,
       domain: vm.domain,
       timeoutMs,
+      localAddress,
     }),
-    endpoints: new HttpEndpointClient(),
-    peers: new RpcPeerClient(settings.peers.token),
+    endpoints: new HttpEndpointClient({ localAddress }),
+    peers: new RpcPeerClient({ token: settings.peers.token, localAddress }),
     placement: new SampledPlacement(random),
     log: new PinoEventLog(log.level, { vm: vm.id, domain: vm.domain }),
     metrics: new Metrics(),
--- a/packages/limits/plan.ts
+++ b/packages/limits/plan.ts
@@ -8,9 +8,16 @@
   TeamGrants,
 } from "./types.ts";
 
+const knownBuckets = new Map<string, number>();
+
 /** Returns the bucket that holds a team's grants. */
 export function findBucket(team: string): number {
-  return computeBucket(team, LIMIT_BUCKETS);
+  let bucket = knownBuckets.get(team);
+  if (bucket === undefined) {
+    bucket = computeBucket(team, LIMIT_BUCKETS);
+    knownBuckets.set(team, bucket);
+  }
+  return bucket;
 }
 
 /** Returns a bucket without grants. */
@@ -38,8 +45,8 @@
   view: LimitsView,
   options: { writer: string },
 ): LimitsPlan {
-  const fleet = structuredClone(current.fleet);
-  const domain = structuredClone(current.domain);
+  const fleet = copyBucket(current.fleet);
+  const domain = copyBucket(current.domain);
   adoptLimits(fleet, view, current.bucket);
   for (const name of listTeams(fleet, domain)) {
     planTeam({ fleet, domain, name }, view);
@@ -71,6 +78,15 @@
   return { limit: 0, grants: {}, wants: {} };
 }
 
+function copyBucket<T extends FleetBucket | DomainBucket>(bucket: T): T {
+  const teams: Record<string, TeamGrants> = {};
+  for (const [name, team] of Object.entries(bucket.teams)) {
+    const { grants, wants } = team;
+    teams[name] = { ...team, grants: { ...grants }, wants: { ...wants } };
+  }
+  return { ...bucket, teams };
+}
+
 interface TeamPlace {
   fleet: FleetBucket;
   domain: DomainBucket;
--- a/packages/peers/rpc_peer_client.ts
+++ b/packages/peers/rpc_peer_client.ts
@@ -27,17 +27,19 @@
 
 /** JSON-RPC 2.0 over HTTP keep-alive connections. */
 export class RpcPeerClient extends PeerClient {
-  readonly #http = new HttpJsonClient({
-    connections: PEER_CONNECTIONS,
-    connectTimeoutMs: PEER_CONNECT_TIMEOUT_MS,
-  });
+  readonly #http: HttpJsonClient;
   readonly #rpc: JSONRPCClient<CallTarget>;
   readonly #token: string;
 
   /** `token` is the secret that all entries share. */
-  constructor(token: string) {
+  constructor(options: { token: string; localAddress?: string }) {
     super();
-    this.#token = token;
+    this.#token = options.token;
+    this.#http = new HttpJsonClient({
+      connections: PEER_CONNECTIONS,
+      connectTimeoutMs: PEER_CONNECT_TIMEOUT_MS,
+      localAddress: options.localAddress,
+    });
     this.#rpc = new JSONRPCClient<CallTarget>(
       (request, target) => this.#send(request, target),
     );
--- a/packages/platform/etcd_store.ts
+++ b/packages/platform/etcd_store.ts
@@ -34,13 +34,16 @@
   readonly #timeoutMs: number;
   readonly #client: HttpJsonClient;
 
-  constructor(options: { url: string; timeoutMs: number }) {
+  constructor(
+    options: { url: string; timeoutMs: number; localAddress?: string },
+  ) {
     super();
     this.#url = options.url;
     this.#timeoutMs = options.timeoutMs;
     this.#client = new HttpJsonClient({
       connections: STORE_CONNECTIONS,
       connectTimeoutMs: options.timeoutMs,
+      localAddress: options.localAddress,
     });
   }
 
--- a/packages/platform/http_json.ts
+++ b/packages/platform/http_json.ts
@@ -22,10 +22,18 @@
 export class HttpJsonClient {
   readonly #agent: Agent;
 
-  constructor(options: { connections: number; connectTimeoutMs: number }) {
+  constructor(
+    options: {
+      connections: number;
+      connectTimeoutMs: number;
+      /** IP address that calls come from. */
+      localAddress?: string;
+    },
+  ) {
+    const { connectTimeoutMs: timeout, localAddress } = options;
     this.#agent = new Agent({
       connections: options.connections,
-      connect: { timeout: options.connectTimeoutMs },
+      connect: { timeout, localAddress },
       pipelining: 1,
     });
   }
--- a/packages/platform/http_vm_list.ts
+++ b/packages/platform/http_vm_list.ts
@@ -31,7 +31,14 @@
   readonly #timeoutMs: number;
   readonly #client: HttpJsonClient;
 
-  constructor(options: { url: string; domain: string; timeoutMs: number }) {
+  constructor(
+    options: {
+      url: string;
+      domain: string;
+      timeoutMs: number;
+      localAddress?: string;
+    },
+  ) {
     super();
     const domain = encodeURIComponent(options.domain);
     this.#url = `${options.url}/v1/vms?domain=${domain}`;
@@ -39,6 +46,7 @@
     this.#client = new HttpJsonClient({
       connections: 1,
       connectTimeoutMs: options.timeoutMs,
+      localAddress: options.localAddress,
     });
   }
 
--- /dev/null
+++ b/tests/e2e/adapters_test.ts
@@ -0,0 +1,159 @@
+import { type ChildProcess, spawn } from "node:child_process";
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import test from "ava";
+import {
+  NotSentError,
+  UnknownEffectError,
+  WorkKind,
+} from "../../packages/base/mod.ts";
+import {
+  HttpEndpointClient,
+  TaskResultKind,
+} from "../../packages/endpoints/mod.ts";
+import { EtcdStore, HttpVmList } from "../../packages/platform/mod.ts";
+import { postJson } from "../harness/fleet.ts";
+
+const HOST = "127.45.0.1";
+const ENDPOINT = { id: "w1", address: "127.45.1.1:8000" };
+const VM = {
+  id: "w1",
+  role: "endpoint",
+  domain: "norte",
+  rack: "r1",
+  state: "live",
+  address: ENDPOINT.address,
+  size: { cores: 8, memoryMb: 1_000, accelerators: 0 },
+  slots: 8,
+  connections: 60,
+};
+
+const directory = mkdtempSync(join(tmpdir(), "adapters-"));
+const vmsFile = join(directory, "vms.json");
+writeFileSync(vmsFile, JSON.stringify([VM]));
+const children: ChildProcess[] = [];
+
+async function startStandIn(name: string, args: string[]): Promise<void> {
+  const child = spawn(process.execPath, [
+    `dist/tests/standins/${name}.js`,
+    ...args,
+  ], { stdio: ["ignore", "pipe", "inherit"] });
+  children.push(child);
+  await new Promise((resolve) => child.stdout!.once("data", resolve));
+}
+
+test.before(async () => {
+  await startStandIn("platform", [HOST, "2379", "2380", vmsFile]);
+  await startStandIn("endpoint_host", ["norte", vmsFile, HOST, "3000"]);
+});
+
+test.after.always(() => {
+  for (const child of children) child.kill("SIGKILL");
+});
+
+const setPlatform = (faults: unknown) =>
+  postJson(`http://${HOST}:2379/control`, faults);
+
+test.serial("the store commits, compares and reads by revision", async (t) => {
+  const store = new EtcdStore({ url: `http://${HOST}:2379`, timeoutMs: 500 });
+  t.teardown(() => store.close());
+  const compares = [{ key: "/t/a", modRevision: 0 }];
+  const puts = [{ key: "/t/a", value: "one" }];
+  const first = await store.commit({ compares, puts });
+  t.true(first.succeeded);
+  t.false((await store.commit({ compares, puts })).succeeded);
+  const prefix = "/t/";
+  const all = await store.read([{ prefix }]);
+  t.deepEqual(all.ranges[0].map(({ value }) => value), ["one"]);
+  const minModRevision = all.revision + 1;
+  const none = await store.read([{ prefix, minModRevision }]);
+  t.deepEqual(none.ranges, [[]]);
+});
+
+test.serial("the store tells a lost answer from a call not sent", async (t) => {
+  const store = new EtcdStore({ url: `http://${HOST}:2379`, timeoutMs: 500 });
+  t.teardown(() => store.close());
+  await setPlatform({ loseAnswers: 1 });
+  const compares = [{ key: "/t/b", modRevision: 0 }];
+  const puts = [{ key: "/t/b", value: "kept" }];
+  await t.throwsAsync(() => store.commit({ compares, puts }), {
+    instanceOf: UnknownEffectError,
+  });
+  const read = await store.read([{ prefix: "/t/b" }]);
+  t.is(read.ranges[0][0].value, "kept");
+  await setPlatform({ slowMs: 900 });
+  await t.throwsAsync(() => store.read([{ prefix: "/t/" }]), {
+    instanceOf: UnknownEffectError,
+  });
+  await setPlatform({ slowMs: 0 });
+  const nobody = new EtcdStore({ url: `http://${HOST}:9`, timeoutMs: 500 });
+  t.teardown(() => nobody.close());
+  await t.throwsAsync(() => nobody.commit({ compares, puts }), {
+    instanceOf: NotSentError,
+  });
+});
+
+test.serial("the VM list gives the whole and then the changes", async (t) => {
+  const url = `http://${HOST}:2380`;
+  const list = new HttpVmList({ url, domain: "norte", timeoutMs: 500 });
+  t.teardown(() => list.close());
+  const whole = await list.fetch(0);
+  t.true(whole.complete);
+  t.deepEqual(whole.changed.map(({ id }) => id), ["w1"]);
+  await setPlatform({ leavingVms: ["w1"] });
+  const changed = await list.fetch(whole.revision);
+  t.deepEqual(changed.changed.map(({ state }) => String(state)), ["leaving"]);
+  await setPlatform({ removeVms: ["w1"] });
+  const removed = await list.fetch(changed.revision);
+  t.deepEqual(removed.removed, ["w1"]);
+});
+
+const CASES: [string, Record<string, boolean>, TaskResultKind][] = [
+  ["a whole answer", {}, TaskResultKind.Answered],
+  ["a refusal", { refusing: true }, TaskResultKind.NotStarted],
+  ["a lost answer", { loseAnswers: true }, TaskResultKind.Unknown],
+  ["a cut answer", { cutAnswers: true }, TaskResultKind.Unknown],
+  ["a crossed answer", { crossAnswers: true }, TaskResultKind.Unknown],
+];
+
+for (const [name, faults, expected] of CASES) {
+  test.serial(`an endpoint with ${name}`, async (t) => {
+    const client = new HttpEndpointClient();
+    t.teardown(() => client.close());
+    const off = {
+      refusing: false,
+      loseAnswers: false,
+      cutAnswers: false,
+      crossAnswers: false,
+    };
+    const change = { endpoints: ["w1"], ...off, ...faults };
+    await postJson(`http://${HOST}:3000/control`, change);
+    const result = await client.start(ENDPOINT, {
+      id: `task-${expected}-${Object.keys(faults).join()}`,
+      labels: { team: "ox", starter: "a/b/c", queue: "q" },
+      kind: WorkKind.Batch,
+      size: { cores: 1, memoryMb: 1, accelerators: 0 },
+      leaseMs: 5_000,
+      timeoutMs: 2_000,
+      payload: JSON.stringify({ run_ms: 5 }),
+    });
+    t.is(result.kind, expected);
+  });
+}
+
+test.serial("an endpoint that nobody serves was not started", async (t) => {
+  const client = new HttpEndpointClient();
+  t.teardown(() => client.close());
+  const result = await client.start({ id: "w9", address: `${HOST}:9` }, {
+    id: "task-9",
+    labels: { team: "ox", starter: "a/b/c", queue: "q" },
+    kind: WorkKind.Batch,
+    size: { cores: 1, memoryMb: 1, accelerators: 0 },
+    leaseMs: 5_000,
+    timeoutMs: 2_000,
+    payload: "{}",
+  });
+  t.is(result.kind, TaskResultKind.NotStarted);
+});
--- a/tests/harness/fleet.ts
+++ b/tests/harness/fleet.ts
@@ -42,13 +42,14 @@
 export class Fleet {
   readonly directory: string;
   readonly entries = new Map<string, EntryProcess>();
-  readonly #network: string;
+  /** First two parts of the site's addresses. */
+  readonly network: string;
   readonly #children: ChildProcess[] = [];
   readonly #domains: string[];
 
   private constructor(directory: string, network: string, domains: string[]) {
     this.directory = directory;
-    this.#network = network;
+    this.network = network;
     this.#domains = domains;
   }
 
@@ -175,7 +176,7 @@
   async setPlatform(
     faults: PlatformFaults,
   ): Promise<{ reads: number; commits: number; vmLists: number }> {
-    const url = `http://${this.#network}.0.1:2379/control`;
+    const url = `http://${this.network}.0.1:2379/control`;
     return await postJson(url, faults) as {
       reads: number;
       commits: number;
@@ -205,7 +206,7 @@
 
   async #startStandIns(): Promise<void> {
     const vmsFile = join(this.directory, "vms.json");
-    const host = `${this.#network}.0.1`;
+    const host = `${this.network}.0.1`;
     const platform = this.#spawn(
       ["dist/tests/standins/platform.js", host, "2379", "2380", vmsFile],
       "platform",
@@ -220,7 +221,7 @@
 
   #findHostUrl(domain: string): string {
     const port = 3_000 + this.#domains.indexOf(domain);
-    return `http://${this.#network}.0.1:${port}`;
+    return `http://${this.network}.0.1:${port}`;
   }
 
   #spawn(args: string[], name: string): ChildProcess {
