--- a/packages/control/control_state.ts
+++ b/packages/control/control_state.ts
@@ -1,16 +1,5 @@
 import type { ConfigHead, ConfigPage } from "../config/mod.ts";
-import {
-  createDomainBucket,
-  createFleetBucket,
-  type DomainBucket,
-  findBucket,
-  type FleetBucket,
-  LIMIT_BUCKETS,
-  type LimitsView,
-  listGranted,
-  planLimits,
-  sumGrants,
-} from "../limits/mod.ts";
+import { type LimitsView, planLimits } from "../limits/mod.ts";
 import {
   createDomainRecord,
   createMembershipPlan,
@@ -28,11 +17,10 @@
   CONFIG_HEAD_KEY,
   CONFIG_PAGE_PREFIX,
   CONFIG_PREFIX,
-  DOMAIN_LIMIT_PREFIX,
   DOMAIN_PREFIX,
   DOMAIN_SETTLE_MS,
-  FLEET_LIMIT_PREFIX,
 } from "./constants.ts";
+import { GrantRecords } from "./grant_records.ts";
 import { RecordCache } from "./record_cache.ts";
 import {
   CommitPurpose,
@@ -54,11 +42,6 @@
   released: Set<number>;
 }
 
-interface UnsettledLimits {
-  revisions: { fleet: number; domain: number };
-  granted: Record<string, number>;
-}
-
 /**
  * One entry's view of the shared records. It never counts on a write before
  * the store has shown it, and never counts on what a write under way may have
@@ -69,20 +52,18 @@
   readonly self: Member;
   readonly config: StoredConfig = { headRevision: 0, pages: new Map() };
   readonly #domains = new RecordCache<DomainRecord>(DOMAIN_PREFIX);
-  readonly #fleet = new RecordCache<FleetBucket>(FLEET_LIMIT_PREFIX);
-  readonly #buckets: RecordCache<DomainBucket>;
+  readonly grants: GrantRecords;
   #revision = 0;
   #reverted = false;
   #hasJoined = false;
-  #unsettledMembership: UnsettledMembership | undefined;
-  #membershipBefore: UnsettledMembership | undefined;
-  #limitsBefore: UnsettledLimits | undefined;
-  readonly #unsettledLimits = new Map<number, UnsettledLimits>();
+  #unsettled: UnsettledMembership | undefined;
+  #unsettledBefore: UnsettledMembership | undefined;
 
   constructor(options: { domain: string; self: Member }) {
     this.domain = options.domain;
     this.self = options.self;
-    this.#buckets = new RecordCache(`${DOMAIN_LIMIT_PREFIX}${this.domain}/`);
+    const { domain, self } = options;
+    this.grants = new GrantRecords({ domain, holder: self.incarnation });
   }
 
   /** True once this entry has read its own membership from the store. */
@@ -103,12 +84,8 @@
   /** Ranges that bring this entry up to date in one call. */
   listRanges(): KeyRange[] {
     const minModRevision = this.#revision === 0 ? 0 : this.#revision + 1;
-    const prefixes = [
-      CONFIG_PREFIX,
-      DOMAIN_PREFIX,
-      FLEET_LIMIT_PREFIX,
-      this.#buckets.getKey(""),
-    ];
+    const { fleet, domain } = this.grants.prefixes;
+    const prefixes = [CONFIG_PREFIX, DOMAIN_PREFIX, fleet, domain];
     return prefixes.map((prefix) => ({ prefix, minModRevision }));
   }
 
@@ -130,8 +107,7 @@
     for (const record of domains) {
       if (this.#observeDomain(record)) observation.membershipChanged = true;
     }
-    for (const record of fleet) this.#fleet.observe(record);
-    for (const record of buckets) this.#buckets.observe(record);
+    this.grants.observe(fleet, buckets);
     observation.grantsChanged = fleet.length + buckets.length > 0;
     this.#revision = snapshot.revision;
     this.#dropSettled();
@@ -183,7 +159,7 @@
 
   /** Own shards that a write under way may have given to others. */
   listUncertainShards(): Set<number> {
-    return this.#unsettledMembership?.released ?? new Set();
+    return this.#unsettled?.released ?? new Set();
   }
 
   /** Tasks that this entry left on shards of others, by team. */
@@ -198,54 +174,6 @@
     return counts;
   }
 
-  /**
-   * What this entry may run for each team under the limits in force. While a
-   * lowered limit is not in the records yet, each entry keeps its part of it;
-   * while the records hold more than the limit, nothing starts.
-   */
-  listGrants(limits: Readonly<Record<string, number>>): Record<string, number> {
-    const grants = this.#listRecordedGrants();
-    for (const [team, granted] of Object.entries(grants)) {
-      const limit = limits[team] ?? 0;
-      const record = this.#findFleetTeam(team);
-      const recorded = record?.limit ?? 0;
-      const sum = sumGrants(record);
-      if (recorded > limit) {
-        const whole = Math.max(recorded, sum);
-        grants[team] = Math.floor(granted * limit / whole);
-      } else if (sum > limit) grants[team] = 0;
-    }
-    return grants;
-  }
-
-  /** Tells whether the records are at or below these limits. */
-  coversLimits(limits: Readonly<Record<string, number>>): boolean {
-    return [...this.#fleet.list()].every(([, { value }]) =>
-      Object.entries(value.teams).every(([name, team]) =>
-        team.limit <= (limits[name] ?? 0)
-      )
-    );
-  }
-
-  #findFleetTeam(team: string): FleetBucket["teams"][string] | undefined {
-    return this.#fleet.get(String(findBucket(team)))?.value.teams[team];
-  }
-
-  #listRecordedGrants(): Record<string, number> {
-    const grants: Record<string, number> = {};
-    for (let bucket = 0; bucket < LIMIT_BUCKETS; bucket++) {
-      const record = this.#buckets.get(String(bucket))?.value;
-      if (!record) continue;
-      const granted = listGranted(record, this.self.incarnation);
-      const unsettled = this.#unsettledLimits.get(bucket)?.granted;
-      for (const [team, tasks] of Object.entries(granted)) {
-        grants[team] = Math.min(tasks, unsettled?.[team] ?? tasks);
-        if (unsettled && !(team in unsettled)) grants[team] = 0;
-      }
-    }
-    return grants;
-  }
-
   /** Tasks left by former members of this domain; null while not known. */
   listLeftovers(): Record<string, TaskCounts | null> {
     const leftovers: Record<string, TaskCounts | null> = {};
@@ -287,12 +215,7 @@
   ): PlannedCommit | undefined {
     if (this.#revision === 0 || !this.#hasJoined) return undefined;
     const { bucket, writer } = options;
-    const name = String(bucket);
-    const current = {
-      fleet: this.#fleet.get(name)?.value ?? createFleetBucket(),
-      domain: this.#buckets.get(name)?.value ?? createDomainBucket(),
-      bucket,
-    };
+    const current = { ...this.grants.getBucket(bucket), bucket };
     const plan = planLimits(current, {
       ...view,
       domain: this.domain,
@@ -300,7 +223,7 @@
       domains: this.listDomains(),
       leftovers: this.listLeftovers(),
     }, { writer });
-    const isUnsettled = this.#unsettledLimits.has(bucket);
+    const isUnsettled = this.grants.isUnsettled(bucket);
     if (!plan.fleet && !plan.domain && !isUnsettled) return undefined;
     if (isUnsettled) plan.domain ??= { ...current.domain, writer };
     return { purpose: CommitPurpose.Limits, plan, bucket };
@@ -309,7 +232,7 @@
   /** Builds the compare-and-swap of a planned commit. */
   buildCommit(planned: PlannedCommit): StoreCommit {
     if (planned.purpose === CommitPurpose.Limits) {
-      return this.#makeLimitsCommit(String(planned.bucket), planned.plan);
+      return this.grants.buildCommit(planned.bucket, planned.plan);
     }
     const key = this.#domains.getKey(this.domain);
     const modRevision = this.#domains.getRevision(this.domain);
@@ -319,25 +242,16 @@
 
   /** Call right before a planned commit is sent: what it gives up is gone. */
   begin(planned: PlannedCommit): void {
-    if (planned.purpose === CommitPurpose.Membership) {
-      this.#membershipBefore = this.#unsettledMembership;
-      const earlier = this.#unsettledMembership?.released ?? [];
-      this.#unsettledMembership = {
-        revision: this.#domains.getRevision(this.domain),
-        released: new Set([...earlier, ...planned.plan.released]),
-      };
+    if (planned.purpose === CommitPurpose.Limits) {
+      this.grants.begin(planned.bucket, planned.plan);
       return;
     }
-    const name = String(planned.bucket);
-    this.#limitsBefore = this.#unsettledLimits.get(planned.bucket);
-    const earlier = this.#limitsBefore?.granted;
-    this.#unsettledLimits.set(planned.bucket, {
-      revisions: {
-        fleet: this.#fleet.getRevision(name),
-        domain: this.#buckets.getRevision(name),
-      },
-      granted: combineMinimum(planned.plan.granted, earlier),
-    });
+    this.#unsettledBefore = this.#unsettled;
+    const earlier = this.#unsettled?.released ?? [];
+    this.#unsettled = {
+      revision: this.#domains.getRevision(this.domain),
+      released: new Set([...earlier, ...planned.plan.released]),
+    };
   }
 
   /** Call when the result of a commit is known, or known to be lost. */
@@ -347,33 +261,21 @@
   ): void {
     const { status, revision } = result;
     if (status === CommitStatus.Unknown) return;
-    if (status !== CommitStatus.Succeeded) return this.#restore(planned);
-    if (planned.purpose === CommitPurpose.Membership) {
-      const value = planned.plan.record;
-      this.#domains.set(this.domain, { value, modRevision: revision });
-      if (planned.plan.joined) this.#hasJoined = true;
-    } else {
-      const name = String(planned.bucket);
-      const { fleet, domain } = planned.plan;
-      if (fleet) this.#fleet.set(name, { value: fleet, modRevision: revision });
-      if (domain) {
-        this.#buckets.set(name, { value: domain, modRevision: revision });
-      }
-    }
-    this.#dropSettled();
-  }
-
-  /** A commit without effect leaves what was uncertain before it. */
-  #restore(planned: PlannedCommit): void {
-    if (planned.purpose === CommitPurpose.Membership) {
-      this.#unsettledMembership = this.#membershipBefore;
+    const isSuccess = status === CommitStatus.Succeeded;
+    if (planned.purpose === CommitPurpose.Limits) {
+      const { bucket, plan } = planned;
+      if (isSuccess) this.grants.adopt(bucket, plan, { revision });
+      else this.grants.restore(bucket);
       return;
     }
-    if (this.#limitsBefore) {
-      this.#unsettledLimits.set(planned.bucket, this.#limitsBefore);
-    } else {
-      this.#unsettledLimits.delete(planned.bucket);
+    if (!isSuccess) {
+      this.#unsettled = this.#unsettledBefore;
+      return;
     }
+    const value = planned.plan.record;
+    this.#domains.set(this.domain, { value, modRevision: revision });
+    if (planned.plan.joined) this.#hasJoined = true;
+    this.#dropSettled();
   }
 
   /**
@@ -384,30 +286,10 @@
     current: DomainRecord,
     writer: string,
   ): MembershipPlan | undefined {
-    if (!this.#unsettledMembership || this.isExpelled()) return undefined;
+    if (!this.#unsettled || this.isExpelled()) return undefined;
     return createMembershipPlan(current, writer);
   }
 
-  #makeLimitsCommit(
-    name: string,
-    plan: { fleet?: FleetBucket; domain?: DomainBucket },
-  ): StoreCommit {
-    const fleetKey = this.#fleet.getKey(name);
-    const domainKey = this.#buckets.getKey(name);
-    const puts = [];
-    if (plan.fleet) {
-      puts.push({ key: fleetKey, value: JSON.stringify(plan.fleet) });
-    }
-    if (plan.domain) {
-      puts.push({ key: domainKey, value: JSON.stringify(plan.domain) });
-    }
-    const compares = [
-      { key: fleetKey, modRevision: this.#fleet.getRevision(name) },
-      { key: domainKey, modRevision: this.#buckets.getRevision(name) },
-    ];
-    return { compares, puts };
-  }
-
   #observeConfig(records: StoreSnapshot["ranges"][number]): void {
     for (const record of records) {
       if (record.key === CONFIG_HEAD_KEY) {
@@ -433,34 +315,11 @@
     return true;
   }
 
-  /**
-   * A lost write can no longer take effect once a compared key has changed.
-   */
+  /** A lost write can take no effect once the record has changed. */
   #dropSettled(): void {
-    const membership = this.#unsettledMembership;
-    if (
-      membership &&
-      this.#domains.getRevision(this.domain) > membership.revision
-    ) {
-      this.#unsettledMembership = undefined;
+    const revision = this.#domains.getRevision(this.domain);
+    if (this.#unsettled && revision > this.#unsettled.revision) {
+      this.#unsettled = undefined;
     }
-    for (const [bucket, { revisions }] of [...this.#unsettledLimits]) {
-      const name = String(bucket);
-      const isOver = this.#fleet.getRevision(name) > revisions.fleet ||
-        this.#buckets.getRevision(name) > revisions.domain;
-      if (isOver) this.#unsettledLimits.delete(bucket);
-    }
-  }
-}
-
-function combineMinimum(
-  granted: Record<string, number>,
-  earlier: Record<string, number> | undefined,
-): Record<string, number> {
-  if (!earlier) return granted;
-  const minimum: Record<string, number> = {};
-  for (const [team, tasks] of Object.entries(granted)) {
-    minimum[team] = Math.min(tasks, earlier[team] ?? 0);
   }
-  return minimum;
 }
--- a/packages/entry/control_loop.ts
+++ b/packages/entry/control_loop.ts
@@ -98,7 +98,9 @@
     try {
       const snapshot = await store.read(control.listRanges());
       this.#observe(control.observe(snapshot));
-      if (control.coversLimits(config.listLimits())) config.confirm(version);
+      if (control.grants.coversLimits(config.listLimits())) {
+        config.confirm(version);
+      }
       this.#noteStore(true);
     } catch (error) {
       this.#noteStore(false, error);
@@ -138,7 +140,7 @@
     }
     const grants = control.isExpelled()
       ? {}
-      : control.listGrants(config.listLimits());
+      : control.grants.listGrants(config.listLimits());
     driver.handle({ type: EngineEventType.GrantsChanged, grants });
   }
 
--- a/packages/entry/dump.ts
+++ b/packages/entry/dump.ts
@@ -52,7 +52,7 @@
     domains: Object.fromEntries(
       control.listDomains().map((name) => [name, control.findDomain(name)]),
     ),
-    grants: control.listGrants(config.listLimits()),
+    grants: control.grants.listGrants(config.listLimits()),
     usage: state.listUsage(),
     left_behind: state.leftBehind,
     leftovers: control.listLeftovers(),
--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -83,7 +83,9 @@
       vm,
       incarnation: `${domain}/${vm}/${parts.makeId()}`,
       callers: formatAddress(settings.listen.callers),
-      peers: formatAddress(settings.listen.peers),
+      peers: formatAddress(
+        settings.listen.advertise_peers ?? settings.listen.peers,
+      ),
     };
     const { incarnation } = this.member;
     this.control = new ControlState({ domain, self: this.member });
--- a/packages/settings/settings.ts
+++ b/packages/settings/settings.ts
@@ -49,7 +49,11 @@
 
 const settingsSchema = z.strictObject({
   vm: z.strictObject({ id: nameSchema, domain: nameSchema }),
-  listen: z.strictObject({ callers: addressSchema, peers: addressSchema }),
+  listen: z.strictObject({
+    callers: addressSchema,
+    peers: addressSchema,
+    advertise_peers: addressSchema.optional(),
+  }),
   platform: z.strictObject({
     store: urlSchema,
     vm_list: urlSchema,
--- a/packages/settings/types.ts
+++ b/packages/settings/types.ts
@@ -7,7 +7,12 @@
 /** Settings of one daemon, as its INI file gives them. */
 export interface Settings {
   vm: { id: string; domain: string };
-  listen: { callers: Address; peers: Address };
+  listen: {
+    callers: Address;
+    peers: Address;
+    /** Where other entries reach `peers`, if that is another address. */
+    advertise_peers?: Address;
+  };
   platform: {
     store: string;
     vm_list: string;
--- a/tests/harness/fleet.ts
+++ b/tests/harness/fleet.ts
@@ -12,6 +12,7 @@
 import process from "node:process";
 import { request } from "undici";
 import type { EndpointFaults, HistoryLine } from "../standins/endpoint_host.ts";
+import type { RelayFaults } from "../standins/relay.ts";
 import type { PlatformFaults } from "../standins/platform.ts";
 import { sleep } from "../standins/http_server.ts";
 
@@ -27,6 +28,8 @@
   network?: string;
   /** Lines added to each entry's settings, by section. */
   settings?: Record<string, string>;
+  /** Lets entries reach each other through a relay that can cut them off. */
+  relay?: boolean;
 }
 
 /** One entry process. */
@@ -62,6 +65,7 @@
     const domains = [...new Set(vms.map((vm) => vm.domain))];
     const fleet = new Fleet(directory, network, domains);
     await fleet.#startStandIns();
+    if (options.relay) await fleet.#startRelay();
     for (const file of readdirSync(join(directory, "entries")).sort()) {
       fleet.startEntry(file.replace(/\.ini$/, ""));
     }
@@ -184,6 +188,11 @@
     };
   }
 
+  /** Cuts entries off from each other, by prefixes of their addresses. */
+  async setRelay(faults: RelayFaults): Promise<void> {
+    await postJson(`http://${this.network}.0.1:3100/control`, faults);
+  }
+
   /** Brings about faults of endpoints in one failure domain. */
   async setEndpoints(domain: string, faults: EndpointFaults): Promise<void> {
     await postJson(`${this.#findHostUrl(domain)}/control`, faults);
@@ -219,6 +228,22 @@
     await Promise.all([platform, ...hosts].map(waitForReady));
   }
 
+  async #startRelay(): Promise<void> {
+    const routes: string[] = [];
+    for (const file of readdirSync(join(this.directory, "entries"))) {
+      const path = join(this.directory, "entries", file);
+      const text = readFileSync(path, "utf8");
+      const [, host, port] = /^peers = (.*):(\d+)$/m.exec(text)!;
+      const advertised = `${host}:${Number(port) + 100}`;
+      routes.push(`${advertised}=${host}:${port}`);
+      const lines = `advertise_peers = ${advertised}`;
+      writeFileSync(path, addLines(text, "listen", lines));
+    }
+    const host = `${this.network}.0.1`;
+    const script = "dist/tests/standins/relay.js";
+    await waitForReady(this.#spawn([script, host, "3100", ...routes], "relay"));
+  }
+
   #findHostUrl(domain: string): string {
     const port = 3_000 + this.#domains.indexOf(domain);
     return `http://${this.network}.0.1:${port}`;
--- a/tests/standins/endpoint_host.ts
+++ b/tests/standins/endpoint_host.ts
@@ -26,6 +26,8 @@
   crossAnswers?: boolean;
   /** Refuses every task as not started. */
   refusing?: boolean;
+  /** Source addresses, by prefix, whose connections are cut. */
+  cutSources?: string[];
 }
 
 /** One line of the history that a checker reads. */
@@ -84,6 +86,11 @@
     response: ServerResponse,
     body: string,
   ): Promise<void> {
+    const source = request.socket.remoteAddress ?? "";
+    if (this.#isCut(source)) {
+      response.destroy();
+      return;
+    }
     const url = request.url ?? "";
     if (url === "/v1/tasks") return this.#start(request, response, body);
     if (url === "/v1/lease") return this.#renew(response, body);
@@ -94,6 +101,11 @@
     await Promise.resolve();
   }
 
+  #isCut(source: string): boolean {
+    const { cutSources = [] } = this.faults;
+    return cutSources.some((prefix) => source.startsWith(prefix));
+  }
+
   endExpired(now: number): void {
     for (const task of [...this.tasks.values()]) {
       if (now >= task.leaseEnds) task.stop();
@@ -165,7 +177,8 @@
   ): void {
     const { task, payload, headers } = answer;
     const { failing, loseAnswers, cutAnswers, crossAnswers } = this.faults;
-    if (loseAnswers) {
+    const source = response.socket?.remoteAddress ?? "";
+    if (loseAnswers || this.#isCut(source)) {
       response.destroy();
       return;
     }
--- /dev/null
+++ b/tools/capacity_live.ts
@@ -0,0 +1,120 @@
+/**
+ * Measures what the processes of an example site cost when idle and under
+ * load: processor time, memory and bytes on the loopback device.
+ *
+ * Usage: node dist/tools/capacity_live.js [--json]
+ */
+import { readFileSync } from "node:fs";
+import process from "node:process";
+import { parseArgs } from "node:util";
+import { formatTable } from "../packages/cli/mod.ts";
+import { type ClientRecord, sendRequest } from "../tests/harness/client.ts";
+import { Fleet } from "../tests/harness/fleet.ts";
+import { sleep } from "../tests/standins/http_server.ts";
+
+const IDLE_MS = 10_000;
+const LOAD_MS = 10_000;
+const RATES = [100, 300, 600];
+const RUN_MS = 50;
+
+interface Usage {
+  cpuUs: number;
+  rssMib: number;
+  bytes: number;
+  calls: number;
+}
+
+const { values } = parseArgs({ options: { json: { type: "boolean" } } });
+const fleet = await Fleet.start({ example: "guanacaste" });
+const rows: string[][] = [[
+  "state",
+  "CPU of an entry",
+  "CPU us for a request",
+  "MiB of an entry",
+  "bytes/s for an entry",
+  "store calls/s",
+  "ran/s",
+]];
+try {
+  const entries = [...fleet.entries.values()];
+  await fleet.waitForStatus(entries[0], (s) => s.entries.length === 9);
+  await fleet.applyConfig(entries[0]);
+  await fleet.waitForEndpoints(30);
+  await measure("idle", IDLE_MS, () => Promise.resolve([]));
+  for (const rate of RATES) {
+    await measure(`${rate} requests/s`, LOAD_MS, () => sendLoad(rate));
+  }
+} finally {
+  await fleet.stop();
+}
+process.stdout.write(
+  values.json ? `${JSON.stringify(rows)}\n` : `${formatTable(rows)}\n`,
+);
+
+async function measure(
+  name: string,
+  ms: number,
+  load: () => Promise<ClientRecord[]>,
+): Promise<void> {
+  const before = await readUsage();
+  const began = Date.now();
+  const records = await load();
+  await sleep(Math.max(0, ms - (Date.now() - began)));
+  const after = await readUsage();
+  const seconds = (Date.now() - began) / 1_000;
+  const entries = fleet.entries.size;
+  const cpuUs = after.cpuUs - before.cpuUs;
+  const ran = records.filter(({ verdict }) => verdict === "ran").length;
+  const part = cpuUs / 1e6 / seconds / entries;
+  rows.push([
+    name,
+    `${(part * 100).toFixed(2)}%`,
+    ran === 0 ? "" : (cpuUs / ran).toFixed(0),
+    (after.rssMib / entries).toFixed(0),
+    ((after.bytes - before.bytes) / seconds / entries).toFixed(0),
+    ((after.calls - before.calls) / seconds).toFixed(1),
+    (ran / seconds).toFixed(0),
+  ]);
+}
+
+async function sendLoad(rate: number): Promise<ClientRecord[]> {
+  const entries = [...fleet.entries.values()];
+  const teams = ["guanacaste-norte", "coopeganado", "pastos-del-sur"];
+  const sent: Promise<ClientRecord>[] = [];
+  const began = Date.now();
+  while (Date.now() - began < LOAD_MS) {
+    const due = (Date.now() - began) * rate / 1_000;
+    while (sent.length < due) {
+      const number = sent.length;
+      sent.push(sendRequest({
+        url: entries[number % entries.length].url,
+        team: teams[number % teams.length],
+        queue: "ear-tag-batches",
+        runMs: RUN_MS,
+        timeoutMs: 8_000,
+      }));
+    }
+    await sleep(5);
+  }
+  return await Promise.all(sent);
+}
+
+async function readUsage(): Promise<Usage> {
+  const usage: Usage = { cpuUs: 0, rssMib: 0, bytes: readLoopback(), calls: 0 };
+  for (const entry of fleet.entries.values()) {
+    const dump = await fleet.readAdmin(entry, "dump");
+    usage.cpuUs += dump.cpu_us.user + dump.cpu_us.system;
+    usage.rssMib += dump.memory.rss / 1024 / 1024;
+  }
+  const { reads, commits } = await fleet.setPlatform({});
+  usage.calls = reads + commits;
+  return usage;
+}
+
+/** Bytes received on the loopback device since the machine started. */
+function readLoopback(): number {
+  const line = readFileSync("/proc/net/dev", "utf8").split("\n").find((text) =>
+    text.trim().startsWith("lo:")
+  );
+  return Number(line?.trim().split(/\s+/)[1] ?? 0);
+}
--- a/tools/faults.ts
+++ b/tools/faults.ts
@@ -3,7 +3,7 @@
  * prints what clients and endpoints saw. The verdicts come from a checker that
  * reads only their histories.
  *
- * Usage: node dist/tools/faults.js [--only NAME] [--json]
+ * Usage: node dist/tools/faults.js [--only NAME] [--pairs] [--json]
  */
 import { join } from "node:path";
 import process from "node:process";
@@ -15,12 +15,13 @@
 import { Fleet } from "../tests/harness/fleet.ts";
 import { sleep } from "../tests/standins/http_server.ts";
 
-const RUN_MS = 200;
-const ARRIVAL_MS = 6;
+const RUN_MS = 400;
+const CONCURRENCY = 300;
+const CHECK_MS = 500;
 const TIMEOUT_MS = 8_000;
-const BEFORE_MS = 5_000;
-const FAULT_MS = 12_000;
-const AFTER_MS = 6_000;
+const BEFORE_MS = 4_000;
+const FAULT_MS = 10_000;
+const AFTER_MS = 4_000;
 const TEAMS = [
   "guanacaste-norte",
   "coopeganado",
@@ -51,7 +52,7 @@
 const SCENARIOS: Scenario[] = [
   { name: "none", begin: nothing, end: nothing },
   {
-    name: "kill -9, restart on the same VM",
+    name: "kill -9, restart",
     begin: async (fleet) => {
       fleet.signal(VICTIM, "SIGKILL");
       await fleet.waitForExit(VICTIM);
@@ -62,19 +63,24 @@
   {
     name: "kill -9, VM gone",
     begin: async (fleet) => {
-      fleet.signal(VICTIM, "SIGKILL");
-      await fleet.setPlatform({ removeVms: [VICTIM] });
+      fleet.signal("norte-entry-1", "SIGKILL");
+      await fleet.setPlatform({ removeVms: ["norte-entry-1"] });
     },
     end: nothing,
   },
   {
     name: "freeze",
-    begin: (fleet) => Promise.resolve(fleet.signal(VICTIM, "SIGSTOP")),
-    end: (fleet) => Promise.resolve(fleet.signal(VICTIM, "SIGCONT")),
+    begin: (fleet) =>
+      Promise.resolve(fleet.signal("centro-entry-2", "SIGSTOP")),
+    end: (fleet) => Promise.resolve(fleet.signal("centro-entry-2", "SIGCONT")),
   },
   {
-    name: "drain",
-    begin: (fleet) => Promise.resolve(fleet.signal(VICTIM, "SIGTERM")),
+    name: "two drains",
+    begin: (fleet) => {
+      fleet.signal("pacifico-entry-2", "SIGTERM");
+      fleet.signal("pacifico-entry-3", "SIGTERM");
+      return Promise.resolve();
+    },
     end: nothing,
   },
   {
@@ -87,7 +93,7 @@
     },
   },
   {
-    name: "platform loses 20 answers, then is slow",
+    name: "platform slow, loses answers",
     begin: async (fleet) => {
       await fleet.setPlatform({ loseAnswers: 20, slowMs: 400 });
     },
@@ -96,7 +102,7 @@
     },
   },
   {
-    name: "one domain cut from the platform",
+    name: "domain cut from platform",
     begin: async (fleet) => {
       await fleet.setPlatform({ cutSources: [`${fleet.network}.1.`] });
     },
@@ -105,30 +111,58 @@
     },
   },
   {
-    name: "two drains together",
-    begin: (fleet) => {
-      fleet.signal("norte-entry-2", "SIGTERM");
-      fleet.signal("norte-entry-3", "SIGTERM");
-      return Promise.resolve();
+    name: "domain cut from domains",
+    begin: async (fleet) => {
+      const { network } = fleet;
+      const cuts: [string, string][] = [
+        [`${network}.1.`, `${network}.2.`],
+        [`${network}.1.`, `${network}.3.`],
+      ];
+      await fleet.setRelay({ cuts });
     },
-    end: nothing,
+    end: (fleet) => fleet.setRelay({ cuts: [] }),
   },
   {
-    name: "kill -9 while the platform is down",
+    name: "entry cut from endpoints",
+    begin: (fleet) => setEndpointCut(fleet, [`${fleet.network}.1.3`]),
+    end: (fleet) => setEndpointCut(fleet, []),
+  },
+];
+
+async function setEndpointCut(
+  fleet: Fleet,
+  cutSources: string[],
+): Promise<void> {
+  const endpoints = Array.from(
+    { length: 10 },
+    (_, index) => `norte-worker-${String(index + 1).padStart(2, "0")}`,
+  );
+  await fleet.setEndpoints("norte", { endpoints, cutSources });
+}
+
+/** Two faults at once. */
+function combineScenarios(a: Scenario, b: Scenario): Scenario {
+  return {
+    name: `${a.name} + ${b.name}`,
     begin: async (fleet) => {
-      await fleet.setPlatform({ storeDown: true, vmListDown: true });
-      fleet.signal(VICTIM, "SIGKILL");
-      await fleet.waitForExit(VICTIM);
-      fleet.startEntry(VICTIM);
+      await Promise.all([a.begin(fleet), b.begin(fleet)]);
     },
     end: async (fleet) => {
-      await fleet.setPlatform({ storeDown: false, vmListDown: false });
+      await Promise.all([a.end(fleet), b.end(fleet)]);
     },
-  },
-];
+  };
+}
+
+function listScenarios(): Scenario[] {
+  if (!values.pairs) return SCENARIOS;
+  const [, ...faults] = SCENARIOS;
+  return faults.flatMap((a, index) =>
+    faults.slice(index + 1).map((b) => combineScenarios(a, b))
+  );
+}
 
 async function runScenario(scenario: Scenario): Promise<Result> {
-  const fleet = await Fleet.start({ example: "guanacaste" });
+  const fleet = await Fleet.start({ example: "guanacaste", relay: true });
   try {
     const entries = [...fleet.entries.values()];
     await fleet.waitForStatus(entries[0], (s) => s.entries.length === 9);
@@ -179,34 +213,68 @@
   };
 }
 
-/** Sends to random entries that still listen, as a balancer does. */
+/**
+ * Keeps more requests under way than the endpoints have slots, and sends them
+ * to the entries that say that they are ready, as a balancer does.
+ */
 class Load {
-  readonly #records: Promise<ClientRecord>[] = [];
-  readonly #timer: NodeJS.Timeout;
+  readonly #fleet: Fleet;
+  readonly #records: ClientRecord[] = [];
+  readonly #workers: Promise<void>[];
+  readonly #checks: NodeJS.Timeout;
+  #ready: string[];
   #number = 0;
+  #stopped = false;
 
   constructor(fleet: Fleet) {
-    this.#timer = setInterval(() => this.#send(fleet), ARRIVAL_MS);
+    this.#fleet = fleet;
+    this.#ready = [...fleet.entries.values()].map(({ url }) => url);
+    this.#checks = setInterval(() => void this.#check(), CHECK_MS);
+    this.#workers = Array.from({ length: CONCURRENCY }, () => this.#work());
   }
 
   async finish(): Promise<ClientRecord[]> {
-    clearInterval(this.#timer);
-    return await Promise.all(this.#records);
+    this.#stopped = true;
+    clearInterval(this.#checks);
+    await Promise.all(this.#workers);
+    return this.#records;
   }
 
-  #send(fleet: Fleet): void {
-    const entries = [...fleet.entries.values()].filter(({ child }) =>
-      child.exitCode === null && child.signalCode === null
-    );
-    const number = this.#number++;
-    const { url } = entries[number % entries.length];
-    this.#records.push(sendRequest({
-      url,
-      team: TEAMS[number % TEAMS.length],
-      queue: "ear-tag-batches",
-      runMs: RUN_MS,
-      timeoutMs: TIMEOUT_MS,
-    }));
+  async #check(): Promise<void> {
+    const urls = [...this.#fleet.entries.values()].map(({ url }) => url);
+    const states = await Promise.all(urls.map(isReady));
+    this.#ready = urls.filter((_, index) => states[index]);
+  }
+
+  async #work(): Promise<void> {
+    while (!this.#stopped) {
+      const number = this.#number++;
+      const url = this.#ready[number % this.#ready.length];
+      if (!url) {
+        await sleep(CHECK_MS);
+        continue;
+      }
+      const record = await sendRequest({
+        url,
+        team: TEAMS[number % TEAMS.length],
+        queue: "ear-tag-batches",
+        runMs: RUN_MS,
+        timeoutMs: TIMEOUT_MS,
+      });
+      this.#records.push(record);
+      if (record.verdict !== "ran") await sleep(CHECK_MS);
+    }
+  }
+}
+
+async function isReady(url: string): Promise<boolean> {
+  try {
+    const response = await fetch(`${url}/readyz`, {
+      signal: AbortSignal.timeout(CHECK_MS),
+    });
+    return response.ok;
+  } catch {
+    return false;
   }
 }
 
@@ -267,10 +335,14 @@
 }
 
 const { values } = parseArgs({
-  options: { only: { type: "string" }, json: { type: "boolean" } },
+  options: {
+    only: { type: "string" },
+    pairs: { type: "boolean" },
+    json: { type: "boolean" },
+  },
 });
 const results: Result[] = [];
-for (const scenario of SCENARIOS) {
+for (const scenario of listScenarios()) {
   if (values.only && !scenario.name.includes(values.only)) continue;
   results.push(await runScenario(scenario));
 }
