Let a started entry hear of a peer's configuration before it takes work

Cause: an entry that starts on a store whose configuration was restored to an older state would take a withdrawn key until its first heartbeat. Ruled out: refusing older records in the store alone; a fresh process has seen nothing newer. Randomised runs restore older configuration records, and check at the end that every entry has the newest version in force. No function takes more than two arguments and options; a test holds to it. A restore of the whole store is not covered: docs/PROOFS.md.

--- a/packages/config/ini_document.ts
+++ b/packages/config/ini_document.ts
@@ -47,7 +47,7 @@
   const { line, number, section } = place;
   const header = SECTION_LINE.exec(line);
   if (header) {
-    recordLine(document, header[1], number);
+    recordLine(document, header[1], { line: number });
     return header[1];
   }
   const key = KEY_LINE.exec(line);
@@ -55,7 +55,7 @@
     const name = key[1].replace(/\[\]$/, "");
     const path = section ? `${section}.${name}` : name;
     if (key[1].endsWith("[]")) document.lines.set(path, number);
-    else recordLine(document, path, number);
+    else recordLine(document, path, { line: number });
     return section;
   }
   if (!IGNORED_LINE.test(line)) {
@@ -68,7 +68,12 @@
   return section;
 }
 
-function recordLine(document: IniDocument, path: string, line: number): void {
+function recordLine(
+  document: IniDocument,
+  path: string,
+  place: { line: number },
+): void {
+  const { line } = place;
   const earlier = document.lines.get(path);
   if (earlier === undefined) {
     document.lines.set(path, line);
--- a/packages/engine/actions/gang.ts
+++ b/packages/engine/actions/gang.ts
@@ -16,7 +16,7 @@
     while (hold.places.length < request.tasks && reserveOne(context, hold));
     if (hold.places.length > 0) state.holds.set(request.hold, hold);
   }
-  noteShortfall(context, request, hold.places.length);
+  noteShortfall(context, hold);
   const tasks = hold.places.length;
   decisions.push({ type: DecisionType.Held, hold: request.hold, tasks });
 }
@@ -47,7 +47,7 @@
   });
   if (!endpoint) return false;
   const id = `${request.hold}#${places.length}`;
-  state.chargeTask(id, request.team, request.size);
+  state.chargeTask(id, request);
   endpoint.ledger.reserve({
     id,
     size: request.size,
@@ -65,10 +65,11 @@
 /** A reservation that lacked grants counts as demand for a short while. */
 function noteShortfall(
   context: ActionContext,
-  request: HoldRequest,
-  held: number,
+  hold: GangHold,
 ): void {
   const { state, now } = context;
+  const { request } = hold;
+  const held = hold.places.length;
   if (held >= request.tasks || state.hasGrant(request.team)) return;
   state.shortfalls.set(request.team, {
     tasks: request.tasks - held,
--- a/packages/engine/actions/listed.ts
+++ b/packages/engine/actions/listed.ts
@@ -20,7 +20,7 @@
   endpoint.leaving = event.listing.leaving;
   endpoint.reachable = true;
   endpoint.recovered = true;
-  recordStatus(context, endpoint, before);
+  recordStatus(context, endpoint, { before });
   pumpQueue(context);
 }
 
@@ -30,7 +30,7 @@
   if (!endpoint) return;
   const before = endpoint.status;
   endpoint.reachable = false;
-  recordStatus(context, endpoint, before);
+  recordStatus(context, endpoint, { before });
 }
 
 function adoptTasks(
@@ -45,7 +45,7 @@
       hold.missing = 0;
       continue;
     }
-    if (hasEndedAround(context, task.id, event.sentAt)) continue;
+    if (hasEndedAround(context, task.id, event)) continue;
     endpoint.ledger.adopt({
       id: task.id,
       size: task.size,
@@ -63,10 +63,10 @@
 function hasEndedAround(
   context: ActionContext,
   task: string,
-  sentAt: number,
+  event: { sentAt: number },
 ): boolean {
   const endedAt = context.state.attempts.get(task)?.endedAt;
-  return endedAt !== undefined && sentAt < endedAt + SETTLE_MS;
+  return endedAt !== undefined && event.sentAt < endedAt + SETTLE_MS;
 }
 
 function clearEndedTasks(
@@ -80,7 +80,7 @@
     if (event.sentAt < hold.since + SETTLE_MS) continue;
     hold.missing += 1;
     if (hold.missing < MISSING_LISTINGS) continue;
-    releaseTask(context.state, endpoint, hold.id);
+    releaseTask(context.state, hold.id, { endpoint });
   }
 }
 
@@ -93,10 +93,10 @@
 function recordStatus(
   context: ActionContext,
   endpoint: EndpointState,
-  before: EndpointStatus,
+  options: { before: EndpointStatus },
 ): void {
   const { status } = endpoint;
-  if (status === before) return;
+  if (status === options.before) return;
   context.decisions.push({
     type: DecisionType.EndpointStatus,
     endpoint: endpoint.ledger.spec.id,
--- a/packages/engine/actions/submit.ts
+++ b/packages/engine/actions/submit.ts
@@ -64,7 +64,9 @@
   attempt: Attempt,
 ): Outcome | undefined {
   const { state, now } = context;
-  if (state.draining) return makeRefusal(context, Cause.Draining, 0);
+  if (state.draining) {
+    return makeRefusal(context, Cause.Draining, { waitMs: 0 });
+  }
   if (attempt.hold) {
     return makeNotRun(Cause.GangIncomplete, "reservation has ended");
   }
@@ -74,7 +76,7 @@
   const canHold = state.endpointList.some((endpoint) =>
     endpoint.ledger.couldFit(attempt.size)
   );
-  if (!canHold) return makeRefusal(context, Cause.NoEndpoint, 0);
+  if (!canHold) return makeRefusal(context, Cause.NoEndpoint, { waitMs: 0 });
   return refuseForWait(context, attempt);
 }
 
@@ -89,13 +91,15 @@
     slots: state.capacity.slots,
   });
   if (state.queue.countInQueue(attempt.queue) >= attempt.maxQueued) {
-    return makeRefusal(context, Cause.QueueFull, waitMs / 2);
+    return makeRefusal(context, Cause.QueueFull, { waitMs: waitMs / 2 });
   }
   const serviceMs = state.times.estimate(attempt.queue) ?? 0;
   if (ahead === 0 || now + waitMs + serviceMs <= attempt.deadline) {
     return undefined;
   }
-  return makeRefusal(context, Cause.DeadlineUnreachable, waitMs / 2);
+  return makeRefusal(context, Cause.DeadlineUnreachable, {
+    waitMs: waitMs / 2,
+  });
 }
 
 const REFUSAL_DETAILS: Partial<Record<Cause, string>> = {
@@ -108,8 +112,8 @@
 function makeRefusal(
   context: ActionContext,
   cause: Cause,
-  waitMs: number,
+  options: { waitMs: number },
 ): Outcome {
-  const retryAfterMs = computeRetryAfter(waitMs, context.state.random);
+  const retryAfterMs = computeRetryAfter(options.waitMs, context.state.random);
   return makeNotRun(cause, REFUSAL_DETAILS[cause] ?? "", { retryAfterMs });
 }
--- a/packages/engine/actions/task_ended.ts
+++ b/packages/engine/actions/task_ended.ts
@@ -25,22 +25,22 @@
   match(event.result)
     .with({ kind: TaskResultKind.NotStarted }, ({ detail, reachable }) => {
       if (endpoint && !reachable) endpoint.reachable = false;
-      releaseTask(state, endpoint, event.attempt);
-      retryAttempt(context, record, detail);
+      releaseTask(state, event.attempt, { endpoint });
+      retryAttempt(context, record, { detail });
     })
     .with({ kind: TaskResultKind.Answered }, ({ answer }) => {
       endAnswered(context, ended, answer);
     })
     .with({ kind: TaskResultKind.Running }, ({ answer }) => {
-      updateHold(context, ended, HoldReason.Service);
+      updateHold(context, ended, { reason: HoldReason.Service });
       endWith(context, ended, makeRan([answer], Cause.Started));
     })
     .with({ kind: TaskResultKind.Stopped }, ({ detail }) => {
-      releaseTask(state, endpoint, event.attempt);
+      releaseTask(state, event.attempt, { endpoint });
       endWith(context, ended, makeMayHaveRun(Cause.Cancelled, detail));
     })
     .with({ kind: TaskResultKind.Unknown }, ({ detail }) => {
-      updateHold(context, ended, HoldReason.Uncertain);
+      updateHold(context, ended, { reason: HoldReason.Uncertain });
       endpoint?.recordResult(false);
       endWith(context, ended, makeMayHaveRun(Cause.EndpointLost, detail));
     })
@@ -67,7 +67,7 @@
   if (succeeded) {
     state.times.observe(record.attempt!.queue, now - record.startedAt!);
   }
-  releaseTask(state, endpoint, id);
+  releaseTask(state, id, { endpoint });
   endWith(context, ended, makeRan([answer]));
 }
 
@@ -75,11 +75,11 @@
 function updateHold(
   context: ActionContext,
   ended: EndedTask,
-  reason: HoldReason,
+  options: { reason: HoldReason },
 ): void {
   const hold = ended.endpoint?.ledger.get(ended.id);
   if (!hold) return;
-  hold.reason = reason;
+  hold.reason = options.reason;
   hold.since = context.now;
   hold.missing = 0;
 }
--- a/packages/engine/attempts.ts
+++ b/packages/engine/attempts.ts
@@ -65,7 +65,7 @@
   const { state, now, decisions } = context;
   const { endpoint, refusals, enqueuedAt } = options;
   state.queue.remove(attempt.id);
-  state.chargeTask(attempt.id, attempt.team, attempt.size);
+  state.chargeTask(attempt.id, attempt);
   endpoint.ledger.reserve({
     id: attempt.id,
     size: attempt.size,
@@ -104,7 +104,7 @@
 export function retryAttempt(
   context: ActionContext,
   record: AttemptRecord,
-  detail: string,
+  options: { detail: string },
 ): void {
   const attempt = record.attempt!;
   const refusals = record.refusals + 1;
@@ -114,7 +114,7 @@
     return finishAttempt(context, attempt.id, { outcome, deadline });
   }
   if (context.state.draining || refusals > MAX_REFUSALS) {
-    const outcome = makeNotRun(Cause.EndpointRefused, detail);
+    const outcome = makeNotRun(Cause.EndpointRefused, options.detail);
     return finishAttempt(context, attempt.id, { outcome, deadline });
   }
   const enqueuedAt = record.enqueuedAt ?? context.now;
@@ -124,9 +124,9 @@
 /** Frees the room and the grant of a task that has certainly ended. */
 export function releaseTask(
   state: EngineState,
-  endpoint: EndpointState | undefined,
   id: string,
+  options: { endpoint: EndpointState | undefined },
 ): void {
-  endpoint?.ledger.release(id);
+  options.endpoint?.ledger.release(id);
   state.dischargeTask(id);
 }
--- a/packages/engine/state.ts
+++ b/packages/engine/state.ts
@@ -75,7 +75,8 @@
    *
    * @throws {InvariantError} when the grant does not allow it
    */
-  chargeTask(id: string, team: string, size: Size): void {
+  chargeTask(id: string, options: { team: string; size: Size }): void {
+    const { team, size } = options;
     assertInvariant(
       this.hasGrant(team),
       `Team ${team} would run more than its grant of ${this.grants[team]}`,
--- a/packages/entry/caller_app.ts
+++ b/packages/entry/caller_app.ts
@@ -16,7 +16,7 @@
       sendRefusal(
         context,
         Cause.BodyTooLarge,
-        `the body may have at most ${MAX_BODY_BYTES} bytes`,
+        { detail: `the body may have at most ${MAX_BODY_BYTES} bytes` },
       ),
   });
   app.post("/v1/queues/:queue/work", limit, (c) => receiveWork(node, c));
@@ -28,8 +28,12 @@
     return c.text(isReady ? "ready\n" : "not ready\n", isReady ? 200 : 503);
   });
   app.get("/metrics", async (c) => c.text(await renderMetrics(node)));
-  app.notFound((c) => sendRefusal(c, Cause.NotFound, "no such path"));
-  app.onError((error, c) => sendRefusal(c, Cause.BadRequest, error.message));
+  app.notFound((c) =>
+    sendRefusal(c, Cause.NotFound, { detail: "no such path" })
+  );
+  app.onError((error, c) =>
+    sendRefusal(c, Cause.BadRequest, { detail: error.message })
+  );
   return app;
 }
 
@@ -58,7 +62,7 @@
   const team = findTeamOfKey(node.getConfiguration(), key);
   if (!team) {
     const detail = "a valid key is needed: `Authorization: Bearer KEY`";
-    return sendRefusal(c, Cause.Unauthenticated, detail);
+    return sendRefusal(c, Cause.Unauthenticated, { detail });
   }
   let view: WorkView | null;
   try {
@@ -77,8 +81,12 @@
   return c.json({ work: id, state: view.state }, 202);
 }
 
-function sendRefusal(c: Context, cause: Cause, detail: string): Response {
-  return sendOutcome(c, makeNotRun(cause, detail), { id: "" });
+function sendRefusal(
+  c: Context,
+  cause: Cause,
+  options: { detail: string },
+): Response {
+  return sendOutcome(c, makeNotRun(cause, options.detail), { id: "" });
 }
 
 function sendOutcome(
@@ -98,9 +106,9 @@
 async function renderMetrics(node: EntryNode): Promise<string> {
   const { metrics } = node.parts;
   const { load } = node.describeSelf();
-  metrics.setGauge("owned_endpoints", {}, load.endpoints);
-  metrics.setGauge("free_slots", {}, load.freeSlots);
-  metrics.setGauge("waiting", {}, load.waiting);
-  metrics.setGauge("config_version", {}, node.config.state.head.version);
+  metrics.setGauge("owned_endpoints", load.endpoints);
+  metrics.setGauge("free_slots", load.freeSlots);
+  metrics.setGauge("waiting", load.waiting);
+  metrics.setGauge("config_version", node.config.state.head.version);
   return await metrics.renderText();
 }
--- a/packages/entry/control_loop.ts
+++ b/packages/entry/control_loop.ts
@@ -151,7 +151,7 @@
       return;
     }
     config.adoptStored(control.config);
-    pause.noteRefresh();
+    pause.noteStore();
     if (control.isExpelled()) log.record(EventCode.Expelled, {});
     peers.setMembers(
       control.listMembers().filter(({ member }) =>
--- a/packages/entry/engine_driver.ts
+++ b/packages/entry/engine_driver.ts
@@ -115,7 +115,7 @@
   ): Promise<void> {
     const { attempt, endpoint, labels, waitedMs } = start;
     const labelsOfWait = { team: attempt.team, queue: attempt.queue };
-    this.#metrics.observeDuration("wait", labelsOfWait, waitedMs);
+    this.#metrics.observeDuration("wait", waitedMs, labelsOfWait);
     this.#metrics.countEvent("starts", { team: attempt.team });
     const result = await this.#endpoints.start(endpoint, {
       id: attempt.id,
--- a/packages/entry/heartbeats.ts
+++ b/packages/entry/heartbeats.ts
@@ -97,7 +97,7 @@
   #fetchIfNewer(heartbeat: Heartbeat): void {
     const { head } = this.#config.state;
     if (!isNewerHead(heartbeat.head, head)) {
-      this.#pause.noteRefresh();
+      this.#pause.notePeer();
       return;
     }
     const peer = this.#peers.get(heartbeat.incarnation);
@@ -112,7 +112,7 @@
         { address: peer.member.peers, timeoutMs: PEER_TIMEOUT_MS },
       );
       if (this.#config.state.head.version === have) this.#config.adopt(update);
-      this.#pause.noteRefresh();
+      this.#pause.notePeer();
     } catch {
       // The next heartbeat tries again.
     }
--- a/packages/entry/pause_guard.ts
+++ b/packages/entry/pause_guard.ts
@@ -1,15 +1,19 @@
 import { PAUSE_MS, PAUSE_REFRESH_MS } from "./constants.ts";
 
 /**
- * Notices pauses of the process. After one, new work waits for a refresh of
- * the configuration, so that a key withdrawn meanwhile is not taken.
+ * Notices pauses of the process. After one, and after the start, no new work
+ * is taken until the configuration was refreshed, so that a key withdrawn
+ * meanwhile is refused. After the start only a peer can refresh it: the store
+ * may have been restored to an older state.
  */
 export class PauseGuard {
   #lastTick: number;
   #staleSince: number | undefined;
+  #isStarting = true;
 
   constructor(now: number) {
     this.#lastTick = now;
+    this.#staleSince = now;
   }
 
   /** Notes that the event loop runs; returns the pause before, in ms. */
@@ -21,9 +25,15 @@
     return gap;
   }
 
-  /** Notes that the configuration was refreshed. */
-  noteRefresh(): void {
+  /** Notes that a peer told of its configuration. */
+  notePeer(): void {
     this.#staleSince = undefined;
+    this.#isStarting = false;
+  }
+
+  /** Notes that the store was read. */
+  noteStore(): void {
+    if (!this.#isStarting) this.#staleSince = undefined;
   }
 
   /** Tells whether the process was paused and has not been refreshed. */
--- a/packages/limits/plan.ts
+++ b/packages/limits/plan.ts
@@ -47,7 +47,7 @@
 ): LimitsPlan {
   const fleet = copyBucket(current.fleet);
   const domain = copyBucket(current.domain);
-  adoptLimits(fleet, view, current.bucket);
+  adoptLimits(fleet, view, current);
   for (const name of listTeams(fleet, domain)) {
     planTeam({ fleet, domain, name }, view);
   }
@@ -97,11 +97,11 @@
 function adoptLimits(
   fleet: FleetBucket,
   view: LimitsView,
-  bucket: number,
+  options: { bucket: number },
 ): void {
   if (view.version < fleet.version) return;
   const limits = Object.entries(view.limits).filter(([name]) =>
-    findBucket(name) === bucket
+    findBucket(name) === options.bucket
   );
   const wanted = new Map(limits);
   const names = new Set([...Object.keys(fleet.teams), ...wanted.keys()]);
@@ -117,7 +117,7 @@
 function planTeam(place: TeamPlace, view: LimitsView): void {
   const team = place.fleet.teams[place.name] ??= createFleetTeam();
   const own = place.domain.teams[place.name] ??= { grants: {}, wants: {} };
-  releaseLeftovers(own, place.name, view);
+  releaseLeftovers(own, view, place);
   lowerOwn(team, own, { name: place.name, view });
   raiseOwn(team, own, { name: place.name, view });
   returnToFleet(team, own, view);
@@ -130,16 +130,18 @@
 /** A former member keeps only what its leftover tasks still use. */
 function releaseLeftovers(
   own: TeamGrants,
-  name: string,
   view: LimitsView,
+  options: { name: string },
 ): void {
   for (const holder of Object.keys(own.grants)) {
     if (view.holders.includes(holder)) continue;
     delete own.wants[holder];
     const left = view.leftovers[holder];
     if (left === null) continue;
-    const running = left?.[name] ?? 0;
-    setPart(own.grants, holder, Math.min(own.grants[holder], running));
+    const running = left?.[options.name] ?? 0;
+    setPart(own.grants, holder, {
+      value: Math.min(own.grants[holder], running),
+    });
   }
 }
 
@@ -158,7 +160,7 @@
   const next = isContended(team, own, view) || view.draining
     ? Math.min(mine, kept)
     : mine;
-  setPart(own.grants, view.holder, next);
+  setPart(own.grants, view.holder, { value: next });
 }
 
 function raiseOwn(
@@ -168,7 +170,7 @@
 ): void {
   const { name, view } = options;
   const mine = own.grants[view.holder] ?? 0;
-  const wanted = view.draining ? 0 : computeWanted(team, name, view);
+  const wanted = view.draining ? 0 : computeWanted(team, view, options);
   const fromDomain = Math.max(
     0,
     (team.grants[view.domain] ?? 0) - sumGrants(own),
@@ -176,16 +178,14 @@
   const fromFleet = Math.max(0, team.limit - sumGrants(team));
   const room = sumGrants(team) > team.limit ? 0 : fromDomain + fromFleet;
   const taken = Math.min(Math.max(0, wanted - mine), room);
-  setPart(
-    team.grants,
-    view.domain,
-    (team.grants[view.domain] ?? 0) + Math.max(0, taken - fromDomain),
-  );
-  setPart(own.grants, view.holder, mine + taken);
+  setPart(team.grants, view.domain, {
+    value: (team.grants[view.domain] ?? 0) + Math.max(0, taken - fromDomain),
+  });
+  setPart(own.grants, view.holder, { value: mine + taken });
   const { usage, waiting } = findDemand(name, view);
   const lacking = view.draining ? 0 : usage + waiting - mine - taken;
-  setPart(own.wants, view.holder, Math.max(0, lacking));
-  setPart(team.wants, view.domain, sumParts(own.wants));
+  setPart(own.wants, view.holder, { value: Math.max(0, lacking) });
+  setPart(team.wants, view.domain, { value: sumParts(own.wants) });
 }
 
 /** Gives unused parts back when other domains lack some or a limit fell. */
@@ -197,15 +197,17 @@
   const granted = team.grants[view.domain] ?? 0;
   const isOver = sumGrants(team) > team.limit;
   if (!isOver && !hasOtherWants(team.wants, view.domain)) return;
-  setPart(team.grants, view.domain, Math.min(granted, sumGrants(own)));
+  setPart(team.grants, view.domain, {
+    value: Math.min(granted, sumGrants(own)),
+  });
 }
 
 function computeWanted(
   team: FleetBucket["teams"][string],
-  name: string,
   view: LimitsView,
+  options: { name: string },
 ): number {
-  const { usage, waiting } = findDemand(name, view);
+  const { usage, waiting } = findDemand(options.name, view);
   const entries = view.domains.length * view.holders.length;
   const resting = Math.floor(team.limit / Math.max(1, entries));
   return Math.max(usage + waiting, resting);
@@ -259,8 +261,9 @@
 function setPart(
   parts: Record<string, number>,
   holder: string,
-  value: number,
+  options: { value: number },
 ): void {
+  const { value } = options;
   if (value === 0) delete parts[holder];
   else parts[holder] = value;
 }
--- a/packages/metrics/metrics.ts
+++ b/packages/metrics/metrics.ts
@@ -15,7 +15,7 @@
   readonly #gauges = new Map<string, Gauge>();
 
   /** Records one duration in milliseconds. */
-  observeDuration(name: string, labels: Labels, ms: number): void {
+  observeDuration(name: string, ms: number, labels: Labels): void {
     const key = `${name} ${JSON.stringify(labels)}`;
     let histogram = this.#histograms.get(key);
     if (!histogram) {
@@ -48,7 +48,7 @@
   }
 
   /** Sets a gauge. */
-  setGauge(name: string, labels: Labels, value: number): void {
+  setGauge(name: string, value: number, labels: Labels = {}): void {
     let gauge = this.#gauges.get(name);
     if (!gauge) {
       gauge = new Gauge({
@@ -81,11 +81,11 @@
   /** Renders everything in the Prometheus text format. */
   async renderText(): Promise<string> {
     for (const summary of this.summarizeHistograms()) {
-      this.setGauge(`${summary.name}_count`, summary.labels, summary.count);
+      this.setGauge(`${summary.name}_count`, summary.count, summary.labels);
       for (const { percentile, ms } of summary.percentiles) {
         const quantile = String(percentile / 100);
         const labels = { ...summary.labels, quantile };
-        this.setGauge(`${summary.name}_ms`, labels, ms);
+        this.setGauge(`${summary.name}_ms`, ms, labels);
       }
     }
     return await this.#registry.metrics();
--- a/packages/pipeline/pipeline.ts
+++ b/packages/pipeline/pipeline.ts
@@ -66,7 +66,7 @@
       const before = this.#clock.now();
       const outcome = await filter.apply(context, before);
       const ms = this.#clock.now() - before;
-      this.#metrics.observeDuration("filter", { filter: filter.name }, ms);
+      this.#metrics.observeDuration("filter", ms, { filter: filter.name });
       if (outcome) return outcome;
     }
     return makeNotRun(Cause.NoEndpoint, "no filter took the request");
--- a/packages/queueing/fair_queue.ts
+++ b/packages/queueing/fair_queue.ts
@@ -44,8 +44,8 @@
   /** Adds an attempt. */
   add(entry: T): void {
     this.#waiting.set(entry.id, entry);
-    addCount(this.#queues, entry.queue, 1);
-    addCount(this.#teamCounts, entry.team, 1);
+    addCount(this.#queues, entry.queue, { delta: 1 });
+    addCount(this.#teamCounts, entry.team, { delta: 1 });
     let heap = this.#teams.get(entry.team);
     if (!heap) {
       heap = new TinyQueue<T>([], compareEntries);
@@ -59,8 +59,8 @@
     const entry = this.#waiting.get(id);
     if (!entry) return undefined;
     this.#waiting.delete(id);
-    addCount(this.#queues, entry.queue, -1);
-    addCount(this.#teamCounts, entry.team, -1);
+    addCount(this.#queues, entry.queue, { delta: -1 });
+    addCount(this.#teamCounts, entry.team, { delta: -1 });
     return entry;
   }
 
@@ -117,9 +117,9 @@
 function addCount(
   counts: Map<string, number>,
   name: string,
-  delta: number,
+  options: { delta: number },
 ): void {
-  const next = (counts.get(name) ?? 0) + delta;
+  const next = (counts.get(name) ?? 0) + options.delta;
   if (next === 0) counts.delete(name);
   else counts.set(name, next);
 }
--- a/tests/house_style_test.ts
+++ b/tests/house_style_test.ts
@@ -58,3 +58,25 @@
   }
   t.deepEqual(faults, []);
 });
+
+const PRIMITIVES = new Set([
+  ts.SyntaxKind.StringKeyword,
+  ts.SyntaxKind.NumberKeyword,
+  ts.SyntaxKind.BooleanKeyword,
+]);
+
+test("functions take at most two arguments and then options", (t) => {
+  const faults: string[] = [];
+  for (const file of listSources()) {
+    visitNodes(file, (node) => {
+      if (!ts.isFunctionDeclaration(node) && !ts.isMethodDeclaration(node)) {
+        return;
+      }
+      const [, , third] = node.parameters;
+      const isPrimitive = third?.type && PRIMITIVES.has(third.type.kind);
+      if (node.parameters.length <= 3 && !isPrimitive) return;
+      faults.push(`${file}: ${node.name?.getText()}`);
+    });
+  }
+  t.deepEqual(faults, []);
+});
--- a/tests/virtual/fake_platform.ts
+++ b/tests/virtual/fake_platform.ts
@@ -39,6 +39,23 @@
   revision = 1;
   calls = 0;
 
+  /** Returns a copy of all values below a prefix. */
+  copyValues(prefix: string): Map<string, string> {
+    return new Map(
+      [...this.values].flatMap(([key, { value }]) =>
+        key.startsWith(prefix) ? [[key, value] as const] : []
+      ),
+    );
+  }
+
+  /** Puts older values back. */
+  restore(values: Map<string, string>): void {
+    this.revision += 1;
+    for (const [key, value] of values) {
+      this.values.set(key, { value, modRevision: this.revision });
+    }
+  }
+
   read(ranges: KeyRange[]): StoreSnapshot {
     return {
       revision: this.revision,
--- a/tests/virtual/faults.ts
+++ b/tests/virtual/faults.ts
@@ -21,6 +21,7 @@
   ChangeLimit = "change_limit",
   RacingChanges = "racing_changes",
   WithdrawKey = "withdraw_key",
+  RestoreConfig = "restore_config",
 }
 
 /** One fault of a run. */
@@ -126,6 +127,10 @@
         site.endpoints.lost = 0;
       });
       return;
+    case FaultKind.RestoreConfig:
+      site.store.restore(site.firstConfig);
+      later(() => void site.apply(site.original));
+      return;
     case FaultKind.ChangeLimit:
       changeLimit(site, fault.target);
       return;
--- a/tests/virtual/run.ts
+++ b/tests/virtual/run.ts
@@ -65,7 +65,18 @@
   if (serving !== site.endpoints.vms.size) {
     faults.push(`${serving} of ${site.endpoints.vms.size} endpoints serve`);
   }
-  return faults;
+  return [...faults, ...findConfigFaults(site)];
+}
+
+/** After healing, every entry has the newest version, and it is accepted. */
+function findConfigFaults(site: Site): string[] {
+  const heads = [...site.nodes.values()].map(({ node }) =>
+    node.config.state.head
+  );
+  const newest = Math.max(...heads.map(({ version }) => version));
+  return heads.filter(({ accepted }) => accepted !== newest).map((head) =>
+    `version ${newest} is not in force: ${JSON.stringify(head)}`
+  );
 }
 
 function describeRun(site: Site, faults: string[]): RunReport {
--- a/tests/virtual/site.ts
+++ b/tests/virtual/site.ts
@@ -10,6 +10,7 @@
   createKey,
   splitConfiguration,
 } from "../../packages/config/mod.ts";
+import { CONFIG_PREFIX } from "../../packages/control/mod.ts";
 import { SampledPlacement } from "../../packages/engine/mod.ts";
 import { createPeerHandlers, EntryNode } from "../../packages/entry/mod.ts";
 import {
@@ -85,6 +86,8 @@
   #acceptedLimits: Record<string, number> = {};
   #pendingLimits: { version: number; limits: Record<string, number> }[] = [];
   readonly #grantedAt = new Map<string, number>();
+  /** The configuration's records as they were when the load began. */
+  firstConfig = new Map<string, string>();
   #sequence = 0;
   #loading = true;
 
@@ -110,6 +113,7 @@
     await this.time.advance(3_000);
     void this.apply(this.configuration);
     await this.time.advance(6_000);
+    this.firstConfig = this.store.copyValues(CONFIG_PREFIX);
   }
 
   /** Adds an endpoint VM. */
--- a/tools/faults.ts
+++ b/tools/faults.ts
@@ -18,6 +18,8 @@
 const RUN_MS = 400;
 const CONCURRENCY = 300;
 const CHECK_MS = 500;
+const WATCH_MS = 200;
+const ENDPOINTS = 30;
 const TIMEOUT_MS = 8_000;
 const BEFORE_MS = 4_000;
 const FAULT_MS = 10_000;
@@ -43,7 +45,9 @@
   refusedPart: number;
   mayHaveRun: number;
   throughputDuring: number;
+  /** Seconds after which no endpoint was without an owner any more. */
   secondsUntilService: number;
+  strandedPart: number;
 }
 
 const VICTIM = "norte-entry-2";
@@ -182,11 +186,12 @@
   await sleep(BEFORE_MS);
   const began = Date.now();
   await scenario.begin(fleet);
-  const service = waitForService(fleet, began);
+  const watch = new Watch(fleet);
   await sleep(FAULT_MS - (Date.now() - began));
   const ended = Date.now();
   await scenario.end(fleet);
   await sleep(AFTER_MS);
+  const { seconds, strandedPart } = await watch.finish();
   const records = await load.finish();
   const config = checkDirectory(join(fleet.directory, "config"));
   const teams = Object.fromEntries(
@@ -209,7 +214,8 @@
     refusedPart: countVerdict(records, "not_run") / records.length,
     mayHaveRun: countVerdict(records, "may_have_run"),
     throughputDuring: countRan(began, ended) / before,
-    secondsUntilService: await service,
+    secondsUntilService: seconds,
+    strandedPart,
   };
 }
 
@@ -278,22 +284,57 @@
   }
 }
 
-/** Returns the seconds until all endpoints serve, seen by another domain. */
-async function waitForService(fleet: Fleet, began: number): Promise<number> {
-  const entry = fleet.entries.get("centro-entry-1")!;
-  await sleep(1_000);
-  const isServing = (status: {
-    entries: { reachable: boolean; load?: { endpoints: number } }[];
-  }) =>
-    status.entries.filter((one) => one.reachable).reduce(
-      (sum, one) => sum + (one.load?.endpoints ?? 0),
+/** Watches how many endpoints the entries say that they serve. */
+class Watch {
+  readonly #fleet: Fleet;
+  readonly #began = Date.now();
+  readonly #samples: { at: number; serving: number }[] = [];
+  #done = false;
+  readonly #loop: Promise<void>;
+
+  constructor(fleet: Fleet) {
+    this.#fleet = fleet;
+    this.#loop = this.#run();
+  }
+
+  /** Returns how long endpoints were missing, and the mean missing part. */
+  async finish(): Promise<{ seconds: number; strandedPart: number }> {
+    this.#done = true;
+    await this.#loop;
+    const short = this.#samples.filter(({ serving }) => serving < ENDPOINTS);
+    const last = short.at(-1)?.at ?? this.#began;
+    const missing = this.#samples.reduce(
+      (sum, { serving }) => sum + Math.max(0, ENDPOINTS - serving),
       0,
-    ) >= 30;
+    );
+    return {
+      seconds: (last - this.#began) / 1_000,
+      strandedPart: missing / ENDPOINTS / Math.max(1, this.#samples.length),
+    };
+  }
+
+  async #run(): Promise<void> {
+    while (!this.#done) {
+      const at = Date.now();
+      const counts = await Promise.all(
+        [...this.#fleet.entries.values()].map(countServing),
+      );
+      const serving = counts.reduce((sum, count) => sum + count, 0);
+      this.#samples.push({ at, serving });
+      await sleep(WATCH_MS);
+    }
+  }
+}
+
+async function countServing(entry: { url: string }): Promise<number> {
   try {
-    await fleet.waitForStatus(entry, isServing, FAULT_MS + AFTER_MS - 2_000);
-    return (Date.now() - began) / 1_000;
+    const response = await fetch(`${entry.url}/metrics`, {
+      signal: AbortSignal.timeout(CHECK_MS),
+    });
+    const text = await response.text();
+    return Number(/^baobabhead_owned_endpoints (\d+)$/m.exec(text)?.[1] ?? 0);
   } catch {
-    return Infinity;
+    return 0;
   }
 }
 
@@ -314,6 +355,7 @@
     "may have run",
     "throughput during",
     "all endpoints serve after",
+    "stranded",
   ]];
   for (const result of results) {
     rows.push([
@@ -324,6 +366,7 @@
       String(result.mayHaveRun),
       `${(result.throughputDuring * 100).toFixed(1)}%`,
       `${result.secondsUntilService.toFixed(1)} s`,
+      `${(result.strandedPart * 100).toFixed(1)}%`,
     ]);
   }
   process.stdout.write(`${formatTable(rows)}\n`);
