Measure faults against a warm, saturated site

Cause: the load began 4 s before the fault, while grants still moved, so the rate "before" was too low: the run without a fault came to 189% of it. Ruled out: a limit of the site; alone on the machine it ran 530 a second, 88% of what 240 slots can do at 400 ms. Change: 6 s of warm-up, 5 s of measurement; causes of all outcomes are printed.

--- a/tools/faults.ts
+++ b/tools/faults.ts
@@ -21,7 +21,8 @@
 const WATCH_MS = 200;
 const ENDPOINTS = 30;
 const TIMEOUT_MS = 8_000;
-const BEFORE_MS = 4_000;
+const WARM_UP_MS = 6_000;
+const BEFORE_MS = 5_000;
 const FAULT_MS = 10_000;
 const AFTER_MS = 4_000;
 const TEAMS = [
@@ -44,7 +45,10 @@
   faults: string[];
   refusedPart: number;
   mayHaveRun: number;
+  /** Before the fault, and during it as a part of that. */
+  ranPerSecond: number;
   throughputDuring: number;
+  causes: Record<string, number>;
   /** Seconds after which no endpoint was without an owner any more. */
   secondsUntilService: number;
   strandedPart: number;
@@ -183,7 +187,7 @@
   scenario: Scenario,
 ): Promise<Result> {
   const load = new Load(fleet);
-  await sleep(BEFORE_MS);
+  await sleep(WARM_UP_MS + BEFORE_MS);
   const began = Date.now();
   await scenario.begin(fleet);
   const watch = new Watch(fleet);
@@ -205,7 +209,7 @@
     records.filter(({ verdict, endedAt }) =>
       verdict === "ran" && endedAt >= from && endedAt < to
     ).length * 1_000 / (to - from);
-  const before = countRan(began - BEFORE_MS + 1_500, began);
+  const before = countRan(began - BEFORE_MS, began);
   return {
     name: scenario.name,
     sent: records.length,
@@ -213,7 +217,9 @@
     faults,
     refusedPart: countVerdict(records, "not_run") / records.length,
     mayHaveRun: countVerdict(records, "may_have_run"),
+    ranPerSecond: before,
     throughputDuring: countRan(began, ended) / before,
+    causes: countCauses(records),
     secondsUntilService: seconds,
     strandedPart,
   };
@@ -342,6 +348,15 @@
   return records.filter((record) => record.verdict === verdict).length;
 }
 
+function countCauses(records: ClientRecord[]): Record<string, number> {
+  const causes: Record<string, number> = {};
+  for (const { verdict, cause } of records) {
+    const name = `${verdict} ${cause}`;
+    causes[name] = (causes[name] ?? 0) + 1;
+  }
+  return causes;
+}
+
 function printResults(): void {
   if (values.json) {
     process.stdout.write(`${JSON.stringify(results)}\n`);
@@ -353,7 +368,8 @@
     "wrong",
     "refused",
     "may have run",
-    "throughput during",
+    "ran/s before",
+    "during",
     "all endpoints serve after",
     "stranded",
   ]];
@@ -364,13 +380,15 @@
       String(result.wrong),
       `${(result.refusedPart * 100).toFixed(2)}%`,
       String(result.mayHaveRun),
+      result.ranPerSecond.toFixed(0),
       `${(result.throughputDuring * 100).toFixed(1)}%`,
       `${result.secondsUntilService.toFixed(1)} s`,
       `${(result.strandedPart * 100).toFixed(1)}%`,
     ]);
   }
   process.stdout.write(`${formatTable(rows)}\n`);
-  for (const { name, faults } of results) {
+  for (const { name, faults, causes } of results) {
+    process.stdout.write(`${name}: ${JSON.stringify(causes)}\n`);
     for (const fault of faults.slice(0, 10)) {
       process.stdout.write(`FAULT ${name}: ${fault}\n`);
     }
@@ -387,7 +405,9 @@
 const results: Result[] = [];
 for (const scenario of listScenarios()) {
   if (values.only && !scenario.name.includes(values.only)) continue;
-  results.push(await runScenario(scenario));
+  const result = await runScenario(scenario);
+  process.stderr.write(`${result.name}: ${result.wrong} wrong\n`);
+  results.push(result);
 }
 printResults();
 process.exitCode = results.some((result) => result.wrong > 0) ? 1 : 0;
