Accept the newest confirmed version while later ones are staged

Cause: only the newest version could be accepted. Grants could also make 8 commits a second from each entry: 864 a second from 108 entries, more than the store takes. Ruled out: one change at a time, by a queue in front of `apply`; operators race. Change: a page keeps its accepted contents and all later ones; every later one restricts, and the newest that all have confirmed is accepted. All entries together make at most 160 commits of grants a second. Before: a version was skipped when a later one came first.

--- a/packages/config/state.ts
+++ b/packages/config/state.ts
@@ -6,13 +6,14 @@
   ConfigItems,
   ConfigPage,
   Configuration,
+  PageVersion,
 } from "./types.ts";
 
 /** What one entry knows of the configuration. */
 export interface ConfigState {
   head: ConfigHead;
   pages: ConfigPage[];
-  /** What decisions obey: restrictions of the staged version included. */
+  /** What decisions obey: restrictions of staged versions included. */
   effective: Configuration;
 }
 
@@ -28,9 +29,7 @@
 export function createConfigState(): ConfigState {
   const head = { version: 0, accepted: 0, author: "", writer: "", at: 0 };
   const pages = Array.from({ length: CONFIG_PAGES }, () => ({
-    version: 0,
-    items: {},
-    prior: null,
+    versions: [{ version: 0, items: {} }],
   }));
   return { head, pages, effective: EMPTY };
 }
@@ -41,6 +40,11 @@
   return head.accepted > than.accepted;
 }
 
+/** Returns the number of the version that last changed a page. */
+export function getPageVersion(page: ConfigPage): number {
+  return getNewest(page).version;
+}
+
 /** Adopts an update unless it would revert the state. */
 export function adoptUpdate(
   state: ConfigState,
@@ -49,7 +53,9 @@
   if (!isNewerHead(update.head, state.head)) return state;
   const pages = [...state.pages];
   for (const { number, page } of update.pages) {
-    if (page.version >= pages[number].version) pages[number] = page;
+    if (getPageVersion(page) >= getPageVersion(pages[number])) {
+      pages[number] = page;
+    }
   }
   const head = update.head;
   return { head, pages, effective: computeEffective(pages, head.accepted) };
@@ -57,13 +63,12 @@
 
 /** Returns the items of the newest version, staged or accepted. */
 export function listNewestItems(state: ConfigState): ConfigItems {
-  return Object.assign({}, ...state.pages.map((page) => page.items));
+  return Object.assign({}, ...selectItems(state.pages, state.head.version));
 }
 
 /** Returns the items of the newest accepted version. */
 export function listAcceptedItems(state: ConfigState): ConfigItems {
-  const pages = selectAccepted(state.pages, state.head.accepted);
-  return Object.assign({}, ...pages);
+  return Object.assign({}, ...selectItems(state.pages, state.head.accepted));
 }
 
 /** Builds the records that stage `items` on top of a state. */
@@ -72,41 +77,58 @@
   items: ConfigItems,
   options: { author: string; writer: string; now: number },
 ): ConfigUpdate {
+  const { accepted } = state.head;
   const version = state.head.version + 1;
   const next = Array.from({ length: CONFIG_PAGES }, (): ConfigItems => ({}));
   for (const [id, value] of Object.entries(items)) {
     next[findPage(id)][id] = value;
   }
   const pages = state.pages.flatMap((page, number) => {
-    if (isSameItems(page.items, next[number])) return [];
-    const isAccepted = page.version <= state.head.accepted;
-    const prior = isAccepted ? page.items : page.prior;
-    return [{ number, page: { version, items: next[number], prior } }];
+    if (isSameItems(getNewest(page).items, next[number])) return [];
+    const kept = dropBefore(page, accepted);
+    const versions = [...kept, { version, items: next[number] }];
+    return [{ number, page: { versions } }];
   });
-  const head = {
-    version,
-    accepted: state.head.accepted,
-    author: options.author,
-    writer: options.writer,
-    at: options.now,
-  };
-  return { head, pages };
+  const { author, writer, now: at } = options;
+  return { head: { version, accepted, author, writer, at }, pages };
 }
 
+/** The accepted configuration, restricted by every later version. */
 function computeEffective(
   pages: ConfigPage[],
   accepted: number,
 ): Configuration {
-  const newest = joinPages(pages.map((page) => page.items));
-  if (pages.every((page) => page.version <= accepted)) return newest;
-  const before = joinPages(selectAccepted(pages, accepted));
-  return restrictConfiguration(before, newest);
+  const staged = new Set(
+    pages.flatMap(({ versions }) =>
+      versions.map(({ version }) => version).filter((one) => one > accepted)
+    ),
+  );
+  let effective = joinPages(selectItems(pages, accepted));
+  for (const version of staged) {
+    const later = joinPages(selectItems(pages, version));
+    effective = restrictConfiguration(effective, later);
+  }
+  return effective;
 }
 
-function selectAccepted(pages: ConfigPage[], accepted: number): ConfigItems[] {
-  return pages.map((page) =>
-    page.version <= accepted ? page.items : page.prior ?? {}
-  );
+function selectItems(pages: ConfigPage[], version: number): ConfigItems[] {
+  return pages.map((page) => findVersion(page, version)?.items ?? {});
+}
+
+function findVersion(
+  page: ConfigPage,
+  version: number,
+): PageVersion | undefined {
+  return page.versions.findLast((one) => one.version <= version);
+}
+
+function dropBefore(page: ConfigPage, accepted: number): PageVersion[] {
+  const oldest = findVersion(page, accepted)?.version ?? 0;
+  return page.versions.filter(({ version }) => version >= oldest);
+}
+
+function getNewest(page: ConfigPage): PageVersion {
+  return page.versions[page.versions.length - 1];
 }
 
 function isSameItems(a: ConfigItems, b: ConfigItems): boolean {
--- /dev/null
+++ b/packages/config/state_test.ts
@@ -0,0 +1,107 @@
+import test from "ava";
+import fc from "fast-check";
+import { WorkKind } from "../base/mod.ts";
+import {
+  adoptUpdate,
+  type ConfigState,
+  type Configuration,
+  createConfigState,
+  listAcceptedItems,
+  splitConfiguration,
+  stageItems,
+} from "./mod.ts";
+
+const OPTIONS = { author: "a", writer: "w", now: 1 };
+
+function makeConfiguration(limit: number, keys: string[]): Configuration {
+  return {
+    teams: { ox: { share: 1, limit } },
+    keys: Object.fromEntries(keys.map((name) => [name, {
+      team: "ox",
+      hash: name.padEnd(64, "0"),
+    }])),
+    queues: {
+      all: {
+        teams: ["ox"],
+        open: false,
+        open_team: "",
+        kinds: [WorkKind.Batch],
+        urgent: false,
+        max_queued: 1,
+        max_body_bytes: 1,
+      },
+    },
+  };
+}
+
+function stage(state: ConfigState, configuration: Configuration): ConfigState {
+  const items = splitConfiguration(configuration);
+  return adoptUpdate(state, stageItems(state, items, OPTIONS));
+}
+
+function accept(state: ConfigState, accepted: number): ConfigState {
+  const head = { ...state.head, accepted };
+  return adoptUpdate(state, { head, pages: [] });
+}
+
+test("what restricts is in force when staged, what grants when accepted", (t) => {
+  const first = accept(
+    stage(createConfigState(), makeConfiguration(5, ["k1"])),
+    1,
+  );
+  const staged = stage(first, makeConfiguration(9, ["k2"]));
+  t.is(staged.effective.teams.ox.limit, 5);
+  t.deepEqual(Object.keys(staged.effective.keys), []);
+  const accepted = accept(staged, 2);
+  t.is(accepted.effective.teams.ox.limit, 9);
+  t.deepEqual(Object.keys(accepted.effective.keys), ["k2"]);
+});
+
+test("a version can be accepted while a later one is staged", (t) => {
+  let state = accept(
+    stage(createConfigState(), makeConfiguration(5, ["k1"])),
+    1,
+  );
+  state = stage(state, makeConfiguration(9, ["k1"]));
+  state = stage(state, makeConfiguration(7, ["k1"]));
+  t.is(state.effective.teams.ox.limit, 5);
+  state = accept(state, 2);
+  t.is(state.effective.teams.ox.limit, 7, "9 is accepted, 7 restricts it");
+  t.is(JSON.parse(listAcceptedItems(state)["teams.ox"]).limit, 9);
+});
+
+test("no order of updates makes a configuration revert", (t) => {
+  const limits = fc.array(fc.integer({ min: 0, max: 9 }), { minLength: 2 });
+  fc.assert(
+    fc.property(limits, fc.infiniteStream(fc.nat()), (values, order) => {
+      const updates: ConfigState[] = [];
+      let state = createConfigState();
+      for (const limit of values) {
+        state = stage(state, makeConfiguration(limit, []));
+        updates.push(state);
+        state = accept(state, state.head.version);
+        updates.push(state);
+      }
+      let reader = createConfigState();
+      for (const pick of order.take(updates.length * 2)) {
+        const { head, pages } = updates[pick % updates.length];
+        const before = reader.head;
+        const update = {
+          head,
+          pages: pages.map((page, number) => ({ number, page })),
+        };
+        reader = adoptUpdate(reader, update);
+        if (reader.head.version < before.version) return false;
+        if (reader.head.accepted < before.accepted) return false;
+        const limit = reader.effective.teams.ox?.limit;
+        const expected = updates.find((one) => one.head === reader.head);
+        if (expected && limit !== expected.effective.teams.ox?.limit) {
+          return false;
+        }
+      }
+      return true;
+    }),
+    { seed: 7, numRuns: 200 },
+  );
+  t.pass();
+});
--- a/packages/config/types.ts
+++ b/packages/config/types.ts
@@ -48,12 +48,16 @@
 /** Items of a configuration by id, for example `team.norte`, as JSON text. */
 export type ConfigItems = Record<string, string>;
 
-/** A page of items as the platform's store keeps it. */
-export interface ConfigPage {
+/** The items of a page from one version on. */
+export interface PageVersion {
   version: number;
   items: ConfigItems;
-  /** Items of the newest accepted version, while `version` is only staged. */
-  prior: ConfigItems | null;
+}
+
+/** A page of items as the platform's store keeps it. */
+export interface ConfigPage {
+  /** The accepted contents and all later ones, in ascending order. */
+  versions: PageVersion[];
 }
 
 /** The record that orders configurations. */
--- a/packages/entry/config_service.ts
+++ b/packages/entry/config_service.ts
@@ -13,6 +13,7 @@
   type ConfigUpdate,
   createConfigState,
   diffItems,
+  getPageVersion,
   isNewerHead,
   listNewestItems,
   stageItems,
@@ -65,6 +66,7 @@
   readonly #makeId: () => string;
   readonly #onChange: () => void;
   readonly #findUnconfirmed: (isDone: StandingTest) => string[];
+  readonly #isHeardOf: (incarnation: string) => boolean;
   #state: ConfigState = createConfigState();
   #confirmed = 0;
   #limits: Record<string, number> = {};
@@ -79,6 +81,8 @@
       onChange: () => void;
       /** Lists the other members that are not far enough. */
       findUnconfirmed: (isDone: StandingTest) => string[];
+      /** Tells whether a member has ever told how far it is. */
+      isHeardOf: (incarnation: string) => boolean;
     },
   ) {
     this.#store = options.store;
@@ -87,6 +91,7 @@
     this.#makeId = options.makeId;
     this.#onChange = options.onChange;
     this.#findUnconfirmed = options.findUnconfirmed;
+    this.#isHeardOf = options.isHeardOf;
   }
 
   /** Configuration of this entry. */
@@ -94,10 +99,10 @@
     return this.#state;
   }
 
-  /** Orders effective configurations, staged and accepted. */
+  /** Grows with each change of what is staged or accepted. */
   get order(): number {
     const { version, accepted } = this.#state.head;
-    return version * 2 + (accepted === version ? 1 : 0);
+    return version + accepted;
   }
 
   /** Newest version whose restrictions are certainly in force here. */
@@ -147,7 +152,7 @@
   /** Returns the records that an entry with version `have` lacks. */
   listUpdate(have: number): ConfigUpdate {
     const pages = this.#state.pages.flatMap((page, number) =>
-      page.version > have ? [{ number, page }] : []
+      getPageVersion(page) > have ? [{ number, page }] : []
     );
     return { head: this.#state.head, pages };
   }
@@ -177,20 +182,24 @@
     return { changes, ...await this.#finishApply() };
   }
 
-  /** Accepts a staged version once every entry has confirmed it. */
+  /** Accepts the newest version that every entry has confirmed. */
   async acceptStaged(): Promise<void> {
     const { head } = this.#state;
     if (head.accepted === head.version) return;
-    const isConfirmed = (other: ConfigStanding) =>
-      other.confirmed >= head.version;
-    if (this.#confirmed < head.version) return;
-    if (this.#findUnconfirmed(isConfirmed).length > 0) return;
+    let confirmed = this.#confirmed;
+    const isConfirmed = (other: ConfigStanding) => {
+      confirmed = Math.min(confirmed, other.confirmed);
+      return other.confirmed >= head.version;
+    };
+    const missing = this.#findUnconfirmed(isConfirmed);
+    if (missing.some((incarnation) => !this.#isHeardOf(incarnation))) return;
+    if (confirmed <= head.accepted) return;
     const stored = await this.#readStored();
     if (this.#state.head !== head) return;
     if (this.#isStoreBehind(stored)) return;
     const accepted = {
       ...head,
-      accepted: head.version,
+      accepted: confirmed,
       writer: this.#makeId(),
     };
     await this.#write({ head: accepted, pages: [] }, { stored, whole: false });
@@ -199,8 +208,7 @@
   async #finishApply(): Promise<Omit<ApplyResult, "changes">> {
     const { version } = this.#state.head;
     const until = this.#clock.now() + APPLY_WAIT_MS;
-    const isInForce = ({ head }: ConfigStanding) =>
-      head.accepted >= version || head.version > version;
+    const isInForce = ({ head }: ConfigStanding) => head.accepted >= version;
     for (;;) {
       await this.acceptStaged().catch(() => {});
       const accepted = this.#state.head.accepted >= version;
--- a/packages/entry/constants.ts
+++ b/packages/entry/constants.ts
@@ -4,6 +4,9 @@
 /** Interval of the control loop while shards are handed over, in ms. */
 export const HANDOVER_INTERVAL_MS = 250;
 
+/** Commits of grants that all entries together may make in a second. */
+export const LIMIT_COMMITS_PER_SECOND = 160;
+
 /** Interval at which waits, holds and old outcomes are ended, in ms. */
 export const TICK_INTERVAL_MS = 100;
 
--- a/packages/entry/control_loop.ts
+++ b/packages/entry/control_loop.ts
@@ -15,7 +15,7 @@
 import type { Store, VmList } from "../platform/mod.ts";
 import { Committer } from "./committer.ts";
 import type { ConfigService } from "./config_service.ts";
-import { ACCEPT_TAKEOVER_MS } from "./constants.ts";
+import { ACCEPT_TAKEOVER_MS, LIMIT_COMMITS_PER_SECOND } from "./constants.ts";
 import type { EndpointDirectory } from "./endpoint_directory.ts";
 import type { EngineDriver } from "./engine_driver.ts";
 import type { KeyService } from "./key_service.ts";
@@ -50,6 +50,7 @@
   #storeUp = true;
   #vmListUp = true;
   #stagedSince = 0;
+  #nextBucket = 0;
   draining = false;
 
   constructor(parts: ControlLoopParts) {
@@ -188,7 +189,11 @@
     const { control, config, driver, makeId } = this.#parts;
     const members = control.findDomain(control.domain)?.members ?? {};
     const holders = Object.values(members).map((member) => member.incarnation);
-    for (let bucket = 0; bucket < LIMIT_BUCKETS; bucket++) {
+    const entries = Math.max(1, control.listMembers().length);
+    let left = Math.max(1, Math.floor(LIMIT_COMMITS_PER_SECOND / entries));
+    for (let turn = 0; turn < LIMIT_BUCKETS && left > 0; turn++) {
+      const bucket = this.#nextBucket;
+      this.#nextBucket = (bucket + 1) % LIMIT_BUCKETS;
       const planned = control.planLimits({
         holders,
         version: config.order,
@@ -196,7 +201,9 @@
         demand: measureDemand(driver.engine, bucket),
         draining: this.draining,
       }, { bucket, writer: makeId() });
-      if (planned) await this.#committer.send(planned);
+      if (!planned) continue;
+      await this.#committer.send(planned);
+      left -= 1;
     }
   }
 
--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -111,6 +111,8 @@
       makeId: parts.makeId,
       onChange: () => this.#adoptConfiguration(),
       findUnconfirmed: (isDone) => this.#findUnconfirmed(isDone),
+      isHeardOf: (incarnation) =>
+        this.peers.get(incarnation)?.heartbeat !== undefined,
     });
     this.heartbeats = new Heartbeats({
       control: this.control,
