Wire entries in one module; call work impossible only on full knowledge

Cause: the constructor of EntryNode built ten services in 110 lines, beside wiring.ts. And a task could be refused as impossible while the only endpoints that hold it were recovering, without an owner, or in a domain that is cut off. Ruled out: for the second, stale heartbeats; the owners left out endpoints that do not serve. Change: wiring.ts builds all; loads tell the largest owned endpoint whether or not it serves; nothing is called impossible unless every shard has an owner and every entry is reachable.

--- a/packages/control/control_state.ts
+++ b/packages/control/control_state.ts
@@ -157,6 +157,13 @@
     return new Set(listOwnedShards(record, this.self.incarnation));
   }
 
+  /** Tells whether every shard of every failure domain has an owner. */
+  isWholeFleetOwned(): boolean {
+    return [...this.#domains.list()].every(([, { value }]) =>
+      value.shards.every(({ owner }) => owner !== null)
+    );
+  }
+
   /** Own shards that a write under way may have given to others. */
   listUncertainShards(): Set<number> {
     return this.#unsettled?.released ?? new Set();
--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -6,8 +6,8 @@
   SECOND_MS,
 } from "../base/mod.ts";
 import type { Configuration } from "../config/mod.ts";
-import { ControlState } from "../control/mod.ts";
-import { Engine, EngineEventType } from "../engine/mod.ts";
+import type { ControlState } from "../control/mod.ts";
+import { EngineEventType } from "../engine/mod.ts";
 import { EventCode } from "../events/mod.ts";
 import type { KeyBegin, KeyStanding } from "../idempotency/mod.ts";
 import type { Member } from "../membership/mod.ts";
@@ -22,34 +22,26 @@
   PipelineHost,
   type RawRequest,
 } from "../pipeline/mod.ts";
-import { type RoutedWork, Router } from "../routing/mod.ts";
-import { formatAddress } from "../settings/mod.ts";
-import { ConfigService, type StandingTest } from "./config_service.ts";
+import type { OwnerCandidate, RoutedWork, Router } from "../routing/mod.ts";
+import type { ConfigService } from "./config_service.ts";
 import {
   CONTROL_INTERVAL_MS,
   DRAIN_HANDOVER_MS,
   EXPIRE_INTERVAL_MS,
-  GANG_BACKOFF_MS,
-  GANG_HOLD_MS,
   HANDOVER_INTERVAL_MS,
-  LOST_HEARTBEATS,
-  MAX_ROUTE_TRIES,
-  REMOTE_HEARTBEAT_FACTOR,
   TICK_INTERVAL_MS,
   WORK_RETENTION_MS,
 } from "./constants.ts";
-import { ControlLoop } from "./control_loop.ts";
-import { EndpointDirectory } from "./endpoint_directory.ts";
-import { EndpointPoller } from "./endpoint_poller.ts";
-import { EngineDriver } from "./engine_driver.ts";
+import type { ControlLoop } from "./control_loop.ts";
+import type { EndpointPoller } from "./endpoint_poller.ts";
+import type { EngineDriver } from "./engine_driver.ts";
 import { listCandidates, measureFleet, measureLoad } from "./fleet_view.ts";
-import { EntryGateway } from "./gateway.ts";
-import { Heartbeats } from "./heartbeats.ts";
-import { KeyService } from "./key_service.ts";
+import type { Heartbeats } from "./heartbeats.ts";
+import type { KeyService } from "./key_service.ts";
 import { Loop } from "./loop.ts";
-import { PauseGuard } from "./pause_guard.ts";
-import { PeerTable } from "./peer_table.ts";
-import type { EntryParts } from "./types.ts";
+import type { PauseGuard } from "./pause_guard.ts";
+import type { PeerTable } from "./peer_table.ts";
+import type { EntryParts, EntryServices } from "./types.ts";
 import { WorkRegistry } from "./work_registry.ts";
 
 /** One entry: everything of a daemon but its listening sockets. */
@@ -64,134 +56,53 @@
   readonly registry = new WorkRegistry();
   readonly keys: KeyService;
   readonly controlLoop: ControlLoop;
-  readonly #directory: EndpointDirectory;
   readonly #pause: PauseGuard;
   readonly #pipeline: Pipeline;
   readonly #router: Router;
   readonly #poller: EndpointPoller;
   readonly #loops: Loop[];
   readonly #controlTimer: Loop;
-  #left: () => void = () => {};
+  #hasLeft = false;
   #drained: Promise<void> | undefined;
 
-  constructor(parts: EntryParts) {
+  constructor(parts: EntryParts, services: EntryServices) {
     super();
+    const { clock, metrics } = parts;
     this.parts = parts;
-    const { settings, clock, log, random, metrics } = parts;
-    const { id: vm, domain } = settings.vm;
-    this.member = {
-      vm,
-      incarnation: `${domain}/${vm}/${parts.makeId()}`,
-      callers: formatAddress(settings.listen.callers),
-      peers: formatAddress(
-        settings.listen.advertise_peers ?? settings.listen.peers,
-      ),
-    };
-    const { incarnation } = this.member;
-    this.control = new ControlState({ domain, self: this.member });
-    this.#directory = new EndpointDirectory(settings.platform.vm_list_lag_ms);
-    this.#pause = new PauseGuard(clock.now());
-    const { heartbeat_ms } = settings.peers;
-    const lostMs = heartbeat_ms * LOST_HEARTBEATS;
-    this.peers = new PeerTable((of) =>
-      of === domain ? lostMs : lostMs * REMOTE_HEARTBEAT_FACTOR
-    );
-    this.driver = new EngineDriver({
-      engine: new Engine({ incarnation, random, placement: parts.placement }),
-      endpoints: parts.endpoints,
-      clock,
-      log,
-      metrics,
-      taskLeaseMs: settings.endpoints.task_lease_ms,
-    });
-    this.config = new ConfigService({
-      store: parts.store,
-      clock,
-      log,
-      makeId: parts.makeId,
-      onChange: () => this.#adoptConfiguration(),
-      findUnconfirmed: (isDone) => this.#findUnconfirmed(isDone),
-      isHeardOf: (incarnation) =>
-        this.peers.get(incarnation)?.heartbeat !== undefined,
-    });
-    this.heartbeats = new Heartbeats({
-      control: this.control,
-      config: this.config,
-      peers: this.peers,
-      client: parts.peers,
-      pause: this.#pause,
-      clock,
-      log,
-      describeSelf: () => this.describeSelf(),
-    });
-    this.keys = new KeyService({
-      control: this.control,
-      client: parts.peers,
-      clock,
-      refresh: () => this.#controlTimer.runNow(),
-    });
-    this.controlLoop = new ControlLoop({
-      keys: this.keys,
-      control: this.control,
-      config: this.config,
-      directory: this.#directory,
-      driver: this.driver,
-      peers: this.peers,
-      pause: this.#pause,
-      store: parts.store,
-      vmList: parts.vmList,
-      clock,
-      log,
-      makeId: parts.makeId,
-      isIdle: () => this.isIdle(),
-      onLeft: () => this.#left(),
-    });
-    this.#router = new Router({
-      gateway: new EntryGateway({
-        driver: this.driver,
-        peers: parts.peers,
-        clock,
-        listCandidates: (now) => this.#listCandidates(now),
-        noteForward: (to) => this.peers.noteForward(to),
-      }),
-      clock,
-      random,
-      domain,
-      maxTries: MAX_ROUTE_TRIES,
-      gangHoldMs: GANG_HOLD_MS,
-      gangBackoffMs: GANG_BACKOFF_MS,
-    });
+    this.member = services.control.self;
+    this.control = services.control;
+    this.config = services.config;
+    this.driver = services.driver;
+    this.peers = services.peers;
+    this.heartbeats = services.heartbeats;
+    this.keys = services.keys;
+    this.controlLoop = services.controlLoop;
+    this.#pause = services.pause;
+    this.#router = services.router;
+    this.#poller = services.poller;
     this.#pipeline = new Pipeline({ host: this, clock, metrics });
-    this.#poller = new EndpointPoller({
-      driver: this.driver,
-      client: parts.endpoints,
-      clock,
-      pollMs: settings.endpoints.poll_ms,
-      leaseMs: settings.endpoints.task_lease_ms,
-    });
     this.#controlTimer = new Loop(clock, {
       step: () => this.controlLoop.step(),
       intervalMs: () => this.#findControlInterval(),
     });
-    this.#loops = [
-      this.#controlTimer,
-      new Loop(clock, {
-        step: () => this.controlLoop.readVmList(),
-        intervalMs: () => CONTROL_INTERVAL_MS,
-      }),
-      new Loop(clock, {
-        step: () => this.heartbeats.sendRound(),
-        intervalMs: () => heartbeat_ms,
-      }),
-      new Loop(clock, {
-        step: () => this.#tick(),
-        intervalMs: () => TICK_INTERVAL_MS,
-      }),
-      new Loop(clock, {
-        step: () => this.#expire(),
-        intervalMs: () => EXPIRE_INTERVAL_MS,
-      }),
-    ];
+    this.#loops = [this.#controlTimer, ...this.#createLoops()];
+  }
+
+  /** Reads the shared records at once. */
+  runControl(): void {
+    this.#controlTimer.runNow();
+  }
+
+  /** Notes that this entry has left its failure domain. */
+  noteLeft(): void {
+    this.#hasLeft = true;
+  }
+
+  /** Lists the entries that may own endpoints now. */
+  listCandidates(now: number): OwnerCandidate[] {
+    const { control, peers } = this;
+    const engine = this.driver.engine.state;
+    return listCandidates({ control, peers, engine }, now);
   }
 
   /** Starts the loops. */
@@ -307,10 +218,9 @@
   }
 
   override measureFleet(now: number): FleetCapacity {
-    const isComplete = this.peers.list().every((peer) =>
-      peer.heartbeat !== undefined
-    );
-    return measureFleet(this.#listCandidates(now), isComplete);
+    const isWhole = this.control.isWholeFleetOwned() &&
+      this.peers.list().every((peer) => this.peers.isReachable(peer, now));
+    return measureFleet(this.listCandidates(now), isWhole);
   }
 
   override async beginKey(begin: KeyBegin): Promise<KeyStanding> {
@@ -348,27 +258,27 @@
     this.keys.expire(now);
   }
 
-  #adoptConfiguration(): void {
+  #createLoops(): Loop[] {
+    const { clock, settings } = this.parts;
+    const { heartbeat_ms } = settings.peers;
+    const create = (intervalMs: number, step: () => Promise<void> | void) =>
+      new Loop(clock, { step, intervalMs: () => intervalMs });
+    return [
+      create(CONTROL_INTERVAL_MS, () => this.controlLoop.readVmList()),
+      create(heartbeat_ms, () => this.heartbeats.sendRound()),
+      create(TICK_INTERVAL_MS, () => this.#tick()),
+      create(EXPIRE_INTERVAL_MS, () => this.#expire()),
+    ];
+  }
+
+  /** Passes a newer configuration on to what depends on it. */
+  adoptConfiguration(): void {
     const shares: Record<string, number> = {};
     for (const [name, team] of Object.entries(this.getConfiguration().teams)) {
       shares[name] = team.share;
     }
     this.driver.handle({ type: EngineEventType.SharesChanged, shares });
-    this.#controlTimer?.runNow();
-  }
-
-  #findUnconfirmed(isDone: StandingTest): string[] {
-    const missing = this.peers.list()
-      .filter(({ heartbeat }) => !heartbeat || !isDone(heartbeat))
-      .map((peer) => peer.member.incarnation);
-    this.heartbeats.sendTo(missing);
-    return missing;
-  }
-
-  #listCandidates(now: number) {
-    const { control, peers } = this;
-    const engine = this.driver.engine.state;
-    return listCandidates({ control, peers, engine }, now);
+    this.#controlTimer.runNow();
   }
 
   #findControlInterval(): number {
@@ -396,15 +306,10 @@
     this.driver.handle({ type: EngineEventType.Drain });
     this.heartbeats.sendTo(this.peers.list().map((p) => p.member.incarnation));
     this.#controlTimer.runNow();
-    const left = new Promise<void>((resolve) => {
-      this.#left = resolve;
-    });
-    let isLeft = false;
-    left.then(() => isLeft = true);
     const until = clock.now() + DRAIN_HANDOVER_MS;
-    while (!isLeft && !(this.isIdle() && clock.now() >= until)) {
+    while (!this.#hasLeft && !(this.isIdle() && clock.now() >= until)) {
       await clock.sleep(TICK_INTERVAL_MS);
     }
-    log.record(EventCode.DrainFinished, { left: isLeft });
+    log.record(EventCode.DrainFinished, { left: this.#hasLeft });
   }
 }
--- a/packages/entry/fleet_view.ts
+++ b/packages/entry/fleet_view.ts
@@ -27,12 +27,12 @@
     largest: NOTHING,
   };
   for (const endpoint of state.endpointList) {
-    if (!endpoint.canStart(now)) continue;
     const { spec, freeSlots } = endpoint.ledger;
-    load.endpoints += 1;
     load.slots += spec.slots;
-    load.freeSlots += freeSlots;
     load.largest = combineLargest(load.largest, spec.size);
+    if (!endpoint.canStart(now)) continue;
+    load.endpoints += 1;
+    load.freeSlots += freeSlots;
   }
   return load;
 }
--- a/packages/entry/peer_table.ts
+++ b/packages/entry/peer_table.ts
@@ -1,5 +1,6 @@
 import type { Member } from "../membership/mod.ts";
 import type { Heartbeat, OwnerLoad } from "../peers/mod.ts";
+import type { StandingTest } from "./config_service.ts";
 
 /** One other entry, as this entry knows it. */
 export interface Peer {
@@ -61,6 +62,13 @@
     return now - peer.heardAt <= this.#lostAfterMs(peer.domain);
   }
 
+  /** Lists the peers that are not far enough with the configuration. */
+  listUnconfirmed(isDone: StandingTest): string[] {
+    return this.list()
+      .filter(({ heartbeat }) => !heartbeat || !isDone(heartbeat))
+      .map((peer) => peer.member.incarnation);
+  }
+
   /** Notes room taken on a peer since its last heartbeat. */
   noteForward(incarnation: string): void {
     const load = this.#peers.get(incarnation)?.heartbeat?.load;
--- a/packages/peers/types.ts
+++ b/packages/peers/types.ts
@@ -15,11 +15,13 @@
 
 /** How much an owner can take. */
 export interface OwnerLoad {
+  /** Endpoints that take work now. */
   endpoints: number;
+  /** Slots of all owned endpoints. */
   slots: number;
   freeSlots: number;
   waiting: number;
-  /** Largest task that the owner's endpoints could hold. */
+  /** Largest task that any owned endpoint could hold. */
   largest: Size;
 }
 
--- a/tests/virtual/site.ts
+++ b/tests/virtual/site.ts
@@ -12,7 +12,11 @@
 } from "../../packages/config/mod.ts";
 import { CONFIG_PREFIX } from "../../packages/control/mod.ts";
 import { SampledPlacement } from "../../packages/engine/mod.ts";
-import { createPeerHandlers, EntryNode } from "../../packages/entry/mod.ts";
+import {
+  assembleEntryNode,
+  createPeerHandlers,
+  type EntryNode,
+} from "../../packages/entry/mod.ts";
 import {
   EventCode,
   type EventFields,
@@ -145,7 +149,7 @@
       random,
       isUp: () => !this.platformCuts.has(domain),
     };
-    const node = new EntryNode({
+    const node = assembleEntryNode({
       settings,
       clock,
       random,
--- a/tools/capacity_live.ts
+++ b/tools/capacity_live.ts
@@ -12,6 +12,7 @@
 import { Fleet } from "../tests/harness/fleet.ts";
 import { sleep } from "../tests/standins/http_server.ts";
 
+const SETTLE_MS = 4_000;
 const IDLE_MS = 10_000;
 const LOAD_MS = 10_000;
 const RATES = [100, 300, 600];
@@ -25,7 +26,6 @@
 }
 
 const { values } = parseArgs({ options: { json: { type: "boolean" } } });
-const fleet = await Fleet.start({ example: "guanacaste" });
 const rows: string[][] = [[
   "state",
   "CPU of an entry",
@@ -35,22 +35,40 @@
   "store calls/s",
   "ran/s",
 ]];
-try {
-  const entries = [...fleet.entries.values()];
-  await fleet.waitForStatus(entries[0], (s) => s.entries.length === 9);
-  await fleet.applyConfig(entries[0]);
-  await fleet.waitForEndpoints(30);
+let fleet: Fleet;
+await measureSite({}, async () => {
   await measure("idle", IDLE_MS, () => Promise.resolve([]));
   for (const rate of RATES) {
     await measure(`${rate} requests/s`, LOAD_MS, () => sendLoad(rate));
   }
-} finally {
-  await fleet.stop();
-}
+});
+await measureSite({ endpoints: "poll_ms = 300" }, async () => {
+  await measure("idle, polls x 10", IDLE_MS, () => Promise.resolve([]));
+});
+await measureSite({ peers: "heartbeat_ms = 100" }, async () => {
+  await measure("idle, heartbeats x 10", IDLE_MS, () => Promise.resolve([]));
+});
 process.stdout.write(
   values.json ? `${JSON.stringify(rows)}\n` : `${formatTable(rows)}\n`,
 );
 
+async function measureSite(
+  settings: Record<string, string>,
+  run: () => Promise<void>,
+): Promise<void> {
+  fleet = await Fleet.start({ example: "guanacaste", settings });
+  try {
+    const entries = [...fleet.entries.values()];
+    await fleet.waitForStatus(entries[0], (s) => s.entries.length === 9);
+    await fleet.applyConfig(entries[0]);
+    await fleet.waitForEndpoints(30);
+    await sleep(SETTLE_MS);
+    await run();
+  } finally {
+    await fleet.stop();
+  }
+}
+
 async function measure(
   name: string,
   ms: number,
