--- a/tests/virtual/run.ts
+++ b/tests/virtual/run.ts
@@ -1,6 +1,7 @@
 import type { Fault } from "./faults.ts";
 import { FAULTY_MS, healAll, injectFault, restartAll } from "./faults.ts";
-import { findFaults, Site } from "./site.ts";
+import { findFaults } from "./check_site.ts";
+import { Site } from "./site.ts";
 
 const LOAD_INTERVAL_MS = 30;
 const SETTLE_MS = 25_000;
--- /dev/null
+++ b/tools/fault_scenarios.ts
@@ -0,0 +1,116 @@
+import type { Fleet } from "../tests/harness/fleet.ts";
+
+/** One fault: how it begins and how it ends. */
+export interface Scenario {
+  name: string;
+  begin: (fleet: Fleet) => Promise<void>;
+  end: (fleet: Fleet) => Promise<void>;
+}
+
+const VICTIM = "norte-entry-2";
+const nothing = () => Promise.resolve();
+
+/** All faults; the first is none. */
+export const SCENARIOS: Scenario[] = [
+  { name: "none", begin: nothing, end: nothing },
+  {
+    name: "kill -9, restart",
+    begin: async (fleet) => {
+      fleet.signal(VICTIM, "SIGKILL");
+      await fleet.waitForExit(VICTIM);
+      fleet.startEntry(VICTIM);
+    },
+    end: nothing,
+  },
+  {
+    name: "kill -9, VM gone",
+    begin: async (fleet) => {
+      fleet.signal("norte-entry-1", "SIGKILL");
+      await fleet.setPlatform({ removeVms: ["norte-entry-1"] });
+    },
+    end: nothing,
+  },
+  {
+    name: "freeze",
+    begin: (fleet) =>
+      Promise.resolve(fleet.signal("centro-entry-2", "SIGSTOP")),
+    end: (fleet) => Promise.resolve(fleet.signal("centro-entry-2", "SIGCONT")),
+  },
+  {
+    name: "two drains",
+    begin: (fleet) => {
+      fleet.signal("pacifico-entry-2", "SIGTERM");
+      fleet.signal("pacifico-entry-3", "SIGTERM");
+      return Promise.resolve();
+    },
+    end: nothing,
+  },
+  {
+    name: "platform down",
+    begin: async (fleet) => {
+      await fleet.setPlatform({ storeDown: true, vmListDown: true });
+    },
+    end: async (fleet) => {
+      await fleet.setPlatform({ storeDown: false, vmListDown: false });
+    },
+  },
+  {
+    name: "platform slow, loses answers",
+    begin: async (fleet) => {
+      await fleet.setPlatform({ loseAnswers: 20, slowMs: 400 });
+    },
+    end: async (fleet) => {
+      await fleet.setPlatform({ loseAnswers: 0, slowMs: 0 });
+    },
+  },
+  {
+    name: "domain cut from platform",
+    begin: async (fleet) => {
+      await fleet.setPlatform({ cutSources: [`${fleet.network}.1.`] });
+    },
+    end: async (fleet) => {
+      await fleet.setPlatform({ cutSources: [] });
+    },
+  },
+  {
+    name: "domain cut from domains",
+    begin: async (fleet) => {
+      const { network } = fleet;
+      const cuts: [string, string][] = [
+        [`${network}.1.`, `${network}.2.`],
+        [`${network}.1.`, `${network}.3.`],
+      ];
+      await fleet.setRelay({ cuts });
+    },
+    end: (fleet) => fleet.setRelay({ cuts: [] }),
+  },
+  {
+    name: "entry cut from endpoints",
+    begin: (fleet) => setEndpointCut(fleet, [`${fleet.network}.1.3`]),
+    end: (fleet) => setEndpointCut(fleet, []),
+  },
+];
+
+async function setEndpointCut(
+  fleet: Fleet,
+  cutSources: string[],
+): Promise<void> {
+  const endpoints = Array.from(
+    { length: 10 },
+    (_, index) => `norte-worker-${String(index + 1).padStart(2, "0")}`,
+  );
+  await fleet.setEndpoints("norte", { endpoints, cutSources });
+}
+
+/** Two faults at once. */
+export function combineScenarios(a: Scenario, b: Scenario): Scenario {
+  return {
+    name: `${a.name} + ${b.name}`,
+    begin: async (fleet) => {
+      await Promise.all([a.begin(fleet), b.begin(fleet)]);
+    },
+    end: async (fleet) => {
+      await Promise.all([a.end(fleet), b.end(fleet)]);
+    },
+  };
+}
