Keep loops alive after a failed step; read a VM list that began anew

Cause: reading the code: a step of a loop that threw would end the process by an unhandled rejection, and a VM list whose revisions began anew would never be read whole again. Ruled out: nothing; both follow from the code.

--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -84,6 +84,7 @@
     this.#controlTimer = new Loop(clock, {
       step: () => this.controlLoop.step(),
       intervalMs: () => this.#findControlInterval(),
+      onError: (error) => this.#recordFault(error),
     });
     this.#loops = [this.#controlTimer, ...this.#createLoops()];
   }
@@ -241,6 +242,12 @@
       !this.control.isExpelled();
   }
 
+  #recordFault(error: unknown): void {
+    this.parts.metrics.countEvent("loop_failures");
+    const fields = { error: String(error) };
+    this.parts.log.record(EventCode.InvariantBroken, fields);
+  }
+
   #tick(): void {
     const now = this.parts.clock.now();
     const pausedMs = this.#pause.tick(now);
@@ -262,7 +269,11 @@
     const { clock, settings } = this.parts;
     const { heartbeat_ms } = settings.peers;
     const create = (intervalMs: number, step: () => Promise<void> | void) =>
-      new Loop(clock, { step, intervalMs: () => intervalMs });
+      new Loop(clock, {
+        step,
+        intervalMs: () => intervalMs,
+        onError: (error) => this.#recordFault(error),
+      });
     return [
       create(CONTROL_INTERVAL_MS, () => this.controlLoop.readVmList()),
       create(heartbeat_ms, () => this.heartbeats.sendRound()),
--- a/packages/entry/loop.ts
+++ b/packages/entry/loop.ts
@@ -4,6 +4,7 @@
 export class Loop {
   readonly #step: () => Promise<void> | void;
   readonly #intervalMs: () => number;
+  readonly #onError: (error: unknown) => void;
   readonly #clock: Clock;
   #cancel: () => void = () => {};
   #stopped = true;
@@ -15,11 +16,14 @@
     options: {
       step: () => Promise<void> | void;
       intervalMs: () => number;
+      /** Called when a step fails; the loop goes on. */
+      onError: (error: unknown) => void;
     },
   ) {
     this.#clock = clock;
     this.#step = options.step;
     this.#intervalMs = options.intervalMs;
+    this.#onError = options.onError;
   }
 
   /** Starts with a step at once. */
@@ -45,6 +49,8 @@
     this.#running = true;
     try {
       await this.#step();
+    } catch (error) {
+      this.#onError(error);
     } finally {
       this.#running = false;
       if (!this.#stopped) this.#schedule();
--- a/packages/membership/vm_tracker.ts
+++ b/packages/membership/vm_tracker.ts
@@ -33,6 +33,11 @@
 
   /** Adopts the answer to a call that was sent at `sentAt`. */
   observe(listing: VmListing, sentAt: number): void {
+    if (!listing.complete && listing.revision < this.#revision) {
+      // The list began anew: the next call asks for the whole of it.
+      this.#revision = 0;
+      return;
+    }
     if (listing.complete) this.#vms.clear();
     for (const vm of listing.changed) this.#vms.set(vm.id, vm);
     for (const id of listing.removed) this.#vms.delete(id);
