Give the stand-ins leases, watches, a lagging VM list and checkpoints

Cause: the stand-ins lacked parts of the platform that the planned work needs. Change: the platform's stand-in has leases, watches and a list that lags; an endpoint's has checkpoint, throttle and usage that lags by one report. Before: none of these.

--- a/tests/e2e/adapters_test.ts
+++ b/tests/e2e/adapters_test.ts
@@ -1,5 +1,6 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { mkdtempSync, writeFileSync } from "node:fs";
+import { Buffer } from "node:buffer";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
@@ -95,6 +96,27 @@
   });
 });
 
+test.serial("the stand-in store has leases and watches", async (t) => {
+  const url = `http://${HOST}:2379`;
+  const encode = (text: string) => Buffer.from(text).toString("base64");
+  const post = (path: string, body: unknown) => postJson(url + path, body);
+  const watch = await fetch(`${url}/v3/watch`, {
+    method: "POST",
+    body: JSON.stringify({ create_request: { key: encode("/t/lease") } }),
+  });
+  const reader = watch.body!.getReader();
+  t.teardown(() => reader.cancel());
+  const lease = await post("/v3/lease/grant", { TTL: 1 }) as { ID: string };
+  const put = { key: encode("/t/lease"), value: "", lease: lease.ID };
+  await post("/v3/kv/txn", { success: [{ request_put: put }] });
+  await post("/v3/lease/keepalive", { ID: lease.ID });
+  let seen = "";
+  while (!seen.includes("DELETE")) {
+    seen += new TextDecoder().decode((await reader.read()).value);
+  }
+  t.regex(seen, /created.*\n.*PUT.*\n.*DELETE/);
+});
+
 test.serial("the VM list gives the whole and then the changes", async (t) => {
   const url = `http://${HOST}:2380`;
   const list = new HttpVmList({ url, domain: "norte", timeoutMs: 500 });
--- a/tests/harness/check_history.ts
+++ b/tests/harness/check_history.ts
@@ -42,7 +42,7 @@
   const faults: string[] = [];
   const running = new Map<string, number>();
   for (const line of history) {
-    if (line.event === "violation") continue;
+    if (line.event !== "start" && line.event !== "end") continue;
     const delta = line.event === "start" ? 1 : -1;
     const count = (running.get(line.team) ?? 0) + delta;
     running.set(line.team, count);
--- a/tests/standins/endpoint_host.ts
+++ b/tests/standins/endpoint_host.ts
@@ -33,7 +33,7 @@
 /** One line of the history that a checker reads. */
 export interface HistoryLine {
   at: number;
-  event: "start" | "end" | "violation";
+  event: "start" | "end" | "violation" | "checkpoint" | "throttle";
   endpoint: string;
   task: string;
   team: string;
@@ -76,6 +76,8 @@
   readonly vm: Vm;
   readonly tasks = new Map<string, Task>();
   faults: Omit<EndpointFaults, "endpoints"> = {};
+  /** Use at the last report: what is told lags behind by one. */
+  #lastUsage: Size = { cores: 0, memoryMb: 0, accelerators: 0 };
 
   constructor(vm: Vm) {
     this.vm = vm;
@@ -94,6 +96,8 @@
     const url = request.url ?? "";
     if (url === "/v1/tasks") return this.#start(request, response, body);
     if (url === "/v1/lease") return this.#renew(response, body);
+    const action = /^\/v1\/tasks\/([^/]+)\/(checkpoint|throttle)$/.exec(url);
+    if (action) return this.#mark(response, action[1], action[2]);
     const stop = /^\/v1\/tasks\/([^/]+)\/stop$/.exec(url);
     if (!stop) return sendJson(response, { error: url }, { status: 404 });
     this.tasks.get(stop[1])?.stop();
@@ -152,6 +156,15 @@
     }, this.faults.failing ? 1 : Number(payload.run_ms ?? 10));
   }
 
+  /** Notes a checkpoint or a throttle in the history. */
+  #mark(response: ServerResponse, id: string, detail: string): void {
+    const task = this.tasks.get(id);
+    if (task) {
+      record(detail as "checkpoint", { endpoint: this.vm.id, task, detail });
+    }
+    sendJson(response, { known: task !== undefined });
+  }
+
   #renew(response: ServerResponse, body: string): void {
     const leaseEnds = Date.now() + JSON.parse(body).lease_ms;
     const usage = { cores: 0, memoryMb: 0, accelerators: 0 };
@@ -163,7 +176,9 @@
       const { id, labels, kind, size } = task;
       return { id, labels, kind, size };
     });
-    sendJson(response, { tasks, usage, leaving: !!this.faults.leaving });
+    const told = this.#lastUsage;
+    this.#lastUsage = usage;
+    sendJson(response, { tasks, usage: told, leaving: !!this.faults.leaving });
   }
 
   #answer(
--- a/tests/standins/platform.ts
+++ b/tests/standins/platform.ts
@@ -1,6 +1,6 @@
 /**
- * Stand-in for the platform: the key-value service with the transactions of
- * etcd's JSON gateway, and the VM list. `POST /control` brings about faults.
+ * Stand-in for the platform: the key-value service with the transactions,
+ * leases and watches of etcd's JSON gateway, and the VM list with a lag. `POST /control` brings about faults.
  *
  * Usage: node platform.js HOST STORE_PORT VM_LIST_PORT VMS_FILE
  */
@@ -24,6 +24,8 @@
   /** VMs to take off the list, or to mark as leaving. */
   removeVms?: string[];
   leavingVms?: string[];
+  /** How late the list shows a change, in milliseconds. */
+  vmListLagMs?: number;
   /** VMs to put back on the list. */
   restoreVms?: string[];
   /** Takes a copy of the store, or puts the copy back. */
@@ -33,6 +35,13 @@
 interface Stored {
   value: string;
   modRevision: number;
+  lease?: string;
+}
+
+interface Watcher {
+  from: string;
+  to: string;
+  response: ServerResponse;
 }
 
 interface Vm {
@@ -45,6 +54,7 @@
   storeDown: false,
   vmListDown: false,
   slowMs: 0,
+  vmListLagMs: 0,
   loseAnswers: 0,
   cutSources: [] as string[],
 };
@@ -53,6 +63,8 @@
 class StandInStore {
   #values = new Map<string, Stored>();
   #revision = 1;
+  readonly #leases = new Map<string, { ttlMs: number; ends: number }>();
+  readonly #watchers = new Set<Watcher>();
   #backup: { values: Map<string, Stored>; revision: number } | undefined;
 
   // deno-lint-ignore no-explicit-any
@@ -75,6 +87,44 @@
     return { header, succeeded, responses };
   }
 
+  /** Grants a lease of some seconds. */
+  grantLease(ttlSeconds: number): { ID: string; TTL: string } {
+    const id = String(this.#leases.size + 1);
+    const ttlMs = ttlSeconds * 1_000;
+    this.#leases.set(id, { ttlMs, ends: Date.now() + ttlMs });
+    return { ID: id, TTL: String(ttlSeconds) };
+  }
+
+  /** Renews a lease; a lapsed one has a time of 0. */
+  renewLease(id: string): { result: { ID: string; TTL: string } } {
+    const lease = this.#leases.get(id);
+    if (lease) lease.ends = Date.now() + lease.ttlMs;
+    const ttl = lease ? lease.ttlMs / 1_000 : 0;
+    return { result: { ID: id, TTL: String(ttl) } };
+  }
+
+  /** Deletes the keys of lapsed leases. */
+  expireLeases(now: number): void {
+    for (const [id, { ends }] of this.#leases) {
+      if (now < ends) continue;
+      this.#leases.delete(id);
+      for (const [key, stored] of this.#values) {
+        if (stored.lease !== id) continue;
+        this.#values.delete(key);
+        this.#revision += 1;
+        this.#notify("DELETE", key);
+      }
+    }
+  }
+
+  /** Sends every later change of some keys over one response. */
+  addWatcher(watcher: Watcher): void {
+    this.#watchers.add(watcher);
+    watcher.response.writeHead(200, { "content-type": "application/json" });
+    watcher.response.write('{"result":{"created":true}}\n');
+    watcher.response.on("close", () => this.#watchers.delete(watcher));
+  }
+
   takeBackup(): void {
     this.#backup = {
       values: new Map(this.#values),
@@ -88,6 +138,20 @@
     this.#revision = this.#backup.revision;
   }
 
+  #notify(type: "PUT" | "DELETE", key: string): void {
+    const kv = {
+      key: Buffer.from(key).toString("base64"),
+      value: this.#values.get(key)?.value,
+      mod_revision: String(this.#revision),
+    };
+    const line = JSON.stringify({ result: { events: [{ type, kv }] } });
+    for (const { from, to, response } of this.#watchers) {
+      if (key >= from && (to === "" ? key === from : key < to)) {
+        response.write(`${line}\n`);
+      }
+    }
+  }
+
   // deno-lint-ignore no-explicit-any
   #run(operation: any) {
     const { request_put: put, request_range: range } = operation;
@@ -95,7 +159,9 @@
       this.#values.set(decode(put.key), {
         value: put.value,
         modRevision: this.#revision,
+        lease: put.lease,
       });
+      this.#notify("PUT", decode(put.key));
       return { response_put: {} };
     }
     const from = decode(range.key);
@@ -176,6 +242,9 @@
     response.destroy();
     return;
   }
+  if (request.url !== "/v3/kv/txn") {
+    return serveLeaseOrWatch(request, response, body);
+  }
   const txn = JSON.parse(body);
   const isCommit = (txn.compare ?? []).length > 0;
   counts[isCommit ? "commits" : "reads"] += 1;
@@ -189,6 +258,26 @@
   sendJson(response, answer);
 }
 
+function serveLeaseOrWatch(
+  request: IncomingMessage,
+  response: ServerResponse,
+  body: string,
+): void {
+  const message = JSON.parse(body);
+  if (request.url === "/v3/lease/grant") {
+    return sendJson(response, store.grantLease(Number(message.TTL)));
+  }
+  if (request.url === "/v3/lease/keepalive") {
+    return sendJson(response, store.renewLease(String(message.ID)));
+  }
+  if (request.url === "/v3/watch") {
+    const { key, range_end = "" } = message.create_request;
+    const from = decode(key);
+    return store.addWatcher({ from, to: decode(range_end), response });
+  }
+  sendJson(response, { error: "no such call" }, { status: 404 });
+}
+
 async function serveVmList(
   request: IncomingMessage,
   response: ServerResponse,
@@ -209,9 +298,13 @@
   const change: PlatformFaults = JSON.parse(body);
   const { removeVms, leavingVms, restoreVms, backup, ...rest } = change;
   Object.assign(faults, rest);
-  for (const id of removeVms ?? []) vmList.remove(id);
-  for (const id of leavingVms ?? []) vmList.markLeaving(id);
-  for (const id of restoreVms ?? []) vmList.restore(id);
+  const changeList = () => {
+    for (const id of removeVms ?? []) vmList.remove(id);
+    for (const id of leavingVms ?? []) vmList.markLeaving(id);
+    for (const id of restoreVms ?? []) vmList.restore(id);
+  };
+  if (faults.vmListLagMs === 0) changeList();
+  else setTimeout(changeList, faults.vmListLagMs);
   if (backup === "take") store.takeBackup();
   if (backup === "restore") store.restoreBackup();
   sendJson(response, counts);
@@ -222,4 +315,5 @@
 const vmList = new StandInVmList(JSON.parse(readFileSync(vmsFile, "utf8")));
 await listen({ host, port: Number(storePort) }, serveStore);
 await listen({ host, port: Number(vmListPort) }, serveVmList);
+setInterval(() => store.expireLeases(Date.now()), 100);
 process.stdout.write("ready\n");
