Accept a staged version also when the store was set back

Change: both write the whole configuration when the store is behind, by the same compare-and-swap on its head.

--- a/packages/entry/config_service.ts
+++ b/packages/entry/config_service.ts
@@ -173,11 +173,12 @@
     const { base, author } = options;
     if (base !== state.head.version) throw new ConfigConflictError(state.head);
     const changes = diffItems(listNewestItems(state), items).length;
-    if (changes > 0) {
+    const whole = this.#isStoreBehind(stored);
+    if (changes > 0 || whole) {
       const writer = this.#makeId();
       const now = this.#clock.now();
       const update = stageItems(state, items, { author, writer, now });
-      await this.#write(update, { stored, whole: this.#isStoreBehind(stored) });
+      await this.#write(update, { stored, whole });
     }
     return { changes, ...await this.#finishApply() };
   }
@@ -196,13 +197,13 @@
     if (confirmed <= head.accepted) return;
     const stored = await this.#readStored();
     if (this.#state.head !== head) return;
-    if (this.#isStoreBehind(stored)) return;
     const accepted = {
       ...head,
       accepted: confirmed,
       writer: this.#makeId(),
     };
-    await this.#write({ head: accepted, pages: [] }, { stored, whole: false });
+    const whole = this.#isStoreBehind(stored);
+    await this.#write({ head: accepted, pages: [] }, { stored, whole });
   }
 
   async #finishApply(): Promise<Omit<ApplyResult, "changes">> {
