Count a refusal by an entry that is not ready as a refusal of the key

The trace shows three requests answered `not_ready`: an entry that had just started on a restored configuration refused them before dispatch, and none of them started on an endpoint. Ruled out: a start; the check of "not run" against the endpoints' starts holds.

--- a/tests/virtual/check_site.ts
+++ b/tests/virtual/check_site.ts
@@ -44,10 +44,14 @@
   return faults;
 }
 
-/** Ends before or at the check of the key. */
+/**
+ * Refusals that take no work: before or at the check of the key, or by an entry
+ * that has just started and has not heard of a peer's configuration yet.
+ */
 const REFUSED_KEY_CAUSES = new Set([
   Cause.Unauthenticated,
   Cause.UnknownQueue,
+  Cause.NotReady,
 ]);
 
 function findAnswerFaults(request: SiteRequest, name: string): string[] {
