--- a/packages/base/clock.ts
+++ b/packages/base/clock.ts
@@ -23,3 +23,10 @@
     return () => clearTimeout(timer);
   }
 }
+
+/** A clock that never jumps; it begins at the time of day of its start. */
+export class SteadyClock extends SystemClock {
+  override now(): number {
+    return performance.timeOrigin + performance.now();
+  }
+}
--- a/packages/base/errors.ts
+++ b/packages/base/errors.ts
@@ -23,3 +23,9 @@
 export function assertInvariant(holds: boolean, message: string): void {
   if (!holds) throw new InvariantError(message);
 }
+
+/** The store has dropped the history that a watch asked for. */
+export class HistoryGoneError extends BaobabheadError {}
+
+/** The other side answered that it did nothing, such as status 429 or 503. */
+export class RefusedError extends NotSentError {}
--- /dev/null
+++ b/packages/cell/constants.ts
@@ -0,0 +1,41 @@
+/** How much slower than this process an endpoint's clock may run. */
+export const CLOCK_DRIFT = 0.02;
+
+/** Added to the end of a lease for the message's way, in milliseconds. */
+export const LEASE_MARGIN_MS = 250;
+
+/** A ticket is not used in the last part of its life, in milliseconds. */
+export const TICKET_MARGIN_MS = 150;
+
+/** First pause before a refused task is started again, in milliseconds. */
+export const RETRY_PAUSE_MS = 150;
+
+/** Longest pause before a task is started again, in milliseconds. */
+export const MAX_RETRY_PAUSE_MS = 2_000;
+
+/** An endpoint that refused or did not answer gets nothing for this long. */
+export const ENDPOINT_PAUSE_MS = 1_000;
+
+/** Failed runs of different jobs in a row that eject an endpoint. */
+export const EJECT_AFTER_FAILURES = 3;
+
+/** An ejected endpoint gets one task after this time, in milliseconds. */
+export const EJECT_MS = 4_000;
+
+/** Largest part of a service's endpoints that may be ejected. */
+export const MAX_EJECTED_PART = 0.34;
+
+/** A run without progress for this long is restarted elsewhere, in ms. */
+export const STALL_MS = 2_500;
+
+/** Blocked gangs for which room is kept free at the same time. */
+export const MAX_RESERVATIONS = 3;
+
+/** Calls for advice of one step that may be under way at once. */
+export const MAX_ADVICE_RETRIES = 50;
+
+/** Pause after a failed call for advice, in milliseconds. */
+export const ADVICE_RETRY_MS = 100;
+
+/** Run numbers of one ownership term; later terms use higher ones. */
+export const RUNS_PER_TERM = 1_000;
--- /dev/null
+++ b/packages/cell/plan.ts
@@ -0,0 +1,326 @@
+import { addDemand, makeNoDemand } from "../jobs/mod.ts";
+import { MAX_RESERVATIONS } from "./constants.ts";
+import { breakGang } from "./ends.ts";
+import {
+  canServe,
+  canStart,
+  countBelowCap,
+  countRoom,
+  groupByRack,
+  hasTicket,
+  isAllowed,
+  listEjected,
+  type PlacementView,
+} from "./placement.ts";
+import { addDecision, addRun, type CellState } from "./state.ts";
+import { getStep } from "./stages.ts";
+import {
+  DecisionKind,
+  type Endpoint,
+  OrderKind,
+  type Run,
+  RunPhase,
+  type Stage,
+  type Task,
+  TaskPhase,
+} from "./types.ts";
+
+/** Most endpoints that one call for advice may name. */
+const MAX_ADVICE_ENDPOINTS = 100;
+
+interface Pass extends PlacementView {
+  ejected: Set<Endpoint>;
+  reservedGangs: number;
+}
+
+interface Candidates {
+  /** May run the stage, if the policy allows it. */
+  serving: Endpoint[];
+  /** Allowed, and takes orders now. */
+  usable: Endpoint[];
+}
+
+/** Plans starts and calls for advice for all that waits. */
+export function planStarts(state: CellState, now: number): void {
+  const pass: Pass = {
+    state,
+    now,
+    reservations: new Map(),
+    ejected: listEjected(state, now),
+    reservedGangs: 0,
+  };
+  for (const stage of sortStages(state, now)) {
+    if (stage.waiting === 0 || stage.job.outcome) continue;
+    const candidates = listCandidates(pass, stage);
+    if (!askFirst(pass, stage, candidates)) continue;
+    if (!stage.job.isCommitted) continue;
+    if (getStep(stage).gang) planGang(pass, stage, candidates);
+    else planTasks(pass, stage, candidates);
+  }
+}
+
+/** Sorts the stages that wait: who is owed service first, then the due time. */
+function sortStages(state: CellState, now: number): Stage[] {
+  const rank = (stage: Stage) => {
+    const { job } = stage;
+    const isLate = now > job.dueAt ? 1 : 0;
+    return (job.isOverShare ? 4 : 0) + isLate * 2;
+  };
+  return [...state.ready].sort((a, b) =>
+    rank(a) - rank(b) ||
+    a.job.spec.queue.priority - b.job.spec.queue.priority ||
+    a.job.dueAt - b.job.dueAt
+  );
+}
+
+function listCandidates(pass: Pass, stage: Stage): Candidates {
+  const serving: Endpoint[] = [];
+  const usable: Endpoint[] = [];
+  for (const endpoint of pass.state.endpoints.values()) {
+    if (!canServe(endpoint, stage)) continue;
+    serving.push(endpoint);
+    if (pass.ejected.has(endpoint) || !canStart(endpoint, pass.now)) continue;
+    if (isAllowed(stage, endpoint)) usable.push(endpoint);
+  }
+  return { serving, usable };
+}
+
+/** Asks which endpoints may run a stage; false while nothing is known. */
+function askFirst(pass: Pass, stage: Stage, candidates: Candidates): boolean {
+  if (!stage.job.spec.queue.advice) return true;
+  if (stage.advice.asked.size > 0) return true;
+  askAdvice(pass, stage, candidates.serving);
+  return false;
+}
+
+function askAdvice(pass: Pass, stage: Stage, endpoints: Endpoint[]): void {
+  const rules = stage.job.spec.queue.advice;
+  const { advice } = stage;
+  if (!rules || advice.isAsking || pass.now < advice.retryAt) return;
+  if (endpoints.length === 0) return;
+  advice.isAsking = true;
+  const named = endpoints.slice(0, MAX_ADVICE_ENDPOINTS);
+  pass.state.output.orders.push({
+    kind: OrderKind.AskAdvice,
+    stage,
+    endpoints: named.map(({ info }) => info.id),
+    costMs: rules.decideMs + rules.perEndpointMs * named.length,
+  });
+}
+
+/** Asks for endpoints not named yet, when those allowed have no room. */
+function askFurther(pass: Pass, stage: Stage, candidates: Candidates): void {
+  const unasked = candidates.serving.filter(({ info }) =>
+    !stage.advice.asked.has(info.id)
+  );
+  askAdvice(pass, stage, unasked);
+}
+
+function planTasks(pass: Pass, stage: Stage, candidates: Candidates): void {
+  let allowance = countBelowCap(pass.state, stage);
+  if (allowance === 0) return;
+  const rooms = new Map<Endpoint, number>();
+  for (const endpoint of candidates.usable) {
+    const room = countRoom(pass, endpoint, stage);
+    if (room > 0) rooms.set(endpoint, room);
+  }
+  if (rooms.size === 0) return askFurther(pass, stage, candidates);
+  let isTicketMissing = false;
+  for (const task of stage.tasks) {
+    if (allowance <= 0) break;
+    if (task.phase !== TaskPhase.Waiting || pass.now < task.notBefore) continue;
+    const open = [...rooms.keys()].filter((endpoint) =>
+      hasTicket(stage, endpoint, pass.now)
+    );
+    if (open.length === 0) {
+      isTicketMissing = rooms.size > 0;
+      break;
+    }
+    const endpoint = chooseFullest(preferRack(open, stage), task);
+    startTask(pass, stage, { task, endpoint, run: task.lastRun + 1 });
+    allowance--;
+    const left = (rooms.get(endpoint) ?? 0) - 1;
+    if (left > 0) rooms.set(endpoint, left);
+    else rooms.delete(endpoint);
+  }
+  if (isTicketMissing) askAdvice(pass, stage, [...rooms.keys()]);
+}
+
+/** Keeps to the rack where the data is, while it has room. */
+function preferRack(endpoints: Endpoint[], stage: Stage): Endpoint[] {
+  const { preferredRack } = getStep(stage);
+  if (preferredRack === "") return endpoints;
+  const near = endpoints.filter(({ info }) => info.rack === preferredRack);
+  return near.length > 0 ? near : endpoints;
+}
+
+/** Packs small work tightly, so that whole endpoints stay free for gangs. */
+function chooseFullest(endpoints: Endpoint[], task: Task): Endpoint {
+  const others = endpoints.filter(({ info }) => info.id !== task.avoid);
+  const open = others.length > 0 ? others : endpoints;
+  return open.reduce((best, endpoint) =>
+    measureFreeCores(endpoint) < measureFreeCores(best) ? endpoint : best
+  );
+}
+
+function measureFreeCores(endpoint: Endpoint): number {
+  return endpoint.info.capacity.milliCores - endpoint.used.milliCores;
+}
+
+/** Places a gang whole or not at all. */
+function planGang(pass: Pass, stage: Stage, candidates: Candidates): void {
+  if (!isGangWaiting(pass, stage)) return;
+  if (countBelowCap(pass.state, stage) < stage.tasks.length) return;
+  const avoided = new Set(stage.tasks.map((task) => task.avoid));
+  const fresh = candidates.usable.filter(({ info, failuresInRow }) =>
+    !avoided.has(info.id) && failuresInRow === 0
+  );
+  const groups = getStep(stage).rackLocal
+    ? groupByRack(candidates.usable)
+    : [fresh, candidates.usable];
+  for (const group of groups) {
+    const places = placeGang(pass, stage, group);
+    if (!places) continue;
+    const isTicketed = places.every((endpoint) =>
+      hasTicket(stage, endpoint, pass.now)
+    );
+    if (isTicketed) return startGang(pass, stage, places);
+    // The room is kept until the new tickets come.
+    reservePlaces(pass, stage, places);
+    return askAdvice(pass, stage, [...new Set(places)]);
+  }
+  askFurther(pass, stage, candidates);
+  reserveForGang(pass, stage, candidates.usable);
+}
+
+function isGangWaiting(pass: Pass, stage: Stage): boolean {
+  if (stage.tasks.some(({ phase }) => phase === TaskPhase.Unlocated)) {
+    return false;
+  }
+  if (stage.tasks.some(({ run }) => run)) {
+    // What a former owner started of it, or what is left of a broken one.
+    breakGang(pass.state, stage, pass.now);
+    return false;
+  }
+  return stage.tasks.every(({ notBefore }) => pass.now >= notBefore);
+}
+
+function placeGang(
+  pass: Pass,
+  stage: Stage,
+  endpoints: Endpoint[],
+): Endpoint[] | undefined {
+  const rooms = endpoints
+    .map((endpoint) => ({
+      endpoint,
+      room: countRoom(pass, endpoint, stage),
+      isTicketed: hasTicket(stage, endpoint, pass.now),
+    }))
+    .filter(({ room }) => room > 0)
+    .sort((a, b) =>
+      Number(b.isTicketed) - Number(a.isTicketed) || b.room - a.room
+    );
+  const places: Endpoint[] = [];
+  for (const { endpoint, room } of rooms) {
+    for (let n = 0; n < room && places.length < stage.tasks.length; n++) {
+      places.push(endpoint);
+    }
+  }
+  return places.length === stage.tasks.length ? places : undefined;
+}
+
+function startGang(pass: Pass, stage: Stage, places: Endpoint[]): void {
+  const run = Math.max(...stage.tasks.map((task) => task.lastRun)) + 1;
+  for (const [index, task] of stage.tasks.entries()) {
+    startTask(pass, stage, { task, endpoint: places[index], run });
+  }
+}
+
+function reservePlaces(pass: Pass, stage: Stage, places: Endpoint[]): void {
+  const { demand } = getStep(stage);
+  for (const endpoint of places) reserveRoom(pass, endpoint, { demand });
+}
+
+/** Keeps later work off the endpoints that have most room for a gang. */
+function reserveForGang(
+  pass: Pass,
+  stage: Stage,
+  usable: Endpoint[],
+): void {
+  if (pass.reservedGangs >= MAX_RESERVATIONS) return;
+  pass.reservedGangs++;
+  const { demand } = getStep(stage);
+  const byRoom = [...usable].sort((a, b) =>
+    measureFreeCores(b) - measureFreeCores(a)
+  );
+  let missing = stage.tasks.length;
+  for (const endpoint of byRoom) {
+    if (missing <= 0) return;
+    const most = Math.floor(
+      endpoint.info.capacity.milliCores / Math.max(1, demand.milliCores),
+    );
+    const tasks = Math.min(missing, most);
+    missing -= tasks;
+    reserveRoom(pass, endpoint, { demand, tasks });
+  }
+}
+
+function reserveRoom(
+  pass: Pass,
+  endpoint: Endpoint,
+  options: { demand: Run["demand"]; tasks?: number },
+): void {
+  let reserved = pass.reservations.get(endpoint);
+  if (!reserved) {
+    reserved = makeNoDemand();
+    pass.reservations.set(endpoint, reserved);
+  }
+  addDemand(reserved, options.demand, options.tasks ?? 1);
+}
+
+function startTask(
+  pass: Pass,
+  stage: Stage,
+  options: { task: Task; endpoint: Endpoint; run: number },
+): void {
+  const { state, now } = pass;
+  const { task, endpoint } = options;
+  const run: Run = {
+    task: task.name,
+    number: options.run,
+    endpoint,
+    demand: getStep(stage).demand,
+    organisation: stage.job.spec.organisation,
+    phase: RunPhase.Starting,
+    settledAt: now,
+    startedAt: now,
+    isStopAcknowledged: false,
+    isStopUnderWay: false,
+    percent: 0,
+    progressAt: now,
+  };
+  addRun(state, run);
+  task.phase = TaskPhase.Placed;
+  task.run = run;
+  task.lastRun = options.run;
+  stage.waiting--;
+  if (stage.waiting === 0) state.ready.delete(stage);
+  stage.job.hasStarted = true;
+  const ticket = stage.advice.allowed.get(endpoint.info.id)?.ticket ?? "";
+  state.output.orders.push({
+    kind: OrderKind.Start,
+    run,
+    payload: stage.job.spec.payload,
+    saved: task.saved,
+    ticket,
+  });
+  addDecision(state, {
+    kind: DecisionKind.Started,
+    subject: task.name,
+    inputs: {
+      run: run.number,
+      endpoint: endpoint.info.id,
+      freeMilliCores: measureFreeCores(endpoint),
+    },
+  });
+}
--- /dev/null
+++ b/packages/cell/snapshot.ts
@@ -0,0 +1,214 @@
+import { type JournalRecord, RecordKind } from "../journal/mod.ts";
+import { type JobSpec, JobState } from "../jobs/mod.ts";
+import { applyEnd, type Present } from "./ends.ts";
+import { makeEndpoint } from "./endpoints.ts";
+import type { CellState } from "./state.ts";
+import { addUnlocated, buildJob, openStages } from "./stages.ts";
+import {
+  type EndedJob,
+  type Endpoint,
+  type Job,
+  type Stage,
+  type Task,
+  TaskPhase,
+} from "./types.ts";
+
+/** What lasts of one task. */
+interface TaskSnapshot {
+  name: string;
+  isDone: boolean;
+  lastEndedRun: number;
+  failures: number;
+  saved: string;
+}
+
+/** What lasts of one job. Times: Unix milliseconds. */
+interface JobSnapshot {
+  spec: JobSpec;
+  acceptedAt: number;
+  outcome?: JobState;
+  tasks: TaskSnapshot[];
+  gangFailures: number[];
+}
+
+/** All of a cell's state that must last. */
+export interface CellSnapshot {
+  jobs: JobSnapshot[];
+  ended: [string, EndedJob][];
+  endpoints: { id: string; address: string; service: string }[];
+}
+
+/** Exports what must last, as of all decisions so far. */
+export function exportSnapshot(state: CellState): CellSnapshot {
+  const endpoints = [...state.endpoints.values()]
+    .filter((endpoint) => endpoint.isRecorded || endpoint.isRecording)
+    .map(({ info }) => ({
+      id: info.id,
+      address: info.address,
+      service: info.service,
+    }));
+  return {
+    jobs: [...state.jobs.values()].map(exportJob),
+    ended: [...state.ended],
+    endpoints,
+  };
+}
+
+/** Restores what a snapshot and the records after it hold. */
+export function restoreCell(
+  state: CellState,
+  contents: { snapshot?: CellSnapshot; records: JournalRecord[] },
+  present: Present,
+): void {
+  for (const [id, ended] of contents.snapshot?.ended ?? []) {
+    state.ended.set(id, ended);
+  }
+  for (const endpoint of contents.snapshot?.endpoints ?? []) {
+    restoreEndpoint(state, endpoint);
+  }
+  for (const job of contents.snapshot?.jobs ?? []) {
+    restoreJob(state, job, present);
+  }
+  for (const record of contents.records) applyRecord(state, record, present);
+  for (const job of state.jobs.values()) {
+    if (job.outcome) {
+      retireJob(state, job, present.wallNow);
+      continue;
+    }
+    openStages(state, job, present.wallNow);
+    for (const stage of job.stages) {
+      for (const task of stage.tasks) addUnlocated(state, { stage, task });
+    }
+  }
+}
+
+/** Moves a job that has ended, and that the store knows, to the ended ones. */
+export function retireJob(state: CellState, job: Job, wallNow: number): void {
+  if (!job.outcome) return;
+  job.shownOutcome = job.outcome;
+  state.jobs.delete(job.spec.id);
+  state.ended.set(job.spec.id, {
+    organisation: job.spec.organisation,
+    state: job.outcome,
+    at: wallNow,
+  });
+}
+
+function exportJob(job: Job): JobSnapshot {
+  const tasks = job.stages.flatMap((stage) => stage.tasks)
+    .filter((task) => task.phase === TaskPhase.Done || task.lastEndedRun > 0)
+    .map((task) => ({
+      name: task.name,
+      isDone: task.phase === TaskPhase.Done,
+      lastEndedRun: task.lastEndedRun,
+      failures: task.failures,
+      saved: task.saved,
+    }));
+  return {
+    spec: job.spec,
+    acceptedAt: job.acceptedAt,
+    outcome: job.outcome,
+    tasks,
+    gangFailures: job.stages.map((stage) => stage.gangFailures),
+  };
+}
+
+function restoreJob(
+  state: CellState,
+  snapshot: JobSnapshot,
+  present: Present,
+): void {
+  const job = addStoredJob(state, snapshot.spec, {
+    acceptedAt: snapshot.acceptedAt,
+    present,
+  });
+  job.outcome = snapshot.outcome;
+  const byName = new Map(snapshot.tasks.map((task) => [task.name, task]));
+  for (const [index, stage] of job.stages.entries()) {
+    stage.gangFailures = snapshot.gangFailures[index] ?? 0;
+    for (const task of stage.tasks) {
+      const stored = byName.get(task.name);
+      if (stored) restoreTask(stage, task, stored);
+    }
+    if (stage.remaining === 0) job.remaining--;
+  }
+}
+
+function restoreTask(stage: Stage, task: Task, stored: TaskSnapshot): void {
+  task.lastEndedRun = stored.lastEndedRun;
+  task.lastRun = Math.max(task.lastRun, stored.lastEndedRun);
+  task.failures = stored.failures;
+  task.saved = stored.saved;
+  if (!stored.isDone) return;
+  task.phase = TaskPhase.Done;
+  stage.remaining--;
+  stage.waiting--;
+}
+
+function addStoredJob(
+  state: CellState,
+  spec: JobSpec,
+  options: { acceptedAt: number; present: Present },
+): Job {
+  const { acceptedAt, present } = options;
+  // An age from two clocks; a clock that jumped must not make it negative.
+  const age = Math.max(0, present.wallNow - acceptedAt);
+  const job = buildJob(state, spec, {
+    acceptedAt,
+    now: present.now - age,
+    isOverShare: false,
+  });
+  job.isCommitted = true;
+  state.jobs.set(spec.id, job);
+  return job;
+}
+
+function applyRecord(
+  state: CellState,
+  record: JournalRecord,
+  present: Present,
+): void {
+  switch (record.kind) {
+    case RecordKind.Accepted:
+      if (state.jobs.has(record.job.id) || state.ended.has(record.job.id)) {
+        return;
+      }
+      addStoredJob(state, record.job, { acceptedAt: record.at, present });
+      return;
+    case RecordKind.Ended:
+      return applyEnd(state, record, present);
+    case RecordKind.Cancelled: {
+      const job = state.jobs.get(record.job);
+      if (job && !job.outcome) job.outcome = JobState.Cancelled;
+      return;
+    }
+    case RecordKind.EndpointUsed:
+      restoreEndpoint(state, {
+        id: record.endpoint,
+        address: record.address,
+        service: record.service,
+      });
+      return;
+    case RecordKind.EndpointDropped:
+      state.endpoints.delete(record.endpoint);
+  }
+}
+
+/** Makes an endpoint that a former owner used and may have left work on. */
+function restoreEndpoint(
+  state: CellState,
+  stored: { id: string; address: string; service: string },
+): Endpoint {
+  const endpoint = makeEndpoint({
+    ...stored,
+    domain: "",
+    labels: [],
+    rack: "",
+    capacity: { milliCores: 0, memoryMb: 0, accelerators: 0 },
+    isDraining: true,
+  });
+  endpoint.isListed = false;
+  endpoint.isRecorded = true;
+  state.endpoints.set(stored.id, endpoint);
+  return endpoint;
+}
--- /dev/null
+++ b/packages/cell/stops.ts
@@ -0,0 +1,24 @@
+import { addDecision, type CellState } from "./state.ts";
+import { DecisionKind, OrderKind, type Run, RunPhase } from "./types.ts";
+
+/** Orders a run to stop; it takes room until its end is listed. */
+export function stopRun(state: CellState, run: Run, now: number): void {
+  if (run.phase === RunPhase.Stopping) return;
+  run.phase = RunPhase.Stopping;
+  run.isStopAcknowledged = false;
+  run.settledAt = now;
+  state.stopping.add(run);
+  sendStop(state, run);
+  addDecision(state, {
+    kind: DecisionKind.Stopped,
+    subject: run.task,
+    inputs: { run: run.number, endpoint: run.endpoint.info.id },
+  });
+}
+
+/** Sends the order to stop, again if it had no answer. */
+export function sendStop(state: CellState, run: Run): void {
+  if (run.isStopUnderWay) return;
+  run.isStopUnderWay = true;
+  state.output.orders.push({ kind: OrderKind.Stop, run });
+}
--- /dev/null
+++ b/packages/cell/types.ts
@@ -0,0 +1,287 @@
+import type { Demand, EndKind, JobSpec, JobState } from "../jobs/mod.ts";
+
+/** What the platform says of an endpoint. */
+export interface EndpointInfo {
+  id: string;
+  address: string;
+  service: string;
+  domain: string;
+  /** What steps may ask for. */
+  labels: string[];
+  rack: string;
+  capacity: Demand;
+  /** It is leaving: it gets no new work. */
+  isDraining: boolean;
+}
+
+/** An organisation's share and limit. */
+export interface OrganisationRules {
+  name: string;
+  /** Share when all is full. */
+  weight: number;
+  /** Most that may run at once; 0 for a resource: no limit. */
+  cap: Demand;
+}
+
+/** What is known of one run on an endpoint. */
+export enum RunPhase {
+  /** The order is under way. */
+  Starting = "starting",
+  /** The order had no answer; the next listing tells. */
+  Unsure = "unsure",
+  Running = "running",
+  /** It was told to stop; its end has not been listed. */
+  Stopping = "stopping",
+}
+
+/** One run of a task on an endpoint; it takes room until its end is listed. */
+export interface Run {
+  task: string;
+  number: number;
+  endpoint: Endpoint;
+  demand: Demand;
+  organisation: string;
+  phase: RunPhase;
+  /** A listing asked for after this time must show the run, if it exists. */
+  settledAt: number;
+  startedAt: number;
+  /** A stop was acknowledged: if it is not listed it never ran. */
+  isStopAcknowledged: boolean;
+  isStopUnderWay: boolean;
+  percent: number;
+  progressAt: number;
+}
+
+/** One endpoint as its owner knows it. */
+export interface Endpoint {
+  info: EndpointInfo;
+  /** False once the platform no longer lists it. */
+  isListed: boolean;
+  /** The store holds that tasks may run there. */
+  isRecorded: boolean;
+  isRecording: boolean;
+  /** Start of its present lifetime, Unix milliseconds; 0: not yet known. */
+  bornAt: number;
+  /** It has acknowledged this owner's fence in this lifetime. */
+  isHeld: boolean;
+  /** Its clock less this process's clock, at most. */
+  clockOffset: number;
+  /** When every lease that it may hold has ended for certain. */
+  leaseEndsAt: number;
+  /** Last end that was applied; last one that the store holds. */
+  lastEnd: number;
+  committedEnd: number;
+  runs: Map<string, Run>;
+  used: Demand;
+  pausedUntil: number;
+  failuresInRow: number;
+  lastFailedJob: string;
+  ejectedUntil: number;
+}
+
+/** Where a task stands. */
+export enum TaskPhase {
+  Waiting = "waiting",
+  Placed = "placed",
+  /** It may still run where a former owner started it. */
+  Unlocated = "unlocated",
+  Done = "done",
+}
+
+/** One task of a stage. */
+export interface Task {
+  name: string;
+  phase: TaskPhase;
+  run?: Run;
+  /** Highest run number used so far. */
+  lastRun: number;
+  /** Highest run number whose end is recorded. */
+  lastEndedRun: number;
+  failures: number;
+  saved: string;
+  notBefore: number;
+  pause: number;
+  /** Endpoint on which it failed last. */
+  avoid: string;
+}
+
+/** A ticket of the policy service for one endpoint. */
+export interface Ticket {
+  ticket: string;
+  bornAt: number;
+  expiresAt: number;
+}
+
+/** What is known of the policy's answer for a stage. */
+export interface StageAdvice {
+  /** Endpoints that may run the step; this does not change. */
+  allowed: Map<string, Ticket>;
+  asked: Set<string>;
+  isAsking: boolean;
+  retryAt: number;
+  failures: number;
+}
+
+/** One step of one occurrence of a job. */
+export interface Stage {
+  name: string;
+  job: Job;
+  occurrence: number;
+  step: number;
+  tasks: Task[];
+  remaining: number;
+  /** Tasks that wait, so that stages with none are passed over. */
+  waiting: number;
+  /** Every earlier step is done and its time has come. */
+  isReady: boolean;
+  gangFailures: number;
+  advice: StageAdvice;
+}
+
+/** One job of the cell. */
+export interface Job {
+  spec: JobSpec;
+  /** Unix milliseconds. */
+  acceptedAt: number;
+  /** Beyond the organisation's share of jobs a second: served after others. */
+  isOverShare: boolean;
+  /** When its objective ends, in this process's time. */
+  dueAt: number;
+  stages: Stage[];
+  remaining: number;
+  hasStarted: boolean;
+  /** What the decisions made of it. */
+  outcome?: JobState;
+  /** What callers are told: set once the store holds it. */
+  shownOutcome?: JobState;
+  isCommitted: boolean;
+}
+
+/** A job that has ended and is remembered for its caller. */
+export interface EndedJob {
+  organisation: string;
+  state: JobState;
+  at: number;
+}
+
+/** One row of an endpoint's list of runs. */
+export interface ListedRun {
+  task: string;
+  run: number;
+  saved: string;
+  percent: number;
+}
+
+/** One row of an endpoint's list of ends. */
+export interface ListedEnd {
+  number: number;
+  task: string;
+  run: number;
+  end: EndKind;
+  saved: string;
+}
+
+/** What an endpoint reports about itself. */
+export interface EndpointListing {
+  bornAt: number;
+  clockMs: number;
+  running: ListedRun[];
+  ended: ListedEnd[];
+}
+
+/** Orders of the cell to the outside. */
+export enum OrderKind {
+  Start = "start",
+  Stop = "stop",
+  AskAdvice = "ask_advice",
+}
+
+/** One order that the cell's host has to carry out. */
+export type Order =
+  | {
+    kind: OrderKind.Start;
+    run: Run;
+    payload: string;
+    saved: string;
+    ticket: string;
+  }
+  | { kind: OrderKind.Stop; run: Run }
+  | {
+    kind: OrderKind.AskAdvice;
+    stage: Stage;
+    endpoints: string[];
+    costMs: number;
+  };
+
+/** How an endpoint answered an order to start. */
+export enum StartResult {
+  Started = "started",
+  /** The endpoint serves a newer owner. */
+  Deposed = "deposed",
+  /** The run number is not higher than one that it knows. */
+  OldRun = "old_run",
+  /** The lease of the order had ended when it arrived. */
+  LateOrder = "late_order",
+  NoRoom = "no_room",
+  TicketExpired = "ticket_expired",
+  OtherLifetime = "other_lifetime",
+  BadRequest = "bad_request",
+  /** The endpoint did nothing. */
+  Unavailable = "unavailable",
+  /** No answer: the task may run. */
+  Unknown = "unknown",
+}
+
+/** How an endpoint answered an order to stop. */
+export enum StopResult {
+  Acknowledged = "acknowledged",
+  Deposed = "deposed",
+  OtherLifetime = "other_lifetime",
+  Unknown = "unknown",
+}
+
+/** The answer of the policy service. */
+export interface AdviceAnswer {
+  tickets: { endpoint: string; ticket: string }[];
+  validMs: number;
+}
+
+/** Whether a job was taken. */
+export enum Admission {
+  Accepted = "accepted",
+  /** The same job was accepted before. */
+  Known = "known",
+  /** It can't be served: it never runs. */
+  Refused = "refused",
+  /** The entry that was asked decides nothing: another owns the cell. */
+  NotOwner = "not_owner",
+}
+
+/** Outcome of handing in a job. */
+export interface AdmissionOutcome {
+  admission: Admission;
+  reason: string;
+  retryAfterMs?: number;
+}
+
+/** Why a decision was taken, for the log. */
+export enum DecisionKind {
+  Started = "started",
+  Requeued = "requeued",
+  Stopped = "stopped",
+  Ended = "ended",
+  JobEnded = "job_ended",
+  EndpointEjected = "endpoint_ejected",
+  EndpointReborn = "endpoint_reborn",
+  LeaseLapsed = "lease_lapsed",
+  Adopted = "adopted",
+  GangBroken = "gang_broken",
+}
+
+/** One decision with the inputs that led to it. */
+export interface Decision {
+  kind: DecisionKind;
+  /** Task, job or endpoint. */
+  subject: string;
+  inputs: Record<string, unknown>;
+}
--- /dev/null
+++ b/packages/jobs/mod.ts
@@ -0,0 +1,6 @@
+/** Stored jobs: steps, tasks, sizes and names. */
+export * from "./check.ts";
+export * from "./constants.ts";
+export * from "./demand.ts";
+export * from "./names.ts";
+export * from "./types.ts";
--- a/packages/platform/http_json.ts
+++ b/packages/platform/http_json.ts
@@ -3,7 +3,7 @@
 
 /** One HTTP call with a JSON body in each direction. */
 export interface JsonCall {
-  method: "GET" | "POST";
+  method: "GET" | "POST" | "DELETE";
   url: string;
   body?: unknown;
   headers?: Record<string, string>;
@@ -18,6 +18,16 @@
   "UND_ERR_CONNECT_TIMEOUT",
 ]);
 
+/** Any answer to a call: its status and its parsed body. */
+export interface JsonAnswer {
+  status: number;
+  /** Nothing when the body is empty or is not JSON. */
+  body: unknown;
+}
+
+/** How long an unused connection is kept; opening one is dear. */
+const KEEP_ALIVE_MS = 60_000;
+
 /** JSON over HTTP with errors that say whether the call may have had effect. */
 export class HttpJsonClient {
   readonly #agent: Agent;
@@ -35,6 +45,8 @@
       connections: options.connections,
       connect: { timeout, localAddress },
       pipelining: 1,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      keepAliveMaxTimeout: KEEP_ALIVE_MS,
     });
   }
 
@@ -45,8 +57,22 @@
    * @throws {UnknownEffectError} for any other failure
    */
   async send(call: JsonCall): Promise<unknown> {
+    const { status, body } = await this.exchange(call);
+    if (status < 300 && body !== undefined) return body;
+    throw new UnknownEffectError(
+      `Cannot use the answer of ${call.url}: status ${status}`,
+    );
+  }
+
+  /**
+   * Sends one call and returns its answer, whatever its status.
+   *
+   * @throws {NotSentError} when nothing reached the other side
+   * @throws {UnknownEffectError} when no whole answer came
+   */
+  async exchange(call: JsonCall): Promise<JsonAnswer> {
     try {
-      return await this.#exchange(call);
+      return await this.#request(call);
     } catch (error) {
       throw classifyError(call, error);
     }
@@ -57,7 +83,7 @@
     await this.#agent.destroy();
   }
 
-  async #exchange(call: JsonCall): Promise<unknown> {
+  async #request(call: JsonCall): Promise<JsonAnswer> {
     const response = await request(call.url, {
       dispatcher: this.#agent,
       method: call.method,
@@ -68,12 +94,7 @@
       bodyTimeout: 0,
     });
     const text = await response.body.text();
-    if (response.statusCode >= 300) {
-      throw new UnknownEffectError(
-        `Cannot use the answer of ${call.url}: status ${response.statusCode}`,
-      );
-    }
-    return JSON.parse(text);
+    return { status: response.statusCode, body: parseJson(text) };
   }
 }
 
@@ -83,8 +104,15 @@
   return NOT_SENT_CODES.has(code);
 }
 
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
 function classifyError(call: JsonCall, error: unknown): Error {
-  if (error instanceof UnknownEffectError) return error;
   const reason = error instanceof Error ? error.message : String(error);
   const message = `Cannot call ${call.url}: ${reason}`;
   if (isNotSent(error)) return new NotSentError(message, { cause: error });
--- /dev/null
+++ b/packages/scheduler/advice_pool.ts
@@ -0,0 +1,86 @@
+import type { AdviceAnswer, Stage } from "../cell/mod.ts";
+import type { Link } from "../links/mod.ts";
+import { ADVICE_SLACK_MS } from "./constants.ts";
+import type { AdviceService } from "./ports.ts";
+
+interface Caller {
+  /** Nothing: this entry itself. */
+  link?: Link;
+  /** Predicted time of the calls under way, in milliseconds. */
+  backlogMs: number;
+}
+
+interface Call {
+  stage: Stage;
+  endpoints: string[];
+  costMs: number;
+}
+
+/**
+ * Answers the load "every step needs advice, and the service takes the calls
+ * of one VM one after the other": spreads the calls over all entries.
+ */
+export class AdvicePool {
+  readonly #service: AdviceService;
+  readonly #listLinks: () => Link[];
+  readonly #self: Caller = { backlogMs: 0 };
+  readonly #callers = new Map<Link, Caller>();
+
+  constructor(options: {
+    service: AdviceService;
+    listLinks: () => Link[];
+  }) {
+    this.#service = options.service;
+    this.#listLinks = options.listLinks;
+  }
+
+  /**
+   * Asks through the entry that is predicted to be free first.
+   *
+   * @throws {NotSentError | UnknownEffectError} when no answer came
+   */
+  async ask(call: Call): Promise<AdviceAnswer> {
+    const caller = this.#chooseCaller();
+    const timeoutMs = caller.backlogMs + call.costMs + ADVICE_SLACK_MS;
+    caller.backlogMs += call.costMs;
+    try {
+      const { endpoints } = call;
+      const stage = call.stage.name;
+      return caller.link
+        ? await caller.link.call(
+          "advice.ask",
+          { stage, endpoints, timeoutMs },
+          timeoutMs,
+        )
+        : await this.#service.ask(stage, endpoints, timeoutMs);
+    } finally {
+      caller.backlogMs -= call.costMs;
+    }
+  }
+
+  /** Describes the calls under way, for a dump. */
+  describe(): { entry: string; backlogMs: number }[] {
+    return [this.#self, ...this.#callers.values()].map((caller) => ({
+      entry: caller.link?.peer ?? "self",
+      backlogMs: Math.round(caller.backlogMs),
+    }));
+  }
+
+  #chooseCaller(): Caller {
+    const links = this.#listLinks();
+    for (const link of this.#callers.keys()) {
+      if (!links.includes(link)) this.#callers.delete(link);
+    }
+    let best = this.#self;
+    for (const link of links) {
+      let caller = this.#callers.get(link);
+      if (!caller) {
+        caller = { link, backlogMs: 0 };
+        this.#callers.set(link, caller);
+      }
+      // The owner has most to do: at equal backlogs another entry asks.
+      if (caller.backlogMs <= best.backlogMs) best = caller;
+    }
+    return best;
+  }
+}
--- /dev/null
+++ b/packages/scheduler/constants.ts
@@ -0,0 +1,80 @@
+/** Key that the cell's owner holds under its lease. */
+export const OWNER_KEY = "baobabhead/cell/owner";
+
+/** Key that counts the cell's owners; it outlasts their leases. */
+export const TERM_KEY = "baobabhead/cell/term";
+
+/** Prefix of both. */
+export const CELL_PREFIX = "baobabhead/cell/";
+
+/** Life of the owner's lease: bears four lost renewals in a row. */
+export const OWNER_LEASE_MS = 2_000;
+
+/** Time between renewals of the owner's lease, in milliseconds. */
+export const OWNER_KEEP_MS = 400;
+
+/**
+ * An owner prolongs tasks' leases for this long after its last renewal that
+ * the store confirmed, so that a short outage of the store ends no task.
+ */
+export const OWNER_GRACE_MS = 6_000;
+
+/** Entries wait up to this long before they claim a free cell, spread. */
+export const CLAIM_SPREAD_MS = 60;
+
+/** Longest wait of one watch, in milliseconds. */
+export const WATCH_MS = 1_500;
+
+/** Pause after a failed call to the store, in milliseconds. */
+export const STORE_RETRY_MS = 200;
+
+/** Time between reads of the configuration: half a second before 2 s count. */
+export const CONFIG_READ_MS = 600;
+
+/** Pause between attempts to reach the cell's owner, in milliseconds. */
+export const LINK_RETRY_MS = 200;
+
+/** Part of the bound on revoked keys after which keys are not trusted. */
+export const KEY_TRUST_PART = 0.5;
+
+/** Bound on an order to start or stop, in milliseconds. */
+export const ORDER_TIMEOUT_MS = 1_000;
+
+/** Longest wait of a listing; a stalled or cut endpoint shows after it. */
+export const HOLD_WAIT_MS = 1_000;
+
+/** Bound on a listing beyond its wait, in milliseconds. */
+export const HOLD_TIMEOUT_MS = 800;
+
+/** Least time between two listings of one endpoint, in milliseconds. */
+export const HOLD_INTERVAL_MS = 60;
+
+/** Pause after a listing without an answer, in milliseconds. */
+export const HOLD_RETRY_MS = 250;
+
+/** Time in which events are gathered before the next plan, in ms. */
+export const FLUSH_MS = 3;
+
+/** Time between plans when nothing happens, in milliseconds. */
+export const TICK_MS = 100;
+
+/** Bound on a call for advice beyond its predicted time, in milliseconds. */
+export const ADVICE_SLACK_MS = 1_500;
+
+/** A commit without an answer for this long: new jobs are refused. */
+export const STORE_DELAY_MS = 700;
+
+/** Kept back from a caller's deadline for the answer's way, in ms. */
+export const ANSWER_MARGIN_MS = 150;
+
+/** Bound on a caller's wait when it names none, in milliseconds. */
+export const DEFAULT_DEADLINE_MS = 3_000;
+
+/** Advice on when to come back while there is no owner, in milliseconds. */
+export const NO_OWNER_RETRY_MS = 1_000;
+
+/** Time for which a stopping entry still takes requests, in milliseconds. */
+export const STOP_LINGER_MS = 3_500;
+
+/** Interval of the check for requests under way when stopping. */
+export const STOP_CHECK_MS = 50;
--- /dev/null
+++ b/packages/scheduler/daemon.ts
@@ -0,0 +1,93 @@
+import type { AddressInfo } from "node:net";
+import { createAdaptorServer, type ServerType } from "@hono/node-server";
+import { Hono } from "hono";
+import { BaobabheadError } from "../base/mod.ts";
+import { EventCode } from "../events/mod.ts";
+import { type Address, formatAddress } from "../settings/mod.ts";
+import { STOP_CHECK_MS, STOP_LINGER_MS } from "./constants.ts";
+import type { SchedulerNode } from "./scheduler_node.ts";
+
+/** An address of the settings cannot be listened on. */
+export class SocketError extends BaobabheadError {}
+
+/** The listening sockets of one entry, and its planned stop. */
+export class SchedulerDaemon {
+  readonly #node: SchedulerNode;
+  readonly #apps: { callers: Hono; readiness: Hono };
+  readonly #servers: ServerType[] = [];
+  #stopping: Promise<void> | undefined;
+
+  /** `apps` are the platform's faces of the callers and the balancer. */
+  constructor(node: SchedulerNode, apps: { callers: Hono; readiness: Hono }) {
+    this.#node = node;
+    this.#apps = apps;
+  }
+
+  /** Starts the entry and listens. */
+  async start(): Promise<void> {
+    const { listen } = this.#node.parts.settings;
+    await this.#listen(this.#apps.readiness, listen.readiness);
+    await this.#listen(createOperationsApp(this.#node), listen.operations);
+    await this.#node.start();
+    await this.#listen(this.#apps.callers, listen.callers);
+  }
+
+  /** Hands over, serves what still comes, and ends without cutting any. */
+  stop(): Promise<void> {
+    this.#stopping ??= this.#stopGracefully();
+    return this.#stopping;
+  }
+
+  /** True once a planned stop has begun. */
+  get isStopping(): boolean {
+    return this.#stopping !== undefined;
+  }
+
+  async #stopGracefully(): Promise<void> {
+    const { clock } = this.#node.parts;
+    const until = clock.now() + STOP_LINGER_MS;
+    await this.#node.beginStop();
+    // The balancer notices after two checks; until then requests are served.
+    while (clock.now() < until) await clock.sleep(STOP_CHECK_MS);
+    for (const server of this.#servers) {
+      server.close();
+      if ("closeIdleConnections" in server) server.closeIdleConnections();
+    }
+    while (this.#node.callers.underWay > 0) await clock.sleep(STOP_CHECK_MS);
+    // The last answers leave the sockets before the process ends.
+    await clock.sleep(STOP_CHECK_MS);
+    this.#node.stop();
+  }
+
+  #listen(app: Hono, address: Address): Promise<AddressInfo> {
+    return new Promise((resolve, reject) => {
+      const server = createAdaptorServer({ fetch: app.fetch });
+      if ("keepAliveTimeout" in server) server.keepAliveTimeout = 60_000;
+      this.#servers.push(server);
+      server.once("error", (error) => {
+        const place = formatAddress(address);
+        this.#node.parts.log.record(EventCode.ListenFailed, { place });
+        reject(new SocketError(`Cannot listen on ${place}: ${error.message}`));
+      });
+      server.listen(address.port, address.host, () => {
+        resolve(server.address() as AddressInfo);
+      });
+    });
+  }
+}
+
+function createOperationsApp(node: SchedulerNode): Hono {
+  const app = new Hono();
+  app.get("/metrics", async (c) => c.text(await renderMetrics(node)));
+  app.get("/dump", (c) => c.json(node.describe()));
+  return app;
+}
+
+async function renderMetrics(node: SchedulerNode): Promise<string> {
+  const { metrics, clock } = node.parts;
+  metrics.setGauge("config_version", node.config.config?.version ?? 0);
+  const age = Math.max(0, node.config.measureAge(clock.now()));
+  if (Number.isFinite(age)) metrics.setGauge("config_age_ms", age);
+  metrics.setGauge("ready", node.isReady() ? 1 : 0);
+  return await metrics.renderText();
+}
--- /dev/null
+++ b/packages/scheduler/decision_log.ts
@@ -0,0 +1,25 @@
+import { type Decision, DecisionKind } from "../cell/mod.ts";
+import { EventCode, type EventLog } from "../events/mod.ts";
+
+const EVENTS: Record<DecisionKind, EventCode> = {
+  [DecisionKind.Started]: EventCode.TaskStarted,
+  [DecisionKind.Requeued]: EventCode.TaskRequeued,
+  [DecisionKind.Stopped]: EventCode.TaskStopped,
+  [DecisionKind.Ended]: EventCode.TaskEnded,
+  [DecisionKind.JobEnded]: EventCode.JobEnded,
+  [DecisionKind.EndpointEjected]: EventCode.EndpointEjected,
+  [DecisionKind.EndpointReborn]: EventCode.EndpointReborn,
+  [DecisionKind.LeaseLapsed]: EventCode.EndpointLapsed,
+  [DecisionKind.Adopted]: EventCode.TaskAdopted,
+  [DecisionKind.GangBroken]: EventCode.TaskStopped,
+};
+
+/** Writes one log line for each decision of the cell. */
+export function recordDecisions(
+  log: EventLog,
+  decisions: readonly Decision[],
+): void {
+  for (const { kind, subject, inputs } of decisions) {
+    log.record(EVENTS[kind], { subject, ...inputs });
+  }
+}
--- /dev/null
+++ b/packages/scheduler/election.ts
@@ -0,0 +1,202 @@
+import { type Clock, HistoryGoneError, type Random } from "../base/mod.ts";
+import { EventCode, type EventLog } from "../events/mod.ts";
+import {
+  type KeyValueStore,
+  type StoredItem,
+  TransactionResult,
+} from "../storage/mod.ts";
+import {
+  CELL_PREFIX,
+  CLAIM_SPREAD_MS,
+  OWNER_KEEP_MS,
+  OWNER_KEY,
+  OWNER_LEASE_MS,
+  STORE_RETRY_MS,
+  TERM_KEY,
+  WATCH_MS,
+} from "./constants.ts";
+import type { OwnerRecord } from "./types.ts";
+
+/** A won election. */
+export interface Ownership {
+  record: OwnerRecord;
+  /** Revision of the owner's key: grows with each owner, so it is the fence. */
+  revision: number;
+  /** When the last confirmed renewal of the lease was sent. */
+  confirmedAt: number;
+}
+
+/** What the election tells its entry. */
+export abstract class ElectionHost {
+  /** Another entry, or none, owns the cell. */
+  abstract followOwner(record: OwnerRecord | undefined): void;
+
+  /** This entry owns the cell from now on. */
+  abstract becomeOwner(ownership: Ownership): void;
+
+  /** This entry's ownership has ended. */
+  abstract ceaseOwner(reason: string): void;
+}
+
+/** Finds or becomes the cell's owner by a lease of the store. */
+export class Election {
+  readonly #store: KeyValueStore;
+  readonly #clock: Clock;
+  readonly #random: Random;
+  readonly #log: EventLog;
+  readonly #host: ElectionHost;
+  readonly #self: Omit<OwnerRecord, "term" | "lease">;
+  #ownership: Ownership | undefined;
+  #isStopped = false;
+  #mayClaim = true;
+
+  constructor(options: {
+    store: KeyValueStore;
+    clock: Clock;
+    random: Random;
+    log: EventLog;
+    host: ElectionHost;
+    self: Omit<OwnerRecord, "term" | "lease">;
+  }) {
+    this.#store = options.store;
+    this.#clock = options.clock;
+    this.#random = options.random;
+    this.#log = options.log;
+    this.#host = options.host;
+    this.#self = options.self;
+  }
+
+  /** Runs until stopped. */
+  async run(): Promise<void> {
+    while (!this.#isStopped) {
+      try {
+        if (this.#ownership) await this.#keepOwnership(this.#ownership);
+        else await this.#findOwner();
+      } catch (error) {
+        this.#log.record(EventCode.ElectionFailed, { reason: String(error) });
+        await this.#clock.sleep(STORE_RETRY_MS);
+      }
+    }
+  }
+
+  /** Claims nothing more; an ownership is given up at once. */
+  async resign(): Promise<void> {
+    this.#mayClaim = false;
+    const ownership = this.#ownership;
+    if (!ownership) return;
+    this.#endOwnership("this entry stops");
+    try {
+      await this.#store.endLease(ownership.record.lease);
+    } catch (error) {
+      // The lease runs out by itself.
+      this.#log.record(EventCode.ElectionFailed, { reason: String(error) });
+    }
+  }
+
+  /** Gives up an ownership that another entry was seen to hold. */
+  dismiss(reason: string): void {
+    this.#endOwnership(reason);
+  }
+
+  /** Stops at once. */
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  async #findOwner(): Promise<void> {
+    const item = await this.#store.get(OWNER_KEY);
+    const record = item && JSON.parse(item.value) as OwnerRecord;
+    if (item && record) {
+      if (record.incarnation === this.#self.incarnation) {
+        return await this.#resume(item, record);
+      }
+      // An earlier process on this VM is gone: its addresses are ours.
+      if (record.entry === this.#self.entry) return await this.#claim(item);
+      this.#host.followOwner(record);
+      return await this.#waitForChange(item.revision);
+    }
+    this.#host.followOwner(undefined);
+    if (!this.#mayClaim) return await this.#clock.sleep(STORE_RETRY_MS);
+    await this.#clock.sleep(this.#random.drawInt(CLAIM_SPREAD_MS));
+    await this.#claim(undefined);
+  }
+
+  async #waitForChange(revision: number): Promise<void> {
+    try {
+      await this.#store.watch(CELL_PREFIX, {
+        after: revision,
+        waitMs: WATCH_MS,
+      });
+    } catch (error) {
+      if (!(error instanceof HistoryGoneError)) throw error;
+      // The owner's key has not changed for long; the next read tells.
+      await this.#clock.sleep(STORE_RETRY_MS);
+    }
+  }
+
+  async #claim(present: StoredItem | undefined): Promise<void> {
+    if (!this.#mayClaim || this.#isStopped) return;
+    const termItem = await this.#store.get(TERM_KEY);
+    const term = Number(termItem?.value ?? "0") + 1;
+    const askedAt = this.#clock.now();
+    const lease = await this.#store.grantLease(OWNER_LEASE_MS);
+    const record: OwnerRecord = { ...this.#self, term, lease };
+    const { result, revision } = await this.#store.commit({
+      expected: [
+        { key: OWNER_KEY, revision: present?.revision ?? 0 },
+        { key: TERM_KEY, revision: termItem?.revision ?? 0 },
+      ],
+      puts: [
+        { key: OWNER_KEY, value: JSON.stringify(record), lease },
+        { key: TERM_KEY, value: String(term) },
+      ],
+      deletes: [],
+    });
+    if (result !== TransactionResult.Applied) return;
+    this.#beginOwnership({ record, revision, confirmedAt: askedAt });
+  }
+
+  /** The answer to a claim was lost, and the claim has taken effect. */
+  async #resume(item: StoredItem, record: OwnerRecord): Promise<void> {
+    if (!this.#mayClaim) return await this.#store.endLease(record.lease);
+    const askedAt = this.#clock.now();
+    if (!await this.#store.keepLease(record.lease)) return;
+    const { revision } = item;
+    this.#beginOwnership({ record, revision, confirmedAt: askedAt });
+  }
+
+  #beginOwnership(ownership: Ownership): void {
+    // Stopping may have begun while the claim was under way.
+    if (!this.#mayClaim) {
+      this.#store.endLease(ownership.record.lease).catch((error) =>
+        this.#log.record(EventCode.ElectionFailed, { reason: String(error) })
+      );
+      return;
+    }
+    this.#ownership = ownership;
+    this.#log.record(EventCode.OwnershipBegan, {
+      term: ownership.record.term,
+      fence: ownership.revision,
+    });
+    this.#host.becomeOwner(ownership);
+  }
+
+  async #keepOwnership(ownership: Ownership): Promise<void> {
+    const askedAt = this.#clock.now();
+    const isKept = await this.#store.keepLease(ownership.record.lease);
+    if (isKept) ownership.confirmedAt = askedAt;
+    else this.#endOwnership("the lease has ended");
+    await this.#clock.sleep(OWNER_KEEP_MS);
+  }
+
+  #endOwnership(reason: string): void {
+    const ownership = this.#ownership;
+    if (!ownership) return;
+    this.#ownership = undefined;
+    this.#log.record(EventCode.OwnershipEnded, {
+      term: ownership.record.term,
+      reason,
+    });
+    this.#host.ceaseOwner(reason);
+  }
+}
--- /dev/null
+++ b/packages/scheduler/endpoint_feed.ts
@@ -0,0 +1,90 @@
+import type { Clock } from "../base/mod.ts";
+import type { EndpointInfo } from "../cell/mod.ts";
+import { EventCode, type EventLog } from "../events/mod.ts";
+import type { KeyValueStore, StoredItem } from "../storage/mod.ts";
+import { STORE_RETRY_MS, WATCH_MS } from "./constants.ts";
+import type { SiteRecords } from "./ports.ts";
+
+/** Follows the endpoints' records in the store. */
+export class EndpointFeed {
+  readonly #store: KeyValueStore;
+  readonly #records: SiteRecords;
+  readonly #clock: Clock;
+  readonly #log: EventLog;
+  readonly #onChanged: (endpoints: EndpointInfo[]) => void;
+  readonly #endpoints = new Map<string, EndpointInfo>();
+  #isStopped = false;
+
+  constructor(options: {
+    store: KeyValueStore;
+    records: SiteRecords;
+    clock: Clock;
+    log: EventLog;
+    /** Called with all endpoints after each change. */
+    onChanged: (endpoints: EndpointInfo[]) => void;
+  }) {
+    this.#store = options.store;
+    this.#records = options.records;
+    this.#clock = options.clock;
+    this.#log = options.log;
+    this.#onChanged = options.onChanged;
+  }
+
+  /** Lists, then watches; lists anew whenever the watch breaks. */
+  async run(): Promise<void> {
+    while (!this.#isStopped) {
+      try {
+        let revision = await this.#list();
+        while (!this.#isStopped) revision = await this.#watch(revision);
+      } catch (error) {
+        this.#log.record(EventCode.EndpointFeedBroken, {
+          reason: String(error),
+        });
+        await this.#clock.sleep(STORE_RETRY_MS);
+      }
+    }
+  }
+
+  /** Reads no more. */
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  async #list(): Promise<number> {
+    const items: StoredItem[] = [];
+    for (;;) {
+      const prefix = this.#records.endpointPrefix;
+      const page = await this.#store.list(prefix, items.at(-1)?.key);
+      items.push(...page.items);
+      if (page.hasMore && page.items.length > 0) continue;
+      this.#endpoints.clear();
+      for (const { key, value } of items) this.#put(key, value);
+      this.#report();
+      // Pages are no snapshot: the watch starts at the oldest that was read.
+      return page.revision;
+    }
+  }
+
+  async #watch(after: number): Promise<number> {
+    const { changes, revision } = await this.#store.watch(
+      this.#records.endpointPrefix,
+      { after, waitMs: WATCH_MS },
+    );
+    for (const { key, value } of changes) {
+      if (value === undefined) this.#endpoints.delete(key);
+      else this.#put(key, value);
+    }
+    if (changes.length > 0) this.#report();
+    return revision;
+  }
+
+  #put(key: string, value: string): void {
+    const info = this.#records.decodeEndpoint(key, value);
+    if (info) this.#endpoints.set(key, info);
+    else this.#endpoints.delete(key);
+  }
+
+  #report(): void {
+    if (!this.#isStopped) this.#onChanged([...this.#endpoints.values()]);
+  }
+}
--- /dev/null
+++ b/packages/scheduler/endpoint_session.ts
@@ -0,0 +1,125 @@
+import type { Clock } from "../base/mod.ts";
+import { type Endpoint, noteLeaseSent } from "../cell/mod.ts";
+import {
+  HOLD_INTERVAL_MS,
+  HOLD_RETRY_MS,
+  HOLD_TIMEOUT_MS,
+  HOLD_WAIT_MS,
+} from "./constants.ts";
+import type { EndpointControl, HoldAnswer, HoldOrder } from "./ports.ts";
+
+/** What a session tells the cell's owner. */
+export abstract class SessionHost {
+  /** False while the owner may not prolong leases. */
+  abstract mayOrder(now: number): boolean;
+
+  /** An endpoint has answered. */
+  abstract noteHold(
+    endpoint: Endpoint,
+    answer: HoldAnswer,
+    askedAt: number,
+  ): void;
+
+  /** An endpoint has not answered. */
+  abstract noteSilence(endpoint: Endpoint, error: unknown): void;
+}
+
+/** Keeps the leases of one endpoint and reads its lists while there is need. */
+export class EndpointSession {
+  readonly #endpoint: Endpoint;
+  readonly #control: EndpointControl;
+  readonly #clock: Clock;
+  readonly #host: SessionHost;
+  readonly #fence: number;
+  readonly #leaseMs: number;
+  #wake: () => void = () => {};
+  #isIdle = false;
+  #isStopped = false;
+  #toldEnd = 0;
+  #toldBornAt = 0;
+
+  constructor(options: {
+    endpoint: Endpoint;
+    control: EndpointControl;
+    clock: Clock;
+    host: SessionHost;
+    fence: number;
+    leaseMs: number;
+  }) {
+    this.#endpoint = options.endpoint;
+    this.#control = options.control;
+    this.#clock = options.clock;
+    this.#host = options.host;
+    this.#fence = options.fence;
+    this.#leaseMs = options.leaseMs;
+  }
+
+  /** Runs until stopped; it rests while the endpoint has nothing to tell. */
+  async run(): Promise<void> {
+    while (!this.#isStopped) {
+      if (!this.#needsHold()) {
+        await this.#rest();
+        continue;
+      }
+      const startedAt = this.#clock.now();
+      const isAnswered = await this.#hold(startedAt);
+      const elapsed = this.#clock.now() - startedAt;
+      const pause = isAnswered ? HOLD_INTERVAL_MS - elapsed : HOLD_RETRY_MS;
+      if (pause > 0) await this.#clock.sleep(pause);
+    }
+  }
+
+  /** Looks again whether the endpoint has something to tell. */
+  wake(): void {
+    if (this.#isIdle) this.#wake();
+  }
+
+  /** Sends nothing more. */
+  stop(): void {
+    this.#isStopped = true;
+    this.wake();
+  }
+
+  #needsHold(): boolean {
+    const { isHeld, runs, committedEnd, bornAt, isListed } = this.#endpoint;
+    if (runs.size > 0) return true;
+    if (!isHeld) return isListed || this.#endpoint.isRecorded;
+    return bornAt !== this.#toldBornAt || committedEnd > this.#toldEnd;
+  }
+
+  async #rest(): Promise<void> {
+    this.#isIdle = true;
+    await new Promise<void>((resolve) => this.#wake = resolve);
+    this.#isIdle = false;
+  }
+
+  async #hold(now: number): Promise<boolean> {
+    const endpoint = this.#endpoint;
+    if (!this.#host.mayOrder(now)) return false;
+    const { id, address } = endpoint.info;
+    const hasRuns = endpoint.runs.size > 0;
+    const order: HoldOrder = {
+      fence: this.#fence,
+      notedEnd: endpoint.committedEnd,
+      waitMs: endpoint.isHeld && hasRuns ? HOLD_WAIT_MS : 0,
+    };
+    if (endpoint.isHeld && hasRuns) {
+      order.leaseUntil = Math.floor(now + endpoint.clockOffset) + this.#leaseMs;
+      noteLeaseSent(endpoint, { now, leaseMs: this.#leaseMs });
+    }
+    const { bornAt } = endpoint;
+    const target = { id, address, bornAt: 0 };
+    try {
+      const timeoutMs = order.waitMs + HOLD_TIMEOUT_MS;
+      const answer = await this.#control.hold(target, order, timeoutMs);
+      if (this.#isStopped) return true;
+      this.#toldEnd = order.notedEnd;
+      this.#toldBornAt = bornAt;
+      this.#host.noteHold(endpoint, answer, now);
+      return true;
+    } catch (error) {
+      if (!this.#isStopped) this.#host.noteSilence(endpoint, error);
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/packages/scheduler/mod.ts
@@ -0,0 +1,8 @@
+/** An entry of a cell that runs stored jobs: services, loops, wiring. */
+export * from "./caller_service.ts";
+export * from "./constants.ts";
+export * from "./daemon.ts";
+export * from "./ports.ts";
+export * from "./scheduler_node.ts";
+export * from "./types.ts";
+export * from "./wiring.ts";
--- /dev/null
+++ b/packages/scheduler/owner_role.ts
@@ -0,0 +1,357 @@
+import type { Clock } from "../base/mod.ts";
+import {
+  Admission,
+  Cell,
+  type CellOutput,
+  type CellSnapshot,
+  type Endpoint,
+  type EndpointInfo,
+  type Present,
+} from "../cell/mod.ts";
+import { EventCode, type EventLog } from "../events/mod.ts";
+import { type JobSpec, JobState } from "../jobs/mod.ts";
+import { Journal, JournalHost, loadJournal } from "../journal/mod.ts";
+import { CancelReply, type Link, type SubmitReply } from "../links/mod.ts";
+import type { Metrics } from "../metrics/mod.ts";
+import type { KeyValueStore } from "../storage/mod.ts";
+import { AdvicePool } from "./advice_pool.ts";
+import {
+  FLUSH_MS,
+  NO_OWNER_RETRY_MS,
+  OWNER_GRACE_MS,
+  OWNER_KEY,
+  OWNER_LEASE_MS,
+  STORE_DELAY_MS,
+  STORE_RETRY_MS,
+  TICK_MS,
+} from "./constants.ts";
+import { recordDecisions } from "./decision_log.ts";
+import type { Ownership } from "./election.ts";
+import { EndpointFeed } from "./endpoint_feed.ts";
+import { EndpointSession, SessionHost } from "./endpoint_session.ts";
+import { OrderSender } from "./order_sender.ts";
+import type {
+  AdviceService,
+  EndpointControl,
+  HoldAnswer,
+  SiteRecords,
+} from "./ports.ts";
+import type { SiteConfig } from "./types.ts";
+
+/** What an owner needs from its entry. */
+export interface OwnerParts {
+  store: KeyValueStore;
+  records: SiteRecords;
+  control: EndpointControl;
+  advice: AdviceService;
+  clock: Clock;
+  log: EventLog;
+  metrics: Metrics;
+  /** Longest lease of a task, in milliseconds. */
+  leaseMs: number;
+  /** How long ended jobs are remembered, in milliseconds. */
+  retentionMs: number;
+  listLinks: () => Link[];
+  getConfig: () => SiteConfig | undefined;
+  /** Another owner was seen. */
+  onDeposed: (reason: string) => void;
+}
+
+/** The cell's owner: carries out what `Cell` decides. */
+export class OwnerRole extends JournalHost implements SessionHost {
+  readonly ownership: Ownership;
+  readonly cell: Cell;
+  readonly advice: AdvicePool;
+  readonly #parts: OwnerParts;
+  readonly #sessions = new Map<Endpoint, EndpointSession>();
+  readonly #feed: EndpointFeed;
+  readonly #sender: OrderSender;
+  #journal: Journal | undefined;
+  #isStopped = false;
+  #isFlushScheduled = false;
+  #lastPlanAt = 0;
+  #cancelTick: () => void = () => {};
+
+  constructor(ownership: Ownership, parts: OwnerParts) {
+    super();
+    this.ownership = ownership;
+    this.#parts = parts;
+    const { store, records, clock, log, listLinks } = parts;
+    this.cell = new Cell({
+      term: ownership.record.term,
+      retentionMs: parts.retentionMs,
+    });
+    this.advice = new AdvicePool({ service: parts.advice, listLinks });
+    this.#feed = new EndpointFeed({
+      store,
+      records,
+      clock,
+      log,
+      onChanged: (endpoints) => this.#updateEndpoints(endpoints),
+    });
+    this.#sender = new OrderSender({
+      cell: this.cell,
+      control: parts.control,
+      pool: this.advice,
+      clock,
+      log,
+      metrics: parts.metrics,
+      fence: ownership.revision,
+      leaseMs: parts.leaseMs,
+      mayOrder: (now) => this.mayOrder(now),
+      onDeposed: (reason) => this.loseOwnership(reason),
+      onAnswered: () => this.requestFlush(),
+    });
+  }
+
+  /** True once the jobs are restored. */
+  get isReady(): boolean {
+    return this.#journal !== undefined && !this.#isStopped;
+  }
+
+  /** Restores the cell and runs it. */
+  async start(): Promise<void> {
+    const { store, clock, log } = this.#parts;
+    const startedAt = clock.now();
+    while (!this.#isStopped && !this.#journal) {
+      try {
+        const contents = await loadJournal<CellSnapshot>(store);
+        if (this.#isStopped) return;
+        this.cell.restore(contents, {
+          safeAt: startedAt + this.#computeDoubt(),
+          present: this.#getPresent(),
+        });
+        this.#journal = new Journal({
+          store,
+          clock,
+          host: this,
+          claim: { key: OWNER_KEY, revision: this.ownership.revision },
+          ...contents,
+        });
+        log.record(EventCode.OwnerRestored, {
+          term: this.ownership.record.term,
+          jobs: this.cell.state.jobs.size,
+          segments: contents.lastSegment - contents.snapshotSegment,
+          elapsedMs: Math.round(clock.now() - startedAt),
+        });
+      } catch (error) {
+        log.record(EventCode.StoreUnavailable, {
+          reader: "journal",
+          reason: String(error),
+        });
+        await clock.sleep(STORE_RETRY_MS);
+      }
+    }
+    if (this.#isStopped) return;
+    this.updateConfig(this.#parts.getConfig());
+    void this.#feed.run();
+    this.#scheduleTick();
+    this.requestFlush();
+  }
+
+  /** Stops at once; with `isPlanned`, what is decided is stored first. */
+  async stop(options: { isPlanned: boolean }): Promise<void> {
+    if (this.#isStopped) return;
+    if (options.isPlanned) {
+      this.#flush();
+      await this.#journal?.drain();
+    }
+    this.#isStopped = true;
+    this.#cancelTick();
+    this.#feed.stop();
+    this.#journal?.close();
+    for (const session of this.#sessions.values()) session.stop();
+  }
+
+  /** Takes over a new version of the configuration. */
+  updateConfig(config: SiteConfig | undefined): void {
+    if (config) this.cell.updateOrganisations(config.organisations);
+  }
+
+  /** Takes a job, and answers once the store holds it. */
+  async submit(job: JobSpec): Promise<SubmitReply> {
+    if (!this.isReady) return this.#refuseAsOther();
+    const now = this.#parts.clock.now();
+    if (this.#isStoreSilent(now)) {
+      return {
+        admission: Admission.NotOwner,
+        reason: "the store does not answer",
+        retryAfterMs: NO_OWNER_RETRY_MS,
+      };
+    }
+    const outcome = this.cell.submit(job, this.#getPresent());
+    if (outcome.admission === Admission.Refused) return outcome;
+    const isCommitted = await this.#commitNow();
+    if (!isCommitted) return { isUnknown: true };
+    return outcome;
+  }
+
+  /** Cancels a job, and answers once that lasts. */
+  async cancel(id: string, organisation: string): Promise<CancelReply> {
+    if (!this.isReady) return CancelReply.Unknown;
+    const present = this.#getPresent();
+    const isKnown = this.cell.cancel(id, { organisation, present });
+    if (!isKnown) return CancelReply.NoSuchJob;
+    return await this.#commitNow()
+      ? CancelReply.Cancelled
+      : CancelReply.Unknown;
+  }
+
+  /** Returns the state of a job; `undefined` when there is none. */
+  find(id: string, organisation: string): { state: JobState } | undefined {
+    return this.cell.findStatus(id, organisation);
+  }
+
+  /** Plans soon; several requests are met by one plan. */
+  requestFlush(): void {
+    if (this.#isFlushScheduled || this.#isStopped || !this.#journal) return;
+    this.#isFlushScheduled = true;
+    this.#parts.clock.schedule(() => {
+      this.#isFlushScheduled = false;
+      if (!this.#isStopped) this.#flush();
+    }, FLUSH_MS);
+  }
+
+  /** False when another owner may have been elected long ago. */
+  mayOrder(now: number): boolean {
+    return !this.#isStopped &&
+      now - this.ownership.confirmedAt < OWNER_GRACE_MS;
+  }
+
+  /** Applies an endpoint's lists. */
+  noteHold(endpoint: Endpoint, answer: HoldAnswer, askedAt: number): void {
+    if (this.#isStopped) return;
+    if (answer.isDeposed) {
+      return this.loseOwnership(`${endpoint.info.id} serves a newer owner`);
+    }
+    this.cell.applyListing(endpoint, {
+      listing: answer.listing,
+      times: { ...this.#getPresent(), askedAt },
+    });
+    this.requestFlush();
+  }
+
+  /** Notes that an endpoint did not answer. */
+  noteSilence(endpoint: Endpoint, error: unknown): void {
+    const { clock, log } = this.#parts;
+    endpoint.pausedUntil = clock.now() + TICK_MS * 10;
+    log.record(EventCode.EndpointUnreachable, {
+      endpoint: endpoint.info.id,
+      reason: String(error),
+      leaseLeftMs: Math.round(endpoint.leaseEndsAt - clock.now()),
+    });
+  }
+
+  override exportSnapshot(): CellSnapshot {
+    return this.cell.exportSnapshot();
+  }
+
+  override loseOwnership(reason: string): void {
+    if (!this.#isStopped) this.#parts.onDeposed(reason);
+  }
+
+  override noteCommitFailure(error: unknown): void {
+    this.#parts.log.record(EventCode.CommitFailed, { reason: String(error) });
+  }
+
+  override noteCommitSuccess(elapsedMs: number, records: number): void {
+    this.#parts.metrics.observeDuration("commit", elapsedMs, {});
+    if (records > 0) this.#parts.metrics.countEvent("commits");
+  }
+
+  /** How long a former owner's tasks may run where they can't be seen. */
+  #computeDoubt(): number {
+    return OWNER_GRACE_MS - OWNER_LEASE_MS + this.#parts.leaseMs * 1.05 +
+      STORE_DELAY_MS;
+  }
+
+  #getPresent(): Present {
+    return { now: this.#parts.clock.now(), wallNow: Date.now() };
+  }
+
+  #isStoreSilent(now: number): boolean {
+    return (this.#journal?.measureDelay(now) ?? 0) > STORE_DELAY_MS;
+  }
+
+  #refuseAsOther(): SubmitReply {
+    return {
+      admission: Admission.NotOwner,
+      reason: "the owner is not ready",
+      retryAfterMs: NO_OWNER_RETRY_MS,
+    };
+  }
+
+  /** Resolves with false when the ownership ended before the commit. */
+  #commitNow(): Promise<boolean> {
+    return new Promise((resolve) => {
+      this.#flush(() => resolve(true));
+      const check = () => {
+        if (this.#isStopped) resolve(false);
+        else this.#parts.clock.schedule(check, TICK_MS * 5);
+      };
+      this.#parts.clock.schedule(check, TICK_MS * 5);
+    });
+  }
+
+  #updateEndpoints(infos: EndpointInfo[]): void {
+    this.cell.updateEndpoints(infos);
+    this.requestFlush();
+  }
+
+  #updateSessions(): void {
+    const { control, clock, leaseMs } = this.#parts;
+    for (const endpoint of this.cell.state.endpoints.values()) {
+      if (this.#sessions.has(endpoint)) continue;
+      const session = new EndpointSession({
+        endpoint,
+        control,
+        clock,
+        host: this,
+        fence: this.ownership.revision,
+        leaseMs,
+      });
+      this.#sessions.set(endpoint, session);
+      void session.run();
+    }
+    for (const [endpoint, session] of this.#sessions) {
+      if (this.cell.state.endpoints.get(endpoint.info.id) === endpoint) {
+        session.wake();
+        continue;
+      }
+      session.stop();
+      control.forget(endpoint.info.address);
+      this.#sessions.delete(endpoint);
+    }
+  }
+
+  #flush(onCommitted?: () => void): void {
+    const { clock, log } = this.#parts;
+    if (this.mayOrder(clock.now())) this.cell.plan(this.#getPresent());
+    this.#lastPlanAt = clock.now();
+    const output = this.cell.takeOutput();
+    recordDecisions(log, output.decisions);
+    this.#commit(output, onCommitted);
+    this.#updateSessions();
+    for (const order of output.orders) this.#sender.send(order);
+  }
+
+  #commit(output: CellOutput, onCommitted?: () => void): void {
+    const isEmpty = output.records.length === 0 && output.marks.size === 0 &&
+      output.finished.size === 0;
+    if (isEmpty && !onCommitted) return;
+    this.#journal?.append(output.records, () => {
+      this.cell.noteCommitted(output, Date.now());
+      onCommitted?.();
+      if (!isEmpty) this.requestFlush();
+    });
+  }
+
+  #scheduleTick(): void {
+    this.#cancelTick = this.#parts.clock.schedule(() => {
+      if (this.#isStopped) return;
+      if (this.#parts.clock.now() - this.#lastPlanAt >= TICK_MS) this.#flush();
+      this.cell.forgetEnded(Date.now());
+      this.#scheduleTick();
+    }, TICK_MS);
+  }
+}
--- /dev/null
+++ b/packages/scheduler/ports.ts
@@ -0,0 +1,114 @@
+import type {
+  AdviceAnswer,
+  EndpointInfo,
+  EndpointListing,
+  StartResult,
+  StopResult,
+} from "../cell/mod.ts";
+import type { SiteConfig } from "./types.ts";
+
+/** One lifetime of an endpoint and its address. */
+export interface EndpointTarget {
+  id: string;
+  address: string;
+  /** Start of the lifetime, Unix milliseconds; 0: any. */
+  bornAt: number;
+}
+
+/** An order to start a run. */
+export interface StartOrder {
+  task: string;
+  run: number;
+  payload: string;
+  /** End of the lease on the endpoint's clock, in milliseconds. */
+  leaseUntil: number;
+  fence: number;
+  saved: string;
+  ticket: string;
+}
+
+/** A request for an endpoint's lists; it claims the endpoint for a fence. */
+export interface HoldOrder {
+  fence: number;
+  /** Ends up to this number may be forgotten. */
+  notedEnd: number;
+  /** End of all leases on the endpoint's clock; none: leave them. */
+  leaseUntil?: number;
+  /** The answer may wait this long for an end, in milliseconds. */
+  waitMs: number;
+}
+
+/** How an endpoint answered a request for its lists. */
+export type HoldAnswer =
+  | { isDeposed: false; listing: EndpointListing }
+  | { isDeposed: true };
+
+/** Orders to endpoints. */
+export abstract class EndpointControl {
+  /** Orders a start; never throws. */
+  abstract start(
+    target: EndpointTarget,
+    order: StartOrder,
+    timeoutMs: number,
+  ): Promise<StartResult>;
+
+  /** Orders a stop; never throws. */
+  abstract stop(
+    target: EndpointTarget,
+    order: { task: string; run: number; fence: number },
+    timeoutMs: number,
+  ): Promise<StopResult>;
+
+  /**
+   * Asks for the lists of runs and ends, and prolongs leases.
+   *
+   * @throws {NotSentError | UnknownEffectError} when no answer came
+   */
+  abstract hold(
+    target: EndpointTarget,
+    order: HoldOrder,
+    timeoutMs: number,
+  ): Promise<HoldAnswer>;
+
+  /** Frees the connections to an endpoint that is gone. */
+  abstract forget(address: string): void;
+
+  /** Frees all connections. */
+  abstract close(): Promise<void>;
+}
+
+/** The policy service that names the endpoints that may run a step. */
+export abstract class AdviceService {
+  /**
+   * Asks about some endpoints.
+   *
+   * @throws {NotSentError | UnknownEffectError} when no answer came
+   */
+  abstract ask(
+    stage: string,
+    endpoints: readonly string[],
+    timeoutMs: number,
+  ): Promise<AdviceAnswer>;
+
+  /** Frees the connections. */
+  abstract close(): Promise<void>;
+}
+
+/** What operators and endpoints keep in the store, and how it is read. */
+export abstract class SiteRecords {
+  /** Key of the operators' configuration. */
+  abstract readonly configKey: string;
+
+  /** Prefix of the endpoints' own records. */
+  abstract readonly endpointPrefix: string;
+
+  /**
+   * Reads a configuration.
+   *
+   * @throws {FormatError} when it is none
+   */
+  abstract decodeConfig(text: string): SiteConfig;
+
+  /** Reads an endpoint's record; nothing when it names no endpoint to use. */
+  abstract decodeEndpoint(key: string, text: string): EndpointInfo | undefined;
+}
--- /dev/null
+++ b/packages/scheduler/scheduler_node.ts
@@ -0,0 +1,203 @@
+import type { Clock, Random } from "../base/mod.ts";
+import { Admission } from "../cell/mod.ts";
+import { EventCode, type EventLog } from "../events/mod.ts";
+import { CancelReply, type LinkHandlers, LinkServer } from "../links/mod.ts";
+import type { Metrics } from "../metrics/mod.ts";
+import type { SchedulerSettings } from "../settings/mod.ts";
+import type { KeyValueStore } from "../storage/mod.ts";
+import { CallerService } from "./caller_service.ts";
+import { ConfigFeed } from "./config_feed.ts";
+import { NO_OWNER_RETRY_MS } from "./constants.ts";
+import { Election, type ElectionHost, type Ownership } from "./election.ts";
+import { OwnerGateway } from "./owner_gateway.ts";
+import { OwnerRole } from "./owner_role.ts";
+import type { AdviceService, EndpointControl, SiteRecords } from "./ports.ts";
+import type { OwnerRecord } from "./types.ts";
+
+/** Everything that an entry is built from. */
+export interface SchedulerParts {
+  settings: SchedulerSettings;
+  store: KeyValueStore;
+  records: SiteRecords;
+  control: EndpointControl;
+  advice: AdviceService;
+  clock: Clock;
+  random: Random;
+  log: EventLog;
+  metrics: Metrics;
+  /** Differs with each start of the process. */
+  incarnation: string;
+}
+
+/** One entry of a cell: serves callers, and owns the cell when elected. */
+export class SchedulerNode implements ElectionHost {
+  readonly parts: SchedulerParts;
+  readonly callers: CallerService;
+  readonly config: ConfigFeed;
+  readonly gateway: OwnerGateway;
+  readonly #election: Election;
+  readonly #links: LinkServer;
+  #role: OwnerRole | undefined;
+  #isStopping = false;
+
+  constructor(parts: SchedulerParts) {
+    this.parts = parts;
+    const { settings, store, records, clock, log, random } = parts;
+    const { name, address } = settings.vm;
+    const handlers = this.#createHandlers();
+    this.config = new ConfigFeed({ store, records, clock, log });
+    this.config.onChanged = (config) => this.#role?.updateConfig(config);
+    this.#links = new LinkServer({ handlers, clock, entry: name });
+    this.gateway = new OwnerGateway({
+      clock,
+      log,
+      entry: name,
+      localAddress: address,
+      handlers,
+    });
+    this.#election = new Election({
+      store,
+      clock,
+      random,
+      log,
+      host: this,
+      self: {
+        entry: name,
+        incarnation: parts.incarnation,
+        host: settings.listen.peers.host,
+        port: settings.listen.peers.port,
+      },
+    });
+    this.callers = new CallerService({
+      config: this.config,
+      gateway: this.gateway,
+      clock,
+      log,
+      random,
+      metrics: parts.metrics,
+      revokeMs: settings.bounds.key_revocation_ms,
+    });
+  }
+
+  /** Listens for other entries and starts all loops. */
+  async start(): Promise<void> {
+    await this.#links.listen(this.parts.settings.listen.peers);
+    this.parts.log.record(EventCode.EntryStarted, {
+      incarnation: this.parts.incarnation,
+    });
+    void this.config.run();
+    void this.#election.run();
+  }
+
+  /** True when requests can be served; told to the balancer. */
+  isReady(): boolean {
+    if (this.#isStopping || !this.config.config) return false;
+    return this.#role ? this.#role.isReady : this.gateway.isLinked;
+  }
+
+  /** Hands the cell over and takes no further ownership. */
+  async beginStop(): Promise<void> {
+    this.#isStopping = true;
+    this.parts.log.record(EventCode.DrainStarted, {});
+    const role = this.#role;
+    if (role) await role.stop({ isPlanned: true });
+    await this.#election.resign();
+  }
+
+  /** Ends all loops. */
+  stop(): void {
+    this.#election.stop();
+    this.config.stop();
+    this.gateway.close();
+    this.#links.close();
+    this.parts.log.record(EventCode.EntryStopped, {});
+  }
+
+  followOwner(record: OwnerRecord | undefined): void {
+    this.gateway.follow(record, false);
+  }
+
+  becomeOwner(ownership: Ownership): void {
+    const { settings, ...parts } = this.parts;
+    const role = new OwnerRole(ownership, {
+      ...parts,
+      leaseMs: settings.bounds.task_lease_ms,
+      retentionMs: settings.bounds.ended_jobs_ms,
+      listLinks: () => this.#links.listNamed(),
+      getConfig: () => this.config.config,
+      onDeposed: (reason) => this.#election.dismiss(reason),
+    });
+    this.#role = role;
+    this.gateway.follow(ownership.record, true);
+    void role.start();
+  }
+
+  ceaseOwner(_reason: string): void {
+    const role = this.#role;
+    this.#role = undefined;
+    void role?.stop({ isPlanned: false });
+    this.gateway.follow(undefined, false);
+  }
+
+  /** Describes the state of this process, for a dump. */
+  describe(): Record<string, unknown> {
+    const now = this.parts.clock.now();
+    const cell = this.#role?.cell.state;
+    return {
+      entry: this.parts.settings.vm.name,
+      incarnation: this.parts.incarnation,
+      isReady: this.isReady(),
+      owner: this.gateway.owner,
+      configVersion: this.config.config?.version,
+      configAgeMs: Math.round(this.config.measureAge(now)),
+      links: this.#links.listNamed().map((link) => link.peer),
+      advice: this.#role?.advice.describe(),
+      cell: cell && {
+        term: cell.term,
+        jobs: cell.jobs.size,
+        ended: cell.ended.size,
+        unlocated: cell.unlocated.size,
+        ready: [...cell.ready].map((stage) => stage.name),
+        endpoints: [...cell.endpoints.values()].map((endpoint) => ({
+          id: endpoint.info.id,
+          isHeld: endpoint.isHeld,
+          used: endpoint.used,
+          capacity: endpoint.info.capacity,
+          runs: [...endpoint.runs.values()].map((run) => ({
+            task: run.task,
+            run: run.number,
+            phase: run.phase,
+            percent: run.percent,
+          })),
+        })),
+      },
+    };
+  }
+
+  #createHandlers(): LinkHandlers {
+    return {
+      "link.heartbeat": () => true,
+      "job.submit": async ({ job }) =>
+        await this.#role?.submit(job) ?? {
+          admission: Admission.NotOwner,
+          reason: "the entry that was asked does not own the cell",
+          retryAfterMs: NO_OWNER_RETRY_MS,
+        },
+      "job.cancel": async ({ id, organisation }) =>
+        await this.#role?.cancel(id, organisation) ?? CancelReply.Unknown,
+      "job.find": ({ id, organisation }) => {
+        const role = this.#requireRole();
+        return role.find(id, organisation) ?? null;
+      },
+      "queue.count": ({ queue }) =>
+        this.#requireRole().cell.countWaiting(queue),
+      "advice.ask": async ({ stage, endpoints, timeoutMs }) =>
+        await this.parts.advice.ask(stage, endpoints, timeoutMs),
+    };
+  }
+
+  #requireRole(): OwnerRole {
+    if (this.#role?.isReady) return this.#role;
+    throw new Error("this entry does not own the cell");
+  }
+}
--- /dev/null
+++ b/packages/scheduler/wiring.ts
@@ -0,0 +1,37 @@
+import { type Clock, SeededRandom, SteadyClock } from "../base/mod.ts";
+import { BoundedEventLog, LogTarget, PinoEventLog } from "../events/mod.ts";
+import { Metrics } from "../metrics/mod.ts";
+import type { SchedulerSettings } from "../settings/mod.ts";
+import type { KeyValueStore } from "../storage/mod.ts";
+import type { AdviceService, EndpointControl, SiteRecords } from "./ports.ts";
+import { SchedulerNode } from "./scheduler_node.ts";
+
+/** The adapters of one platform. */
+export interface PlatformAdapters {
+  store: KeyValueStore;
+  records: SiteRecords;
+  control: EndpointControl;
+  advice: AdviceService;
+}
+
+/** Builds an entry from its settings and a platform's adapters. */
+export function buildSchedulerNode(
+  settings: SchedulerSettings,
+  adapters: PlatformAdapters,
+  options: { seed: number },
+): SchedulerNode {
+  const clock: Clock = new SteadyClock();
+  const target = { target: LogTarget.Stdout, isAsync: true };
+  const base = { entry: settings.vm.name };
+  const log = new PinoEventLog(settings.log.level, base, target);
+  const random = new SeededRandom(options.seed);
+  return new SchedulerNode({
+    ...adapters,
+    settings,
+    clock,
+    random,
+    log: new BoundedEventLog(log, clock),
+    metrics: new Metrics(),
+    incarnation: `${settings.vm.name}/${options.seed.toString(36)}`,
+  });
+}
--- /dev/null
+++ b/packages/settings/scheduler_settings.ts
@@ -0,0 +1,43 @@
+import { readFileSync } from "node:fs";
+import { z } from "zod";
+import { makeIntegerSchema, nameSchema } from "../config/mod.ts";
+import { addressSchema, parseWithSchema } from "./settings.ts";
+
+const hostSchema = z.string().min(1, "must be an IP address");
+
+const schedulerSchema = z.strictObject({
+  vm: z.strictObject({
+    name: nameSchema,
+    domain: nameSchema,
+    address: hostSchema,
+  }),
+  listen: z.strictObject({
+    callers: addressSchema,
+    readiness: addressSchema,
+    peers: addressSchema,
+    operations: addressSchema,
+  }),
+  store: z.strictObject({ address: addressSchema }),
+  policy: z.strictObject({ address: addressSchema.optional() }).prefault({}),
+  bounds: z.strictObject({
+    task_lease_ms: makeIntegerSchema(1_000, 600_000),
+    key_revocation_ms: makeIntegerSchema(1_000, 600_000),
+    ended_jobs_ms: makeIntegerSchema(1_000, 86_400_000),
+  }),
+  log: z.strictObject({
+    level: z.enum(["debug", "info", "warn", "error"]).default("info"),
+  }).prefault({}),
+});
+
+/** Settings of an entry that runs stored jobs, as its INI file gives them. */
+export type SchedulerSettings = z.infer<typeof schedulerSchema>;
+
+/**
+ * Reads and checks the settings file of an entry that runs stored jobs.
+ *
+ * @throws {SettingsError} with every fault of the file
+ */
+export function readSchedulerSettings(file: string): SchedulerSettings {
+  const text = readFileSync(file, "utf8");
+  return parseWithSchema(schedulerSchema, file, { text });
+}
--- a/packages/settings/settings.ts
+++ b/packages/settings/settings.ts
@@ -32,7 +32,8 @@
   }
 }
 
-const addressSchema = z.string().transform((text, context): Address => {
+/** An IP address and a port, such as `10.0.0.7:8080`. */
+export const addressSchema = z.string().transform((text, context): Address => {
   const address = parseAddress(text);
   if (address) return address;
   context.addIssue({
@@ -100,8 +101,21 @@
  * @throws {SettingsError} with every fault of the text
  */
 export function parseSettings(file: string, text: string): Settings {
-  const document = parseIni(file, text);
-  const parsed = settingsSchema.safeParse(document.values);
+  return parseWithSchema(settingsSchema, file, { text });
+}
+
+/**
+ * Checks the text of a settings file against a schema.
+ *
+ * @throws {SettingsError} with every fault of the text
+ */
+export function parseWithSchema<Schema extends z.ZodType>(
+  schema: Schema,
+  file: string,
+  options: { text: string },
+): z.infer<Schema> {
+  const document = parseIni(file, options.text);
+  const parsed = schema.safeParse(document.values);
   const issues = [...document.issues];
   if (!parsed.success) {
     issues.push(...parsed.error.issues.map((issue) => ({
--- /dev/null
+++ b/packages/storage/mod.ts
@@ -0,0 +1,3 @@
+/** The store for all that must last: abstract class and types. */
+export * from "./key_value_store.ts";
+export * from "./types.ts";
