--- a/packages/cell/ends.ts
+++ b/packages/cell/ends.ts
@@ -180,6 +180,7 @@
   present: Present,
 ): void {
   const { stage } = place;
+  if (stage.remaining === 0) return;
   const tasks = getStep(stage).gang ? stage.tasks : [place.task];
   for (const task of tasks) {
     if (task.phase === TaskPhase.Done) continue;
--- a/packages/platform/http_json.ts
+++ b/packages/platform/http_json.ts
@@ -89,7 +89,7 @@
       method: call.method,
       headers: { "content-type": "application/json", ...call.headers },
       body: call.body === undefined ? undefined : JSON.stringify(call.body),
-      signal: AbortSignal.timeout(call.timeoutMs),
+      signal: AbortSignal.timeout(Math.ceil(call.timeoutMs)),
       headersTimeout: 0,
       bodyTimeout: 0,
     });
--- a/packages/scheduler/owner_gateway.ts
+++ b/packages/scheduler/owner_gateway.ts
@@ -1,8 +1,4 @@
-import {
-  type Clock,
-  NotSentError,
-  UnknownEffectError,
-} from "../base/mod.ts";
+import { type Clock, NotSentError, UnknownEffectError } from "../base/mod.ts";
 import { EventCode, type EventLog } from "../events/mod.ts";
 import {
   type Link,
