Keep a whole lease for runs that a former owner started

Ruled out: the wait for endpoints out of reach; the log shows "out of reach until its leases ended" 20 ms after the listing that showed the runs. Change: a run that is found prolongs the known end of leases by a whole one.

--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -52,9 +52,12 @@
   readonly #retentionMs: number;
 
   /** `retentionMs`: how long ended jobs are remembered. */
-  constructor(options: { term: number; retentionMs: number }) {
+  constructor(
+    options: { term: number; retentionMs: number; leaseMs: number },
+  ) {
     this.#retentionMs = options.retentionMs;
     this.state = {
+      leaseMs: options.leaseMs,
       term: options.term,
       jobs: new Map(),
       ended: new Map(),
--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -9,7 +9,7 @@
   releaseRun,
   saveProgress,
 } from "./ends.ts";
-import { settleUnlocated } from "./endpoints.ts";
+import { noteLeaseSent, settleUnlocated } from "./endpoints.ts";
 import { addDecision, addRun, type CellState } from "./state.ts";
 import { findTask, getStep, removeUnlocated } from "./stages.ts";
 import { sendStop, stopRun } from "./stops.ts";
@@ -180,6 +180,8 @@
     progressAt: times.now,
   };
   addRun(state, run);
+  // Its lease is one that a former owner gave: it may be a whole one.
+  noteLeaseSent(endpoint, { now: times.now, leaseMs: state.leaseMs });
   const isExpected = place?.task.phase === TaskPhase.Unlocated;
   addDecision(state, {
     kind: DecisionKind.Adopted,
--- a/packages/cell/state.ts
+++ b/packages/cell/state.ts
@@ -15,6 +15,8 @@
 
 /** All that a cell's owner knows. Times: its own steady clock, in ms. */
 export interface CellState {
+  /** Longest lease of a task, in milliseconds. */
+  leaseMs: number;
   /** Counts owners; later terms use higher run numbers. */
   term: number;
   jobs: Map<string, Job>;
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -80,6 +80,7 @@
     this.cell = new Cell({
       term: ownership.record.term,
       retentionMs: parts.retentionMs,
+      leaseMs: parts.leaseMs,
     });
     this.advice = new AdvicePool({ service: parts.advice, listLinks });
     this.#feed = new EndpointFeed({
--- /dev/null
+++ b/tests/cell/gang_test.ts
@@ -0,0 +1,70 @@
+import test from "ava";
+import { EndKind, JobState } from "../../packages/jobs/mod.ts";
+import { CellSite, makeJob, makeStep } from "./cell_site.ts";
+
+const wide = { milliCores: 8_000, memoryMb: 100, accelerators: 0 };
+
+test("a gang that ends on several endpoints finishes its step once", (t) => {
+  // Each end counted as the end of the step: the next one was never run.
+  const site = new CellSite({ endpoints: 3 });
+  const gang = makeStep({ tasks: 3, gang: true, demand: wide });
+  site.submit(makeJob("a", [gang, makeStep({ after: [0] })]));
+  site.advance(900);
+  t.is(site.find("a"), JobState.Running);
+  site.advance(600);
+  t.is(site.find("a"), JobState.Completed);
+  t.true(site.checker.done.has("a.0.1.0"));
+  t.is(site.calls.stops, 0);
+});
+
+test("a gang starts whole or not at all", (t) => {
+  const site = new CellSite({ endpoints: 3, afterMs: 1_000 });
+  site.submit(makeJob("small", [makeStep()]));
+  site.advance(300);
+  const gang = makeStep({ tasks: 3, gang: true, demand: wide });
+  site.submit(makeJob("gang", [gang]));
+  site.advance(300);
+  t.is(site.checker.starts, 1);
+  site.advance(3_000);
+  t.is(site.find("gang"), JobState.Completed);
+  t.is(site.checker.starts, 4);
+});
+
+test("room is kept for a gang that waits, against later small work", (t) => {
+  const site = new CellSite({ endpoints: 2, afterMs: 400 });
+  const gang = makeStep({ tasks: 2, gang: true, demand: wide });
+  const half = makeStep({
+    demand: { milliCores: 4_000, memoryMb: 100, accelerators: 0 },
+  });
+  site.submit(makeJob("s0", [half]));
+  site.advance(100);
+  site.submit(makeJob("gang", [gang]));
+  for (let n = 1; n < 20; n++) {
+    site.submit(makeJob(`s${n}`, [half]));
+    site.advance(100);
+  }
+  t.is(site.find("gang"), JobState.Completed);
+});
+
+test("a gang with one refused start is stopped and started again", (t) => {
+  const site = new CellSite({ endpoints: 3 });
+  const gang = makeStep({ tasks: 3, gang: true, demand: wide });
+  site.advance(300);
+  site.lostPart = 0.4;
+  site.submit(makeJob("a", [gang]));
+  site.advance(1_500);
+  site.lostPart = 0;
+  site.advance(20_000);
+  t.is(site.find("a"), JobState.Completed);
+  t.deepEqual(site.checker.faults, []);
+});
+
+test("a gang that fails as often as it may is not started again", (t) => {
+  const site = new CellSite({ endpoints: 2 });
+  site.endRule = () => ({ afterMs: 100, how: EndKind.Failed });
+  const gang = makeStep({ tasks: 2, gang: true });
+  site.submit(makeJob("a", [gang]));
+  site.advance(20_000);
+  t.is(site.find("a"), JobState.Failed);
+  t.true(site.checker.starts <= 6);
+});
--- /dev/null
+++ b/tests/cell/take_over_test.ts
@@ -0,0 +1,67 @@
+import test from "ava";
+import { EndKind, JobState } from "../../packages/jobs/mod.ts";
+import { CellSite, LEASE_MS, makeJob, makeStep } from "./cell_site.ts";
+
+test("a new owner keeps what runs, and starts nothing twice", (t) => {
+  const site = new CellSite({ afterMs: 3_000 });
+  site.submit(makeJob("a", [makeStep({ tasks: 12 })]));
+  site.advance(500);
+  site.replaceOwner();
+  site.advance(4_000);
+  t.is(site.find("a"), JobState.Completed);
+  t.is(site.checker.starts, 12);
+  t.deepEqual(site.checker.faults, []);
+});
+
+test("runs that a former owner started are not taken as lapsed", (t) => {
+  // An endpoint whose leases another owner gave had no known end of a lease.
+  const site = new CellSite({ endpoints: 1, afterMs: 5_000 });
+  site.submit(makeJob("a", [makeStep()]));
+  site.advance(300);
+  site.replaceOwner();
+  site.advance(300);
+  const [endpoint] = site.cell.state.endpoints.values();
+  t.is(endpoint.runs.size, 1);
+  t.true(endpoint.leaseEndsAt >= site.now + LEASE_MS / 2);
+});
+
+test("tasks wait while an endpoint may still run them unseen", (t) => {
+  const site = new CellSite({ endpoints: 2, afterMs: 20_000 });
+  site.submit(makeJob("a", [makeStep({ tasks: 4 })]));
+  site.advance(300);
+  for (const endpoint of site.endpoints.values()) {
+    endpoint.isCut = endpoint.runs.size > 0;
+  }
+  site.replaceOwner();
+  site.advance(5_000);
+  t.is(site.checker.starts, 4);
+  site.advance(8_000);
+  t.true(site.checker.starts > 4);
+  t.deepEqual(site.checker.faults, []);
+});
+
+test("a job that is accepted survives every owner, with its ends", (t) => {
+  const site = new CellSite();
+  const steps = [makeStep({ tasks: 2 }), makeStep({ after: [0], tasks: 3 })];
+  site.submit(makeJob("a", steps));
+  for (let n = 0; n < 6; n++) {
+    site.advance(270);
+    if (n === 3) site.takeSnapshot();
+    site.replaceOwner();
+  }
+  site.advance(3_000);
+  t.is(site.find("a"), JobState.Completed);
+  t.deepEqual(site.checker.faults, []);
+});
+
+test("failed runs count once over owners and snapshots", (t) => {
+  const site = new CellSite();
+  site.endRule = () => ({ afterMs: 100, how: EndKind.Failed });
+  site.submit(makeJob("a", [makeStep()]));
+  site.advance(250);
+  site.takeSnapshot();
+  site.replaceOwner();
+  site.advance(10_000);
+  t.is(site.find("a"), JobState.Failed);
+  t.is(site.checker.starts, 3);
+});
