Do not take an old end for the place where a task runs

Run 1 had failed and its end was not yet taken note of, run 2 ran elsewhere; the new owner saw the old end and let the task be started again. Change: only a listed run, or all endpoints together, end the doubt about a task. Before: the new test starts the task three times.

--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -110,7 +110,7 @@
   options: { end: ListedEnd; times: ListingTimes },
 ): void {
   const { end, times } = options;
-  const place = findTask(state, end.task);
+  // An end says nothing of where a later run of the same task may be.
   noteEnd(state, end, times);
   const run = endpoint.runs.get(end.task);
   addDecision(state, {
@@ -129,8 +129,6 @@
       isFault: isFailure,
       reason: `ended ${end.end}`,
     });
-  } else if (place?.task.phase === TaskPhase.Unlocated) {
-    removeUnlocated(state, place);
   }
 }
 
--- a/tests/cell/cell_site.ts
+++ b/tests/cell/cell_site.ts
@@ -105,6 +105,8 @@
   /** Endpoints that the policy allows; nothing: all. */
   allowed: ((endpoint: string) => boolean) | undefined;
   adviceMs = 20;
+  /** Time between two listings of an endpoint, in milliseconds. */
+  holdMs = 100;
   snapshot: CellSnapshot | undefined;
   readonly calls = { starts: 0, stops: 0, holds: 0, advice: 0 };
   #commits: { at: number; owner: Cell; output: CellOutput }[] = [];
@@ -220,7 +222,7 @@
   #holdEndpoints(): void {
     for (const endpoint of this.cell.state.endpoints.values()) {
       const last = this.#heldAt.get(endpoint) ?? 0;
-      if (this.now - last < 100) continue;
+      if (this.now - last < this.holdMs) continue;
       this.#heldAt.set(endpoint, this.now);
       const fake = this.endpoints.get(endpoint.info.id);
       if (!fake || fake.isCut) continue;
--- a/tests/cell/take_over_test.ts
+++ b/tests/cell/take_over_test.ts
@@ -65,3 +65,28 @@
   t.is(site.find("a"), JobState.Failed);
   t.is(site.checker.starts, 3);
 });
+
+test("an old end does not tell where a task runs now", (t) => {
+  // Run 1 has failed and its end is not yet taken note of; run 2 runs
+  // elsewhere. The new owner took the old end for the task's whereabouts.
+  const site = new CellSite({ endpoints: 2 });
+  site.holdMs = 700;
+  site.endRule = (run) =>
+    run.run === 1
+      ? { afterMs: 100, how: EndKind.Failed }
+      : { afterMs: 4_000, how: EndKind.Done };
+  site.advance(50);
+  site.submit(makeJob("a", [makeStep()]));
+  while (site.checker.starts < 2) site.advance(10);
+  const [second] = [...site.endpoints.values()].filter(({ runs }) =>
+    runs.size > 0
+  );
+  site.replaceOwner();
+  second.isCut = true;
+  site.advance(1_500);
+  second.isCut = false;
+  site.advance(6_000);
+  t.is(site.find("a"), JobState.Completed);
+  t.is(site.checker.starts, 2);
+  t.deepEqual(site.checker.faults, []);
+});
