--- a/packages/cell/answers.ts
+++ b/packages/cell/answers.ts
@@ -4,6 +4,7 @@
   ENDPOINT_PAUSE_MS,
   MAX_ADVICE_RETRIES,
   RUNS_PER_TERM,
+  UNSURE_MS,
 } from "./constants.ts";
 import { breakGang, type Present, releaseRun } from "./ends.ts";
 import type { CellState } from "./state.ts";
@@ -34,7 +35,6 @@
     return;
   }
   if (result === StartResult.Unknown) {
-    run.endpoint.pausedUntil = now + ENDPOINT_PAUSE_MS;
     if (run.phase === RunPhase.Starting) run.phase = RunPhase.Unsure;
     return;
   }
@@ -107,11 +107,12 @@
     .otherwise(() => {});
 }
 
-/** Stops a gang of which a start was refused or had no answer. */
+/** Stops what has had no answer, and is not listed in time either. */
 export function repairGangs(state: CellState, now: number): void {
   for (const endpoint of state.endpoints.values()) {
     for (const run of endpoint.runs.values()) {
       if (run.phase !== RunPhase.Unsure) continue;
+      if (now - run.settledAt < UNSURE_MS) continue;
       const place = findTask(state, run.task);
       if (!place || place.task.run !== run) stopRun(state, run, now);
       else if (getStep(place.stage).gang) breakGang(state, place.stage, now);
--- a/packages/cell/constants.ts
+++ b/packages/cell/constants.ts
@@ -7,6 +7,9 @@
 /** A ticket is not used in the last part of its life, in milliseconds. */
 export const TICKET_MARGIN_MS = 150;
 
+/** A start without an answer must be listed within this time, in ms. */
+export const UNSURE_MS = 500;
+
 /** First pause before a refused task is started again, in milliseconds. */
 export const RETRY_PAUSE_MS = 150;
 
--- a/packages/cell/endpoints.ts
+++ b/packages/cell/endpoints.ts
@@ -22,6 +22,8 @@
     runs: new Map(),
     used: makeNoDemand(),
     pausedUntil: 0,
+    silentUntil: 0,
+    listedClock: 0,
     failuresInRow: 0,
     lastFailedJob: "",
     ejectedUntil: 0,
--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -39,7 +39,9 @@
   if (listing.bornAt < endpoint.bornAt) return;
   if (listing.bornAt > endpoint.bornAt) {
     restartEndpoint(state, endpoint, { bornAt: listing.bornAt, times });
-  }
+  } else if (listing.clockMs < endpoint.listedClock) return;
+  endpoint.listedClock = listing.clockMs;
+  endpoint.silentUntil = 0;
   endpoint.clockOffset = listing.clockMs - times.now;
   recordEndpoint(state, endpoint);
   for (const end of listing.ended) {
@@ -81,6 +83,7 @@
   endpoint.bornAt = bornAt;
   endpoint.lastEnd = 0;
   endpoint.committedEnd = 0;
+  endpoint.listedClock = 0;
   endpoint.failuresInRow = 0;
   endpoint.ejectedUntil = 0;
   for (const run of [...endpoint.runs.values()]) {
--- a/packages/cell/placement.ts
+++ b/packages/cell/placement.ts
@@ -35,7 +35,8 @@
 
 /** Tells whether an endpoint takes orders now. */
 export function canStart(endpoint: Endpoint, now: number): boolean {
-  return endpoint.isHeld && endpoint.isRecorded && now >= endpoint.pausedUntil;
+  return endpoint.isHeld && endpoint.isRecorded &&
+    now >= endpoint.pausedUntil && now >= endpoint.silentUntil;
 }
 
 /** Tells whether an endpoint that failed its tasks may be used again. */
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -73,7 +73,12 @@
   committedEnd: number;
   runs: Map<string, Run>;
   used: Demand;
+  /** It refused a start: it gets none before this time. */
   pausedUntil: number;
+  /** It did not answer: it gets no start before this time or its answer. */
+  silentUntil: number;
+  /** Its clock in the newest listing; listings can overtake each other. */
+  listedClock: number;
   failuresInRow: number;
   lastFailedJob: string;
   ejectedUntil: number;
--- a/packages/links/link.ts
+++ b/packages/links/link.ts
@@ -45,6 +45,11 @@
     this.#scheduleHeartbeat();
   }
 
+  /** Tells for how long nothing was heard, in milliseconds. */
+  measureSilence(): number {
+    return this.#clock.now() - this.#lastHeardAt;
+  }
+
   /** True until the link is closed. */
   get isOpen(): boolean {
     return this.#isOpen;
@@ -134,9 +139,13 @@
   }
 }
 
+/** Nothing listens at the address of another entry: its process is gone. */
+export class LinkRefusedError extends NotSentError {}
+
 /**
  * Opens a link to another entry and says who calls.
  *
+ * @throws {LinkRefusedError} when nothing listens there
  * @throws {NotSentError} when it cannot be reached
  */
 export async function openLink(
@@ -157,9 +166,10 @@
       reject(new NotSentError(`Cannot connect to ${place}: ${reason}`));
     };
     const cancel = clock.schedule(() => fail("timed out"), LINK_CONNECT_MS);
-    opening.once("error", (error) => {
+    opening.once("error", (error: NodeJS.ErrnoException) => {
       cancel();
-      fail(error.message);
+      if (error.code !== "ECONNREFUSED") return fail(error.message);
+      reject(new LinkRefusedError(`Cannot connect: ${error.message}`));
     });
     opening.once("connect", () => {
       cancel();
--- a/packages/scheduler/advice_pool.ts
+++ b/packages/scheduler/advice_pool.ts
@@ -1,8 +1,11 @@
 import type { AdviceAnswer, Stage } from "../cell/mod.ts";
-import type { Link } from "../links/mod.ts";
+import { type Link, LINK_HEARTBEAT_MS } from "../links/mod.ts";
 import { ADVICE_SLACK_MS } from "./constants.ts";
 import type { AdviceService } from "./ports.ts";
 
+/** An entry that was silent for longer may be cut off: two heartbeats. */
+const MAX_SILENCE_MS = 2 * LINK_HEARTBEAT_MS;
+
 interface Caller {
   /** Nothing: this entry itself. */
   link?: Link;
@@ -73,6 +76,7 @@
     }
     let best = this.#self;
     for (const link of links) {
+      if (link.measureSilence() > MAX_SILENCE_MS) continue;
       let caller = this.#callers.get(link);
       if (!caller) {
         caller = { link, backlogMs: 0 };
--- a/packages/scheduler/caller_service.ts
+++ b/packages/scheduler/caller_service.ts
@@ -15,6 +15,7 @@
   DEFAULT_DEADLINE_MS,
   KEY_TRUST_PART,
   NO_OWNER_RETRY_MS,
+  OWNER_ANSWER_MS,
 } from "./constants.ts";
 import type { OwnerGateway } from "./owner_gateway.ts";
 import {
@@ -244,7 +245,8 @@
 
 function computeTimeout({ deadlineMs }: CallerRequest): number {
   const bounded = deadlineMs > 0 ? deadlineMs : DEFAULT_DEADLINE_MS;
-  return Math.max(ANSWER_MARGIN_MS, bounded - ANSWER_MARGIN_MS);
+  const left = Math.max(ANSWER_MARGIN_MS, bounded - ANSWER_MARGIN_MS);
+  return Math.min(OWNER_ANSWER_MS, left);
 }
 
 function selectRules(queue: QueueRoute): JobSpec["queue"] {
--- a/packages/scheduler/constants.ts
+++ b/packages/scheduler/constants.ts
@@ -7,11 +7,14 @@
 /** Prefix of both. */
 export const CELL_PREFIX = "baobabhead/cell/";
 
-/** Life of the owner's lease: bears four lost renewals in a row. */
-export const OWNER_LEASE_MS = 2_000;
+/**
+ * Life of the owner's lease: the store's least is 1,000 ms; it bears two lost
+ * renewals in a row, and a take-over too many costs less than one too late.
+ */
+export const OWNER_LEASE_MS = 1_300;
 
 /** Time between renewals of the owner's lease, in milliseconds. */
-export const OWNER_KEEP_MS = 400;
+export const OWNER_KEEP_MS = 300;
 
 /**
  * An owner prolongs tasks' leases for this long after its last renewal that
@@ -22,14 +25,23 @@
 /** Entries wait up to this long before they claim a free cell, spread. */
 export const CLAIM_SPREAD_MS = 60;
 
-/** Longest wait of one watch, in milliseconds. */
+/** Longest wait of the watch of endpoints: bounds a silent connection. */
 export const WATCH_MS = 1_500;
 
+/** Least time between two watches of endpoints: a fifth of a drain's bound. */
+export const WATCH_INTERVAL_MS = 300;
+
+/** Longest wait of the watch of the owner; a broken link ends it sooner. */
+export const OWNER_WATCH_MS = 3_000;
+
+/** Pause between reads of the owner's key while its link is broken, in ms. */
+export const OWNER_READ_MS = 250;
+
 /** Pause after a failed call to the store, in milliseconds. */
 export const STORE_RETRY_MS = 200;
 
-/** Time between reads of the configuration: half a second before 2 s count. */
-export const CONFIG_READ_MS = 600;
+/** Time between reads of the configuration: under half of the bound of 2 s. */
+export const CONFIG_READ_MS = 800;
 
 /** Pause between attempts to reach the cell's owner, in milliseconds. */
 export const LINK_RETRY_MS = 200;
@@ -47,10 +59,16 @@
 export const HOLD_TIMEOUT_MS = 800;
 
 /** Least time between two listings of one endpoint, in milliseconds. */
-export const HOLD_INTERVAL_MS = 60;
+export const HOLD_INTERVAL_MS = 100;
 
 /** Pause after a listing without an answer, in milliseconds. */
-export const HOLD_RETRY_MS = 250;
+export const HOLD_RETRY_MS = 150;
+
+/** An order without an answer for this long shows an endpoint out of reach. */
+export const SILENCE_MS = 500;
+
+/** An endpoint out of reach gets no starts for this long, or until it answers. */
+export const SILENT_PAUSE_MS = 2_000;
 
 /** Time in which events are gathered before the next plan, in ms. */
 export const FLUSH_MS = 3;
@@ -64,6 +82,12 @@
 /** A commit without an answer for this long: new jobs are refused. */
 export const STORE_DELAY_MS = 700;
 
+/**
+ * Bound on the owner's answer to a caller's request, in milliseconds. An owner
+ * that is silent for longer is lost; the caller's retry finds the next one.
+ */
+export const OWNER_ANSWER_MS = 1_000;
+
 /** Kept back from a caller's deadline for the answer's way, in ms. */
 export const ANSWER_MARGIN_MS = 150;
 
--- a/packages/scheduler/election.ts
+++ b/packages/scheduler/election.ts
@@ -11,9 +11,10 @@
   OWNER_KEEP_MS,
   OWNER_KEY,
   OWNER_LEASE_MS,
+  OWNER_READ_MS,
+  OWNER_WATCH_MS,
   STORE_RETRY_MS,
   TERM_KEY,
-  WATCH_MS,
 } from "./constants.ts";
 import type { OwnerRecord } from "./types.ts";
 
@@ -49,6 +50,9 @@
   #ownership: Ownership | undefined;
   #isStopped = false;
   #mayClaim = true;
+  #isDoubted = false;
+  #isReplacing = false;
+  #endWait: () => void = () => {};
 
   constructor(options: {
     store: KeyValueStore;
@@ -93,6 +97,23 @@
     }
   }
 
+  /** Reads the owner's key soon: its owner does not answer. */
+  checkOwner(): void {
+    this.#isDoubted = true;
+    this.#endWait();
+  }
+
+  /** Claims the cell of an owner whose process is gone; its lease may last. */
+  replaceOwner(gone: OwnerRecord): void {
+    if (this.#ownership || this.#isReplacing) return;
+    this.#isReplacing = true;
+    this.#claimFrom(gone)
+      .catch((error) =>
+        this.#log.record(EventCode.ElectionFailed, { reason: String(error) })
+      )
+      .finally(() => this.#isReplacing = false);
+  }
+
   /** Gives up an ownership that another entry was seen to hold. */
   dismiss(reason: string): void {
     this.#endOwnership(reason);
@@ -121,15 +142,28 @@
     await this.#claim(undefined);
   }
 
+  /** Waits until the owner's key changes, or there is doubt about it. */
   async #waitForChange(revision: number): Promise<void> {
+    if (this.#isDoubted) {
+      this.#isDoubted = false;
+      return await this.#clock.sleep(OWNER_READ_MS);
+    }
+    const doubt = new Promise<void>((resolve) => this.#endWait = resolve);
+    await Promise.race([this.#watchOwner(revision), doubt]);
+  }
+
+  async #watchOwner(revision: number): Promise<void> {
     try {
       await this.#store.watch(CELL_PREFIX, {
         after: revision,
-        waitMs: WATCH_MS,
+        waitMs: OWNER_WATCH_MS,
       });
     } catch (error) {
-      if (!(error instanceof HistoryGoneError)) throw error;
-      // The owner's key has not changed for long; the next read tells.
+      // The next read tells; a lost history is no news of the owner.
+      if (!(error instanceof HistoryGoneError)) {
+        const reason = String(error);
+        this.#log.record(EventCode.ElectionFailed, { reason });
+      }
       await this.#clock.sleep(STORE_RETRY_MS);
     }
   }
@@ -156,6 +190,15 @@
     this.#beginOwnership({ record, revision, confirmedAt: askedAt });
   }
 
+  async #claimFrom(gone: OwnerRecord): Promise<void> {
+    await this.#clock.sleep(this.#random.drawInt(CLAIM_SPREAD_MS));
+    const item = await this.#store.get(OWNER_KEY);
+    if (!item) return;
+    const present = JSON.parse(item.value) as OwnerRecord;
+    // Whoever takes over has a higher fence, also when the owner still lives.
+    if (present.incarnation === gone.incarnation) await this.#claim(item);
+  }
+
   /** The answer to a claim was lost, and the claim has taken effect. */
   async #resume(item: StoredItem, record: OwnerRecord): Promise<void> {
     if (!this.#mayClaim) return await this.#store.endLease(record.lease);
@@ -166,6 +209,7 @@
   }
 
   #beginOwnership(ownership: Ownership): void {
+    if (this.#ownership) return;
     // Stopping may have begun while the claim was under way.
     if (!this.#mayClaim) {
       this.#store.endLease(ownership.record.lease).catch((error) =>
--- a/packages/scheduler/endpoint_feed.ts
+++ b/packages/scheduler/endpoint_feed.ts
@@ -2,7 +2,7 @@
 import type { EndpointInfo } from "../cell/mod.ts";
 import { EventCode, type EventLog } from "../events/mod.ts";
 import type { KeyValueStore, StoredItem } from "../storage/mod.ts";
-import { STORE_RETRY_MS, WATCH_MS } from "./constants.ts";
+import { STORE_RETRY_MS, WATCH_INTERVAL_MS, WATCH_MS } from "./constants.ts";
 import type { SiteRecords } from "./ports.ts";
 
 /** Follows the endpoints' records in the store. */
@@ -35,7 +35,10 @@
     while (!this.#isStopped) {
       try {
         let revision = await this.#list();
-        while (!this.#isStopped) revision = await this.#watch(revision);
+        while (!this.#isStopped) {
+          revision = await this.#watch(revision);
+          await this.#clock.sleep(WATCH_INTERVAL_MS);
+        }
       } catch (error) {
         this.#log.record(EventCode.EndpointFeedBroken, {
           reason: String(error),
--- a/packages/scheduler/endpoint_session.ts
+++ b/packages/scheduler/endpoint_session.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "../base/mod.ts";
-import { type Endpoint, noteLeaseSent } from "../cell/mod.ts";
+import { type Endpoint, noteLeaseSent, RunPhase } from "../cell/mod.ts";
 import {
   HOLD_INTERVAL_MS,
   HOLD_RETRY_MS,
@@ -21,7 +21,11 @@
   ): void;
 
   /** An endpoint has not answered. */
-  abstract noteSilence(endpoint: Endpoint, error: unknown): void;
+  abstract noteSilence(
+    endpoint: Endpoint,
+    error: unknown,
+    elapsedMs: number,
+  ): void;
 }
 
 /** Keeps the leases of one endpoint and reads its lists while there is need. */
@@ -35,6 +39,7 @@
   #wake: () => void = () => {};
   #isIdle = false;
   #isStopped = false;
+  #isLooking = false;
   #toldEnd = 0;
   #toldBornAt = 0;
 
@@ -62,7 +67,9 @@
         continue;
       }
       const startedAt = this.#clock.now();
-      const isAnswered = await this.#hold(startedAt);
+      const isAnswered = await this.#hold(startedAt, {
+        waitMs: HOLD_WAIT_MS,
+      });
       const elapsed = this.#clock.now() - startedAt;
       const pause = isAnswered ? HOLD_INTERVAL_MS - elapsed : HOLD_RETRY_MS;
       if (pause > 0) await this.#clock.sleep(pause);
@@ -71,7 +78,20 @@
 
   /** Looks again whether the endpoint has something to tell. */
   wake(): void {
-    if (this.#isIdle) this.#wake();
+    if (this.#isIdle) return this.#wake();
+    const isUnsure = [...this.#endpoint.runs.values()].some(({ phase }) =>
+      phase === RunPhase.Unsure
+    );
+    if (isUnsure) void this.#lookNow();
+  }
+
+  /** Asks beside a listing that waits: a start has had no answer. */
+  async #lookNow(): Promise<void> {
+    if (this.#isLooking || this.#isStopped) return;
+    this.#isLooking = true;
+    await this.#hold(this.#clock.now(), { waitMs: 0 });
+    await this.#clock.sleep(HOLD_INTERVAL_MS);
+    this.#isLooking = false;
   }
 
   /** Sends nothing more. */
@@ -93,7 +113,10 @@
     this.#isIdle = false;
   }
 
-  async #hold(now: number): Promise<boolean> {
+  async #hold(
+    now: number,
+    options: { waitMs: number },
+  ): Promise<boolean> {
     const endpoint = this.#endpoint;
     if (!this.#host.mayOrder(now)) return false;
     const { id, address } = endpoint.info;
@@ -101,7 +124,7 @@
     const order: HoldOrder = {
       fence: this.#fence,
       notedEnd: endpoint.committedEnd,
-      waitMs: endpoint.isHeld && hasRuns ? HOLD_WAIT_MS : 0,
+      waitMs: endpoint.isHeld && hasRuns ? options.waitMs : 0,
     };
     if (endpoint.isHeld && hasRuns) {
       order.leaseUntil = Math.floor(now + endpoint.clockOffset) + this.#leaseMs;
@@ -118,7 +141,8 @@
       this.#host.noteHold(endpoint, answer, now);
       return true;
     } catch (error) {
-      if (!this.#isStopped) this.#host.noteSilence(endpoint, error);
+      const elapsed = this.#clock.now() - now;
+      if (!this.#isStopped) this.#host.noteSilence(endpoint, error, elapsed);
       return false;
     }
   }
--- a/packages/scheduler/order_sender.ts
+++ b/packages/scheduler/order_sender.ts
@@ -13,7 +13,7 @@
 import { EventCode, type EventLog } from "../events/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type { AdvicePool } from "./advice_pool.ts";
-import { ORDER_TIMEOUT_MS } from "./constants.ts";
+import { ORDER_TIMEOUT_MS, SILENCE_MS, SILENT_PAUSE_MS } from "./constants.ts";
 import type { EndpointControl, EndpointTarget } from "./ports.ts";
 
 type StartDetails = Extract<Order, { kind: OrderKind.Start }>;
@@ -73,6 +73,9 @@
     const answeredAt = clock.now();
     const elapsed = answeredAt - now;
     this.#parts.metrics.observeDuration("task_start", elapsed, { result });
+    if (result === StartResult.Unknown && elapsed > SILENCE_MS) {
+      endpoint.silentUntil = answeredAt + SILENT_PAUSE_MS;
+    }
     if (result !== StartResult.Started) {
       log.record(EventCode.StartRefused, {
         subject: run.task,
--- a/packages/scheduler/owner_gateway.ts
+++ b/packages/scheduler/owner_gateway.ts
@@ -5,6 +5,7 @@
   type LinkHandlers,
   type LinkMethod,
   type LinkMethods,
+  LinkRefusedError,
   openLink,
 } from "../links/mod.ts";
 import { LINK_RETRY_MS } from "./constants.ts";
@@ -22,6 +23,10 @@
   #isSelf = false;
   #isLinking = false;
   #isStopped = false;
+  /** Called when the owner's process is gone. */
+  onOwnerGone: (owner: OwnerRecord) => void = () => {};
+  /** Called when the owner does not answer. */
+  onOwnerSilent: () => void = () => {};
 
   constructor(options: {
     clock: Clock;
@@ -127,6 +132,8 @@
           owner: owner.entry,
           reason: String(error),
         });
+        if (error instanceof LinkRefusedError) this.onOwnerGone(owner);
+        else this.onOwnerSilent();
         await this.#clock.sleep(LINK_RETRY_MS);
       }
     }
@@ -149,6 +156,7 @@
         owner: owner.entry,
         reason: "the link was closed",
       });
+      this.onOwnerSilent();
       if (this.#owner === owner && !this.#isStopped) void this.#openLink(owner);
     };
   }
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -4,8 +4,10 @@
   Cell,
   type CellOutput,
   type CellSnapshot,
+  CLOCK_DRIFT,
   type Endpoint,
   type EndpointInfo,
+  LEASE_MARGIN_MS,
   type Present,
 } from "../cell/mod.ts";
 import { EventCode, type EventLog } from "../events/mod.ts";
@@ -20,7 +22,8 @@
   NO_OWNER_RETRY_MS,
   OWNER_GRACE_MS,
   OWNER_KEY,
-  OWNER_LEASE_MS,
+  SILENCE_MS,
+  SILENT_PAUSE_MS,
   STORE_DELAY_MS,
   STORE_RETRY_MS,
   TICK_MS,
@@ -233,9 +236,11 @@
   }
 
   /** Notes that an endpoint did not answer. */
-  noteSilence(endpoint: Endpoint, error: unknown): void {
+  noteSilence(endpoint: Endpoint, error: unknown, elapsedMs: number): void {
     const { clock, log } = this.#parts;
-    endpoint.pausedUntil = clock.now() + TICK_MS * 10;
+    if (elapsedMs > SILENCE_MS) {
+      endpoint.silentUntil = clock.now() + SILENT_PAUSE_MS;
+    }
     log.record(EventCode.EndpointUnreachable, {
       endpoint: endpoint.info.id,
       reason: String(error),
@@ -262,8 +267,8 @@
 
   /** How long a former owner's tasks may run where they can't be seen. */
   #computeDoubt(): number {
-    return OWNER_GRACE_MS - OWNER_LEASE_MS + this.#parts.leaseMs * 1.05 +
-      STORE_DELAY_MS;
+    return OWNER_GRACE_MS + this.#parts.leaseMs * (1 + CLOCK_DRIFT) +
+      LEASE_MARGIN_MS;
   }
 
   #getPresent(): Present {
--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -68,6 +68,8 @@
         port: settings.listen.peers.port,
       },
     });
+    this.gateway.onOwnerGone = (owner) => this.#election.replaceOwner(owner);
+    this.gateway.onOwnerSilent = () => this.#election.checkOwner();
     this.callers = new CallerService({
       config: this.config,
       gateway: this.gateway,
