--- /dev/null
+++ b/packages/cell/admission_test.ts
@@ -0,0 +1,68 @@
+import test from "ava";
+import {
+  CellSite,
+  makeJob,
+  makeQueue,
+  makeStep,
+} from "../../tests/cell/cell_site.ts";
+import type { Cell } from "./cell.ts";
+import { Admission } from "./types.ts";
+
+const queue = makeQueue({ priority: 0, stretch: 1.5, targetLatencyMs: 250 });
+
+function submit(site: CellSite, id: string, organisation: string): Admission {
+  const cell: Cell = site.cell;
+  const job = makeJob(id, [makeStep({ estimateMs: 600 })], {
+    organisation,
+    queue,
+  });
+  site.checker.noteJob(job);
+  return cell.submit(job, site.present).admission;
+}
+
+test("a burst far over the capacity: what would be too late is refused", (t) => {
+  // 32 cores: 53 jobs a second; 400 in one instant wait up to 7.5 s.
+  const site = new CellSite({ afterMs: 600 });
+  site.advance(300);
+  const taken = Array.from(
+    { length: 400 },
+    (_, n) => submit(site, `j${n}`, "norte"),
+  ).filter((admission) => admission === Admission.Accepted);
+  t.true(taken.length > 100 && taken.length < 250);
+  site.advance(6_000);
+  t.is(site.checker.done.size, taken.length);
+});
+
+test("one organisation floods: the others are served in time", (t) => {
+  const site = new CellSite({ afterMs: 600 });
+  const cap = { milliCores: 0, memoryMb: 0, accelerators: 0 };
+  site.cell.updateOrganisations([
+    { name: "flood", weight: 10, cap },
+    { name: "calm", weight: 10, cap },
+  ]);
+  site.advance(300);
+  let refusedOfCalm = 0;
+  for (let n = 0; n < 300; n++) {
+    for (let m = 0; m < 4; m++) submit(site, `f${n}x${m}`, "flood");
+    if (n % 10 === 0 && submit(site, `c${n}`, "calm") !== Admission.Accepted) {
+      refusedOfCalm++;
+    }
+    site.advance(10);
+  }
+  t.is(refusedOfCalm, 0);
+  site.advance(1_300);
+  for (let n = 0; n < 300; n += 10) {
+    t.true(site.checker.done.has(`c${n}.0.0.0`));
+  }
+});
+
+test("a refused job is told when to come back", (t) => {
+  const site = new CellSite({ afterMs: 600 });
+  site.advance(300);
+  for (let n = 0; n < 400; n++) submit(site, `j${n}`, "norte");
+  const job = makeJob("late", [makeStep({ estimateMs: 600 })], { queue });
+  const outcome = site.cell.submit(job, site.present);
+  t.is(outcome.admission, Admission.Refused);
+  t.true((outcome.retryAfterMs ?? 0) >= 1_000);
+  t.is(site.find("late"), undefined);
+});
--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -1,5 +1,6 @@
 import { RecordKind } from "../journal/mod.ts";
 import { findJobFault, type JobSpec, JobState } from "../jobs/mod.ts";
+import { addBacklog, admitJob, measureBacklogs } from "./admission.ts";
 import {
   applyAdvice,
   applyStartAnswer,
@@ -70,6 +71,7 @@
       unlocatedUntil: 0,
       stopping: new Set(),
       share: new ShareMeter(),
+      backlogs: new Map(),
       output: makeOutput(),
     };
   }
@@ -109,6 +111,9 @@
       jobsPerSecond: rules?.weight ?? 0,
       now: present.now,
     });
+    const outcome = admitJob(state, spec, isOverShare);
+    if (outcome.admission !== Admission.Accepted) return outcome;
+    if (!isOverShare) addBacklog(state, spec);
     const job = buildJob(state, spec, {
       acceptedAt: present.wallNow,
       now: present.now,
@@ -122,7 +127,7 @@
     });
     state.output.accepted.add(job);
     openStages(state, job, present.wallNow);
-    return { admission: Admission.Accepted, reason: "" };
+    return outcome;
   }
 
   /** Cancels a job; false when there is none of this organisation. */
@@ -245,6 +250,7 @@
       openStages(state, job, present.wallNow);
     }
     planStarts(state, present.now);
+    state.backlogs = measureBacklogs(state);
   }
 
   /** Forgets jobs that ended long ago. */
--- a/packages/cell/placement.ts
+++ b/packages/cell/placement.ts
@@ -2,13 +2,17 @@
   countFits,
   type Demand,
   fitsInto,
+  makeNoDemand,
   type StepSpec,
 } from "../jobs/mod.ts";
+
 import { MAX_EJECTED_PART, TICKET_MARGIN_MS } from "./constants.ts";
 import type { CellState } from "./state.ts";
 import { getStep } from "./stages.ts";
 import type { Endpoint, Stage } from "./types.ts";
 
+const NOTHING: Readonly<Demand> = makeNoDemand();
+
 /** Room that is kept free on endpoints for gangs that go first. */
 export type Reservations = Map<Endpoint, Demand>;
 
@@ -26,11 +30,7 @@
   return endpoint.isListed && !info.isDraining &&
     info.service === stage.job.spec.queue.service &&
     (step.requiredLabel === "" || info.labels.includes(step.requiredLabel)) &&
-    countFits(step.demand, info.capacity, {
-        milliCores: 0,
-        memoryMb: 0,
-        accelerators: 0,
-      }) > 0;
+    fitsInto(step.demand, info.capacity, NOTHING);
 }
 
 /** Tells whether an endpoint takes orders now. */
@@ -102,8 +102,7 @@
     memoryMb: cap.memoryMb || Number.MAX_SAFE_INTEGER,
     accelerators: cap.accelerators || Number.MAX_SAFE_INTEGER,
   };
-  const used = state.usage.get(organisation) ??
-    { milliCores: 0, memoryMb: 0, accelerators: 0 };
+  const used = state.usage.get(organisation) ?? NOTHING;
   return countFits(getStep(stage).demand, capacity, used);
 }
 
--- a/packages/cell/plan.ts
+++ b/packages/cell/plan.ts
@@ -1,4 +1,4 @@
-import { addDemand, makeNoDemand } from "../jobs/mod.ts";
+import { addDemand, type Demand, makeNoDemand } from "../jobs/mod.ts";
 import { MAX_RESERVATIONS } from "./constants.ts";
 import { breakGang } from "./ends.ts";
 import {
@@ -29,10 +29,20 @@
 const MAX_ADVICE_ENDPOINTS = 100;
 
 interface Pass extends PlacementView {
-  ejected: Set<Endpoint>;
+  services: Map<string, ServiceView>;
   reservedGangs: number;
 }
 
+/** The endpoints of a service in one pass. */
+interface ServiceView {
+  /** May run tasks. */
+  serving: Endpoint[];
+  /** Take orders now. */
+  open: Set<Endpoint>;
+  /** No endpoint has more free than this. */
+  mostFree: Demand;
+}
+
 interface Candidates {
   /** May run the stage, if the policy allows it. */
   serving: Endpoint[];
@@ -46,17 +56,59 @@
     state,
     now,
     reservations: new Map(),
-    ejected: listEjected(state, now),
+    services: viewServices(state, now),
     reservedGangs: 0,
   };
   for (const stage of sortStages(state, now)) {
     if (stage.waiting === 0 || stage.job.outcome) continue;
-    const candidates = listCandidates(pass, stage);
-    if (!askFirst(pass, stage, candidates)) continue;
-    if (!stage.job.isCommitted) continue;
-    if (getStep(stage).gang) planGang(pass, stage, candidates);
-    else planTasks(pass, stage, candidates);
+    planStage(pass, stage);
+  }
+}
+
+function planStage(pass: Pass, stage: Stage): void {
+  const service = pass.services.get(stage.job.spec.queue.service);
+  if (!service) return;
+  const { gang, demand } = getStep(stage);
+  const isAsked = !stage.job.spec.queue.advice || stage.advice.asked.size > 0;
+  const hasRoom = demand.milliCores <= service.mostFree.milliCores &&
+    demand.memoryMb <= service.mostFree.memoryMb;
+  // Under load most stages find no room at all: they cost next to nothing.
+  if (isAsked && !gang && !hasRoom) return;
+  const candidates = listCandidates(service, stage);
+  if (!isAsked) return askAdvice(pass, stage, candidates.serving);
+  if (!stage.job.isCommitted) return;
+  if (gang) planGang(pass, stage, candidates);
+  else planTasks(pass, stage, candidates);
+}
+
+function viewServices(
+  state: CellState,
+  now: number,
+): Map<string, ServiceView> {
+  const services = new Map<string, ServiceView>();
+  const ejected = listEjected(state, now);
+  for (const endpoint of state.endpoints.values()) {
+    const { info, used } = endpoint;
+    if (!endpoint.isListed || info.isDraining) continue;
+    let service = services.get(info.service);
+    if (!service) {
+      service = { serving: [], open: new Set(), mostFree: makeNoDemand() };
+      services.set(info.service, service);
+    }
+    service.serving.push(endpoint);
+    if (ejected.has(endpoint) || !canStart(endpoint, now)) continue;
+    service.open.add(endpoint);
+    const { mostFree } = service;
+    mostFree.milliCores = Math.max(
+      mostFree.milliCores,
+      info.capacity.milliCores - used.milliCores,
+    );
+    mostFree.memoryMb = Math.max(
+      mostFree.memoryMb,
+      info.capacity.memoryMb - used.memoryMb,
+    );
   }
+  return services;
 }
 
 /** Sorts the stages that wait: who is owed service first, then the due time. */
@@ -73,26 +125,16 @@
   );
 }
 
-function listCandidates(pass: Pass, stage: Stage): Candidates {
-  const serving: Endpoint[] = [];
-  const usable: Endpoint[] = [];
-  for (const endpoint of pass.state.endpoints.values()) {
-    if (!canServe(endpoint, stage)) continue;
-    serving.push(endpoint);
-    if (pass.ejected.has(endpoint) || !canStart(endpoint, pass.now)) continue;
-    if (isAllowed(stage, endpoint)) usable.push(endpoint);
-  }
+function listCandidates(service: ServiceView, stage: Stage): Candidates {
+  const serving = service.serving.filter((endpoint) =>
+    canServe(endpoint, stage)
+  );
+  const usable = serving.filter((endpoint) =>
+    service.open.has(endpoint) && isAllowed(stage, endpoint)
+  );
   return { serving, usable };
 }
 
-/** Asks which endpoints may run a stage; false while nothing is known. */
-function askFirst(pass: Pass, stage: Stage, candidates: Candidates): boolean {
-  if (!stage.job.spec.queue.advice) return true;
-  if (stage.advice.asked.size > 0) return true;
-  askAdvice(pass, stage, candidates.serving);
-  return false;
-}
-
 function askAdvice(pass: Pass, stage: Stage, endpoints: Endpoint[]): void {
   const rules = stage.job.spec.queue.advice;
   const { advice } = stage;
--- a/packages/cell/stages.ts
+++ b/packages/cell/stages.ts
@@ -158,7 +158,7 @@
 }
 
 /** Computes how long a job may take and still be in time, in ms. */
-function computeObjective(spec: JobSpec): number {
+export function computeObjective(spec: JobSpec): number {
   const { advice, stretch, targetLatencyMs } = spec.queue;
   const adviceMs = advice
     ? advice.decideMs + advice.perEndpointMs * USUAL_ADVICE_ENDPOINTS
--- a/packages/jobs/demand.ts
+++ b/packages/jobs/demand.ts
@@ -33,14 +33,19 @@
   capacity: Demand,
   used: Demand,
 ): number {
-  const parts = [
-    [demand.milliCores, capacity.milliCores - used.milliCores],
-    [demand.memoryMb, capacity.memoryMb - used.memoryMb],
-    [demand.accelerators, capacity.accelerators - used.accelerators],
-  ];
-  let least = Number.MAX_SAFE_INTEGER;
-  for (const [need, left] of parts) {
-    if (need > 0) least = Math.min(least, Math.floor(left / need));
-  }
-  return Math.max(0, least);
+  const cores = capacity.milliCores - used.milliCores;
+  const memory = capacity.memoryMb - used.memoryMb;
+  const accelerators = capacity.accelerators - used.accelerators;
+  return Math.max(
+    0,
+    Math.min(
+      countParts(demand.milliCores, cores),
+      countParts(demand.memoryMb, memory),
+      countParts(demand.accelerators, accelerators),
+    ),
+  );
+}
+
+function countParts(need: number, left: number): number {
+  return need > 0 ? Math.floor(left / need) : Number.MAX_SAFE_INTEGER;
 }
--- a/packages/scheduler/endpoint_session.ts
+++ b/packages/scheduler/endpoint_session.ts
@@ -40,6 +40,7 @@
   #isIdle = false;
   #isStopped = false;
   #isLooking = false;
+  #isSilent = false;
   #toldEnd = 0;
   #toldBornAt = 0;
 
@@ -126,7 +127,9 @@
       notedEnd: endpoint.committedEnd,
       waitMs: endpoint.isHeld && hasRuns ? options.waitMs : 0,
     };
-    if (endpoint.isHeld && hasRuns) {
+    // While it does not answer its leases are left to end: only then is it
+    // known when its tasks may run elsewhere.
+    if (endpoint.isHeld && hasRuns && !this.#isSilent) {
       order.leaseUntil = Math.floor(now + endpoint.clockOffset) + this.#leaseMs;
       noteLeaseSent(endpoint, { now, leaseMs: this.#leaseMs });
     }
@@ -136,11 +139,13 @@
       const timeoutMs = order.waitMs + HOLD_TIMEOUT_MS;
       const answer = await this.#control.hold(target, order, timeoutMs);
       if (this.#isStopped) return true;
+      this.#isSilent = false;
       this.#toldEnd = order.notedEnd;
       this.#toldBornAt = bornAt;
       this.#host.noteHold(endpoint, answer, now);
       return true;
     } catch (error) {
+      this.#isSilent = true;
       const elapsed = this.#clock.now() - now;
       if (!this.#isStopped) this.#host.noteSilence(endpoint, error, elapsed);
       return false;
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -73,6 +73,7 @@
   #isStopped = false;
   #isFlushScheduled = false;
   #lastPlanAt = 0;
+  #planMs = 0;
   #cancelTick: () => void = () => {};
 
   constructor(ownership: Ownership, parts: OwnerParts) {
@@ -210,10 +211,12 @@
   requestFlush(): void {
     if (this.#isFlushScheduled || this.#isStopped || !this.#journal) return;
     this.#isFlushScheduled = true;
+    // A plan that takes long is made less often: half of the time is left.
+    const pause = Math.max(FLUSH_MS, this.#planMs);
     this.#parts.clock.schedule(() => {
       this.#isFlushScheduled = false;
       if (!this.#isStopped) this.#flush();
-    }, FLUSH_MS);
+    }, pause);
   }
 
   /** False when another owner may have been elected long ago. */
@@ -290,7 +293,8 @@
   /** Resolves with false when the ownership ended before the commit. */
   #commitNow(): Promise<boolean> {
     return new Promise((resolve) => {
-      this.#flush(() => resolve(true));
+      this.#emit(() => resolve(true));
+      this.requestFlush();
       const check = () => {
         if (this.#isStopped) resolve(false);
         else this.#parts.clock.schedule(check, TICK_MS * 5);
@@ -330,14 +334,23 @@
     }
   }
 
-  #flush(onCommitted?: () => void): void {
-    const { clock, log } = this.#parts;
-    if (this.mayOrder(clock.now())) this.cell.plan(this.#getPresent());
+  #flush(): void {
+    const { clock, metrics } = this.#parts;
+    const startedAt = clock.now();
+    if (this.mayOrder(startedAt)) this.cell.plan(this.#getPresent());
     this.#lastPlanAt = clock.now();
+    this.#planMs = this.#lastPlanAt - startedAt;
+    metrics.observeDuration("plan", this.#planMs, {});
+    this.#emit();
+    this.#updateSessions();
+  }
+
+  /** Carries out what was decided so far. */
+  #emit(onCommitted?: () => void): void {
+    const { log } = this.#parts;
     const output = this.cell.takeOutput();
     recordDecisions(log, output.decisions);
     this.#commit(output, onCommitted);
-    this.#updateSessions();
     for (const order of output.orders) this.#sender.send(order);
   }
 
