--- a/packages/cell/answers.ts
+++ b/packages/cell/answers.ts
@@ -32,6 +32,8 @@
   if (result === StartResult.Started) {
     if (run.phase === RunPhase.Starting) run.phase = RunPhase.Running;
     run.progressAt = now;
+    const place = findTask(state, run.task);
+    if (place) place.stage.job.hasStarted = true;
     return;
   }
   if (result === StartResult.Unknown) {
--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -151,6 +151,7 @@
     run.settledAt = times.now;
   }
   const place = findTask(state, row.task);
+  if (place) place.stage.job.hasStarted = true;
   if (place && row.saved && place.task.run === run) {
     saveProgress(place.stage, place.task, row.saved);
   }
--- a/packages/cell/mod.ts
+++ b/packages/cell/mod.ts
@@ -1,7 +1,7 @@
 /** Decisions of a cell's owner: jobs, endpoints, starts and ends. Pure. */
 export * from "./cell.ts";
 export * from "./constants.ts";
-export { noteLeaseSent } from "./endpoints.ts";
+export { makeEndpoint, noteLeaseSent } from "./endpoints.ts";
 export type { CellOutput } from "./state.ts";
 export type { Present } from "./ends.ts";
 export * from "./snapshot.ts";
--- a/packages/cell/plan.ts
+++ b/packages/cell/plan.ts
@@ -347,7 +347,6 @@
   task.lastRun = options.run;
   stage.waiting--;
   if (stage.waiting === 0) state.ready.delete(stage);
-  stage.job.hasStarted = true;
   const ticket = stage.advice.allowed.get(endpoint.info.id)?.ticket ?? "";
   state.output.orders.push({
     kind: OrderKind.Start,
--- a/packages/links/constants.ts
+++ b/packages/links/constants.ts
@@ -9,3 +9,6 @@
 
 /** Longest line, in characters: far above the largest job. */
 export const MAX_LINE_LENGTH = 4 * 1024 * 1024;
+
+/** An entry that fell silent longer ago is taken as gone for good, in ms. */
+export const SILENT_MEMORY_MS = 10_000;
--- a/packages/links/link.ts
+++ b/packages/links/link.ts
@@ -25,6 +25,8 @@
   #lastHeardAt: number;
   /** Name of the entry at the other end, once it has said so. */
   peer = "";
+  /** The link was closed because nothing was heard, not by the other end. */
+  wasSilent = false;
   /** Called once when the link is closed. */
   onClosed: () => void = () => {};
 
@@ -128,7 +130,8 @@
 
   #scheduleHeartbeat(): void {
     this.#cancelTimer = this.#clock.schedule(() => {
-      if (this.#clock.now() - this.#lastHeardAt > LINK_SILENCE_MS) {
+      if (this.measureSilence() > LINK_SILENCE_MS) {
+        this.wasSilent = true;
         return this.close();
       }
       this.call("link.heartbeat", { entry: this.#entry }, LINK_SILENCE_MS)
--- a/packages/links/link_server.ts
+++ b/packages/links/link_server.ts
@@ -1,5 +1,6 @@
 import { createServer, type Server } from "node:net";
 import type { Clock } from "../base/mod.ts";
+import { SILENT_MEMORY_MS } from "./constants.ts";
 import { Link } from "./link.ts";
 import type { LinkHandlers } from "./types.ts";
 
@@ -7,14 +8,17 @@
 export class LinkServer {
   readonly links = new Set<Link>();
   readonly #server: Server;
+  readonly #clock: Clock;
+  readonly #silentSince = new Map<string, number>();
 
   constructor(
     options: { handlers: LinkHandlers; clock: Clock; entry: string },
   ) {
+    this.#clock = options.clock;
     this.#server = createServer((socket) => {
       const link = new Link(socket, options);
       this.links.add(link);
-      link.onClosed = () => this.links.delete(link);
+      link.onClosed = () => this.#dropLink(link);
     });
   }
 
@@ -31,6 +35,22 @@
     return [...this.links].filter((link) => link.peer !== "");
   }
 
+  /** Lists the entries that fell silent lately and have not come back. */
+  listSilent(): string[] {
+    const oldest = this.#clock.now() - SILENT_MEMORY_MS;
+    const linked = new Set(this.listNamed().map(({ peer }) => peer));
+    return [...this.#silentSince]
+      .filter(([peer, since]) => since > oldest && !linked.has(peer))
+      .map(([peer]) => peer);
+  }
+
+  #dropLink(link: Link): void {
+    this.links.delete(link);
+    if (link.peer === "") return;
+    if (link.wasSilent) this.#silentSince.set(link.peer, this.#clock.now());
+    else this.#silentSince.delete(link.peer);
+  }
+
   /** Closes all links and the listening socket. */
   close(): void {
     this.#server.close();
--- a/packages/scheduler/constants.ts
+++ b/packages/scheduler/constants.ts
@@ -22,6 +22,9 @@
  */
 export const OWNER_GRACE_MS = 6_000;
 
+/** An entry that stepped aside leaves others this long to claim, in ms. */
+export const STEP_ASIDE_MS = 2_000;
+
 /** Entries wait up to this long before they claim a free cell, spread. */
 export const CLAIM_SPREAD_MS = 60;
 
--- a/packages/scheduler/election.ts
+++ b/packages/scheduler/election.ts
@@ -13,6 +13,7 @@
   OWNER_LEASE_MS,
   OWNER_READ_MS,
   OWNER_WATCH_MS,
+  STEP_ASIDE_MS,
   STORE_RETRY_MS,
   TERM_KEY,
 } from "./constants.ts";
@@ -50,6 +51,7 @@
   #ownership: Ownership | undefined;
   #isStopped = false;
   #mayClaim = true;
+  #asideUntil = 0;
   #isDoubted = false;
   #isReplacing = false;
   #endWait: () => void = () => {};
@@ -86,9 +88,20 @@
   /** Claims nothing more; an ownership is given up at once. */
   async resign(): Promise<void> {
     this.#mayClaim = false;
+    await this.#giveUp("this entry stops");
+  }
+
+  /** Gives an ownership up to others, and claims it again only if none does. */
+  async stepAside(reason: string): Promise<void> {
+    if (!this.#ownership || !this.#mayClaim) return;
+    this.#asideUntil = this.#clock.now() + STEP_ASIDE_MS;
+    await this.#giveUp(reason);
+  }
+
+  async #giveUp(reason: string): Promise<void> {
     const ownership = this.#ownership;
     if (!ownership) return;
-    this.#endOwnership("this entry stops");
+    this.#endOwnership(reason);
     try {
       await this.#store.endLease(ownership.record.lease);
     } catch (error) {
@@ -106,6 +119,7 @@
   /** Claims the cell of an owner whose process is gone; its lease may last. */
   replaceOwner(gone: OwnerRecord): void {
     if (this.#ownership || this.#isReplacing) return;
+    if (this.#clock.now() < this.#asideUntil) return;
     this.#isReplacing = true;
     this.#claimFrom(gone)
       .catch((error) =>
@@ -137,7 +151,9 @@
       return await this.#waitForChange(item.revision);
     }
     this.#host.followOwner(undefined);
-    if (!this.#mayClaim) return await this.#clock.sleep(STORE_RETRY_MS);
+    if (!this.#mayClaim || this.#clock.now() < this.#asideUntil) {
+      return await this.#clock.sleep(STORE_RETRY_MS);
+    }
     await this.#clock.sleep(this.#random.drawInt(CLAIM_SPREAD_MS));
     await this.#claim(undefined);
   }
--- a/packages/scheduler/endpoint_session.ts
+++ b/packages/scheduler/endpoint_session.ts
@@ -105,7 +105,7 @@
     const { isHeld, runs, committedEnd, bornAt, isListed } = this.#endpoint;
     if (runs.size > 0) return true;
     if (!isHeld) return isListed || this.#endpoint.isRecorded;
-    return bornAt !== this.#toldBornAt || committedEnd > this.#toldEnd;
+    return committedEnd > (bornAt === this.#toldBornAt ? this.#toldEnd : 0);
   }
 
   async #rest(): Promise<void> {
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -55,6 +55,10 @@
   /** How long ended jobs are remembered, in milliseconds. */
   retentionMs: number;
   listLinks: () => Link[];
+  /** Entries that were linked, fell silent and have not come back. */
+  listSilent: () => string[];
+  /** Gives the cell up to an entry that reaches more of the others. */
+  onIsolated: (reason: string) => void;
   getConfig: () => SiteConfig | undefined;
   /** Another owner was seen. */
   onDeposed: (reason: string) => void;
@@ -365,11 +369,20 @@
     });
   }
 
+  /** An owner that most entries can't reach serves few: another should. */
+  #checkIsolation(): void {
+    const silent = this.#parts.listSilent().length;
+    const reached = this.#parts.listLinks().length + 1;
+    if (silent <= reached) return;
+    this.#parts.onIsolated(`reaches ${reached}, cut off from ${silent}`);
+  }
+
   #scheduleTick(): void {
     this.#cancelTick = this.#parts.clock.schedule(() => {
       if (this.#isStopped) return;
       if (this.#parts.clock.now() - this.#lastPlanAt >= TICK_MS) this.#flush();
       this.cell.forgetEnded(Date.now());
+      this.#checkIsolation();
       this.#scheduleTick();
     }, TICK_MS);
   }
--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -126,6 +126,8 @@
       leaseMs: settings.bounds.task_lease_ms,
       retentionMs: settings.bounds.ended_jobs_ms,
       listLinks: () => this.#links.listNamed(),
+      listSilent: () => this.#links.listSilent(),
+      onIsolated: (reason) => void this.#election.stepAside(reason),
       getConfig: () => this.config.config,
       onDeposed: (reason) => this.#election.dismiss(reason),
     });
--- /dev/null
+++ b/tests/virtual/session_test.ts
@@ -0,0 +1,160 @@
+import test from "ava";
+import { type Clock } from "../../packages/base/mod.ts";
+import {
+  type Endpoint,
+  makeEndpoint,
+  RunPhase,
+  StartResult,
+  StopResult,
+} from "../../packages/cell/mod.ts";
+import {
+  EndpointControl,
+  EndpointSession,
+  type HoldAnswer,
+  type HoldOrder,
+  SessionHost,
+} from "../../packages/scheduler/mod.ts";
+import { NotSentError } from "../../packages/base/mod.ts";
+import { LaneClock, VirtualTime } from "./virtual_time.ts";
+
+const LEASE_MS = 6_000;
+
+class ScriptedControl extends EndpointControl {
+  isReachable = true;
+  readonly holds: HoldOrder[] = [];
+  readonly #clock: Clock;
+
+  constructor(clock: Clock) {
+    super();
+    this.#clock = clock;
+  }
+
+  override start(): Promise<StartResult> {
+    return Promise.resolve(StartResult.Started);
+  }
+
+  override stop(): Promise<StopResult> {
+    return Promise.resolve(StopResult.Acknowledged);
+  }
+
+  override async hold(_target: unknown, order: HoldOrder): Promise<HoldAnswer> {
+    this.holds.push(order);
+    await this.#clock.sleep(this.isReachable ? order.waitMs : 600);
+    if (!this.isReachable) throw new NotSentError("Cannot connect");
+    return {
+      isDeposed: false,
+      listing: { bornAt: 1, clockMs: 0, running: [], ended: [] },
+    };
+  }
+
+  override forget(): void {}
+
+  override close(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+class RecordingHost extends SessionHost {
+  isAllowed = true;
+  silences = 0;
+
+  override mayOrder(): boolean {
+    return this.isAllowed;
+  }
+
+  override noteHold(endpoint: Endpoint): void {
+    endpoint.isHeld = true;
+    endpoint.bornAt = 1;
+  }
+
+  override noteSilence(): void {
+    this.silences++;
+  }
+}
+
+function startSession() {
+  const time = new VirtualTime();
+  const clock = new LaneClock(time, "owner");
+  const control = new ScriptedControl(clock);
+  const host = new RecordingHost();
+  const demand = { milliCores: 1, memoryMb: 1, accelerators: 0 };
+  const endpoint = makeEndpoint({
+    id: "e0",
+    address: "10.0.0.1:1",
+    service: "desk",
+    domain: "a",
+    labels: [],
+    rack: "",
+    capacity: demand,
+    isDraining: false,
+  });
+  const session = new EndpointSession({
+    endpoint,
+    control,
+    clock,
+    host,
+    fence: 1,
+    leaseMs: LEASE_MS,
+  });
+  const addRun = () => {
+    endpoint.runs.set("a.0.0.0", {
+      task: "a.0.0.0",
+      number: 1,
+      endpoint,
+      demand,
+      organisation: "",
+      phase: RunPhase.Running,
+      settledAt: 0,
+      startedAt: 0,
+      isStopAcknowledged: false,
+      isStopUnderWay: false,
+      percent: 0,
+      progressAt: 0,
+    });
+    session.wake();
+  };
+  void session.run();
+  return { time, control, host, endpoint, session, addRun };
+}
+
+test("the known end of leases does not move while nothing answers", async (t) => {
+  // Each try moved it on: tasks of an endpoint that was gone waited for ever.
+  const { time, control, endpoint, addRun } = startSession();
+  await time.advance(200);
+  addRun();
+  await time.advance(3_000);
+  control.isReachable = false;
+  await time.advance(2_500);
+  const endsAt = endpoint.leaseEndsAt;
+  await time.advance(10_000);
+  t.is(endpoint.leaseEndsAt, endsAt);
+  t.true(endsAt < time.now);
+  t.is(control.holds.at(-1)?.leaseUntil, undefined);
+});
+
+test("leases are prolonged again once the endpoint answers", async (t) => {
+  const { time, control, endpoint, addRun } = startSession();
+  await time.advance(200);
+  addRun();
+  control.isReachable = false;
+  await time.advance(3_000);
+  control.isReachable = true;
+  await time.advance(3_000);
+  t.true(endpoint.leaseEndsAt > time.now + LEASE_MS / 2);
+});
+
+test("an endpoint without runs is asked once, and then left alone", async (t) => {
+  const { time, control } = startSession();
+  await time.advance(20_000);
+  t.is(control.holds.length, 1);
+});
+
+test("an owner that may not order sends nothing", async (t) => {
+  const { time, control, host, addRun } = startSession();
+  await time.advance(200);
+  host.isAllowed = false;
+  addRun();
+  const before = control.holds.length;
+  await time.advance(5_000);
+  t.true(control.holds.length <= before + 1);
+});
--- a/tests/virtual/virtual_time.ts
+++ b/tests/virtual/virtual_time.ts
@@ -68,6 +68,7 @@
   /** Runs all timers that come due within some milliseconds. */
   async advance(ms: number): Promise<void> {
     const until = this.now + ms;
+    await drainMicrotasks();
     for (;;) {
       const timer = this.#queue.peek();
       if (!timer || timer.at > until) break;
