--- a/packages/cell/admission.ts
+++ b/packages/cell/admission.ts
@@ -37,7 +37,7 @@
     const backlog = backlogs.get(queue.service);
     const { demand, estimateMs } = getStep(stage);
     const work = stage.waiting * demand.milliCores * estimateMs;
-    if (backlog) addWork(backlog, queue.priority, work);
+    if (backlog) addWork(backlog, { priority: queue.priority, work });
   }
   return backlogs;
 }
@@ -61,8 +61,9 @@
 export function admitJob(
   state: CellState,
   spec: JobSpec,
-  isOverShare: boolean,
+  options: { isOverShare: boolean },
 ): AdmissionOutcome {
+  const { isOverShare } = options;
   const waitMs = predictWait(state, spec);
   const objectiveMs = computeObjective(spec);
   const slackMs = objectiveMs * (1 - 1 / Math.max(1, spec.queue.stretch));
@@ -87,10 +88,14 @@
   for (const { after, tasks, demand, estimateMs } of spec.steps) {
     if (after.length > 0) continue;
     const work = tasks * demand.milliCores * estimateMs;
-    addWork(backlog, spec.queue.priority, work);
+    addWork(backlog, { priority: spec.queue.priority, work });
   }
 }
 
-function addWork(backlog: Backlog, priority: number, work: number): void {
+function addWork(
+  backlog: Backlog,
+  added: { priority: number; work: number },
+): void {
+  const { priority, work } = added;
   backlog.work.set(priority, (backlog.work.get(priority) ?? 0) + work);
 }
--- a/packages/cell/answers.ts
+++ b/packages/cell/answers.ts
@@ -6,7 +6,7 @@
   RUNS_PER_TERM,
   UNSURE_MS,
 } from "./constants.ts";
-import { breakGang, type Present, releaseRun } from "./ends.ts";
+import { type Present, releaseRun, stopGang } from "./ends.ts";
 import type { CellState } from "./state.ts";
 import { findTask, getStep } from "./stages.ts";
 import { stopRun } from "./stops.ts";
@@ -40,7 +40,7 @@
     if (run.phase === RunPhase.Starting) run.phase = RunPhase.Unsure;
     return;
   }
-  penalizeRefusal(state, run, { result, now });
+  noteRefusal(state, run, { result, now });
   releaseRun(state, run, { now, isFault: true, reason: result });
 }
 
@@ -82,7 +82,7 @@
   }
 }
 
-function penalizeRefusal(
+function noteRefusal(
   state: CellState,
   run: Run,
   options: { result: StartResult; now: number },
@@ -110,14 +110,14 @@
 }
 
 /** Stops what has had no answer, and is not listed in time either. */
-export function repairGangs(state: CellState, now: number): void {
+export function settleUnsure(state: CellState, now: number): void {
   for (const endpoint of state.endpoints.values()) {
     for (const run of endpoint.runs.values()) {
       if (run.phase !== RunPhase.Unsure) continue;
       if (now - run.settledAt < UNSURE_MS) continue;
       const place = findTask(state, run.task);
-      if (!place || place.task.run !== run) stopRun(state, run, now);
-      else if (getStep(place.stage).gang) breakGang(state, place.stage, now);
+      if (!place || place.task.run !== run) stopRun(state, run, { now });
+      else if (getStep(place.stage).gang) stopGang(state, place.stage, { now });
     }
   }
 }
--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -5,7 +5,7 @@
   applyAdvice,
   applyStartAnswer,
   applyStopAnswer,
-  repairGangs,
+  settleUnsure,
 } from "./answers.ts";
 import { expireEndpoints, updateEndpoints } from "./endpoints.ts";
 import { endJob, type Present } from "./ends.ts";
@@ -14,9 +14,9 @@
 import { ShareMeter } from "./share_meter.ts";
 import {
   type CellSnapshot,
-  exportSnapshot,
+  collectSnapshot,
+  finishJob,
   restoreCell,
-  retireJob,
 } from "./snapshot.ts";
 import { buildJob, openStages } from "./stages.ts";
 import { type CellOutput, type CellState, makeOutput } from "./state.ts";
@@ -50,7 +50,7 @@
 
 /**
  * All decisions of a cell's owner. Methods change the state and collect what
- * the host has to do; `takeOutput` hands it over.
+ * the host has to do; `collectOutput` hands it over.
  */
 export class Cell {
   readonly state: CellState;
@@ -91,12 +91,12 @@
   }
 
   /** Exports all that must last. */
-  exportSnapshot(): CellSnapshot {
-    return exportSnapshot(this.state);
+  collectSnapshot(): CellSnapshot {
+    return collectSnapshot(this.state);
   }
 
   /** Hands over what the decisions since the last call led to. */
-  takeOutput(): CellOutput {
+  collectOutput(): CellOutput {
     const { output } = this.state;
     this.state.output = makeOutput();
     for (const [endpoint, runs] of output.placements) {
@@ -118,7 +118,7 @@
       jobsPerSecond: rules?.weight ?? 0,
       now: present.now,
     });
-    const outcome = admitJob(state, spec, isOverShare);
+    const outcome = admitJob(state, spec, { isOverShare });
     if (outcome.admission !== Admission.Accepted) return outcome;
     if (!isOverShare) addBacklog(state, spec);
     const job = buildJob(state, spec, {
@@ -133,7 +133,7 @@
       at: present.wallNow,
     });
     state.output.accepted.add(job);
-    openStages(state, job, present.wallNow);
+    openStages(state, job, present);
     return outcome;
   }
 
@@ -245,7 +245,7 @@
   /** Notes that the store holds what an output asked to be recorded. */
   noteCommitted(output: CellOutput, wallNow: number): void {
     for (const job of output.accepted) job.isCommitted = true;
-    for (const job of output.finished) retireJob(this.state, job, wallNow);
+    for (const job of output.finished) finishJob(this.state, job, { wallNow });
     for (const [endpoint, mark] of output.marks) {
       if (endpoint.bornAt !== mark.bornAt) continue;
       endpoint.committedEnd = Math.max(endpoint.committedEnd, mark.end);
@@ -257,20 +257,20 @@
   plan(present: Present): void {
     const { state } = this;
     expireEndpoints(state, present);
-    repairGangs(state, present.now);
+    settleUnsure(state, present.now);
     for (const run of state.stopping) {
       const isDue = present.now - run.settledAt >= STOP_RETRY_MS;
       if (!run.isStopAcknowledged && isDue) sendStop(state, run);
     }
     for (const { job } of [...state.timed]) {
-      openStages(state, job, present.wallNow);
+      openStages(state, job, present);
     }
     planStarts(state, present.now);
     state.backlogs = measureBacklogs(state);
   }
 
   /** Forgets jobs that ended long ago. */
-  forgetEnded(wallNow: number): void {
+  dropEnded(wallNow: number): void {
     for (const [id, ended] of this.state.ended) {
       if (wallNow - ended.at < this.#retentionMs) return;
       this.state.ended.delete(id);
--- a/packages/cell/endpoints.ts
+++ b/packages/cell/endpoints.ts
@@ -63,7 +63,7 @@
 export function expireEndpoints(state: CellState, present: Present): void {
   for (const endpoint of state.endpoints.values()) {
     if (present.now < endpoint.leaseEndsAt) continue;
-    if (endpoint.runs.size > 0) lapseRuns(state, endpoint, present.now);
+    if (endpoint.runs.size > 0) expireRuns(state, endpoint, present);
     const isSettled = present.now >= state.unlocatedUntil || endpoint.isHeld;
     if (!endpoint.isListed && isSettled) dropEndpoint(state, endpoint);
   }
@@ -81,7 +81,11 @@
   }
 }
 
-function lapseRuns(state: CellState, endpoint: Endpoint, now: number): void {
+function expireRuns(
+  state: CellState,
+  endpoint: Endpoint,
+  { now }: Present,
+): void {
   addDecision(state, {
     kind: DecisionKind.LeaseLapsed,
     subject: endpoint.info.id,
--- a/packages/cell/ends.ts
+++ b/packages/cell/ends.ts
@@ -7,7 +7,13 @@
   RETRY_PAUSE_MS,
 } from "./constants.ts";
 import { stopRun } from "./stops.ts";
-import { addDecision, type CellState, removeRun, setWaiting } from "./state.ts";
+import {
+  addDecision,
+  addWaiting,
+  type CellState,
+  removeRun,
+  removeWaiting,
+} from "./state.ts";
 import { findTask, getStep, openStages, removeUnlocated } from "./stages.ts";
 import {
   DecisionKind,
@@ -68,7 +74,7 @@
   task.lastRun = Math.max(task.lastRun, end.run);
   task.lastEndedRun = Math.max(task.lastEndedRun, end.run);
   if (end.run >= task.lastRun) task.placedOn = "";
-  if (isNew && end.saved) saveProgress(stage, task, end.saved);
+  if (isNew && end.saved) setProgress(place, end.saved);
   if (end.end === EndKind.Done && !getStep(stage).longRunning) {
     finishTasks(state, place, present);
   } else if (end.end === EndKind.Failed && isNew) {
@@ -77,7 +83,10 @@
 }
 
 /** Sets the checkpoint of a task; a gang has one for all its tasks. */
-export function saveProgress(stage: Stage, task: Task, saved: string): void {
+export function setProgress(
+  { stage, task }: { stage: Stage; task: Task },
+  saved: string,
+): void {
   const tasks = getStep(stage).gang ? stage.tasks : [task];
   for (const each of tasks) each.saved = saved;
 }
@@ -103,7 +112,7 @@
     );
     task.notBefore = options.now + task.pause;
   }
-  setWaiting(state, place, true);
+  addWaiting(state, place);
   addDecision(state, {
     kind: DecisionKind.Requeued,
     subject: run.task,
@@ -113,14 +122,18 @@
       reason: options.reason,
     },
   });
-  if (getStep(stage).gang) breakGang(state, stage, options.now);
+  if (getStep(stage).gang) stopGang(state, stage, options);
 }
 
 /** Stops what still runs of a gang that is no longer whole. */
-export function breakGang(state: CellState, stage: Stage, now: number): void {
+export function stopGang(
+  state: CellState,
+  stage: Stage,
+  options: { now: number },
+): void {
   if (stage.remaining === 0) return;
   for (const { run } of stage.tasks) {
-    if (run && run.phase !== RunPhase.Stopping) stopRun(state, run, now);
+    if (run && run.phase !== RunPhase.Stopping) stopRun(state, run, options);
   }
 }
 
@@ -140,7 +153,7 @@
       removeUnlocated(state, { stage, task });
       // A task that is done ends by itself; its end is only not listed yet.
       if (task.run && task.phase !== TaskPhase.Done) {
-        stopRun(state, task.run, options.now);
+        stopRun(state, task.run, options);
       }
     }
   }
@@ -187,18 +200,18 @@
     if (task.phase === TaskPhase.Done) continue;
     removeUnlocated(state, { stage, task });
     if (task.phase === TaskPhase.Waiting) {
-      setWaiting(state, { stage, task }, false);
+      removeWaiting(state, stage);
     }
     task.phase = TaskPhase.Done;
     stage.remaining--;
     // A second run can only exist where its lease has ended unseen.
     const isOther = task.run && task.run.number !== place.task.lastEndedRun;
-    if (isOther && task.run) stopRun(state, task.run, present.now);
+    if (isOther && task.run) stopRun(state, task.run, present);
   }
   if (stage.remaining > 0) return;
   const { job } = stage;
   job.remaining--;
-  if (job.remaining > 0) return openStages(state, job, present.wallNow);
+  if (job.remaining > 0) return openStages(state, job, present);
   endJob(state, job, {
     outcome: JobState.Completed,
     now: present.now,
--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -2,15 +2,15 @@
 import { EndKind, parseTaskName } from "../jobs/mod.ts";
 import { STALL_MS } from "./constants.ts";
 import {
-  breakGang,
   noteEnd,
   noteEndpointResult,
   type Present,
   releaseRun,
-  saveProgress,
+  setProgress,
+  stopGang,
 } from "./ends.ts";
 import { noteLeaseSent, settleUnlocated } from "./endpoints.ts";
-import { addDecision, addRun, type CellState } from "./state.ts";
+import { addDecision, addRun, type CellState, removeWaiting } from "./state.ts";
 import { findTask, getStep, removeUnlocated } from "./stages.ts";
 import { sendStop, stopRun } from "./stops.ts";
 import {
@@ -153,9 +153,9 @@
   const place = findTask(state, row.task);
   if (place) place.stage.job.hasStarted = true;
   if (place && row.saved && place.task.run === run) {
-    saveProgress(place.stage, place.task, row.saved);
+    setProgress(place, row.saved);
   }
-  watchProgress(state, run, options);
+  checkProgress(state, run, options);
 }
 
 /** Takes over a run that a former owner, or a late order, started. */
@@ -191,14 +191,13 @@
     inputs: { run: row.run, endpoint: endpoint.info.id, isExpected },
   });
   if (!place || !isExpected) {
-    stopRun(state, run, times.now);
+    stopRun(state, run, times);
     return run;
   }
   const { stage, task } = place;
   removeUnlocated(state, place);
   task.phase = TaskPhase.Placed;
-  stage.waiting--;
-  if (stage.waiting === 0) state.ready.delete(stage);
+  removeWaiting(state, stage);
   task.run = run;
   task.lastRun = Math.max(task.lastRun, row.run);
   stage.job.hasStarted = true;
@@ -206,7 +205,7 @@
 }
 
 /** A run that does not move is stopped, and restarted elsewhere. */
-function watchProgress(
+function checkProgress(
   state: CellState,
   run: Run,
   options: { row: ListedRun; times: ListingTimes },
@@ -226,9 +225,9 @@
     isFailure: true,
     now: times.now,
   });
-  stopRun(state, run, times.now);
+  stopRun(state, run, times);
   place.task.avoid = run.endpoint.info.id;
-  if (getStep(place.stage).gang) breakGang(state, place.stage, times.now);
+  if (getStep(place.stage).gang) stopGang(state, place.stage, times);
 }
 
 /** Decides what it means that a known run is not listed. */
@@ -248,5 +247,5 @@
     });
   }
   // A late order could still start it; after a stop it no longer can.
-  stopRun(state, run, times.now);
+  stopRun(state, run, times);
 }
--- a/packages/cell/placement.ts
+++ b/packages/cell/placement.ts
@@ -56,9 +56,9 @@
 
 /** Tells whether the stage holds a ticket that the endpoint still takes. */
 export function hasTicket(
+  { now }: PlacementView,
   stage: Stage,
   endpoint: Endpoint,
-  now: number,
 ): boolean {
   if (!stage.job.spec.queue.advice) return true;
   const ticket = stage.advice.allowed.get(endpoint.info.id);
@@ -107,7 +107,7 @@
 }
 
 /** Lists the racks of some endpoints by their labels of one kind. */
-export function groupByRack(endpoints: Endpoint[]): Endpoint[][] {
+export function splitByRack(endpoints: Endpoint[]): Endpoint[][] {
   const racks = new Map<string, Endpoint[]>();
   for (const endpoint of endpoints) {
     const { rack } = endpoint.info;
--- a/packages/cell/plan.ts
+++ b/packages/cell/plan.ts
@@ -1,19 +1,25 @@
 import { addDemand, type Demand, makeNoDemand } from "../jobs/mod.ts";
 import { MAX_RESERVATIONS } from "./constants.ts";
 import { noteLeaseSent } from "./endpoints.ts";
-import { breakGang } from "./ends.ts";
+import { stopGang } from "./ends.ts";
 import {
   canServe,
   canStart,
   countBelowCap,
   countRoom,
-  groupByRack,
   hasTicket,
   isAllowed,
   listEjected,
   type PlacementView,
+  splitByRack,
 } from "./placement.ts";
-import { addDecision, addPlacement, addRun, type CellState } from "./state.ts";
+import {
+  addDecision,
+  addPlacement,
+  addRun,
+  type CellState,
+  removeWaiting,
+} from "./state.ts";
 import { getStep } from "./stages.ts";
 import {
   DecisionKind,
@@ -57,7 +63,7 @@
     state,
     now,
     reservations: new Map(),
-    services: viewServices(state, now),
+    services: collectServices(state, now),
     reservedGangs: 0,
   };
   for (const stage of sortStages(state, now)) {
@@ -82,7 +88,7 @@
   else planTasks(pass, stage, candidates);
 }
 
-function viewServices(
+function collectServices(
   state: CellState,
   now: number,
 ): Map<string, ServiceView> {
@@ -173,13 +179,13 @@
     if (allowance <= 0) break;
     if (task.phase !== TaskPhase.Waiting || pass.now < task.notBefore) continue;
     const open = [...rooms.keys()].filter((endpoint) =>
-      hasTicket(stage, endpoint, pass.now)
+      hasTicket(pass, stage, endpoint)
     );
     if (open.length === 0) {
       isTicketMissing = rooms.size > 0;
       break;
     }
-    const endpoint = chooseFullest(preferRack(open, stage), task);
+    const endpoint = chooseFullest(selectNearRack(open, stage), task);
     startTask(pass, stage, { task, endpoint, run: task.lastRun + 1 });
     allowance--;
     const left = (rooms.get(endpoint) ?? 0) - 1;
@@ -190,7 +196,7 @@
 }
 
 /** Keeps to the rack where the data is, while it has room. */
-function preferRack(endpoints: Endpoint[], stage: Stage): Endpoint[] {
+function selectNearRack(endpoints: Endpoint[], stage: Stage): Endpoint[] {
   const { preferredRack } = getStep(stage);
   if (preferredRack === "") return endpoints;
   const near = endpoints.filter(({ info }) => info.rack === preferredRack);
@@ -219,13 +225,13 @@
     !avoided.has(info.id) && failuresInRow === 0
   );
   const groups = getStep(stage).rackLocal
-    ? groupByRack(candidates.usable)
+    ? splitByRack(candidates.usable)
     : [fresh, candidates.usable];
   for (const group of groups) {
     const places = placeGang(pass, stage, group);
     if (!places) continue;
     const isTicketed = places.every((endpoint) =>
-      hasTicket(stage, endpoint, pass.now)
+      hasTicket(pass, stage, endpoint)
     );
     if (isTicketed) return startGang(pass, stage, places);
     // The room is kept until the new tickets come.
@@ -242,7 +248,7 @@
   }
   if (stage.tasks.some(({ run }) => run)) {
     // What a former owner started of it, or what is left of a broken one.
-    breakGang(pass.state, stage, pass.now);
+    stopGang(pass.state, stage, pass);
     return false;
   }
   return stage.tasks.every(({ notBefore }) => pass.now >= notBefore);
@@ -257,7 +263,7 @@
     .map((endpoint) => ({
       endpoint,
       room: countRoom(pass, endpoint, stage),
-      isTicketed: hasTicket(stage, endpoint, pass.now),
+      isTicketed: hasTicket(pass, stage, endpoint),
     }))
     .filter(({ room }) => room > 0)
     .sort((a, b) =>
@@ -349,8 +355,7 @@
   task.phase = TaskPhase.Placed;
   task.run = run;
   task.lastRun = options.run;
-  stage.waiting--;
-  if (stage.waiting === 0) state.ready.delete(stage);
+  removeWaiting(state, stage);
   const ticket = stage.advice.allowed.get(endpoint.info.id)?.ticket ?? "";
   state.output.orders.push({
     kind: OrderKind.Start,
--- a/packages/cell/snapshot.ts
+++ b/packages/cell/snapshot.ts
@@ -41,7 +41,7 @@
 }
 
 /** Exports what must last, as of all decisions so far. */
-export function exportSnapshot(state: CellState): CellSnapshot {
+export function collectSnapshot(state: CellState): CellSnapshot {
   const endpoints = [...state.endpoints.values()]
     .filter((endpoint) => endpoint.isRecorded || endpoint.isRecording)
     .map(({ info }) => ({
@@ -50,7 +50,7 @@
       service: info.service,
     }));
   return {
-    jobs: [...state.jobs.values()].map(exportJob),
+    jobs: [...state.jobs.values()].map(describeJob),
     ended: [...state.ended],
     endpoints,
   };
@@ -74,10 +74,10 @@
   for (const record of contents.records) applyRecord(state, record, present);
   for (const job of state.jobs.values()) {
     if (job.outcome) {
-      retireJob(state, job, present.wallNow);
+      finishJob(state, job, present);
       continue;
     }
-    openStages(state, job, present.wallNow);
+    openStages(state, job, present);
     for (const stage of job.stages) {
       for (const task of stage.tasks) addUnlocated(state, { stage, task });
     }
@@ -85,7 +85,11 @@
 }
 
 /** Moves a job that has ended, and that the store knows, to the ended ones. */
-export function retireJob(state: CellState, job: Job, wallNow: number): void {
+export function finishJob(
+  state: CellState,
+  job: Job,
+  { wallNow }: { wallNow: number },
+): void {
   if (!job.outcome) return;
   job.shownOutcome = job.outcome;
   state.jobs.delete(job.spec.id);
@@ -96,7 +100,7 @@
   });
 }
 
-function exportJob(job: Job): JobSnapshot {
+function describeJob(job: Job): JobSnapshot {
   const tasks = job.stages.flatMap((stage) => stage.tasks)
     .filter((task) =>
       task.phase === TaskPhase.Done || task.lastEndedRun > 0 ||
--- a/packages/cell/stages.ts
+++ b/packages/cell/stages.ts
@@ -7,7 +7,12 @@
   type StepSpec,
 } from "../jobs/mod.ts";
 import { RUNS_PER_TERM } from "./constants.ts";
-import { type CellState, getUsage, setWaiting } from "./state.ts";
+import {
+  addWaiting,
+  type CellState,
+  getUsage,
+  removeWaiting,
+} from "./state.ts";
 import { type Job, type Stage, type Task, TaskPhase } from "./types.ts";
 
 /** Endpoints that a call for advice names when its time is predicted. */
@@ -31,7 +36,11 @@
   };
   for (let k = 0; k < Math.max(1, spec.occurrences); k++) {
     for (const [number, step] of spec.steps.entries()) {
-      const name = formatStageName(spec.id, k, number);
+      const name = formatStageName({
+        job: spec.id,
+        occurrence: k,
+        step: number,
+      });
       job.stages.push(buildStage(state, { job, name, k, number, step }));
     }
   }
@@ -54,7 +63,7 @@
 export function openStages(
   state: CellState,
   job: Job,
-  wallNow: number,
+  { wallNow }: { wallNow: number },
 ): void {
   const width = job.spec.steps.length;
   for (const stage of job.stages) {
@@ -96,7 +105,7 @@
   const { stage, task } = place;
   if (task.phase !== TaskPhase.Waiting || task.placedOn === "") return;
   task.phase = TaskPhase.Unlocated;
-  setWaiting(state, place, false);
+  removeWaiting(state, stage);
   state.unlocated.set(task.name, place);
   const usage = getUsage(state, stage.job.spec.organisation);
   addDemand(usage, getStep(stage).demand);
@@ -112,7 +121,7 @@
   const usage = getUsage(state, stage.job.spec.organisation);
   addDemand(usage, getStep(stage).demand, -1);
   task.phase = TaskPhase.Waiting;
-  setWaiting(state, place, true);
+  addWaiting(state, place);
 }
 
 function buildStage(
--- a/packages/cell/state.ts
+++ b/packages/cell/state.ts
@@ -99,15 +99,18 @@
   addDemand(getUsage(state, run.organisation), run.demand, -1);
 }
 
-/** Sets the phase of a task and keeps the counts of its stage. */
-export function setWaiting(
+/** Counts one more task of a stage that waits to be started. */
+export function addWaiting(
   state: CellState,
-  place: { stage: Stage; task: Task },
-  isWaiting: boolean,
+  { stage }: { stage: Stage; task: Task },
 ): void {
-  const { stage } = place;
-  stage.waiting += isWaiting ? 1 : -1;
-  if (isWaiting && stage.isReady && !stage.job.outcome) state.ready.add(stage);
+  stage.waiting++;
+  if (stage.isReady && !stage.job.outcome) state.ready.add(stage);
+}
+
+/** Counts one task less of a stage that waits. */
+export function removeWaiting(state: CellState, stage: Stage): void {
+  stage.waiting--;
   if (stage.waiting === 0) state.ready.delete(stage);
 }
 
--- a/packages/cell/stops.ts
+++ b/packages/cell/stops.ts
@@ -2,7 +2,11 @@
 import { DecisionKind, OrderKind, type Run, RunPhase } from "./types.ts";
 
 /** Orders a run to stop; it takes room until its end is listed. */
-export function stopRun(state: CellState, run: Run, now: number): void {
+export function stopRun(
+  state: CellState,
+  run: Run,
+  { now }: { now: number },
+): void {
   if (run.phase === RunPhase.Stopping) return;
   run.phase = RunPhase.Stopping;
   run.isStopAcknowledged = false;
--- a/packages/events/log.ts
+++ b/packages/events/log.ts
@@ -48,7 +48,7 @@
   }
 
   /** Writes what is buffered; for the end of the process. */
-  flush(): void {
+  writeBuffered(): void {
     this.#destination.flushSync();
   }
 }
--- a/packages/jobs/names.ts
+++ b/packages/jobs/names.ts
@@ -10,9 +10,7 @@
 
 /** Formats the name of a step of one occurrence. */
 export function formatStageName(
-  job: string,
-  occurrence: number,
-  step: number,
+  { job, occurrence, step }: Omit<TaskPlace, "index">,
 ): string {
   return `${job}.${occurrence}.${step}`;
 }
--- a/packages/journal/journal.ts
+++ b/packages/journal/journal.ts
@@ -15,10 +15,10 @@
 /** What the journal tells its owner. */
 export abstract class JournalHost {
   /** Exports all state that the committed and pending records led to. */
-  abstract exportSnapshot(): unknown;
+  abstract collectSnapshot(): unknown;
 
   /** The claim of ownership no longer holds; nothing more can be written. */
-  abstract loseOwnership(reason: string): void;
+  abstract endOwnership(reason: string): void;
 
   /** A commit has had no answer, or was refused. */
   abstract noteCommitFailure(error: unknown): void;
@@ -78,7 +78,7 @@
   }
 
   /** Adds records; `onCommitted` is called once the store holds them. */
-  append(records: JournalRecord[], onCommitted?: () => void): void {
+  add(records: JournalRecord[], onCommitted?: () => void): void {
     this.#records.push(...records);
     if (onCommitted) this.#onCommitted.push(onCommitted);
     this.#schedule();
@@ -118,7 +118,7 @@
   }
 
   async #commitBatch(): Promise<void> {
-    const batch = this.#takeBatch();
+    const batch = this.#makeBatch();
     this.#inFlight.push(batch);
     if (this.#hasMore()) this.#schedule();
     if (batch.records.length > 0) {
@@ -141,7 +141,7 @@
   }
 
   /** Callbacks go with the last records that were added before them. */
-  #takeBatch(): Batch {
+  #makeBatch(): Batch {
     let length = 0;
     let count = 0;
     while (count < this.#records.length && length < MAX_COMMIT_LENGTH) {
@@ -215,7 +215,7 @@
       }
     }
     this.close();
-    this.#host.loseOwnership("the claim of ownership was replaced");
+    this.#host.endOwnership("the claim of ownership was replaced");
     return false;
   }
 
@@ -225,11 +225,11 @@
     // Every record up to here is in the state that is exported now; segments
     // that are still under way are replayed over it, which changes nothing.
     const segment = this.#lastSegment - this.#inFlight.length;
-    const text = JSON.stringify(this.#host.exportSnapshot());
+    const text = JSON.stringify(this.#host.collectSnapshot());
     const parts = Math.max(1, Math.ceil(text.length / SNAPSHOT_PART_LENGTH));
     const keys: string[] = [];
     for (let part = 0; part < parts; part++) {
-      const key = formatSnapshotKey(segment, part, parts);
+      const key = formatSnapshotKey({ segment, part, parts });
       keys.push(key);
       const value = text.slice(
         part * SNAPSHOT_PART_LENGTH,
--- a/packages/journal/load.ts
+++ b/packages/journal/load.ts
@@ -12,16 +12,15 @@
 
 /** Formats the key of one part of the snapshot that covers a segment. */
 export function formatSnapshotKey(
-  segment: number,
-  part: number,
-  parts: number,
+  place: { segment: number; part: number; parts: number },
 ): string {
+  const { segment, part, parts } = place;
   const number = String(segment).padStart(NUMBER_DIGITS, "0");
   return `${SNAPSHOT_PREFIX}${number}/${part}-${parts}`;
 }
 
 /** Reads the newest whole snapshot and all segments after it. */
-export async function loadJournal<Snapshot>(
+export async function readJournal<Snapshot>(
   store: KeyValueStore,
 ): Promise<JournalContents<Snapshot>> {
   // The log goes first: segments are removed only after their snapshot is
--- a/packages/links/link.ts
+++ b/packages/links/link.ts
@@ -66,11 +66,11 @@
   async call<M extends LinkMethod>(
     method: M,
     params: LinkMethods[M]["params"],
-    timeoutMs: number,
+    options: { timeoutMs: number },
   ): Promise<LinkMethods[M]["result"]> {
     if (!this.#isOpen) throw new NotSentError(`Cannot call ${method}: closed`);
     try {
-      return await this.#rpc.timeout(timeoutMs).request(method, params);
+      return await this.#rpc.timeout(options.timeoutMs).request(method, params);
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
       throw new UnknownEffectError(`Cannot call ${method}: ${reason}`);
@@ -134,7 +134,9 @@
         this.wasSilent = true;
         return this.close();
       }
-      this.call("link.heartbeat", { entry: this.#entry }, LINK_SILENCE_MS)
+      this.call("link.heartbeat", { entry: this.#entry }, {
+        timeoutMs: LINK_SILENCE_MS,
+      })
         // The silence shows at the next heartbeat.
         .catch(() => {});
       this.#scheduleHeartbeat();
@@ -181,6 +183,6 @@
     });
   });
   const link = new Link(socket, options);
-  await link.call("link.heartbeat", { entry }, LINK_SILENCE_MS);
+  await link.call("link.heartbeat", { entry }, { timeoutMs: LINK_SILENCE_MS });
   return link;
 }
--- a/packages/platform/http_json.ts
+++ b/packages/platform/http_json.ts
@@ -72,7 +72,7 @@
    */
   async exchange(call: JsonCall): Promise<JsonAnswer> {
     try {
-      return await this.#request(call);
+      return await this.#exchangeOnce(call);
     } catch (error) {
       throw classifyError(call, error);
     }
@@ -83,7 +83,7 @@
     await this.#agent.destroy();
   }
 
-  async #request(call: JsonCall): Promise<JsonAnswer> {
+  async #exchangeOnce(call: JsonCall): Promise<JsonAnswer> {
     const response = await request(call.url, {
       dispatcher: this.#agent,
       method: call.method,
--- a/packages/scheduler/advice_pool.ts
+++ b/packages/scheduler/advice_pool.ts
@@ -53,9 +53,9 @@
         ? await caller.link.call(
           "advice.ask",
           { stage, endpoints, timeoutMs },
-          timeoutMs,
+          { timeoutMs },
         )
-        : await this.#service.ask(stage, endpoints, timeoutMs);
+        : await this.#service.ask({ stage, endpoints, timeoutMs });
     } finally {
       caller.backlogMs -= call.costMs;
     }
--- a/packages/scheduler/caller_service.ts
+++ b/packages/scheduler/caller_service.ts
@@ -85,7 +85,7 @@
       const reply = await this.#parts.gateway.call(
         "job.submit",
         { job: spec },
-        computeTimeout(request),
+        { timeoutMs: computeTimeout(request) },
       );
       return this.#describeSubmission(spec, reply);
     });
@@ -97,7 +97,7 @@
       const found = await this.#parts.gateway.call(
         "job.find",
         { id, organisation },
-        computeTimeout(request),
+        { timeoutMs: computeTimeout(request) },
       );
       if (!found) return { kind: AnswerKind.NoSuchJob, detail: id };
       return { kind: AnswerKind.State, detail: "", state: found.state };
@@ -110,7 +110,7 @@
       const reply = await this.#parts.gateway.call(
         "job.cancel",
         { id, organisation },
-        computeTimeout(request),
+        { timeoutMs: computeTimeout(request) },
       );
       if (reply === CancelReply.NoSuchJob) {
         return { kind: AnswerKind.NoSuchJob, detail: id };
@@ -127,7 +127,7 @@
       const count = await this.#parts.gateway.call(
         "queue.count",
         { queue: queue.name },
-        computeTimeout(request),
+        { timeoutMs: computeTimeout(request) },
       );
       return { kind: AnswerKind.Count, detail: "", count };
     });
--- a/packages/scheduler/election.ts
+++ b/packages/scheduler/election.ts
@@ -31,13 +31,13 @@
 /** What the election tells its entry. */
 export abstract class ElectionHost {
   /** Another entry, or none, owns the cell. */
-  abstract followOwner(record: OwnerRecord | undefined): void;
+  abstract noteOwner(record: OwnerRecord | undefined): void;
 
   /** This entry owns the cell from now on. */
-  abstract becomeOwner(ownership: Ownership): void;
+  abstract beginOwnership(ownership: Ownership): void;
 
   /** This entry's ownership has ended. */
-  abstract ceaseOwner(reason: string): void;
+  abstract endOwnership(reason: string): void;
 }
 
 /** Finds or becomes the cell's owner by a lease of the store. */
@@ -76,7 +76,7 @@
   async run(): Promise<void> {
     while (!this.#isStopped) {
       try {
-        if (this.#ownership) await this.#keepOwnership(this.#ownership);
+        if (this.#ownership) await this.#renewOwnership(this.#ownership);
         else await this.#findOwner();
       } catch (error) {
         this.#log.record(EventCode.ElectionFailed, { reason: String(error) });
@@ -86,22 +86,22 @@
   }
 
   /** Claims nothing more; an ownership is given up at once. */
-  async resign(): Promise<void> {
+  async releaseOwnership(): Promise<void> {
     this.#mayClaim = false;
-    await this.#giveUp("this entry stops");
+    await this.#dropOwnership("this entry stops");
   }
 
   /** Gives an ownership up to others, and claims it again only if none does. */
   async stepAside(reason: string): Promise<void> {
     if (!this.#ownership || !this.#mayClaim) return;
     this.#asideUntil = this.#clock.now() + STEP_ASIDE_MS;
-    await this.#giveUp(reason);
+    await this.#dropOwnership(reason);
   }
 
-  async #giveUp(reason: string): Promise<void> {
+  async #dropOwnership(reason: string): Promise<void> {
     const ownership = this.#ownership;
     if (!ownership) return;
-    this.#endOwnership(reason);
+    this.#clearOwnership(reason);
     try {
       await this.#store.endLease(ownership.record.lease);
     } catch (error) {
@@ -117,7 +117,7 @@
   }
 
   /** Claims the cell of an owner whose process is gone; its lease may last. */
-  replaceOwner(gone: OwnerRecord): void {
+  claimFromGone(gone: OwnerRecord): void {
     if (this.#ownership || this.#isReplacing) return;
     if (this.#clock.now() < this.#asideUntil) return;
     this.#isReplacing = true;
@@ -129,8 +129,8 @@
   }
 
   /** Gives up an ownership that another entry was seen to hold. */
-  dismiss(reason: string): void {
-    this.#endOwnership(reason);
+  noteDeposed(reason: string): void {
+    this.#clearOwnership(reason);
   }
 
   /** Stops at once. */
@@ -143,14 +143,14 @@
     const record = item && JSON.parse(item.value) as OwnerRecord;
     if (item && record) {
       if (record.incarnation === this.#self.incarnation) {
-        return await this.#resume(item, record);
+        return await this.#restoreOwnership(item, record);
       }
       // An earlier process on this VM is gone: its addresses are ours.
       if (record.entry === this.#self.entry) return await this.#claim(item);
-      this.#host.followOwner(record);
+      this.#host.noteOwner(record);
       return await this.#waitForChange(item.revision);
     }
-    this.#host.followOwner(undefined);
+    this.#host.noteOwner(undefined);
     if (!this.#mayClaim || this.#clock.now() < this.#asideUntil) {
       return await this.#clock.sleep(STORE_RETRY_MS);
     }
@@ -165,10 +165,10 @@
       return await this.#clock.sleep(OWNER_READ_MS);
     }
     const doubt = new Promise<void>((resolve) => this.#endWait = resolve);
-    await Promise.race([this.#watchOwner(revision), doubt]);
+    await Promise.race([this.#waitForOwnerKey(revision), doubt]);
   }
 
-  async #watchOwner(revision: number): Promise<void> {
+  async #waitForOwnerKey(revision: number): Promise<void> {
     try {
       await this.#store.watch(CELL_PREFIX, {
         after: revision,
@@ -189,7 +189,7 @@
     const termItem = await this.#store.get(TERM_KEY);
     const term = Number(termItem?.value ?? "0") + 1;
     const askedAt = this.#clock.now();
-    const lease = await this.#store.grantLease(OWNER_LEASE_MS);
+    const lease = await this.#store.createLease(OWNER_LEASE_MS);
     const record: OwnerRecord = { ...this.#self, term, lease };
     const { result, revision } = await this.#store.commit({
       expected: [
@@ -203,7 +203,7 @@
       deletes: [],
     });
     if (result !== TransactionResult.Applied) return;
-    this.#beginOwnership({ record, revision, confirmedAt: askedAt });
+    this.#setOwnership({ record, revision, confirmedAt: askedAt });
   }
 
   async #claimFrom(gone: OwnerRecord): Promise<void> {
@@ -216,15 +216,18 @@
   }
 
   /** The answer to a claim was lost, and the claim has taken effect. */
-  async #resume(item: StoredItem, record: OwnerRecord): Promise<void> {
+  async #restoreOwnership(
+    item: StoredItem,
+    record: OwnerRecord,
+  ): Promise<void> {
     if (!this.#mayClaim) return await this.#store.endLease(record.lease);
     const askedAt = this.#clock.now();
-    if (!await this.#store.keepLease(record.lease)) return;
+    if (!await this.#store.renewLease(record.lease)) return;
     const { revision } = item;
-    this.#beginOwnership({ record, revision, confirmedAt: askedAt });
+    this.#setOwnership({ record, revision, confirmedAt: askedAt });
   }
 
-  #beginOwnership(ownership: Ownership): void {
+  #setOwnership(ownership: Ownership): void {
     if (this.#ownership) return;
     // Stopping may have begun while the claim was under way.
     if (!this.#mayClaim) {
@@ -238,18 +241,18 @@
       term: ownership.record.term,
       fence: ownership.revision,
     });
-    this.#host.becomeOwner(ownership);
+    this.#host.beginOwnership(ownership);
   }
 
-  async #keepOwnership(ownership: Ownership): Promise<void> {
+  async #renewOwnership(ownership: Ownership): Promise<void> {
     const askedAt = this.#clock.now();
-    const isKept = await this.#store.keepLease(ownership.record.lease);
+    const isKept = await this.#store.renewLease(ownership.record.lease);
     if (isKept) ownership.confirmedAt = askedAt;
-    else this.#endOwnership("the lease has ended");
+    else this.#clearOwnership("the lease has ended");
     await this.#clock.sleep(OWNER_KEEP_MS);
   }
 
-  #endOwnership(reason: string): void {
+  #clearOwnership(reason: string): void {
     const ownership = this.#ownership;
     if (!ownership) return;
     this.#ownership = undefined;
@@ -257,6 +260,6 @@
       term: ownership.record.term,
       reason,
     });
-    this.#host.ceaseOwner(reason);
+    this.#host.endOwnership(reason);
   }
 }
--- a/packages/scheduler/endpoint_feed.ts
+++ b/packages/scheduler/endpoint_feed.ts
@@ -61,8 +61,8 @@
       items.push(...page.items);
       if (page.hasMore && page.items.length > 0) continue;
       this.#endpoints.clear();
-      for (const { key, value } of items) this.#put(key, value);
-      this.#report();
+      for (const { key, value } of items) this.#setEndpoint(key, value);
+      this.#callListener();
       // Pages are no snapshot: the watch starts at the oldest that was read.
       return page.revision;
     }
@@ -75,19 +75,19 @@
     );
     for (const { key, value } of changes) {
       if (value === undefined) this.#endpoints.delete(key);
-      else this.#put(key, value);
+      else this.#setEndpoint(key, value);
     }
-    if (changes.length > 0) this.#report();
+    if (changes.length > 0) this.#callListener();
     return revision;
   }
 
-  #put(key: string, value: string): void {
+  #setEndpoint(key: string, value: string): void {
     const info = this.#records.decodeEndpoint(key, value);
     if (info) this.#endpoints.set(key, info);
     else this.#endpoints.delete(key);
   }
 
-  #report(): void {
+  #callListener(): void {
     if (!this.#isStopped) this.#onChanged([...this.#endpoints.values()]);
   }
 }
--- a/packages/scheduler/endpoint_session.ts
+++ b/packages/scheduler/endpoint_session.ts
@@ -16,15 +16,13 @@
   /** An endpoint has answered. */
   abstract noteHold(
     endpoint: Endpoint,
-    answer: HoldAnswer,
-    askedAt: number,
+    held: { answer: HoldAnswer; askedAt: number },
   ): void;
 
   /** An endpoint has not answered. */
   abstract noteSilence(
     endpoint: Endpoint,
-    error: unknown,
-    elapsedMs: number,
+    failure: { error: unknown; elapsedMs: number },
   ): void;
 }
 
@@ -36,7 +34,7 @@
   readonly #host: SessionHost;
   readonly #fence: number;
   readonly #leaseMs: number;
-  #wake: () => void = () => {};
+  #checkNow: () => void = () => {};
   #isIdle = false;
   #isStopped = false;
   #isLooking = false;
@@ -63,12 +61,12 @@
   /** Runs until stopped; it rests while the endpoint has nothing to tell. */
   async run(): Promise<void> {
     while (!this.#isStopped) {
-      if (!this.#needsHold()) {
-        await this.#rest();
+      if (!this.#isPollDue()) {
+        await this.#waitForWork();
         continue;
       }
       const startedAt = this.#clock.now();
-      const isAnswered = await this.#hold(startedAt, {
+      const isAnswered = await this.#pollOnce(startedAt, {
         waitMs: HOLD_WAIT_MS,
       });
       const elapsed = this.#clock.now() - startedAt;
@@ -78,19 +76,19 @@
   }
 
   /** Looks again whether the endpoint has something to tell. */
-  wake(): void {
-    if (this.#isIdle) return this.#wake();
+  checkNow(): void {
+    if (this.#isIdle) return this.#checkNow();
     const isUnsure = [...this.#endpoint.runs.values()].some(({ phase }) =>
       phase === RunPhase.Unsure
     );
-    if (isUnsure) void this.#lookNow();
+    if (isUnsure) void this.#pollNow();
   }
 
   /** Asks beside a listing that waits: a start has had no answer. */
-  async #lookNow(): Promise<void> {
+  async #pollNow(): Promise<void> {
     if (this.#isLooking || this.#isStopped) return;
     this.#isLooking = true;
-    await this.#hold(this.#clock.now(), { waitMs: 0 });
+    await this.#pollOnce(this.#clock.now(), { waitMs: 0 });
     await this.#clock.sleep(HOLD_INTERVAL_MS);
     this.#isLooking = false;
   }
@@ -98,23 +96,23 @@
   /** Sends nothing more. */
   stop(): void {
     this.#isStopped = true;
-    this.wake();
+    this.checkNow();
   }
 
-  #needsHold(): boolean {
+  #isPollDue(): boolean {
     const { isHeld, runs, committedEnd, bornAt, isListed } = this.#endpoint;
     if (runs.size > 0) return true;
     if (!isHeld) return isListed || this.#endpoint.isRecorded;
     return committedEnd > (bornAt === this.#toldBornAt ? this.#toldEnd : 0);
   }
 
-  async #rest(): Promise<void> {
+  async #waitForWork(): Promise<void> {
     this.#isIdle = true;
-    await new Promise<void>((resolve) => this.#wake = resolve);
+    await new Promise<void>((resolve) => this.#checkNow = resolve);
     this.#isIdle = false;
   }
 
-  async #hold(
+  async #pollOnce(
     now: number,
     options: { waitMs: number },
   ): Promise<boolean> {
@@ -137,17 +135,19 @@
     const target = { id, address, bornAt: 0 };
     try {
       const timeoutMs = order.waitMs + HOLD_TIMEOUT_MS;
-      const answer = await this.#control.hold(target, order, timeoutMs);
+      const answer = await this.#control.poll(target, order, { timeoutMs });
       if (this.#isStopped) return true;
       this.#isSilent = false;
       this.#toldEnd = order.notedEnd;
       this.#toldBornAt = bornAt;
-      this.#host.noteHold(endpoint, answer, now);
+      this.#host.noteHold(endpoint, { answer, askedAt: now });
       return true;
     } catch (error) {
       this.#isSilent = true;
-      const elapsed = this.#clock.now() - now;
-      if (!this.#isStopped) this.#host.noteSilence(endpoint, error, elapsed);
+      const elapsedMs = this.#clock.now() - now;
+      if (!this.#isStopped) {
+        this.#host.noteSilence(endpoint, { error, elapsedMs });
+      }
       return false;
     }
   }
--- a/packages/scheduler/order_sender.ts
+++ b/packages/scheduler/order_sender.ts
@@ -68,7 +68,7 @@
         fence,
         saved: order.saved,
         ticket: order.ticket,
-      }, ORDER_TIMEOUT_MS);
+      }, { timeoutMs: ORDER_TIMEOUT_MS });
     }
     const answeredAt = clock.now();
     const elapsed = answeredAt - now;
@@ -104,7 +104,7 @@
         task: run.task,
         run: run.number,
         fence,
-      }, ORDER_TIMEOUT_MS)
+      }, { timeoutMs: ORDER_TIMEOUT_MS })
       : StopResult.Unknown;
     if (result === StopResult.Deposed) {
       const { id } = run.endpoint.info;
--- a/packages/scheduler/owner_gateway.ts
+++ b/packages/scheduler/owner_gateway.ts
@@ -54,7 +54,7 @@
   }
 
   /** Turns to another owner, or to none. */
-  follow(owner: OwnerRecord | undefined, isSelf: boolean): void {
+  setOwner(owner: OwnerRecord | undefined, isSelf: boolean): void {
     if (this.#owner?.incarnation === owner?.incarnation) {
       if (owner && !isSelf) void this.#openLink(owner);
       return;
@@ -75,13 +75,13 @@
   async call<M extends LinkMethod>(
     method: M,
     params: LinkMethods[M]["params"],
-    timeoutMs: number,
+    options: { timeoutMs: number },
   ): Promise<LinkMethods[M]["result"]> {
-    if (this.#isSelf) return await this.#callSelf(method, params, timeoutMs);
+    if (this.#isSelf) return await this.#callSelf(method, params, options);
     if (!this.#link?.isOpen) {
       throw new NotSentError("Cannot reach the owner: no link");
     }
-    return await this.#link.call(method, params, timeoutMs);
+    return await this.#link.call(method, params, options);
   }
 
   /** Closes the link. */
@@ -93,13 +93,13 @@
   async #callSelf<M extends LinkMethod>(
     method: M,
     params: LinkMethods[M]["params"],
-    timeoutMs: number,
+    options: { timeoutMs: number },
   ): Promise<LinkMethods[M]["result"]> {
     let cancel = () => {};
     const expired = new Promise<never>((_, reject) => {
       const fail = () =>
         reject(new UnknownEffectError(`Cannot call ${method}: timed out`));
-      cancel = this.#clock.schedule(fail, timeoutMs);
+      cancel = this.#clock.schedule(fail, options.timeoutMs);
     });
     try {
       const answer = this.#handlers[method](params) as Promise<
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -13,7 +13,7 @@
 } from "../cell/mod.ts";
 import { EventCode, type EventLog } from "../events/mod.ts";
 import { type JobSpec, JobState } from "../jobs/mod.ts";
-import { Journal, JournalHost, loadJournal } from "../journal/mod.ts";
+import { Journal, JournalHost, readJournal } from "../journal/mod.ts";
 import { CancelReply, type Link, type SubmitReply } from "../links/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type { KeyValueStore } from "../storage/mod.ts";
@@ -109,8 +109,8 @@
       fence: ownership.revision,
       leaseMs: parts.leaseMs,
       mayOrder: (now) => this.mayOrder(now),
-      onDeposed: (reason) => this.loseOwnership(reason),
-      onAnswered: () => this.requestFlush(),
+      onDeposed: (reason) => this.endOwnership(reason),
+      onAnswered: () => this.schedulePlan(),
     });
   }
 
@@ -125,7 +125,7 @@
     const startedAt = clock.now();
     while (!this.#isStopped && !this.#journal) {
       try {
-        const contents = await loadJournal<CellSnapshot>(store);
+        const contents = await readJournal<CellSnapshot>(store);
         if (this.#isStopped) return;
         this.cell.restore(contents, {
           safeAt: startedAt + this.#computeDoubt(),
@@ -156,14 +156,14 @@
     this.updateConfig(this.#parts.getConfig());
     void this.#feed.run();
     this.#scheduleTick();
-    this.requestFlush();
+    this.schedulePlan();
   }
 
   /** Stops at once; with `isPlanned`, what is decided is stored first. */
   async stop(options: { isPlanned: boolean }): Promise<void> {
     if (this.#isStopped) return;
     if (options.isPlanned) {
-      this.#flush();
+      this.#planNow();
       await this.#journal?.drain();
     }
     this.#isStopped = true;
@@ -213,14 +213,14 @@
   }
 
   /** Plans soon; several requests are met by one plan. */
-  requestFlush(): void {
+  schedulePlan(): void {
     if (this.#isFlushScheduled || this.#isStopped || !this.#journal) return;
     this.#isFlushScheduled = true;
     // A plan that takes long is made less often: half of the time is left.
     const pause = Math.max(FLUSH_MS, this.#planMs);
     this.#parts.clock.schedule(() => {
       this.#isFlushScheduled = false;
-      if (!this.#isStopped) this.#flush();
+      if (!this.#isStopped) this.#planNow();
     }, pause);
   }
 
@@ -231,20 +231,26 @@
   }
 
   /** Applies an endpoint's lists. */
-  noteHold(endpoint: Endpoint, answer: HoldAnswer, askedAt: number): void {
+  noteHold(
+    endpoint: Endpoint,
+    { answer, askedAt }: { answer: HoldAnswer; askedAt: number },
+  ): void {
     if (this.#isStopped) return;
     if (answer.isDeposed) {
-      return this.loseOwnership(`${endpoint.info.id} serves a newer owner`);
+      return this.endOwnership(`${endpoint.info.id} serves a newer owner`);
     }
     this.cell.applyListing(endpoint, {
       listing: answer.listing,
       times: { ...this.#getPresent(), askedAt },
     });
-    this.requestFlush();
+    this.schedulePlan();
   }
 
   /** Notes that an endpoint did not answer. */
-  noteSilence(endpoint: Endpoint, error: unknown, elapsedMs: number): void {
+  noteSilence(
+    endpoint: Endpoint,
+    { error, elapsedMs }: { error: unknown; elapsedMs: number },
+  ): void {
     const { clock, log } = this.#parts;
     if (elapsedMs > SILENCE_MS) {
       endpoint.silentUntil = clock.now() + SILENT_PAUSE_MS;
@@ -256,11 +262,11 @@
     });
   }
 
-  override exportSnapshot(): CellSnapshot {
-    return this.cell.exportSnapshot();
+  override collectSnapshot(): CellSnapshot {
+    return this.cell.collectSnapshot();
   }
 
-  override loseOwnership(reason: string): void {
+  override endOwnership(reason: string): void {
     if (!this.#isStopped) this.#parts.onDeposed(reason);
   }
 
@@ -298,8 +304,8 @@
   /** Resolves with false when the ownership ended before the commit. */
   #commitNow(): Promise<boolean> {
     return new Promise((resolve) => {
-      this.#emit(() => resolve(true));
-      this.requestFlush();
+      this.#sendOutput(() => resolve(true));
+      this.schedulePlan();
       const check = () => {
         if (this.#isStopped) resolve(false);
         else this.#parts.clock.schedule(check, TICK_MS * 5);
@@ -310,7 +316,7 @@
 
   #updateEndpoints(infos: EndpointInfo[]): void {
     this.cell.updateEndpoints(infos);
-    this.requestFlush();
+    this.schedulePlan();
   }
 
   #updateSessions(): void {
@@ -330,30 +336,30 @@
     }
     for (const [endpoint, session] of this.#sessions) {
       if (this.cell.state.endpoints.get(endpoint.info.id) === endpoint) {
-        session.wake();
+        session.checkNow();
         continue;
       }
       session.stop();
-      control.forget(endpoint.info.address);
+      control.dropConnections(endpoint.info.address);
       this.#sessions.delete(endpoint);
     }
   }
 
-  #flush(): void {
+  #planNow(): void {
     const { clock, metrics } = this.#parts;
     const startedAt = clock.now();
     if (this.mayOrder(startedAt)) this.cell.plan(this.#getPresent());
     this.#lastPlanAt = clock.now();
     this.#planMs = this.#lastPlanAt - startedAt;
     metrics.observeDuration("plan", this.#planMs, {});
-    this.#emit();
+    this.#sendOutput();
     this.#updateSessions();
   }
 
   /** Carries out what was decided so far. */
-  #emit(onCommitted?: () => void): void {
+  #sendOutput(onCommitted?: () => void): void {
     const { log } = this.#parts;
-    const output = this.cell.takeOutput();
+    const output = this.cell.collectOutput();
     recordDecisions(log, output.decisions);
     this.#commit(output, onCommitted);
     for (const order of output.orders) {
@@ -365,14 +371,14 @@
     const isEmpty = output.records.length === 0 && output.marks.size === 0 &&
       output.finished.size === 0;
     if (isEmpty && !onCommitted) return;
-    this.#journal?.append(output.records, () => {
+    this.#journal?.add(output.records, () => {
       if (this.#isStopped) return;
       this.cell.noteCommitted(output, Date.now());
       for (const start of this.cell.listStarts(output)) {
         this.#sender.send(start);
       }
       onCommitted?.();
-      if (!isEmpty) this.requestFlush();
+      if (!isEmpty) this.schedulePlan();
     });
   }
 
@@ -387,8 +393,10 @@
   #scheduleTick(): void {
     this.#cancelTick = this.#parts.clock.schedule(() => {
       if (this.#isStopped) return;
-      if (this.#parts.clock.now() - this.#lastPlanAt >= TICK_MS) this.#flush();
-      this.cell.forgetEnded(Date.now());
+      if (this.#parts.clock.now() - this.#lastPlanAt >= TICK_MS) {
+        this.#planNow();
+      }
+      this.cell.dropEnded(Date.now());
       this.#checkIsolation();
       this.#scheduleTick();
     }, TICK_MS);
--- a/packages/scheduler/ports.ts
+++ b/packages/scheduler/ports.ts
@@ -49,14 +49,14 @@
   abstract start(
     target: EndpointTarget,
     order: StartOrder,
-    timeoutMs: number,
+    options: { timeoutMs: number },
   ): Promise<StartResult>;
 
   /** Orders a stop; never throws. */
   abstract stop(
     target: EndpointTarget,
     order: { task: string; run: number; fence: number },
-    timeoutMs: number,
+    options: { timeoutMs: number },
   ): Promise<StopResult>;
 
   /**
@@ -64,14 +64,14 @@
    *
    * @throws {NotSentError | UnknownEffectError} when no answer came
    */
-  abstract hold(
+  abstract poll(
     target: EndpointTarget,
     order: HoldOrder,
-    timeoutMs: number,
+    options: { timeoutMs: number },
   ): Promise<HoldAnswer>;
 
   /** Frees the connections to an endpoint that is gone. */
-  abstract forget(address: string): void;
+  abstract dropConnections(address: string): void;
 
   /** Frees all connections. */
   abstract close(): Promise<void>;
@@ -85,9 +85,11 @@
    * @throws {NotSentError | UnknownEffectError} when no answer came
    */
   abstract ask(
-    stage: string,
-    endpoints: readonly string[],
-    timeoutMs: number,
+    question: {
+      stage: string;
+      endpoints: readonly string[];
+      timeoutMs: number;
+    },
   ): Promise<AdviceAnswer>;
 
   /** Frees the connections. */
--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -68,7 +68,7 @@
         port: settings.listen.peers.port,
       },
     });
-    this.gateway.onOwnerGone = (owner) => this.#election.replaceOwner(owner);
+    this.gateway.onOwnerGone = (owner) => this.#election.claimFromGone(owner);
     this.gateway.onOwnerSilent = () => this.#election.checkOwner();
     this.callers = new CallerService({
       config: this.config,
@@ -103,7 +103,7 @@
     this.parts.log.record(EventCode.DrainStarted, {});
     const role = this.#role;
     if (role) await role.stop({ isPlanned: true });
-    await this.#election.resign();
+    await this.#election.releaseOwnership();
   }
 
   /** Ends all loops. */
@@ -115,11 +115,11 @@
     this.parts.log.record(EventCode.EntryStopped, {});
   }
 
-  followOwner(record: OwnerRecord | undefined): void {
-    this.gateway.follow(record, false);
+  noteOwner(record: OwnerRecord | undefined): void {
+    this.gateway.setOwner(record, false);
   }
 
-  becomeOwner(ownership: Ownership): void {
+  beginOwnership(ownership: Ownership): void {
     const { settings, ...parts } = this.parts;
     const role = new OwnerRole(ownership, {
       ...parts,
@@ -129,18 +129,18 @@
       listSilent: () => this.#links.listSilent(),
       onIsolated: (reason) => void this.#election.stepAside(reason),
       getConfig: () => this.config.config,
-      onDeposed: (reason) => this.#election.dismiss(reason),
+      onDeposed: (reason) => this.#election.noteDeposed(reason),
     });
     this.#role = role;
-    this.gateway.follow(ownership.record, true);
+    this.gateway.setOwner(ownership.record, true);
     void role.start();
   }
 
-  ceaseOwner(_reason: string): void {
+  endOwnership(_reason: string): void {
     const role = this.#role;
     this.#role = undefined;
     void role?.stop({ isPlanned: false });
-    this.gateway.follow(undefined, false);
+    this.gateway.setOwner(undefined, false);
   }
 
   /** Describes the state of this process, for a dump. */
@@ -196,7 +196,7 @@
       "queue.count": ({ queue }) =>
         this.#requireRole().cell.countWaiting(queue),
       "advice.ask": async ({ stage, endpoints, timeoutMs }) =>
-        await this.parts.advice.ask(stage, endpoints, timeoutMs),
+        await this.parts.advice.ask({ stage, endpoints, timeoutMs }),
     };
   }
 
--- a/packages/storage/key_value_store.ts
+++ b/packages/storage/key_value_store.ts
@@ -31,10 +31,10 @@
   abstract commit(transaction: Transaction): Promise<TransactionOutcome>;
 
   /** Grants a lease of some milliseconds and returns its id. */
-  abstract grantLease(ttlMs: number): Promise<number>;
+  abstract createLease(ttlMs: number): Promise<number>;
 
   /** Renews a lease; false when it has ended. */
-  abstract keepLease(lease: number): Promise<boolean>;
+  abstract renewLease(lease: number): Promise<boolean>;
 
   /** Ends a lease and removes its keys. */
   abstract endLease(lease: number): Promise<void>;
--- a/tests/cell/cell_site.ts
+++ b/tests/cell/cell_site.ts
@@ -201,7 +201,7 @@
 
   /** Writes a snapshot; the records before it are no longer needed. */
   takeSnapshot(): void {
-    const text = JSON.stringify(this.cell.exportSnapshot());
+    const text = JSON.stringify(this.cell.collectSnapshot());
     this.snapshot = JSON.parse(text) as CellSnapshot;
     this.journal.length = 0;
   }
@@ -251,7 +251,7 @@
 
   #flush(): void {
     this.cell.plan(this.present);
-    const output = this.cell.takeOutput();
+    const output = this.cell.collectOutput();
     this.#commits.push({
       at: this.now + this.commitMs,
       owner: this.cell,
--- a/tests/house_style_test.ts
+++ b/tests/house_style_test.ts
@@ -4,10 +4,12 @@
 
 const VERB = /^[a-z]+/;
 
-function listSources(): string[] {
-  return readdirSync("packages", { recursive: true, encoding: "utf8" })
-    .filter((file) => file.endsWith(".ts") && !file.endsWith("_test.ts"))
-    .map((file) => `packages/${file}`);
+function listSources(folders = ["packages", "platform"]): string[] {
+  return folders.flatMap((folder) =>
+    readdirSync(folder, { recursive: true, encoding: "utf8" })
+      .filter((file) => file.endsWith(".ts") && !file.endsWith("_test.ts"))
+      .map((file) => `${folder}/${file}`)
+  );
 }
 
 function readVerbs(): Set<string> {
@@ -43,6 +45,16 @@
   t.deepEqual(faults, []);
 });
 
+const PLATFORM_NAMES =
+  /kv-(key|range|watch|txn|lease|keep)|run-start|run-stop|baobabhead\/hold|op\/config|task_spec|api_keys|last_seen|until_ms|mem_mb|no_auth/;
+
+test("names of the platform stay in platform/", (t) => {
+  const faults = listSources(["packages"]).filter((file) =>
+    PLATFORM_NAMES.test(readFileSync(file, "utf8"))
+  );
+  t.deepEqual(faults, []);
+});
+
 test("every export has a doc comment", (t) => {
   const faults: string[] = [];
   for (const file of listSources()) {
--- a/tests/virtual/election_test.ts
+++ b/tests/virtual/election_test.ts
@@ -34,16 +34,16 @@
     });
   }
 
-  override followOwner(record: OwnerRecord | undefined): void {
+  override noteOwner(record: OwnerRecord | undefined): void {
     this.owner = record;
   }
 
-  override becomeOwner(ownership: Ownership): void {
+  override beginOwnership(ownership: Ownership): void {
     this.ownership = ownership;
     this.terms.push(ownership.record.term);
   }
 
-  override ceaseOwner(): void {
+  override endOwnership(): void {
     this.ownership = undefined;
   }
 }
@@ -88,7 +88,7 @@
   time.kill(first.name);
   first.ownership = undefined;
   for (const entry of entries) {
-    if (entry !== first && gone) entry.election.replaceOwner(gone);
+    if (entry !== first && gone) entry.election.claimFromGone(gone);
   }
   await time.advance(200);
   t.is(findOwners().length, 1);
--- a/tests/virtual/journal_test.ts
+++ b/tests/virtual/journal_test.ts
@@ -3,7 +3,7 @@
   Journal,
   JournalHost,
   type JournalRecord,
-  loadJournal,
+  readJournal,
   RecordKind,
   SEGMENTS_PER_SNAPSHOT,
 } from "../../packages/journal/mod.ts";
@@ -18,11 +18,11 @@
   lost = "";
   failures = 0;
 
-  override exportSnapshot(): unknown {
+  override collectSnapshot(): unknown {
     return { records: [...this.records] };
   }
 
-  override loseOwnership(reason: string): void {
+  override endOwnership(reason: string): void {
     this.lost = reason;
   }
 
@@ -73,7 +73,7 @@
 }
 
 async function load(time: VirtualTime, store: MemoryStore) {
-  const loading = loadJournal<{ records: string[] }>(store);
+  const loading = readJournal<{ records: string[] }>(store);
   await time.advance(2_000);
   return await loading;
 }
@@ -89,7 +89,7 @@
   const before = state.transactions;
   const told: string[] = [];
   for (let n = 0; n < 20; n++) {
-    journal.append([makeRecord(`j${n}`)], () => told.push(`j${n}`));
+    journal.add([makeRecord(`j${n}`)], () => told.push(`j${n}`));
   }
   t.deepEqual(told, []);
   await time.advance(200);
@@ -103,7 +103,7 @@
   const { time, store, journal, host } = await startJournal();
   let told = 0;
   store.fault = StoreFault.LostAnswer;
-  journal.append([makeRecord("a")], () => told++);
+  journal.add([makeRecord("a")], () => told++);
   await time.advance(1_000);
   store.fault = StoreFault.None;
   await time.advance(4_000);
@@ -116,10 +116,10 @@
   const { time, store, journal } = await startJournal();
   store.fault = StoreFault.DoneLate;
   store.lateMs = 1_700;
-  journal.append([makeRecord("a")]);
+  journal.add([makeRecord("a")]);
   await time.advance(1_000);
   store.fault = StoreFault.None;
-  journal.append([makeRecord("b")]);
+  journal.add([makeRecord("b")]);
   await time.advance(8_000);
   t.deepEqual(listJobs((await load(time, store)).records), ["a", "b"]);
 });
@@ -128,7 +128,7 @@
   const { time, store, state, clock, journal, host, claim } =
     await startJournal();
   store.fault = StoreFault.DoneLate;
-  journal.append([makeRecord("a")]);
+  journal.add([makeRecord("a")]);
   await time.advance(500);
   const other = new MemoryStore(state, clock);
   await claimOwnership(time, other, claim);
@@ -144,7 +144,7 @@
   const total = SEGMENTS_PER_SNAPSHOT + 40;
   for (let n = 0; n < total; n++) {
     host.records.push(`j${n}`);
-    journal.append([makeRecord(`j${n}`)]);
+    journal.add([makeRecord(`j${n}`)]);
     await time.advance(50);
   }
   await time.advance(2_000);
@@ -160,7 +160,7 @@
 
 test("a snapshot that was cut off in the middle is not used", async (t) => {
   const { time, store, journal } = await startJournal();
-  journal.append([makeRecord("a")]);
+  journal.add([makeRecord("a")]);
   await time.advance(200);
   store.state.put("baobabhead/snapshot/000000000001/0-2", "{", 0);
   const contents = await load(time, store);
--- a/tests/virtual/memory_store.ts
+++ b/tests/virtual/memory_store.ts
@@ -129,7 +129,7 @@
     return this.#write(() => this.#apply(transaction));
   }
 
-  override grantLease(ttlMs: number): Promise<number> {
+  override createLease(ttlMs: number): Promise<number> {
     return this.#write(() => {
       const lease = ++this.state.lastLease;
       const endsAt = this.#clock.now() + ttlMs;
@@ -138,7 +138,7 @@
     });
   }
 
-  override keepLease(lease: number): Promise<boolean> {
+  override renewLease(lease: number): Promise<boolean> {
     return this.#read(() => {
       const held = this.state.leases.get(lease);
       if (held) held.endsAt = this.#clock.now() + held.ttlMs;
--- a/tests/virtual/session_test.ts
+++ b/tests/virtual/session_test.ts
@@ -37,7 +37,7 @@
     return Promise.resolve(StopResult.Acknowledged);
   }
 
-  override async hold(_target: unknown, order: HoldOrder): Promise<HoldAnswer> {
+  override async poll(_target: unknown, order: HoldOrder): Promise<HoldAnswer> {
     this.holds.push(order);
     await this.#clock.sleep(this.isReachable ? order.waitMs : 600);
     if (!this.isReachable) throw new NotSentError("Cannot connect");
@@ -47,7 +47,7 @@
     };
   }
 
-  override forget(): void {}
+  override dropConnections(): void {}
 
   override close(): Promise<void> {
     return Promise.resolve();
@@ -111,7 +111,7 @@
       percent: 0,
       progressAt: 0,
     });
-    session.wake();
+    session.checkNow();
   };
   void session.run();
   return { time, control, host, endpoint, session, addRun };
