Serve late short work before long work; check tickets as a start is sent

Ruled out: advice itself (answers took under 100 ms then). Change: rank (owed, beyond the share, worthless), priority, due time; no start is planned while the store is silent; a start with a dead ticket is not sent; the owner's lease is the store's least, 1.0 s.

--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -8,7 +8,7 @@
   settleUnsure,
 } from "./answers.ts";
 import { expireEndpoints, updateEndpoints } from "./endpoints.ts";
-import { endJob, type Present } from "./ends.ts";
+import { endJob, type Present, releaseRun } from "./ends.ts";
 import { applyListing, type ListingTimes } from "./listing.ts";
 import { planStarts } from "./plan.ts";
 import { ShareMeter } from "./share_meter.ts";
@@ -206,12 +206,21 @@
   }
 
   /** Lists the starts of an output that are still wanted once it is stored. */
-  listStarts(output: CellOutput): StartOrder[] {
+  listStarts(output: CellOutput, present: Present): StartOrder[] {
     const isWanted = (order: Order): order is StartOrder =>
       order.kind === OrderKind.Start &&
       order.run.phase === RunPhase.Starting &&
       order.run.endpoint.runs.get(order.run.task) === order.run;
-    return output.orders.filter(isWanted);
+    const wanted = output.orders.filter(isWanted);
+    return wanted.filter((order) => {
+      if (present.now < order.ticketEndsAt) return true;
+      releaseRun(this.state, order.run, {
+        now: present.now,
+        isFault: false,
+        reason: "the ticket ran out before the placement was stored",
+      });
+      return false;
+    });
   }
 
   /** Applies the answer to an order to start. */
@@ -254,7 +263,7 @@
   }
 
   /** Does what has come due, and plans starts. */
-  plan(present: Present): void {
+  plan(present: Present, options: { mayStart: boolean }): void {
     const { state } = this;
     expireEndpoints(state, present);
     settleUnsure(state, present.now);
@@ -265,7 +274,7 @@
     for (const { job } of [...state.timed]) {
       openStages(state, job, present);
     }
-    planStarts(state, present.now);
+    if (options.mayStart) planStarts(state, present.now);
     state.backlogs = measureBacklogs(state);
   }
 
--- a/packages/cell/plan.ts
+++ b/packages/cell/plan.ts
@@ -118,12 +118,23 @@
   return services;
 }
 
-/** Sorts the stages that wait: who is owed service first, then the due time. */
+/** Who is served first. */
+enum Rank {
+  Owed = 0,
+  OverShare = 1,
+  /** So late that its caller gains nothing more by it. */
+  Expired = 2,
+}
+
+/**
+ * Sorts the stages that wait: by rank, priority and due time. Answers the load
+ * "a backlog of short work": what is late, but not yet worthless, goes first
+ * of its priority, so that as few as possible are not served at all.
+ */
 function sortStages(state: CellState, now: number): Stage[] {
-  const rank = (stage: Stage) => {
-    const { job } = stage;
-    const isLate = now > job.dueAt ? 1 : 0;
-    return (job.isOverShare ? 4 : 0) + isLate * 2;
+  const rank = ({ job }: Stage) => {
+    if (now > job.expiresAt) return Rank.Expired;
+    return job.isOverShare ? Rank.OverShare : Rank.Owed;
   };
   return [...state.ready].sort((a, b) =>
     rank(a) - rank(b) ||
@@ -356,13 +367,14 @@
   task.run = run;
   task.lastRun = options.run;
   removeWaiting(state, stage);
-  const ticket = stage.advice.allowed.get(endpoint.info.id)?.ticket ?? "";
+  const ticket = stage.advice.allowed.get(endpoint.info.id);
   state.output.orders.push({
     kind: OrderKind.Start,
     run,
     payload: stage.job.spec.payload,
     saved: task.saved,
-    ticket,
+    ticket: ticket?.ticket ?? "",
+    ticketEndsAt: ticket?.expiresAt ?? Number.MAX_SAFE_INTEGER,
   });
   addDecision(state, {
     kind: DecisionKind.Started,
--- a/packages/cell/stages.ts
+++ b/packages/cell/stages.ts
@@ -18,17 +18,22 @@
 /** Endpoints that a call for advice names when its time is predicted. */
 const USUAL_ADVICE_ENDPOINTS = 30;
 
+/** A job that takes this many times its objective is worth nothing. */
+const EXPIRY_FACTOR = 3;
+
 /** Builds a job with all its stages; none is ready yet. */
 export function buildJob(
   state: CellState,
   spec: JobSpec,
   options: { acceptedAt: number; now: number; isOverShare: boolean },
 ): Job {
+  const objectiveMs = computeObjective(spec);
   const job: Job = {
     spec,
     acceptedAt: options.acceptedAt,
     isOverShare: options.isOverShare,
-    dueAt: options.now + computeObjective(spec),
+    dueAt: options.now + objectiveMs,
+    expiresAt: options.now + objectiveMs * EXPIRY_FACTOR,
     stages: [],
     remaining: 0,
     hasStarted: false,
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -154,6 +154,8 @@
   isOverShare: boolean;
   /** When its objective ends, in this process's time. */
   dueAt: number;
+  /** From then on it earns nothing, in this process's time. */
+  expiresAt: number;
   stages: Stage[];
   remaining: number;
   hasStarted: boolean;
@@ -211,6 +213,8 @@
     payload: string;
     saved: string;
     ticket: string;
+    /** The order is not sent later than this. */
+    ticketEndsAt: number;
   }
   | { kind: OrderKind.Stop; run: Run }
   | {
--- a/packages/scheduler/constants.ts
+++ b/packages/scheduler/constants.ts
@@ -8,13 +8,13 @@
 export const CELL_PREFIX = "baobabhead/cell/";
 
 /**
- * Life of the owner's lease: the store's least is 1,000 ms; it bears two lost
- * renewals in a row, and a take-over too many costs less than one too late.
+ * Life of the owner's lease: the store's least. It bears two lost renewals in
+ * a row, and a take-over too many costs less than one too late.
  */
-export const OWNER_LEASE_MS = 1_300;
+export const OWNER_LEASE_MS = 1_000;
 
 /** Time between renewals of the owner's lease, in milliseconds. */
-export const OWNER_KEEP_MS = 300;
+export const OWNER_KEEP_MS = 200;
 
 /**
  * An owner prolongs tasks' leases for this long after its last renewal that
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -348,7 +348,11 @@
   #planNow(): void {
     const { clock, metrics } = this.#parts;
     const startedAt = clock.now();
-    if (this.mayOrder(startedAt)) this.cell.plan(this.#getPresent());
+    if (this.mayOrder(startedAt)) {
+      // Room is not taken for starts that would wait for the store.
+      const mayStart = !this.#isStoreSilent(startedAt);
+      this.cell.plan(this.#getPresent(), { mayStart });
+    }
     this.#lastPlanAt = clock.now();
     this.#planMs = this.#lastPlanAt - startedAt;
     metrics.observeDuration("plan", this.#planMs, {});
@@ -374,7 +378,7 @@
     this.#journal?.add(output.records, () => {
       if (this.#isStopped) return;
       this.cell.noteCommitted(output, Date.now());
-      for (const start of this.cell.listStarts(output)) {
+      for (const start of this.cell.listStarts(output, this.#getPresent())) {
         this.#sender.send(start);
       }
       onCommitted?.();
--- a/tests/cell/cell_site.ts
+++ b/tests/cell/cell_site.ts
@@ -217,7 +217,9 @@
     for (const commit of this.#commits.filter(({ at }) => at <= this.now)) {
       this.journal.push(...structuredClone(commit.output.records));
       commit.owner.noteCommitted(commit.output, this.now);
-      for (const start of commit.owner.listStarts(commit.output)) {
+      for (
+        const start of commit.owner.listStarts(commit.output, this.present)
+      ) {
         this.#carryOut(commit.owner, start);
       }
     }
@@ -250,7 +252,7 @@
   }
 
   #flush(): void {
-    this.cell.plan(this.present);
+    this.cell.plan(this.present, { mayStart: true });
     const output = this.cell.collectOutput();
     this.#commits.push({
       at: this.now + this.commitMs,
--- /dev/null
+++ b/tests/cell/order_test.ts
@@ -0,0 +1,54 @@
+import test from "ava";
+import { CellSite, makeJob, makeQueue, makeStep } from "./cell_site.ts";
+
+const short = makeQueue({ priority: 0, stretch: 1.5, targetLatencyMs: 250 });
+const long = makeQueue({ priority: 2, stretch: 4, targetLatencyMs: 3_000 });
+
+test("short work that is late goes before long work that is in time", (t) => {
+  // Late short jobs went behind all work in time: they waited for 10 s.
+  const site = new CellSite({ endpoints: 1, afterMs: 600 });
+  const step = makeStep({ estimateMs: 600 });
+  site.advance(300);
+  for (let n = 0; n < 18; n++) {
+    site.submit(makeJob(`s${n}`, [step], { queue: short }));
+  }
+  for (let n = 0; n < 60; n++) {
+    const tasks = makeStep({ tasks: 4, estimateMs: 3_000 });
+    site.submit(makeJob(`l${n}`, [tasks], { queue: long }));
+  }
+  // 8 cores: the third wave of short jobs is late (1,150 ms), not worthless.
+  site.advance(2_600);
+  for (let n = 0; n < 18; n++) {
+    t.true(site.checker.done.has(`s${n}.0.0.0`), `s${n}`);
+  }
+});
+
+test("work that is worth nothing any more goes last", (t) => {
+  const site = new CellSite({ endpoints: 1, afterMs: 600 });
+  const step = makeStep({ estimateMs: 600 });
+  site.advance(300);
+  const [endpoint] = site.endpoints.values();
+  endpoint.isCut = true;
+  site.submit(makeJob("old", [step], { queue: short }));
+  site.advance(4_000);
+  endpoint.isCut = false;
+  for (let n = 0; n < 8; n++) {
+    site.submit(makeJob(`new${n}`, [step], { queue: short }));
+  }
+  site.advance(900);
+  for (let n = 0; n < 8; n++) t.true(site.checker.done.has(`new${n}.0.0.0`));
+});
+
+test("a start whose ticket ran out while it was stored is not sent", (t) => {
+  const site = new CellSite({ endpoints: 2 });
+  const advice = { decideMs: 10, perEndpointMs: 1, validMs: 1_500 };
+  site.advance(300);
+  site.submit(makeJob("a", [makeStep()], { queue: makeQueue({ advice }) }));
+  site.advance(10);
+  site.commitMs = 2_000;
+  site.advance(2_100);
+  t.is(site.checker.starts, 0);
+  site.commitMs = 20;
+  site.advance(3_000);
+  t.is(site.checker.starts, 1);
+});
