--- a/packages/cell/plan.ts
+++ b/packages/cell/plan.ts
@@ -127,18 +127,20 @@
 }
 
 /**
- * Sorts the stages that wait: by rank, priority and due time. Answers the load
- * "a backlog of short work": what is late, but not yet worthless, goes first
- * of its priority, so that as few as possible are not served at all.
+ * Sorts the stages that wait: by rank and priority, what can be in time before
+ * what is late, and then by due time. Answers the load "a backlog of short
+ * work": late short work still goes before long work, and makes none late.
  */
 function sortStages(state: CellState, now: number): Stage[] {
   const rank = ({ job }: Stage) => {
     if (now > job.expiresAt) return Rank.Expired;
     return job.isOverShare ? Rank.OverShare : Rank.Owed;
   };
+  const isLate = ({ job }: Stage) => now > job.dueAt ? 1 : 0;
   return [...state.ready].sort((a, b) =>
     rank(a) - rank(b) ||
     a.job.spec.queue.priority - b.job.spec.queue.priority ||
+    isLate(a) - isLate(b) ||
     a.job.dueAt - b.job.dueAt
   );
 }
--- a/packages/scheduler/constants.ts
+++ b/packages/scheduler/constants.ts
@@ -52,6 +52,12 @@
 /** Part of the bound on revoked keys after which keys are not trusted. */
 export const KEY_TRUST_PART = 0.5;
 
+/**
+ * Longest lease that is asked for: it outlasts the loss of an owner (2 s), and
+ * what an endpoint out of reach ran can start elsewhere when it has ended.
+ */
+export const TASK_LEASE_MS = 4_000;
+
 /** Bound on an order to start or stop, in milliseconds. */
 export const ORDER_TIMEOUT_MS = 1_000;
 
--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -7,7 +7,7 @@
 import type { KeyValueStore } from "../storage/mod.ts";
 import { CallerService } from "./caller_service.ts";
 import { ConfigFeed } from "./config_feed.ts";
-import { NO_OWNER_RETRY_MS } from "./constants.ts";
+import { NO_OWNER_RETRY_MS, TASK_LEASE_MS } from "./constants.ts";
 import { Election, type ElectionHost, type Ownership } from "./election.ts";
 import { OwnerGateway } from "./owner_gateway.ts";
 import { OwnerRole } from "./owner_role.ts";
@@ -123,7 +123,7 @@
     const { settings, ...parts } = this.parts;
     const role = new OwnerRole(ownership, {
       ...parts,
-      leaseMs: settings.bounds.task_lease_ms,
+      leaseMs: Math.min(TASK_LEASE_MS, settings.bounds.task_lease_ms),
       retentionMs: settings.bounds.ended_jobs_ms,
       listLinks: () => this.#links.listNamed(),
       listSilent: () => this.#links.listSilent(),
--- /dev/null
+++ b/tests/harness/job_site.ts
@@ -0,0 +1,192 @@
+import { SilentEventLog } from "../../packages/events/mod.ts";
+import { SeededRandom, SteadyClock } from "../../packages/base/mod.ts";
+import { Metrics } from "../../packages/metrics/mod.ts";
+import {
+  SchedulerDaemon,
+  SchedulerNode,
+} from "../../packages/scheduler/mod.ts";
+import { PlatformAdvice } from "../../platform/advice_service.ts";
+import {
+  createCallerApp,
+  createReadinessApp,
+} from "../../platform/caller_app.ts";
+import { PlatformEndpoints } from "../../platform/endpoint_control.ts";
+import { PlatformStore } from "../../platform/key_value_store.ts";
+import { PlatformRecords } from "../../platform/site_records.ts";
+import {
+  PolicyStandIn,
+  StoreStandIn,
+  WorkerStandIn,
+} from "../standins/job_platform.ts";
+import { sleep } from "../standins/http_server.ts";
+
+const CALLER_PORT = 7_101;
+const READY_PORT = 7_102;
+const PEER_PORT = 7_103;
+const OPERATIONS_PORT = 7_104;
+const STORE_PORT = 7_110;
+const POLICY_PORT = 7_111;
+const WORKER_PORT = 7_120;
+
+/** Key of the one organisation of the site. */
+export const KEY = "norte-key-1";
+
+interface RunningEntry {
+  node: SchedulerNode;
+  daemon: SchedulerDaemon;
+  host: string;
+}
+
+/** Entries with stand-ins for the users' platform, all on loopback. */
+export class JobSite {
+  readonly store = new StoreStandIn();
+  readonly policy = new PolicyStandIn(["w0", "w1"]);
+  readonly workers: WorkerStandIn[] = [];
+  readonly entries: RunningEntry[] = [];
+  readonly #network: string;
+  #version = 1;
+
+  /** `network`: such as `127.51.0`, so that sites do not meet. */
+  constructor(network: string) {
+    this.#network = network;
+  }
+
+  async start(options: { entries: number; workers: number }): Promise<void> {
+    const host = `${this.#network}.100`;
+    await this.store.start({ host, port: STORE_PORT });
+    await this.policy.start({ host, port: POLICY_PORT });
+    for (let n = 0; n < options.workers; n++) await this.#addWorker(n);
+    this.applyConfig([KEY]);
+    for (let n = 0; n < options.entries; n++) await this.#addEntry(n);
+    await this.waitFor(() => this.entries.every(({ node }) => node.isReady()));
+  }
+
+  async stop(): Promise<void> {
+    for (const { daemon } of this.entries) void daemon.stop();
+    for (const worker of this.workers) worker.stop();
+    this.store.stop();
+    this.policy.stop();
+    await sleep(0);
+  }
+
+  /** Writes the operators' configuration with these keys. */
+  applyConfig(keys: string[]): void {
+    const route = {
+      name: "filings",
+      host: "desk.example",
+      prefix: "/filings/",
+      service: "desk",
+      attempts: 2,
+      stretch: 2,
+      target_latency_ms: 500,
+    };
+    const advice = { decide_ms: 1, each_ms: 1, valid_ms: 1_500 };
+    this.store.put("op/config", {
+      version: this.#version++,
+      routes: [
+        { ...route, priority: 1 },
+        { ...route, name: "gated", prefix: "/gated/", advice },
+      ],
+      tenants: [{ name: "norte", api_keys: keys, weight: 100, cap: {} }],
+    });
+  }
+
+  /** Sends one request of a caller to one entry. */
+  async send(
+    entry: number,
+    path: string,
+    options: { method?: string; body?: unknown; key?: string } = {},
+  ): Promise<{ status: number; body: Record<string, unknown> }> {
+    const { host } = this.entries[entry];
+    const { request } = await import("undici");
+    const response = await request(`http://${host}:${CALLER_PORT}${path}`, {
+      method: (options.method ?? "GET") as "GET",
+      headers: { host: "desk.example", "x-api-key": options.key ?? KEY },
+      body: options.body === undefined
+        ? undefined
+        : JSON.stringify(options.body),
+    });
+    const text = await response.body.text();
+    return {
+      status: response.statusCode,
+      body: text ? JSON.parse(text) : {},
+    };
+  }
+
+  /** Fetches a page of the operators' address of one entry. */
+  async fetchOperations(entry: number, path: string): Promise<string> {
+    const { host } = this.entries[entry];
+    const answer = await fetch(`http://${host}:${OPERATIONS_PORT}${path}`);
+    return await answer.text();
+  }
+
+  /** Waits until something holds, at most 10 s. */
+  async waitFor(holds: () => boolean | Promise<boolean>): Promise<void> {
+    const until = Date.now() + 10_000;
+    while (!await holds()) {
+      if (Date.now() > until) throw new Error("Cannot wait any longer");
+      await sleep(20);
+    }
+  }
+
+  async #addWorker(n: number): Promise<void> {
+    const host = `${this.#network}.${50 + n}`;
+    const worker = new WorkerStandIn(`w${n}`);
+    await worker.start({ host, port: WORKER_PORT });
+    this.workers.push(worker);
+    this.store.put(`servers/${worker.id}`, {
+      service: "desk",
+      addr: `${host}:${WORKER_PORT}`,
+      zone: "a",
+      state: "ready",
+      room: { cpu: 4_000, mem_mb: 8_000 },
+      labels: ["a", "r1"],
+      born: worker.born,
+      seq: 1,
+    });
+  }
+
+  async #addEntry(n: number): Promise<void> {
+    const host = `${this.#network}.${1 + n}`;
+    const node = new SchedulerNode({
+      settings: {
+        vm: { name: `entry-${n}`, domain: "a", address: host },
+        listen: {
+          callers: { host, port: CALLER_PORT },
+          readiness: { host, port: READY_PORT },
+          peers: { host, port: PEER_PORT },
+          operations: { host, port: OPERATIONS_PORT },
+        },
+        store: { address: { host: `${this.#network}.100`, port: STORE_PORT } },
+        policy: {},
+        bounds: {
+          task_lease_ms: 6_000,
+          key_revocation_ms: 5_000,
+          ended_jobs_ms: 120_000,
+        },
+        log: { level: "info" },
+      },
+      store: new PlatformStore({
+        address: `${this.#network}.100:${STORE_PORT}`,
+        localAddress: host,
+      }),
+      records: new PlatformRecords(),
+      control: new PlatformEndpoints({ localAddress: host }),
+      advice: new PlatformAdvice({
+        address: `${this.#network}.100:${POLICY_PORT}`,
+        localAddress: host,
+      }),
+      clock: new SteadyClock(),
+      random: new SeededRandom(n + 1),
+      log: new SilentEventLog(),
+      metrics: new Metrics(),
+      incarnation: `entry-${n}/1`,
+    });
+    const daemon: SchedulerDaemon = new SchedulerDaemon(node, {
+      callers: createCallerApp(node, { isStopping: () => daemon.isStopping }),
+      readiness: createReadinessApp(node),
+    });
+    await daemon.start();
+    this.entries.push({ node, daemon, host });
+  }
+}
