--- a/packages/cli/registry.ts
+++ b/packages/cli/registry.ts
@@ -5,6 +5,7 @@
 import { dumpCommand } from "./commands/dump.ts";
 import { keyNewCommand } from "./commands/key_new.ts";
 import { logsExplainCommand } from "./commands/logs_explain.ts";
+import { logsTraceCommand } from "./commands/logs_trace.ts";
 import { planCommand } from "./commands/plan.ts";
 import { serveCommand } from "./commands/serve.ts";
 import { statusCommand } from "./commands/status.ts";
@@ -24,6 +25,7 @@
   submitCommand,
   cancelCommand,
   logsExplainCommand,
+  logsTraceCommand,
 ];
 
 /** Finds the command that the first words name. */
--- a/packages/events/bounded_log.ts
+++ b/packages/events/bounded_log.ts
@@ -2,8 +2,11 @@
 import { EventCode } from "./catalogue.ts";
 import { type EventFields, EventLog } from "./log.ts";
 
-/** Lines of one event that are written each second; the rest is counted. */
-export const LINES_PER_SECOND = 60;
+/**
+ * Lines of one event that are written each second; the rest is counted. The
+ * usual load is 125 starts a second, and bursts twice that.
+ */
+export const LINES_PER_SECOND = 300;
 
 /** Interval of the line that says how many were left out, in ms. */
 const WINDOW_MS = 1_000;
--- /dev/null
+++ b/packages/events/bounded_log_test.ts
@@ -0,0 +1,43 @@
+import test from "ava";
+import { Clock } from "../base/mod.ts";
+import {
+  BoundedEventLog,
+  EventCode,
+  type EventFields,
+  EventLog,
+  LINES_PER_SECOND,
+} from "./mod.ts";
+
+class ManualClock extends Clock {
+  time = 10_000;
+  override now(): number {
+    return this.time;
+  }
+  override schedule(): () => void {
+    return () => {};
+  }
+}
+
+class CollectingLog extends EventLog {
+  readonly lines: [EventCode, EventFields][] = [];
+  override record(code: EventCode, fields: EventFields = {}): void {
+    this.lines.push([code, fields]);
+  }
+}
+
+test("bounds each event by itself and counts what is left out", (t) => {
+  const clock = new ManualClock();
+  const target = new CollectingLog();
+  const log = new BoundedEventLog(target, clock);
+  for (let n = 0; n < LINES_PER_SECOND + 25; n++) {
+    log.record(EventCode.TaskStarted, { n });
+  }
+  log.record(EventCode.OwnershipBegan);
+  t.is(target.lines.length, LINES_PER_SECOND + 1);
+  clock.time += 1_000;
+  log.record(EventCode.TaskStarted);
+  const dropped = target.lines.find(([code]) =>
+    code === EventCode.LinesDropped
+  );
+  t.deepEqual(dropped?.[1].counts, { [EventCode.TaskStarted]: 25 });
+});
--- a/packages/events/mod.ts
+++ b/packages/events/mod.ts
@@ -3,4 +3,5 @@
 export * from "./catalogue.ts";
 export * from "./explain.ts";
 export * from "./log.ts";
+export * from "./trace.ts";
 export * from "./types.ts";
--- /dev/null
+++ b/packages/events/trace_test.ts
@@ -0,0 +1,33 @@
+import test from "ava";
+import { collectTrace, renderTrace } from "./mod.ts";
+
+const line = (time: number, fields: object) =>
+  JSON.stringify({ level: 30, time, entry: "e1", msg: "m", ...fields });
+
+test("tells a job's story in order, over the logs of all entries", (t) => {
+  const first = [
+    line(30, { event: 6201, subject: "aa.0.0.0", endpoint: "i-1" }),
+    "not JSON",
+    line(35, { event: 6201, subject: "bb.0.0.0" }),
+  ].join("\n");
+  const second = line(10, { event: 6101, subject: "aa", entry: "e2" });
+  const trace = collectTrace("aa", [first, second]);
+  t.deepEqual(trace.lines.map(({ time }) => time), [10, 30]);
+  t.regex(renderTrace(trace), /\+20 ms {2}e1 {2}TaskStarted .*endpoint="i-1"/);
+});
+
+test("says where lines were left out", (t) => {
+  const log = [
+    line(10, { event: 6101, subject: "aa" }),
+    line(20, { event: 7008, counts: { 6201: 4 } }),
+    line(30, { event: 6102, subject: "aa" }),
+    line(9_000, { event: 7008, counts: { 6201: 1 } }),
+  ].join("\n");
+  const { gaps } = collectTrace("aa", [log]);
+  t.deepEqual(gaps.map(({ time }) => time), [20]);
+});
+
+test("finds refused requests by their path", (t) => {
+  const log = line(5, { event: 6001, path: "/filings/aa", reason: "late" });
+  t.is(collectTrace("aa", [log]).lines.length, 1);
+});
