--- a/packages/scheduler/constants.ts
+++ b/packages/scheduler/constants.ts
@@ -58,14 +58,14 @@
  */
 export const TASK_LEASE_MS = 4_000;
 
-/** Bound on an order to start or stop, in milliseconds. */
-export const ORDER_TIMEOUT_MS = 1_000;
+/** Bound on an order to start or stop: a hundred times the usual answer. */
+export const ORDER_TIMEOUT_MS = 500;
 
 /** Longest wait of a listing; a stalled or cut endpoint shows after it. */
 export const HOLD_WAIT_MS = 1_000;
 
 /** Bound on a listing beyond its wait, in milliseconds. */
-export const HOLD_TIMEOUT_MS = 800;
+export const HOLD_TIMEOUT_MS = 500;
 
 /** Least time between two listings of one endpoint, in milliseconds. */
 export const HOLD_INTERVAL_MS = 100;
@@ -74,7 +74,7 @@
 export const HOLD_RETRY_MS = 150;
 
 /** An order without an answer for this long shows an endpoint out of reach. */
-export const SILENCE_MS = 500;
+export const SILENCE_MS = 300;
 
 /** An endpoint out of reach gets no starts for this long, or until it answers. */
 export const SILENT_PAUSE_MS = 2_000;
