--- a/tests/cell/cell_site.ts
+++ b/tests/cell/cell_site.ts
@@ -110,6 +110,13 @@
   /** Time between two listings of an endpoint, in milliseconds. */
   holdMs = 100;
   snapshot: CellSnapshot | undefined;
+  readonly draining = new Set<string>();
+  /** Labels and rack of an endpoint. */
+  describeEndpoint: (id: string) => { labels: string[]; rack: string } =
+    () => ({
+      labels: [],
+      rack: "",
+    });
   readonly calls = { starts: 0, stops: 0, holds: 0, advice: 0 };
   #commits: { at: number; owner: Cell; output: CellOutput }[] = [];
   #later: { at: number; run: () => void }[] = [];
@@ -130,7 +137,7 @@
     const afterMs = options.afterMs ?? 500;
     this.endRule = () => ({ afterMs, how: EndKind.Done });
     this.cell = this.#makeCell(1);
-    this.#listEndpoints();
+    this.listEndpoints();
   }
 
   get present(): Present {
@@ -146,16 +153,15 @@
   }
 
   /** Tells the cell of the endpoints that the platform lists. */
-  #listEndpoints(): void {
+  listEndpoints(): void {
     this.cell.updateEndpoints([...this.endpoints.values()].map((each) => ({
       id: each.id,
       address: each.id,
       service: "desk",
       domain: "a",
-      labels: [],
-      rack: "",
+      ...this.describeEndpoint(each.id),
       capacity: each.capacity,
-      isDraining: false,
+      isDraining: this.draining.has(each.id),
     })));
   }
 
@@ -196,7 +202,7 @@
       { snapshot: this.snapshot, records: structuredClone(this.journal) },
       { safeAt: this.now + OWNER_DOUBT_MS, present: this.present },
     );
-    this.#listEndpoints();
+    this.listEndpoints();
   }
 
   /** Writes a snapshot; the records before it are no longer needed. */
@@ -288,6 +294,7 @@
         task: run.task,
         run: run.number,
         demand: run.demand,
+        endpoint: run.endpoint.info.id,
         endsAt: 0,
         how: EndKind.Done,
       };
@@ -296,7 +303,10 @@
       fakeRun.how = how;
       const result = fake.start({ run: fakeRun, fence, leaseUntil }, this.now);
       const isNew = fake.runs.get(run.task) === fakeRun;
-      if (isNew) this.checker.noteStart(this.endpoints, fake, fakeRun);
+      if (isNew) {
+        this.checker.savedAt.push(order.saved);
+        this.checker.noteStart(this.endpoints, fake, fakeRun);
+      }
       return result;
     };
     const isLost = this.random.drawFloat() < this.lostPart;
--- a/tests/cell/fake_endpoint.ts
+++ b/tests/cell/fake_endpoint.ts
@@ -10,6 +10,7 @@
 export interface FakeRun {
   task: string;
   run: number;
+  endpoint: string;
   endsAt: number;
   how: EndKind;
   demand: Demand;
@@ -27,6 +28,10 @@
   /** Highest run of each task that was stopped or has ended here. */
   over = new Map<string, number>();
   isCut = false;
+  /** Its tasks show no progress. */
+  isStalled = false;
+  /** Checkpoint that its tasks leave at their end. */
+  saved = "";
   /** Called with each end, when it happens. */
   onEnd: (run: FakeRun, how: EndKind) => void = () => {};
   /** Called for each end that nobody has taken note of, at a restart. */
@@ -91,7 +96,7 @@
         task: run.task,
         run: run.run,
         saved: "",
-        percent: Math.round(now / 10) % 100,
+        percent: this.isStalled ? 1 : Math.round(now / 10) % 100,
       })),
       ended: [...this.ends],
     };
@@ -133,7 +138,7 @@
       task: run.task,
       run: run.run,
       end: how,
-      saved: "",
+      saved: this.saved,
     });
     this.onEnd(run, how);
   }
--- a/tests/cell/rule_checker.ts
+++ b/tests/cell/rule_checker.ts
@@ -19,6 +19,9 @@
   readonly ends: Record<string, number> = {};
   readonly #jobs = new Map<string, JobSpec>();
   readonly #cap: { limit?: Demand } = {};
+  /** Checkpoints that starts went on from, in order. */
+  readonly savedAt: string[] = [];
+  readonly startsOn = new Map<string, number>();
   starts = 0;
 
   noteJob(job: JobSpec): void {
@@ -36,6 +39,8 @@
     run: FakeRun,
   ): void {
     this.starts++;
+    const { id } = endpoint;
+    this.startsOn.set(id, (this.startsOn.get(id) ?? 0) + 1);
     const place = parseTaskName(run.task);
     const job = place && this.#jobs.get(place.job);
     if (!place || !job) {
