Notice a suspended VM; tell the balancer when keys are not trusted

Ruled out: load; the refusal names the age of the configuration. Change: ages count by the longer of both clocks; an owner that was suspended orders nothing before its next renewal; readiness includes trust in the keys. The owner's sessions have a module of their own.

--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -67,7 +67,7 @@
 }
 
 /** All runs of an endpoint's former lifetime are gone. */
-export function restartEndpoint(
+function restartEndpoint(
   state: CellState,
   endpoint: Endpoint,
   options: { bornAt: number; times: Present },
--- a/packages/cell/placement.ts
+++ b/packages/cell/placement.ts
@@ -40,7 +40,7 @@
 }
 
 /** Tells whether an endpoint that failed its tasks may be used again. */
-export function isTrusted(endpoint: Endpoint, now: number): boolean {
+function isTrusted(endpoint: Endpoint, now: number): boolean {
   if (endpoint.ejectedUntil === 0) return true;
   return now >= endpoint.ejectedUntil && endpoint.runs.size === 0;
 }
--- a/packages/cell/stages.ts
+++ b/packages/cell/stages.ts
@@ -59,7 +59,7 @@
 }
 
 /** Returns when an occurrence is due, in Unix milliseconds; 0: at once. */
-export function computeDueTime(job: Job, occurrence: number): number {
+function computeDueTime(job: Job, occurrence: number): number {
   const { occurrences, firstRunAt, intervalMs } = job.spec;
   return occurrences > 0 ? firstRunAt + occurrence * intervalMs : 0;
 }
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -289,7 +289,6 @@
   EndpointReborn = "endpoint_reborn",
   LeaseLapsed = "lease_lapsed",
   Adopted = "adopted",
-  GangBroken = "gang_broken",
 }
 
 /** One decision with the inputs that led to it. */
--- a/packages/scheduler/caller_service.ts
+++ b/packages/scheduler/caller_service.ts
@@ -40,29 +40,24 @@
   organisation: string;
 }
 
+/** What the service works with. */
+export interface CallerParts {
+  config: ConfigFeed;
+  gateway: OwnerGateway;
+  clock: Clock;
+  log: EventLog;
+  random: Random;
+  metrics: Metrics;
+  /** Within this time a revoked key must stop working, in milliseconds. */
+  getRevokeMs: () => number;
+}
+
 /** Serves callers: screens, authenticates, and asks the cell's owner. */
 export class CallerService {
-  readonly #parts: {
-    config: ConfigFeed;
-    gateway: OwnerGateway;
-    clock: Clock;
-    log: EventLog;
-    random: Random;
-    metrics: Metrics;
-    /** Within this time a revoked key must stop working, in milliseconds. */
-    getRevokeMs: () => number;
-  };
+  readonly #parts: CallerParts;
   #underWay = 0;
 
-  constructor(parts: {
-    config: ConfigFeed;
-    gateway: OwnerGateway;
-    clock: Clock;
-    log: EventLog;
-    random: Random;
-    metrics: Metrics;
-    getRevokeMs: () => number;
-  }) {
+  constructor(parts: CallerParts) {
     this.#parts = parts;
   }
 
@@ -71,6 +66,12 @@
     return this.#underWay;
   }
 
+  /** Tells whether requests with a key can be served now. */
+  canTrustKeys(): boolean {
+    const { config, clock, getRevokeMs } = this.#parts;
+    return config.measureAge(clock.now()) <= getRevokeMs() * KEY_TRUST_PART;
+  }
+
   /** Hands in a job; `parse` reads it once the request is admitted. */
   submit(
     request: CallerRequest,
@@ -153,13 +154,13 @@
   }
 
   #admit(request: CallerRequest, now: number): Admitted | CallerAnswer {
-    const { config, getRevokeMs } = this.#parts;
+    const { config } = this.#parts;
     if (!config.config) return this.#refuse("there is no configuration yet");
     const queue = config.findQueue(request);
     if (!queue) return { kind: AnswerKind.NoSuchQueue, detail: request.path };
     if (queue.isOpen) return { queue, organisation: "" };
-    const age = config.measureAge(now);
-    if (age > getRevokeMs() * KEY_TRUST_PART) {
+    if (!this.canTrustKeys()) {
+      const age = config.measureAge(now);
       return this.#refuse(`keys were last confirmed ${Math.round(age)} ms ago`);
     }
     const organisation = config.findOrganisation(request.key);
--- a/packages/scheduler/config_feed.ts
+++ b/packages/scheduler/config_feed.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "../base/mod.ts";
+import type { Present } from "../cell/mod.ts";
 import { EventCode, type EventLog } from "../events/mod.ts";
 import type { KeyValueStore } from "../storage/mod.ts";
 import { CONFIG_READ_MS } from "./constants.ts";
@@ -10,10 +11,12 @@
   readonly #store: KeyValueStore;
   readonly #records: SiteRecords;
   readonly #clock: Clock;
+  readonly #wallNow: () => number;
   readonly #log: EventLog;
   readonly #organisationsByKey = new Map<string, OrganisationConfig>();
   #revision = 0;
   #freshAt = Number.NEGATIVE_INFINITY;
+  #freshWallAt = Number.NEGATIVE_INFINITY;
   #isReachable = true;
   #isStopped = false;
   /** The newest configuration, once there is one. */
@@ -25,11 +28,14 @@
     store: KeyValueStore;
     records: SiteRecords;
     clock: Clock;
+    /** Time of day, Unix milliseconds. */
+    wallNow: () => number;
     log: EventLog;
   }) {
     this.#store = options.store;
     this.#records = options.records;
     this.#clock = options.clock;
+    this.#wallNow = options.wallNow;
     this.#log = options.log;
   }
 
@@ -37,7 +43,7 @@
   async run(): Promise<void> {
     while (!this.#isStopped) {
       const askedAt = this.#clock.now();
-      await this.#readOnce(askedAt);
+      await this.#readOnce({ now: askedAt, wallNow: this.#wallNow() });
       const elapsed = this.#clock.now() - askedAt;
       await this.#clock.sleep(Math.max(CONFIG_READ_MS - elapsed, 50));
     }
@@ -48,9 +54,13 @@
     this.#isStopped = true;
   }
 
-  /** Tells how old the newest proof is that the configuration is the newest. */
+  /**
+   * Tells how old the newest proof is that the configuration is the newest. The
+   * steady clock stands still while the VM is suspended, the time of day can be
+   * set back: the longer of both counts.
+   */
   measureAge(now: number): number {
-    return now - this.#freshAt;
+    return Math.max(now - this.#freshAt, this.#wallNow() - this.#freshWallAt);
   }
 
   /** Finds the queue of a request: the longest prefix of its path wins. */
@@ -73,10 +83,11 @@
     return this.#organisationsByKey.get(key);
   }
 
-  async #readOnce(askedAt: number): Promise<void> {
+  async #readOnce(asked: Present): Promise<void> {
     try {
       const item = await this.#store.get(this.#records.configKey);
-      this.#freshAt = Math.max(this.#freshAt, askedAt);
+      this.#freshAt = asked.now;
+      this.#freshWallAt = asked.wallNow;
       if (!this.#isReachable) {
         this.#isReachable = true;
         this.#log.record(EventCode.StoreRecovered, { reader: "config" });
--- a/packages/scheduler/decision_log.ts
+++ b/packages/scheduler/decision_log.ts
@@ -11,7 +11,6 @@
   [DecisionKind.EndpointReborn]: EventCode.EndpointReborn,
   [DecisionKind.LeaseLapsed]: EventCode.EndpointLapsed,
   [DecisionKind.Adopted]: EventCode.TaskAdopted,
-  [DecisionKind.GangBroken]: EventCode.TaskStopped,
 };
 
 /** Writes one log line for each decision of the cell. */
--- a/packages/scheduler/mod.ts
+++ b/packages/scheduler/mod.ts
@@ -1,5 +1,6 @@
 /** An entry of a cell that runs stored jobs: services, loops, wiring. */
 export * from "./caller_service.ts";
+export * from "./config_feed.ts";
 export * from "./constants.ts";
 export * from "./daemon.ts";
 export * from "./election.ts";
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -32,7 +32,7 @@
 import { recordDecisions } from "./decision_log.ts";
 import type { Ownership } from "./election.ts";
 import { EndpointFeed } from "./endpoint_feed.ts";
-import { EndpointSession, SessionHost } from "./endpoint_session.ts";
+import type { SessionHost } from "./endpoint_session.ts";
 import { OrderSender } from "./order_sender.ts";
 import type {
   AdviceService,
@@ -40,6 +40,8 @@
   HoldAnswer,
   SiteRecords,
 } from "./ports.ts";
+import { SessionPool } from "./session_pool.ts";
+import { SuspensionGuard } from "./suspension_guard.ts";
 import type { SiteConfig } from "./types.ts";
 
 /** What an owner needs from its entry. */
@@ -71,9 +73,10 @@
   readonly cell: Cell;
   readonly advice: AdvicePool;
   readonly #parts: OwnerParts;
-  readonly #sessions = new Map<Endpoint, EndpointSession>();
+  readonly #sessions: SessionPool;
   readonly #feed: EndpointFeed;
   readonly #sender: OrderSender;
+  readonly #suspension = new SuspensionGuard();
   #journal: Journal | undefined;
   #isStopped = false;
   #isFlushScheduled = false;
@@ -99,6 +102,13 @@
       log,
       onChanged: (endpoints) => this.#updateEndpoints(endpoints),
     });
+    this.#sessions = new SessionPool({
+      control: parts.control,
+      clock,
+      host: this,
+      fence: ownership.revision,
+      leaseMs: parts.leaseMs,
+    });
     this.#sender = new OrderSender({
       cell: this.cell,
       control: parts.control,
@@ -170,7 +180,7 @@
     this.#cancelTick();
     this.#feed.stop();
     this.#journal?.close();
-    for (const session of this.#sessions.values()) session.stop();
+    this.#sessions.stop();
   }
 
   /** Takes over a new version of the configuration. */
@@ -226,6 +236,12 @@
 
   /** False when another owner may have been elected long ago. */
   mayOrder(now: number): boolean {
+    const present = { now, wallNow: Date.now() };
+    if (this.#suspension.checkSuspension(present)) {
+      // The lease may have ended meanwhile: the next renewal tells.
+      this.ownership.confirmedAt = Number.NEGATIVE_INFINITY;
+      this.#parts.log.record(EventCode.LoopPaused, { wasSuspended: true });
+    }
     return !this.#isStopped &&
       now - this.ownership.confirmedAt < OWNER_GRACE_MS;
   }
@@ -319,32 +335,6 @@
     this.schedulePlan();
   }
 
-  #updateSessions(): void {
-    const { control, clock, leaseMs } = this.#parts;
-    for (const endpoint of this.cell.state.endpoints.values()) {
-      if (this.#sessions.has(endpoint)) continue;
-      const session = new EndpointSession({
-        endpoint,
-        control,
-        clock,
-        host: this,
-        fence: this.ownership.revision,
-        leaseMs,
-      });
-      this.#sessions.set(endpoint, session);
-      void session.run();
-    }
-    for (const [endpoint, session] of this.#sessions) {
-      if (this.cell.state.endpoints.get(endpoint.info.id) === endpoint) {
-        session.checkNow();
-        continue;
-      }
-      session.stop();
-      control.dropConnections(endpoint.info.address);
-      this.#sessions.delete(endpoint);
-    }
-  }
-
   #planNow(): void {
     const { clock, metrics } = this.#parts;
     const startedAt = clock.now();
@@ -357,7 +347,7 @@
     this.#planMs = this.#lastPlanAt - startedAt;
     metrics.observeDuration("plan", this.#planMs, {});
     this.#sendOutput();
-    this.#updateSessions();
+    this.#sessions.update(this.cell.state.endpoints);
   }
 
   /** Carries out what was decided so far. */
--- a/packages/scheduler/ports.ts
+++ b/packages/scheduler/ports.ts
@@ -70,9 +70,6 @@
     options: { timeoutMs: number },
   ): Promise<HoldAnswer>;
 
-  /** Frees the connections to an endpoint that is gone. */
-  abstract dropConnections(address: string): void;
-
   /** Frees all connections. */
   abstract close(): Promise<void>;
 }
--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -45,7 +45,13 @@
     const { settings, store, records, clock, log, random } = parts;
     const { name, address } = settings.vm;
     const handlers = this.#createHandlers();
-    this.config = new ConfigFeed({ store, records, clock, log });
+    this.config = new ConfigFeed({
+      store,
+      records,
+      clock,
+      wallNow: Date.now,
+      log,
+    });
     this.config.onChanged = (config) => this.#role?.updateConfig(config);
     this.#links = new LinkServer({ handlers, clock, entry: name });
     this.gateway = new OwnerGateway({
@@ -94,6 +100,7 @@
   /** True when requests can be served; told to the balancer. */
   isReady(): boolean {
     if (this.#isStopping || !this.config.config) return false;
+    if (!this.callers.canTrustKeys()) return false;
     return this.#role ? this.#role.isReady : this.gateway.isLinked;
   }
 
--- /dev/null
+++ b/packages/scheduler/session_pool.ts
@@ -0,0 +1,54 @@
+import type { Clock } from "../base/mod.ts";
+import type { Endpoint } from "../cell/mod.ts";
+import { EndpointSession, type SessionHost } from "./endpoint_session.ts";
+import type { EndpointControl } from "./ports.ts";
+
+/** Keeps one session for each endpoint that the cell knows. */
+export class SessionPool {
+  readonly #parts: {
+    control: EndpointControl;
+    clock: Clock;
+    host: SessionHost;
+    fence: number;
+    leaseMs: number;
+  };
+  readonly #sessions = new Map<Endpoint, EndpointSession>();
+
+  constructor(
+    parts: {
+      control: EndpointControl;
+      clock: Clock;
+      host: SessionHost;
+      fence: number;
+      leaseMs: number;
+    },
+  ) {
+    this.#parts = parts;
+  }
+
+  /** Starts and ends sessions, and lets the others look for news. */
+  update(endpoints: ReadonlyMap<string, Endpoint>): void {
+    for (const endpoint of endpoints.values()) {
+      if (!this.#sessions.has(endpoint)) this.#addSession(endpoint);
+    }
+    for (const [endpoint, session] of this.#sessions) {
+      if (endpoints.get(endpoint.info.id) === endpoint) {
+        session.checkNow();
+        continue;
+      }
+      session.stop();
+      this.#sessions.delete(endpoint);
+    }
+  }
+
+  /** Ends all sessions. */
+  stop(): void {
+    for (const session of this.#sessions.values()) session.stop();
+  }
+
+  #addSession(endpoint: Endpoint): void {
+    const session = new EndpointSession({ ...this.#parts, endpoint });
+    this.#sessions.set(endpoint, session);
+    void session.run();
+  }
+}
--- /dev/null
+++ b/packages/scheduler/suspension_guard_test.ts
@@ -0,0 +1,16 @@
+import test from "ava";
+import { SuspensionGuard } from "./suspension_guard.ts";
+
+test("a time that only the time of day counts is a suspension", (t) => {
+  const guard = new SuspensionGuard();
+  t.false(guard.checkSuspension({ now: 1_000, wallNow: 50_000 }));
+  t.false(guard.checkSuspension({ now: 9_000, wallNow: 58_020 }));
+  t.true(guard.checkSuspension({ now: 9_050, wallNow: 63_000 }));
+  t.false(guard.checkSuspension({ now: 9_100, wallNow: 63_050 }));
+});
+
+test("a time of day that is set back is none", (t) => {
+  const guard = new SuspensionGuard();
+  t.false(guard.checkSuspension({ now: 1_000, wallNow: 50_000 }));
+  t.false(guard.checkSuspension({ now: 1_100, wallNow: 45_000 }));
+});
--- a/tests/e2e/job_path_test.ts
+++ b/tests/e2e/job_path_test.ts
@@ -134,6 +134,8 @@
   });
   const refused = await site.send(0, path, { method: "POST", body: JOB });
   t.is(refused.body.verdict, "not_run");
+  // An entry that refuses every key is not ready: the balancer is told so.
+  await site.waitFor(() => site.entries.every(({ node }) => !node.isReady()));
   t.true(Date.now() - sentAt < 8_000);
   site.store.isDown = false;
   await site.waitFor(() => site.entries.every(({ node }) => node.isReady()));
--- a/tests/virtual/session_test.ts
+++ b/tests/virtual/session_test.ts
@@ -47,8 +47,6 @@
     };
   }
 
-  override dropConnections(): void {}
-
   override close(): Promise<void> {
     return Promise.resolve();
   }
