Refuse what no endpoint can hold; restart a failed task at once; split the plan

Cause: a job with a task larger than every endpoint waited for ever. Ruled out: retrying on the same endpoint; it is avoided as before. Change: such a job is refused as not run, unless no endpoint is known yet; the first retry comes at once, later ones after pauses that double; plan_gang, placement_pass, start_task and ask_advice are modules of their own.

--- a/packages/cell/admission.ts
+++ b/packages/cell/admission.ts
@@ -1,4 +1,4 @@
-import type { JobSpec } from "../jobs/mod.ts";
+import { fitsInto, type JobSpec, makeNoDemand } from "../jobs/mod.ts";
 import type { CellState } from "./state.ts";
 import { computeObjective, getStep } from "./stages.ts";
 import { Admission, type AdmissionOutcome } from "./types.ts";
@@ -64,6 +64,14 @@
   options: { isOverShare: boolean },
 ): AdmissionOutcome {
   const { isOverShare } = options;
+  const misfit = findMisfit(state, spec);
+  if (misfit !== undefined) {
+    return {
+      admission: Admission.Refused,
+      reason: `no endpoint can hold a task of step ${misfit}`,
+      retryAfterMs: MAX_RETRY_MS,
+    };
+  }
   const waitMs = predictWait(state, spec);
   const objectiveMs = computeObjective(spec);
   const slackMs = objectiveMs * (1 - 1 / Math.max(1, spec.queue.stretch));
@@ -81,6 +89,21 @@
   };
 }
 
+/** Finds a step that no listed endpoint could hold, if all are known. */
+function findMisfit(state: CellState, spec: JobSpec): number | undefined {
+  const serving = [...state.endpoints.values()].filter(({ isListed, info }) =>
+    isListed && info.service === spec.queue.service
+  );
+  if (serving.length === 0) return undefined;
+  const misfit = spec.steps.findIndex(({ demand, requiredLabel }) =>
+    !serving.some(({ info }) =>
+      fitsInto(demand, info.capacity, makeNoDemand()) &&
+      (requiredLabel === "" || info.labels.includes(requiredLabel))
+    )
+  );
+  return misfit < 0 ? undefined : misfit;
+}
+
 /** Counts a job that was taken since the backlog was measured. */
 export function addBacklog(state: CellState, spec: JobSpec): void {
   const backlog = state.backlogs.get(spec.queue.service);
--- a/packages/cell/admission_test.ts
+++ b/packages/cell/admission_test.ts
@@ -66,3 +66,19 @@
   t.true((outcome.retryAfterMs ?? 0) >= 1_000);
   t.is(site.find("late"), undefined);
 });
+
+test("a job that no endpoint can ever hold is refused at once", (t) => {
+  const site = new CellSite();
+  site.advance(300);
+  const huge = { milliCores: 64_000, memoryMb: 1, accelerators: 0 };
+  const steps = [makeStep(), makeStep({ demand: huge, after: [0] })];
+  const outcome = site.cell.submit(makeJob("huge", steps), site.present);
+  t.is(outcome.admission, Admission.Refused);
+  t.regex(outcome.reason, /step 1/);
+});
+
+test("before the endpoints are known nothing is called impossible", (t) => {
+  const site = new CellSite({ endpoints: 0 });
+  const outcome = site.cell.submit(makeJob("a", [makeStep()]), site.present);
+  t.is(outcome.admission, Admission.Accepted);
+});
--- a/packages/cell/constants.ts
+++ b/packages/cell/constants.ts
@@ -10,7 +10,7 @@
 /** A start without an answer must be listed within this time, in ms. */
 export const UNSURE_MS = 500;
 
-/** First pause before a refused task is started again, in milliseconds. */
+/** Pause before a task is started the third time, in milliseconds. */
 export const RETRY_PAUSE_MS = 150;
 
 /** Longest pause before a task is started again, in milliseconds. */
--- a/packages/cell/ends.ts
+++ b/packages/cell/ends.ts
@@ -106,11 +106,12 @@
   task.phase = TaskPhase.Waiting;
   if (options.isFault) {
     task.avoid = run.endpoint.info.id;
+    // The first retry comes at once: most failures are not repeated.
+    task.notBefore = options.now + task.pause;
     task.pause = Math.min(
       MAX_RETRY_PAUSE_MS,
       Math.max(RETRY_PAUSE_MS, task.pause * 2),
     );
-    task.notBefore = options.now + task.pause;
   }
   addWaiting(state, place);
   addDecision(state, {
--- /dev/null
+++ b/packages/cell/start_task.ts
@@ -0,0 +1,64 @@
+import { noteLeaseSent } from "./endpoints.ts";
+import { measureFreeCores, type Pass } from "./placement_pass.ts";
+import { getStep } from "./stages.ts";
+import { addDecision, addPlacement, addRun, removeWaiting } from "./state.ts";
+import {
+  DecisionKind,
+  type Endpoint,
+  OrderKind,
+  type Run,
+  RunPhase,
+  type Stage,
+  type Task,
+  TaskPhase,
+} from "./types.ts";
+
+/** Takes the room for a run; the order goes out once the store knows it. */
+export function startTask(
+  pass: Pass,
+  stage: Stage,
+  options: { task: Task; endpoint: Endpoint; run: number },
+): void {
+  const { state, now } = pass;
+  const { task, endpoint } = options;
+  const run: Run = {
+    task: task.name,
+    number: options.run,
+    endpoint,
+    demand: getStep(stage).demand,
+    organisation: stage.job.spec.organisation,
+    phase: RunPhase.Starting,
+    settledAt: now,
+    startedAt: now,
+    isStopAcknowledged: false,
+    isStopUnderWay: false,
+    percent: 0,
+    progressAt: now,
+  };
+  addRun(state, run);
+  addPlacement(state, run);
+  noteLeaseSent(endpoint, { now, leaseMs: state.leaseMs });
+  task.placedOn = endpoint.info.id;
+  task.phase = TaskPhase.Placed;
+  task.run = run;
+  task.lastRun = options.run;
+  removeWaiting(state, stage);
+  const ticket = stage.advice.allowed.get(endpoint.info.id);
+  state.output.orders.push({
+    kind: OrderKind.Start,
+    run,
+    payload: stage.job.spec.payload,
+    saved: task.saved,
+    ticket: ticket?.ticket ?? "",
+    ticketEndsAt: ticket?.expiresAt ?? Number.MAX_SAFE_INTEGER,
+  });
+  addDecision(state, {
+    kind: DecisionKind.Started,
+    subject: task.name,
+    inputs: {
+      run: run.number,
+      endpoint: endpoint.info.id,
+      freeMilliCores: measureFreeCores(endpoint),
+    },
+  });
+}
--- a/tests/cell/order_test.ts
+++ b/tests/cell/order_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { EndKind } from "../../packages/jobs/mod.ts";
 import { CellSite, makeJob, makeQueue, makeStep } from "./cell_site.ts";
 
 const short = makeQueue({ priority: 0, stretch: 1.5, targetLatencyMs: 250 });
@@ -52,3 +53,17 @@
   site.advance(3_000);
   t.is(site.checker.starts, 1);
 });
+
+test("a task that failed once is started again at once, elsewhere", (t) => {
+  const site = new CellSite({ endpoints: 2 });
+  site.endRule = (run) => ({
+    afterMs: 300,
+    how: run.run === 1 ? EndKind.Failed : EndKind.Done,
+  });
+  site.holdMs = 20;
+  site.advance(300);
+  site.submit(makeJob("a", [makeStep()], { queue: short }));
+  site.advance(730);
+  t.true(site.checker.done.has("a.0.0.0"));
+  t.is(site.checker.startsOn.size, 2);
+});
