Say why a link was closed and why an order had no answer

Cause: reading the diff: a link closed without a reason in the log of the owner, and the answers of endpoints lost their detail.

--- a/packages/events/catalogue.ts
+++ b/packages/events/catalogue.ts
@@ -48,6 +48,7 @@
   TaskStopped = 6204,
   TaskAdopted = 6205,
   StartRefused = 6206,
+  StopUnanswered = 6207,
   AdviceAnswered = 6301,
   AdviceFailed = 6302,
   ElectionFailed = 7001,
@@ -164,7 +165,7 @@
   },
   [EventCode.PeerLost]: {
     severity: Severity.Warn,
-    message: "no heartbeat from a peer",
+    message: "lost a peer: no heartbeat, or its link was closed",
     remedy: "Check the peer's VM and the network between the two.",
   },
   [EventCode.PeerReturned]: {
@@ -277,6 +278,11 @@
     message: "an endpoint refused to start a task, or did not answer",
     remedy: "See its reason.",
   },
+  [EventCode.StopUnanswered]: {
+    severity: Severity.Warn,
+    message: "an order to stop a run had no answer; it is sent again",
+    remedy: "Check the endpoint if it repeats.",
+  },
   [EventCode.AdviceAnswered]: {
     severity: Severity.Debug,
     message: "the policy service named the endpoints for a step",
--- a/packages/links/link.ts
+++ b/packages/links/link.ts
@@ -28,7 +28,7 @@
   /** The link was closed because nothing was heard, not by the other end. */
   wasSilent = false;
   /** Called once when the link is closed. */
-  onClosed: () => void = () => {};
+  onClosed: (reason: string) => void = () => {};
 
   constructor(
     socket: Socket,
@@ -42,8 +42,8 @@
     socket.setNoDelay(true);
     socket.setEncoding("utf8");
     socket.on("data", (text: string) => this.#receive(text));
-    socket.on("error", () => this.close());
-    socket.on("close", () => this.close());
+    socket.on("error", (error) => this.close(error.message));
+    socket.on("close", () => this.close("closed by the other end"));
     this.#scheduleHeartbeat();
   }
 
@@ -78,13 +78,13 @@
   }
 
   /** Closes the connection; open calls fail with an unknown effect. */
-  close(): void {
+  close(reason: string): void {
     if (!this.#isOpen) return;
     this.#isOpen = false;
     this.#cancelTimer();
     this.#socket.destroy();
-    this.#rpc.rejectAllPendingRequests("the link was closed");
-    this.onClosed();
+    this.#rpc.rejectAllPendingRequests(`the link was closed: ${reason}`);
+    this.onClosed(reason);
   }
 
   #createRpc(handlers: LinkHandlers): JSONRPCServerAndClient {
@@ -113,7 +113,9 @@
   #receive(text: string): void {
     this.#lastHeardAt = this.#clock.now();
     this.#buffer += text;
-    if (this.#buffer.length > MAX_LINE_LENGTH) return this.close();
+    if (this.#buffer.length > MAX_LINE_LENGTH) {
+      return this.close("a line is too long");
+    }
     const lines = this.#buffer.split("\n");
     this.#buffer = lines.pop() ?? "";
     for (const line of lines) this.#receiveLine(line);
@@ -121,10 +123,11 @@
 
   #receiveLine(line: string): void {
     try {
-      // A handler's error is the caller's answer; nothing is left to do here.
-      this.#rpc.receiveAndSend(JSON.parse(line)).catch(() => this.close());
-    } catch {
-      this.close();
+      // A handler's error is the caller's answer; only sending can fail.
+      this.#rpc.receiveAndSend(JSON.parse(line))
+        .catch((error) => this.close(String(error)));
+    } catch (error) {
+      this.close(String(error));
     }
   }
 
@@ -132,7 +135,7 @@
     this.#cancelTimer = this.#clock.schedule(() => {
       if (this.measureSilence() > LINK_SILENCE_MS) {
         this.wasSilent = true;
-        return this.close();
+        return this.close(`nothing heard for ${LINK_SILENCE_MS} ms`);
       }
       this.call("link.heartbeat", { entry: this.#entry }, {
         timeoutMs: LINK_SILENCE_MS,
--- a/packages/links/link_server.ts
+++ b/packages/links/link_server.ts
@@ -7,6 +7,8 @@
 /** Accepts links of other entries. */
 export class LinkServer {
   readonly links = new Set<Link>();
+  /** Called when the link of an entry is closed. */
+  onLost: (peer: string, reason: string) => void = () => {};
   readonly #server: Server;
   readonly #clock: Clock;
   readonly #silentSince = new Map<string, number>();
@@ -18,7 +20,7 @@
     this.#server = createServer((socket) => {
       const link = new Link(socket, options);
       this.links.add(link);
-      link.onClosed = () => this.#dropLink(link);
+      link.onClosed = (reason) => this.#dropLink(link, reason);
     });
   }
 
@@ -44,9 +46,10 @@
       .map(([peer]) => peer);
   }
 
-  #dropLink(link: Link): void {
+  #dropLink(link: Link, reason: string): void {
     this.links.delete(link);
     if (link.peer === "") return;
+    this.onLost(link.peer, reason);
     if (link.wasSilent) this.#silentSince.set(link.peer, this.#clock.now());
     else this.#silentSince.delete(link.peer);
   }
@@ -54,6 +57,6 @@
   /** Closes all links and the listening socket. */
   close(): void {
     this.#server.close();
-    for (const link of this.links) link.close();
+    for (const link of this.links) link.close("this entry stops");
   }
 }
--- a/packages/scheduler/order_sender.ts
+++ b/packages/scheduler/order_sender.ts
@@ -58,9 +58,10 @@
     const { endpoint } = run;
     const now = clock.now();
     let result = StartResult.Unavailable;
+    let detail = "this owner may not order now";
     if (this.#parts.mayOrder(now)) {
       noteLeaseSent(endpoint, { now, leaseMs });
-      result = await control.start(makeTarget(run), {
+      ({ result, detail } = await control.start(makeTarget(run), {
         task: run.task,
         run: run.number,
         payload: order.payload,
@@ -68,7 +69,7 @@
         fence,
         saved: order.saved,
         ticket: order.ticket,
-      }, { timeoutMs: ORDER_TIMEOUT_MS });
+      }, { timeoutMs: ORDER_TIMEOUT_MS }));
     }
     const answeredAt = clock.now();
     const elapsed = answeredAt - now;
@@ -82,6 +83,7 @@
         run: run.number,
         endpoint: endpoint.info.id,
         reason: result,
+        detail,
         elapsedMs: Math.round(elapsed),
       });
     }
@@ -97,15 +99,24 @@
   }
 
   async #stop(run: Run): Promise<void> {
-    const { control, clock, fence } = this.#parts;
+    const { control, clock, fence, log } = this.#parts;
     const mayOrder = this.#parts.mayOrder(clock.now());
-    const result = mayOrder
+    const { result, detail } = mayOrder
       ? await control.stop(makeTarget(run), {
         task: run.task,
         run: run.number,
         fence,
       }, { timeoutMs: ORDER_TIMEOUT_MS })
-      : StopResult.Unknown;
+      : { result: StopResult.Unknown, detail: "this owner may not order now" };
+    if (result !== StopResult.Acknowledged) {
+      log.record(EventCode.StopUnanswered, {
+        subject: run.task,
+        run: run.number,
+        endpoint: run.endpoint.info.id,
+        reason: result,
+        detail,
+      });
+    }
     if (result === StopResult.Deposed) {
       const { id } = run.endpoint.info;
       return this.#parts.onDeposed(`${id} serves a newer owner`);
@@ -121,7 +132,7 @@
     try {
       const answer = await pool.ask(order);
       const now = clock.now();
-      // Tickets count from when the service gave them, which was earlier.
+      // The margin at the end of a ticket's life covers the answer's way.
       cell.applyAdvice(stage, { endpoints, answer, now });
       log.record(EventCode.AdviceAnswered, {
         subject: stage.name,
--- a/packages/scheduler/owner_gateway.ts
+++ b/packages/scheduler/owner_gateway.ts
@@ -61,7 +61,7 @@
     }
     this.#owner = owner;
     this.#isSelf = isSelf;
-    this.#link?.close();
+    this.#link?.close("another entry owns the cell");
     this.#link = undefined;
     if (owner && !isSelf) void this.#openLink(owner);
   }
@@ -87,7 +87,7 @@
   /** Closes the link. */
   close(): void {
     this.#isStopped = true;
-    this.#link?.close();
+    this.#link?.close("this entry stops");
   }
 
   async #callSelf<M extends LinkMethod>(
@@ -143,18 +143,20 @@
   }
 
   #adoptLink(link: Link, owner: OwnerRecord): void {
-    if (this.#owner !== owner || this.#isStopped) return link.close();
+    if (this.#owner !== owner || this.#isStopped) {
+      return link.close("no longer needed");
+    }
     this.#link = link;
     this.#log.record(EventCode.OwnerFollowed, {
       owner: owner.entry,
       term: owner.term,
     });
-    link.onClosed = () => {
+    link.onClosed = (reason) => {
       if (this.#link !== link) return;
       this.#link = undefined;
       this.#log.record(EventCode.OwnerLost, {
         owner: owner.entry,
-        reason: "the link was closed",
+        reason,
       });
       this.onOwnerSilent();
       if (this.#owner === owner && !this.#isStopped) void this.#openLink(owner);
--- a/packages/scheduler/ports.ts
+++ b/packages/scheduler/ports.ts
@@ -43,6 +43,18 @@
   | { isDeposed: false; listing: EndpointListing }
   | { isDeposed: true };
 
+/** How an endpoint answered an order to start, and what it or the way said. */
+export interface StartAnswer {
+  result: StartResult;
+  detail: string;
+}
+
+/** How an endpoint answered an order to stop, and what it or the way said. */
+export interface StopAnswer {
+  result: StopResult;
+  detail: string;
+}
+
 /** Orders to endpoints. */
 export abstract class EndpointControl {
   /** Orders a start; never throws. */
@@ -50,14 +62,14 @@
     target: EndpointTarget,
     order: StartOrder,
     options: { timeoutMs: number },
-  ): Promise<StartResult>;
+  ): Promise<StartAnswer>;
 
   /** Orders a stop; never throws. */
   abstract stop(
     target: EndpointTarget,
     order: { task: string; run: number; fence: number },
     options: { timeoutMs: number },
-  ): Promise<StopResult>;
+  ): Promise<StopAnswer>;
 
   /**
    * Asks for the lists of runs and ends, and prolongs leases.
--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -54,6 +54,8 @@
     });
     this.config.onChanged = (config) => this.#role?.updateConfig(config);
     this.#links = new LinkServer({ handlers, clock, entry: name });
+    this.#links.onLost = (peer, reason) =>
+      log.record(EventCode.PeerLost, { peer, reason });
     this.gateway = new OwnerGateway({
       clock,
       log,
--- a/tests/virtual/session_test.ts
+++ b/tests/virtual/session_test.ts
@@ -13,6 +13,8 @@
   type HoldAnswer,
   type HoldOrder,
   SessionHost,
+  type StartAnswer,
+  type StopAnswer,
 } from "../../packages/scheduler/mod.ts";
 import { NotSentError } from "../../packages/base/mod.ts";
 import { LaneClock, VirtualTime } from "./virtual_time.ts";
@@ -29,12 +31,12 @@
     this.#clock = clock;
   }
 
-  override start(): Promise<StartResult> {
-    return Promise.resolve(StartResult.Started);
+  override start(): Promise<StartAnswer> {
+    return Promise.resolve({ result: StartResult.Started, detail: "" });
   }
 
-  override stop(): Promise<StopResult> {
-    return Promise.resolve(StopResult.Acknowledged);
+  override stop(): Promise<StopAnswer> {
+    return Promise.resolve({ result: StopResult.Acknowledged, detail: "" });
   }
 
   override async poll(_target: unknown, order: HoldOrder): Promise<HoldAnswer> {
