Guard a restarted endpoint against orders meant for its former lifetime

The new lifetime counts ends from 1 again: an end that nobody had seen was forgotten, and its task ran again (TWICE). A late start could reach the new lifetime in the same way. Change: ends are noted only when there is news; after a note without an answer a restarted endpoint gets nothing for 12.5 s; starts that are not confirmed are barred by a stop.

--- a/packages/cell/constants.ts
+++ b/packages/cell/constants.ts
@@ -7,6 +7,12 @@
 /** A ticket is not used in the last part of its life, in milliseconds. */
 export const TICKET_MARGIN_MS = 250;
 
+/**
+ * Longest time after which an endpoint may still carry out an order that it
+ * did not answer, in milliseconds: the platform's 12 s and a margin.
+ */
+export const LATE_ORDER_MS = 12_500;
+
 /** A start without an answer must be listed within this time, in ms. */
 export const UNSURE_MS = 500;
 
--- a/packages/cell/endpoints.ts
+++ b/packages/cell/endpoints.ts
@@ -19,6 +19,7 @@
     leaseEndsAt: 0,
     lastEnd: 0,
     committedEnd: 0,
+    unansweredNoteAt: Number.NEGATIVE_INFINITY,
     runs: new Map(),
     used: makeNoDemand(),
     pausedUntil: 0,
--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -1,6 +1,6 @@
 import { RecordKind } from "../journal/mod.ts";
 import { EndKind, parseTaskName } from "../jobs/mod.ts";
-import { STALL_MS } from "./constants.ts";
+import { LATE_ORDER_MS, STALL_MS } from "./constants.ts";
 import {
   noteEnd,
   noteEndpointResult,
@@ -66,7 +66,12 @@
   settleUnlocated(state, times.now);
 }
 
-/** All runs of an endpoint's former lifetime are gone. */
+/**
+ * All runs of an endpoint's former lifetime are gone. What was sent to it and
+ * had no answer may still reach the new one, which has the same id: a start is
+ * barred by a stop, and after a note of ends nothing is started for a while,
+ * since the new ends have the same numbers.
+ */
 function restartEndpoint(
   state: CellState,
   endpoint: Endpoint,
@@ -86,7 +91,14 @@
   endpoint.listedClock = 0;
   endpoint.failuresInRow = 0;
   endpoint.ejectedUntil = 0;
+  const notesEndAt = endpoint.unansweredNoteAt + LATE_ORDER_MS;
+  endpoint.pausedUntil = Math.max(endpoint.pausedUntil, notesEndAt);
   for (const run of [...endpoint.runs.values()]) {
+    if (run.phase !== RunPhase.Running) {
+      run.phase = RunPhase.Unsure;
+      stopRun(state, run, times);
+      continue;
+    }
     releaseRun(state, run, {
       now: times.now,
       isFault: false,
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -71,6 +71,8 @@
   /** Last end that was applied; last one that the store holds. */
   lastEnd: number;
   committedEnd: number;
+  /** When a note of ends was sent that has had no answer. */
+  unansweredNoteAt: number;
   runs: Map<string, Run>;
   used: Demand;
   /** It refused a start: it gets none before this time. */
--- a/packages/scheduler/endpoint_session.ts
+++ b/packages/scheduler/endpoint_session.ts
@@ -100,9 +100,14 @@
   }
 
   #isPollDue(): boolean {
-    const { isHeld, runs, committedEnd, bornAt, isListed } = this.#endpoint;
+    const { isHeld, runs, isListed, isRecorded } = this.#endpoint;
     if (runs.size > 0) return true;
-    if (!isHeld) return isListed || this.#endpoint.isRecorded;
+    return isHeld ? this.#hasNews() : isListed || isRecorded;
+  }
+
+  /** Ends are stored that the endpoint has not been told of. */
+  #hasNews(): boolean {
+    const { committedEnd, bornAt } = this.#endpoint;
     return committedEnd > (bornAt === this.#toldBornAt ? this.#toldEnd : 0);
   }
 
@@ -122,7 +127,7 @@
     const hasRuns = endpoint.runs.size > 0;
     const order: HoldOrder = {
       fence: this.#fence,
-      notedEnd: endpoint.committedEnd,
+      notedEnd: this.#hasNews() ? endpoint.committedEnd : 0,
       waitMs: endpoint.isHeld && hasRuns ? options.waitMs : 0,
     };
     // While it does not answer its leases are left to end: only then is it
@@ -138,12 +143,15 @@
       const answer = await this.#control.poll(target, order, { timeoutMs });
       if (this.#isStopped) return true;
       this.#isSilent = false;
-      this.#toldEnd = order.notedEnd;
-      this.#toldBornAt = bornAt;
+      if (order.notedEnd > 0) {
+        this.#toldEnd = order.notedEnd;
+        this.#toldBornAt = bornAt;
+      }
       this.#host.noteHold(endpoint, { answer, askedAt: now });
       return true;
     } catch (error) {
       this.#isSilent = true;
+      if (order.notedEnd > 0) endpoint.unansweredNoteAt = now;
       const elapsedMs = this.#clock.now() - now;
       if (!this.#isStopped) {
         this.#host.noteSilence(endpoint, { error, elapsedMs });
--- a/tests/cell/fake_endpoint.ts
+++ b/tests/cell/fake_endpoint.ts
@@ -34,7 +34,10 @@
   saved = "";
   /** Called with each end, when it happens. */
   onEnd: (run: FakeRun, how: EndKind) => void = () => {};
-  /** Called for each end that nobody has taken note of, at a restart. */
+  /**
+   * Called for each end that nobody has taken note of, at a restart and when
+   * the lease ends: from then on the task may be started elsewhere.
+   */
   onForget: (task: string) => void = () => {};
   #lastNumber = 0;
 
@@ -104,6 +107,9 @@
 
   /** Ends what is due or has no lease any more. */
   advance(now: number): void {
+    if (this.leaseEndsAt > 0 && this.bornAt + this.leaseEndsAt <= now) {
+      for (const { task } of this.ends) this.onForget(task);
+    }
     for (const run of [...this.runs.values()]) {
       const lapsesAt = this.bornAt + this.leaseEndsAt;
       if (lapsesAt <= Math.min(now, run.endsAt)) {
