--- a/packages/events/catalogue.ts
+++ b/packages/events/catalogue.ts
@@ -334,7 +334,7 @@
     remedy: "None; the counts say which events.",
   },
   [EventCode.RequestRefused]: {
-    severity: Severity.Debug,
+    severity: Severity.Info,
     message: "refused a request",
     remedy: "None.",
   },
