Release the runs of an endpoint whose address another one took

Workers crashed at 8.3 s and came back at 12.8 s under new ids; the stuck job was accepted at 8.39 s. A worker at the old address answers the old endpoint's polls, and refuses its stops. It is asked again after 2 s while it is listed.

--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -7,7 +7,11 @@
   applyStopAnswer,
   settleUnsure,
 } from "./answers.ts";
-import { expireEndpoints, updateEndpoints } from "./endpoints.ts";
+import {
+  expireEndpoints,
+  noteReplacement,
+  updateEndpoints,
+} from "./endpoints.ts";
 import { endJob, type Present, releaseRun } from "./ends.ts";
 import { applyListing, type ListingTimes } from "./listing.ts";
 import { planStarts } from "./plan.ts";
@@ -239,6 +243,11 @@
     applyStopAnswer(run, options);
   }
 
+  /** Another endpoint answers at the address of one. */
+  noteReplacement(endpoint: Endpoint, present: Present): void {
+    noteReplacement(this.state, endpoint, present);
+  }
+
   /** Applies the policy's answer for a stage. */
   applyAdvice(
     stage: Stage,
--- a/packages/cell/constants.ts
+++ b/packages/cell/constants.ts
@@ -25,6 +25,9 @@
 /** An endpoint that refused or did not answer gets nothing for this long. */
 export const ENDPOINT_PAUSE_MS = 1_000;
 
+/** A replaced endpoint that is still listed is asked again after this time. */
+export const REPLACED_PAUSE_MS = 2_000;
+
 /** Failed runs of different jobs in a row that eject an endpoint. */
 export const EJECT_AFTER_FAILURES = 3;
 
--- a/packages/cell/endpoints.ts
+++ b/packages/cell/endpoints.ts
@@ -1,6 +1,10 @@
 import { RecordKind } from "../journal/mod.ts";
 import { makeNoDemand } from "../jobs/mod.ts";
-import { CLOCK_DRIFT, LEASE_MARGIN_MS } from "./constants.ts";
+import {
+  CLOCK_DRIFT,
+  LEASE_MARGIN_MS,
+  REPLACED_PAUSE_MS,
+} from "./constants.ts";
 import { type Present, releaseRun } from "./ends.ts";
 import { addDecision, type CellState } from "./state.ts";
 import { removeUnlocated } from "./stages.ts";
@@ -15,6 +19,7 @@
     isRecording: false,
     bornAt: 0,
     isHeld: false,
+    isReplaced: false,
     clockOffset: 0,
     leaseEndsAt: 0,
     lastEnd: 0,
@@ -41,6 +46,7 @@
     const endpoint = state.endpoints.get(info.id);
     if (!endpoint) state.endpoints.set(info.id, makeEndpoint(info));
     else {
+      if (endpoint.info.address !== info.address) endpoint.isReplaced = false;
       endpoint.info = info;
       endpoint.isListed = true;
     }
@@ -63,9 +69,14 @@
 /** Drops what is certainly gone: lapsed runs, and endpoints without any. */
 export function expireEndpoints(state: CellState, present: Present): void {
   for (const endpoint of state.endpoints.values()) {
+    if (endpoint.isReplaced && endpoint.isListed) {
+      // Listed all the same: asked again, in case its address has changed back.
+      endpoint.isReplaced = present.now < endpoint.pausedUntil;
+    }
     if (present.now < endpoint.leaseEndsAt) continue;
     if (endpoint.runs.size > 0) expireRuns(state, endpoint, present);
-    const isSettled = present.now >= state.unlocatedUntil || endpoint.isHeld;
+    const isSettled = present.now >= state.unlocatedUntil || endpoint.isHeld ||
+      endpoint.isReplaced;
     if (!endpoint.isListed && isSettled) dropEndpoint(state, endpoint);
   }
   settleUnlocated(state, present.now);
@@ -76,12 +87,40 @@
   if (state.unlocated.size === 0) return;
   for (const place of [...state.unlocated.values()]) {
     const endpoint = state.endpoints.get(place.task.placedOn);
-    const isInDoubt = endpoint && !endpoint.isHeld;
+    const isInDoubt = endpoint && !endpoint.isHeld && !endpoint.isReplaced;
     if (isInDoubt && now < state.unlocatedUntil) continue;
     removeUnlocated(state, place);
   }
 }
 
+/**
+ * Another endpoint answers at this one's address. Orders name the endpoint that
+ * they are for, so that none of them can be carried out any more.
+ */
+export function noteReplacement(
+  state: CellState,
+  endpoint: Endpoint,
+  present: Present,
+): void {
+  endpoint.isReplaced = true;
+  endpoint.isHeld = false;
+  endpoint.leaseEndsAt = 0;
+  endpoint.pausedUntil = present.now + REPLACED_PAUSE_MS;
+  addDecision(state, {
+    kind: DecisionKind.EndpointReplaced,
+    subject: endpoint.info.id,
+    inputs: { address: endpoint.info.address, runs: endpoint.runs.size },
+  });
+  for (const run of [...endpoint.runs.values()]) {
+    releaseRun(state, run, {
+      now: present.now,
+      isFault: false,
+      reason: "the endpoint was replaced",
+    });
+  }
+  settleUnlocated(state, present.now);
+}
+
 function expireRuns(
   state: CellState,
   endpoint: Endpoint,
--- a/packages/cell/placement.ts
+++ b/packages/cell/placement.ts
@@ -27,7 +27,7 @@
 export function canServe(endpoint: Endpoint, stage: Stage): boolean {
   const step = getStep(stage);
   const { info } = endpoint;
-  return endpoint.isListed && !info.isDraining &&
+  return endpoint.isListed && !endpoint.isReplaced && !info.isDraining &&
     info.service === stage.job.spec.queue.service &&
     (step.requiredLabel === "" || info.labels.includes(step.requiredLabel)) &&
     fitsInto(step.demand, info.capacity, NOTHING);
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -64,6 +64,8 @@
   bornAt: number;
   /** It has acknowledged this owner's fence in this lifetime. */
   isHeld: boolean;
+  /** Another endpoint answers at its address: it is gone, with all its runs. */
+  isReplaced: boolean;
   /** Its clock less this process's clock, at most. */
   clockOffset: number;
   /** When every lease that it may hold has ended for certain. */
@@ -289,6 +291,7 @@
   JobEnded = "job_ended",
   EndpointEjected = "endpoint_ejected",
   EndpointReborn = "endpoint_reborn",
+  EndpointReplaced = "endpoint_replaced",
   LeaseLapsed = "lease_lapsed",
   Adopted = "adopted",
 }
--- a/packages/scheduler/decision_log.ts
+++ b/packages/scheduler/decision_log.ts
@@ -9,6 +9,7 @@
   [DecisionKind.JobEnded]: EventCode.JobEnded,
   [DecisionKind.EndpointEjected]: EventCode.EndpointEjected,
   [DecisionKind.EndpointReborn]: EventCode.EndpointReborn,
+  [DecisionKind.EndpointReplaced]: EventCode.EndpointReborn,
   [DecisionKind.LeaseLapsed]: EventCode.EndpointLapsed,
   [DecisionKind.Adopted]: EventCode.TaskAdopted,
 };
--- a/packages/scheduler/endpoint_session.ts
+++ b/packages/scheduler/endpoint_session.ts
@@ -100,7 +100,8 @@
   }
 
   #isPollDue(): boolean {
-    const { isHeld, runs, isListed, isRecorded } = this.#endpoint;
+    const { isHeld, isReplaced, runs, isListed, isRecorded } = this.#endpoint;
+    if (isReplaced) return false;
     if (runs.size > 0) return true;
     return isHeld ? this.#hasNews() : isListed || isRecorded;
   }
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -34,11 +34,12 @@
 import { EndpointFeed } from "./endpoint_feed.ts";
 import type { SessionHost } from "./endpoint_session.ts";
 import { OrderSender } from "./order_sender.ts";
-import type {
-  AdviceService,
-  EndpointControl,
-  HoldAnswer,
-  SiteRecords,
+import {
+  type AdviceService,
+  type EndpointControl,
+  type HoldAnswer,
+  HoldResult,
+  type SiteRecords,
 } from "./ports.ts";
 import { SessionPool } from "./session_pool.ts";
 import { SuspensionGuard } from "./suspension_guard.ts";
@@ -252,7 +253,11 @@
     { answer, askedAt }: { answer: HoldAnswer; askedAt: number },
   ): void {
     if (this.#isStopped) return;
-    if (answer.isDeposed) {
+    if (answer.kind === HoldResult.Replaced) {
+      this.cell.noteReplacement(endpoint, this.#getPresent());
+      return this.schedulePlan();
+    }
+    if (answer.kind !== HoldResult.Listed) {
       return this.endOwnership(`${endpoint.info.id} serves a newer owner`);
     }
     this.cell.applyListing(endpoint, {
--- a/packages/scheduler/ports.ts
+++ b/packages/scheduler/ports.ts
@@ -38,10 +38,19 @@
   waitMs: number;
 }
 
+/** What came of a request for an endpoint's lists. */
+export enum HoldResult {
+  Listed = "listed",
+  /** The endpoint serves a newer owner. */
+  Deposed = "deposed",
+  /** Another endpoint answers at the address. */
+  Replaced = "replaced",
+}
+
 /** How an endpoint answered a request for its lists. */
 export type HoldAnswer =
-  | { isDeposed: false; listing: EndpointListing }
-  | { isDeposed: true };
+  | { kind: HoldResult.Listed; listing: EndpointListing }
+  | { kind: HoldResult.Deposed | HoldResult.Replaced };
 
 /** How an endpoint answered an order to start, and what it or the way said. */
 export interface StartAnswer {
--- a/tests/virtual/owner_site.ts
+++ b/tests/virtual/owner_site.ts
@@ -16,6 +16,7 @@
   type EndpointTarget,
   type HoldAnswer,
   type HoldOrder,
+  HoldResult,
   OwnerRole,
   type Ownership,
   type SiteConfig,
@@ -123,10 +124,10 @@
     const listing = await this.#send(target, options, (fake, now) => {
       return fake.hold(order, now) ?? null;
     });
-    if (!listing) return { isDeposed: true };
+    if (!listing) return { kind: HoldResult.Deposed };
     // The answer waits for an end; the lists are those of the beginning.
     await this.#clock.sleep(Math.min(order.waitMs, 100));
-    return { isDeposed: false, listing };
+    return { kind: HoldResult.Listed, listing };
   }
 
   override async close(): Promise<void> {}
--- a/tests/virtual/session_test.ts
+++ b/tests/virtual/session_test.ts
@@ -12,6 +12,7 @@
   EndpointSession,
   type HoldAnswer,
   type HoldOrder,
+  HoldResult,
   SessionHost,
   type StartAnswer,
   type StopAnswer,
@@ -44,7 +45,7 @@
     await this.#clock.sleep(this.isReachable ? order.waitMs : 600);
     if (!this.isReachable) throw new NotSentError("Cannot connect");
     return {
-      isDeposed: false,
+      kind: HoldResult.Listed,
       listing: { bornAt: 1, clockMs: 0, running: [], ended: [] },
     };
   }
