Free the shards of a VM whose new process drains before it joins

The process on a1 was killed, its successor came up while the store was down and was told to stop before it could join. A process that drains did not touch the record, so its predecessor stayed a member for ever: the VM is live, so nobody else may take it for gone. Its endpoint was served by nobody, and every new configuration waited for its confirmation. Ruled out: the store's set-back and the lost answers (the record was read whole after them); a wrong head of the configuration (all entries held 4/3). Change: a process that drains before it joins removes the earlier process of its own VM from the record and is done; the others claim the shards.

--- a/packages/membership/plan.ts
+++ b/packages/membership/plan.ts
@@ -82,13 +82,19 @@
 }
 
 /**
- * A newer process on the same VM holds the VM's addresses, so the earlier
- * process has ended and its shards are free.
+ * Joins with this entry. An earlier member with the same VM is replaced: its
+ * process has ended and its shards are free. An entry that drains before it
+ * has joined only frees them: nobody else can tell that the process has ended.
  */
 function joinDomain(plan: MembershipPlan, view: MembershipView): void {
-  if (view.hasJoined || view.draining) return;
+  if (view.hasJoined) return;
   const earlier = plan.record.members[view.self.vm];
   if (earlier) removeMember(plan, earlier.incarnation);
+  if (view.draining) {
+    delete plan.record.members[view.self.vm];
+    plan.left = true;
+    return;
+  }
   plan.record.members[view.self.vm] = view.self;
   plan.joined = true;
 }
--- /dev/null
+++ b/packages/membership/plan_test.ts
@@ -0,0 +1,74 @@
+import test from "ava";
+import {
+  createDomainRecord,
+  listOwnedShards,
+  type Member,
+  type MembershipView,
+  planMembership,
+  SHARDS_PER_DOMAIN,
+} from "./mod.ts";
+
+const FORMER = makeMember("a/v1/former");
+const SELF = makeMember("a/v1/self");
+
+function makeMember(incarnation: string): Member {
+  return { vm: "v1", incarnation, callers: "v1:1", peers: "v1:2" };
+}
+
+function makeView(change: Partial<MembershipView>): MembershipView {
+  return {
+    self: SELF,
+    hasJoined: false,
+    draining: false,
+    idle: true,
+    gone: new Set(),
+    reachable: new Set(),
+    shardSizes: Array.from({ length: SHARDS_PER_DOMAIN }, () => 1),
+    quiesced: new Map(),
+    recovered: new Map(),
+    ...change,
+  };
+}
+
+function makeRecordOwnedByFormer() {
+  const record = createDomainRecord(0);
+  record.members.v1 = FORMER;
+  for (const shard of record.shards) shard.owner = FORMER.incarnation;
+  return record;
+}
+
+test("an entry that joins replaces its VM's former process", (t) => {
+  const record = makeRecordOwnedByFormer();
+  const plan = planMembership(record, makeView({}), { writer: "w" })!;
+  t.true(plan.joined);
+  t.deepEqual(plan.buried, [FORMER.incarnation]);
+  t.is(plan.record.members.v1.incarnation, SELF.incarnation);
+  t.is(
+    listOwnedShards(plan.record, SELF.incarnation).length,
+    SHARDS_PER_DOMAIN,
+  );
+});
+
+test("an entry that drains before it joins frees its VM's shards", (t) => {
+  const record = makeRecordOwnedByFormer();
+  const view = makeView({ draining: true });
+  const plan = planMembership(record, view, { writer: "w" })!;
+  t.deepEqual(plan.record.members, {});
+  t.true(plan.left, "the drain need not wait any longer");
+  t.is(listOwnedShards(plan.record, FORMER.incarnation).length, 0);
+  for (const shard of plan.record.shards) {
+    t.is(shard.predecessors[FORMER.incarnation], null, "may still run tasks");
+  }
+});
+
+test("an entry that drains before it joins leaves others alone", (t) => {
+  const record = makeRecordOwnedByFormer();
+  const other = { ...FORMER, vm: "v2", incarnation: "a/v2/other" };
+  record.members = { v2: other };
+  for (const shard of record.shards) shard.owner = other.incarnation;
+  const view = makeView({ draining: true, reachable: new Set(["a/v2/other"]) });
+  const plan = planMembership(record, view, { writer: "w" })!;
+  t.true(plan.left);
+  t.deepEqual(plan.record.members, { v2: other });
+  t.deepEqual(plan.record.shards, record.shards);
+});
--- a/tests/virtual/randomised_test.ts
+++ b/tests/virtual/randomised_test.ts
@@ -62,3 +62,19 @@
   ]);
   t.deepEqual(report.faults, []);
 });
+
+test("an entry that drains before it joins leaves no endpoint behind", async (t) => {
+  const report = await runSite(141_518, [
+    { at: 4, kind: FaultKind.WithdrawKey, lastsMs: 6_412, target: 3 },
+    { at: 6, kind: FaultKind.Drain, lastsMs: 8_000, target: 8 },
+    { at: 12, kind: FaultKind.LoseAnswers, lastsMs: 6_117, target: 8 },
+    { at: 2_935, kind: FaultKind.CutDomains, lastsMs: 100, target: 9 },
+    { at: 3_583, kind: FaultKind.Kill, lastsMs: 4_209, target: 362 },
+    { at: 3_894, kind: FaultKind.Kill, lastsMs: 672, target: 998 },
+    { at: 7_482, kind: FaultKind.KillAndReplace, lastsMs: 4_930, target: 165 },
+    { at: 8_190, kind: FaultKind.StoreDown, lastsMs: 4_775, target: 848 },
+    { at: 12_426, kind: FaultKind.Drain, lastsMs: 5_485, target: 87 },
+    { at: 13_998, kind: FaultKind.RestoreConfig, lastsMs: 1_733, target: 580 },
+  ]);
+  t.deepEqual(report.faults, []);
+});
