Hold filling work back beside services that are near their target

Cause: steps with a target for their response times, steps that fill, and a bound on tasks away were not read; filling work was given cores of its own and nothing watched what it did to the services beside it. Work that lasts and jobs that come again were ranked by the due time of their hand-in, so that they went last ever after. Ruled out: never placing filling and serving work together (a cell full of services would run no batch work, and the cores they leave would be lost). Change: filling work takes memory but no cores of an endpoint, and counts against its organisation's cap. What may do nothing for 3 s moves to an endpoint where it may work, unless its step has as many tasks away as it allows. Stages have due times of their own.

--- a/packages/cell/admission.ts
+++ b/packages/cell/admission.ts
@@ -1,4 +1,9 @@
-import { fitsInto, type JobSpec, makeNoDemand } from "../jobs/mod.ts";
+import {
+  fitsInto,
+  getRoomDemand,
+  type JobSpec,
+  makeNoDemand,
+} from "../jobs/mod.ts";
 import type { CellState } from "./state.ts";
 import { computeObjective, getStep } from "./stages.ts";
 import { Admission, type AdmissionOutcome } from "./types.ts";
@@ -35,8 +40,9 @@
     if (stage.job.isOverShare) continue;
     const { queue } = stage.job.spec;
     const backlog = backlogs.get(queue.service);
-    const { demand, estimateMs } = getStep(stage);
-    const work = stage.waiting * demand.milliCores * estimateMs;
+    const step = getStep(stage);
+    const { milliCores } = getRoomDemand(step);
+    const work = stage.waiting * milliCores * step.estimateMs;
     if (backlog) addWork(backlog, { priority: queue.priority, work });
   }
   return backlogs;
@@ -95,10 +101,10 @@
     isListed && info.service === spec.queue.service
   );
   if (serving.length === 0) return undefined;
-  const misfit = spec.steps.findIndex(({ demand, requiredLabel }) =>
+  const misfit = spec.steps.findIndex((step) =>
     !serving.some(({ info }) =>
-      fitsInto(demand, info.capacity, makeNoDemand()) &&
-      (requiredLabel === "" || info.labels.includes(requiredLabel))
+      fitsInto(getRoomDemand(step), info.capacity, makeNoDemand()) &&
+      (step.requiredLabel === "" || info.labels.includes(step.requiredLabel))
     )
   );
   return misfit < 0 ? undefined : misfit;
@@ -108,9 +114,10 @@
 export function addBacklog(state: CellState, spec: JobSpec): void {
   const backlog = state.backlogs.get(spec.queue.service);
   if (!backlog) return;
-  for (const { after, tasks, demand, estimateMs } of spec.steps) {
-    if (after.length > 0) continue;
-    const work = tasks * demand.milliCores * estimateMs;
+  for (const step of spec.steps) {
+    if (step.after.length > 0) continue;
+    const { milliCores } = getRoomDemand(step);
+    const work = step.tasks * milliCores * step.estimateMs;
     addWork(backlog, { priority: spec.queue.priority, work });
   }
 }
--- a/packages/cell/answers.ts
+++ b/packages/cell/answers.ts
@@ -12,6 +12,7 @@
 import { stopRun } from "./stops.ts";
 import {
   type AdviceAnswer,
+  PaceResult,
   type Run,
   RunPhase,
   type Stage,
@@ -54,6 +55,15 @@
   if (options.result === StopResult.Acknowledged) run.isStopAcknowledged = true;
 }
 
+/** Applies the answer to a change of pace; it is repeated until acknowledged. */
+export function applyPaceAnswer(
+  run: Run,
+  options: { result: PaceResult; percent: number },
+): void {
+  run.isPaceUnderWay = false;
+  if (options.result === PaceResult.Acknowledged) run.pace = options.percent;
+}
+
 /** Applies the policy's answer for a stage; nothing came: it is asked again. */
 export function applyAdvice(
   state: CellState,
--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -3,6 +3,7 @@
 import { addBacklog, admitJob, measureBacklogs } from "./admission.ts";
 import {
   applyAdvice,
+  applyPaceAnswer,
   applyStartAnswer,
   applyStopAnswer,
   settleUnsure,
@@ -35,6 +36,7 @@
   type Order,
   OrderKind,
   type OrganisationRules,
+  type PaceResult,
   type Run,
   RunPhase,
   type Stage,
@@ -243,6 +245,14 @@
     applyStopAnswer(run, options);
   }
 
+  /** Applies the answer to a change of pace. */
+  applyPaceAnswer(
+    run: Run,
+    options: { result: PaceResult; percent: number },
+  ): void {
+    applyPaceAnswer(run, options);
+  }
+
   /** Another endpoint answers at the address of one. */
   noteReplacement(endpoint: Endpoint, present: Present): void {
     noteReplacement(this.state, endpoint, present);
--- a/packages/cell/constants.ts
+++ b/packages/cell/constants.ts
@@ -40,6 +40,33 @@
 /** A run without progress for this long is restarted elsewhere, in ms. */
 export const STALL_MS = 2_500;
 
+/** Pace of a run that is not held back, in percent. */
+export const FULL_PACE = 100;
+
+/**
+ * Part of a serving task's target above which the filling runs beside it are
+ * held back: a tenth of the target is left for the time until that shows.
+ */
+export const STRAINED_PART = 0.9;
+
+/** Part of the target below which filling runs get more of their pace back. */
+export const CALM_PART = 0.7;
+
+/** Step by which pace is given back, in percent. */
+export const PACE_STEP = 20;
+
+/** Pace below which it is set to 0 at once, in percent. */
+export const LEAST_PACE = 15;
+
+/**
+ * Time until a change of pace shows whole: the platform's 100 ms until it takes
+ * force, and the half second over which an endpoint measures.
+ */
+export const PACE_SETTLE_MS = 700;
+
+/** Filling work that may do nothing for this long is moved elsewhere, in ms. */
+export const FILL_MOVE_MS = 3_000;
+
 /** Blocked gangs for which room is kept free at the same time. */
 export const MAX_RESERVATIONS = 3;
 
--- a/packages/cell/endpoints.ts
+++ b/packages/cell/endpoints.ts
@@ -2,6 +2,7 @@
 import { makeNoDemand } from "../jobs/mod.ts";
 import {
   CLOCK_DRIFT,
+  FULL_PACE,
   LEASE_MARGIN_MS,
   REPLACED_PAUSE_MS,
 } from "./constants.ts";
@@ -33,6 +34,9 @@
     failuresInRow: 0,
     lastFailedJob: "",
     ejectedUntil: 0,
+    throttle: { percent: FULL_PACE, changedAt: 0 },
+    isShared: false,
+    isClosing: false,
   };
 }
 
--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -1,5 +1,5 @@
 import { RecordKind } from "../journal/mod.ts";
-import { EndKind, parseTaskName } from "../jobs/mod.ts";
+import { EndKind, getRoomDemand, parseTaskName } from "../jobs/mod.ts";
 import { LATE_ORDER_MS, STALL_MS } from "./constants.ts";
 import {
   noteEnd,
@@ -12,6 +12,7 @@
 import { noteLeaseSent, settleUnlocated } from "./endpoints.ts";
 import { addDecision, addRun, type CellState, removeWaiting } from "./state.ts";
 import { findTask, getStep, removeUnlocated } from "./stages.ts";
+import { planPaces } from "./sharing.ts";
 import { sendStop, stopRun } from "./stops.ts";
 import {
   DecisionKind,
@@ -63,6 +64,7 @@
     if (!listed.has(run.task)) settleAbsentRun(state, run, times);
   }
   endpoint.isHeld = true;
+  planPaces(state, endpoint, times);
   settleUnlocated(state, times.now);
 }
 
@@ -167,6 +169,7 @@
   if (place && row.saved && place.task.run === run) {
     setProgress(place, row.saved);
   }
+  run.gauge = row.gauge;
   checkProgress(state, run, options);
 }
 
@@ -178,12 +181,14 @@
 ): Run {
   const { row, times } = options;
   const place = findTask(state, row.task);
+  const step = place && getStep(place.stage);
   const run: Run = {
     task: row.task,
     number: row.run,
     endpoint,
     // Of an unknown task nothing else is known: it may take all there is.
-    demand: place ? getStep(place.stage).demand : endpoint.info.capacity,
+    demand: step ? getRoomDemand(step) : endpoint.info.capacity,
+    charge: step?.demand ?? endpoint.info.capacity,
     organisation: place?.stage.job.spec.organisation ?? "",
     phase: RunPhase.Running,
     settledAt: times.now,
@@ -192,6 +197,9 @@
     isStopUnderWay: false,
     percent: row.percent,
     progressAt: times.now,
+    pace: undefined,
+    isPaceUnderWay: false,
+    gauge: row.gauge,
   };
   addRun(state, run);
   // Its lease is one that a former owner gave: it may be a whole one.
@@ -231,7 +239,10 @@
   if (run.phase !== RunPhase.Running) return;
   if (times.now - run.progressAt < STALL_MS) return;
   const place = findTask(state, run.task);
-  if (!place || getStep(place.stage).longRunning) return;
+  if (!place) return;
+  const { longRunning, isFilling } = getStep(place.stage);
+  // Filling work may stand still for want of cores that nobody else uses.
+  if (longRunning || isFilling) return;
   noteEndpointResult(state, run.endpoint, {
     job: place.stage.job.spec.id,
     isFailure: true,
--- a/packages/cell/placement.ts
+++ b/packages/cell/placement.ts
@@ -2,6 +2,7 @@
   countFits,
   type Demand,
   fitsInto,
+  getRoomDemand,
   makeNoDemand,
   type StepSpec,
 } from "../jobs/mod.ts";
@@ -30,12 +31,12 @@
   return endpoint.isListed && !endpoint.isReplaced && !info.isDraining &&
     info.service === stage.job.spec.queue.service &&
     (step.requiredLabel === "" || info.labels.includes(step.requiredLabel)) &&
-    fitsInto(step.demand, info.capacity, NOTHING);
+    fitsInto(getRoomDemand(step), info.capacity, NOTHING);
 }
 
 /** Tells whether an endpoint takes orders now. */
 export function canStart(endpoint: Endpoint, now: number): boolean {
-  return endpoint.isHeld && endpoint.isRecorded &&
+  return endpoint.isHeld && endpoint.isRecorded && !endpoint.isClosing &&
     now >= endpoint.pausedUntil && now >= endpoint.silentUntil;
 }
 
@@ -87,8 +88,9 @@
       accelerators: endpoint.used.accelerators + reserved.accelerators,
     }
     : endpoint.used;
-  if (!fitsInto(step.demand, endpoint.info.capacity, used)) return 0;
-  const room = countFits(step.demand, endpoint.info.capacity, used);
+  const demand = getRoomDemand(step);
+  if (!fitsInto(demand, endpoint.info.capacity, used)) return 0;
+  const room = countFits(demand, endpoint.info.capacity, used);
   return Math.min(room, countSpread(endpoint, stage, step));
 }
 
--- a/packages/cell/plan.ts
+++ b/packages/cell/plan.ts
@@ -1,3 +1,4 @@
+import { getRoomDemand } from "../jobs/mod.ts";
 import { askAdvice, askFurther } from "./ask_advice.ts";
 import { countBelowCap, countRoom, hasTicket } from "./placement.ts";
 import {
@@ -9,6 +10,7 @@
 } from "./placement_pass.ts";
 import { planGang } from "./plan_gang.ts";
 import { getStep } from "./stages.ts";
+import { chooseLeastDisturbed, isSharing } from "./sharing.ts";
 import { startTask } from "./start_task.ts";
 import type { CellState } from "./state.ts";
 import { type Endpoint, type Stage, type Task, TaskPhase } from "./types.ts";
@@ -25,7 +27,9 @@
 function planStage(pass: Pass, stage: Stage): void {
   const service = pass.services.get(stage.job.spec.queue.service);
   if (!service) return;
-  const { gang, demand } = getStep(stage);
+  const step = getStep(stage);
+  const { gang } = step;
+  const demand = getRoomDemand(step);
   const isAsked = !stage.job.spec.queue.advice || stage.advice.asked.size > 0;
   const hasRoom = demand.milliCores <= service.mostFree.milliCores &&
     demand.memoryMb <= service.mostFree.memoryMb;
@@ -52,16 +56,17 @@
  * work": late short work still goes before long work, and makes none late.
  */
 function sortStages(state: CellState, now: number): Stage[] {
-  const rank = ({ job }: Stage) => {
-    if (now > job.expiresAt) return Rank.Expired;
+  const rank = ({ job, expiresAt }: Stage) => {
+    if (now > expiresAt) return Rank.Expired;
     return job.isOverShare ? Rank.OverShare : Rank.Owed;
   };
-  const isLate = ({ job }: Stage) => now > job.dueAt ? 1 : 0;
+  const isLate = (stage: Stage) =>
+    now > stage.dueAt && !getStep(stage).longRunning ? 1 : 0;
   return [...state.ready].sort((a, b) =>
     rank(a) - rank(b) ||
     a.job.spec.queue.priority - b.job.spec.queue.priority ||
     isLate(a) - isLate(b) ||
-    a.job.dueAt - b.job.dueAt
+    a.dueAt - b.dueAt
   );
 }
 
@@ -85,7 +90,10 @@
       isTicketMissing = rooms.size > 0;
       break;
     }
-    const endpoint = chooseFullest(selectNearRack(open, stage), task);
+    const near = selectNearRack(open, stage);
+    const endpoint = isSharing(stage)
+      ? chooseLeastDisturbed(near, { state: pass.state, task })
+      : chooseFullest(near, task);
     startTask(pass, stage, { task, endpoint, run: task.lastRun + 1 });
     allowance--;
     const left = (rooms.get(endpoint) ?? 0) - 1;
--- a/packages/cell/plan_gang.ts
+++ b/packages/cell/plan_gang.ts
@@ -1,4 +1,4 @@
-import { addDemand, makeNoDemand } from "../jobs/mod.ts";
+import { addDemand, getRoomDemand, makeNoDemand } from "../jobs/mod.ts";
 import { askAdvice, askFurther } from "./ask_advice.ts";
 import { MAX_RESERVATIONS } from "./constants.ts";
 import { stopGang } from "./ends.ts";
@@ -91,7 +91,7 @@
 }
 
 function reservePlaces(pass: Pass, stage: Stage, places: Endpoint[]): void {
-  const { demand } = getStep(stage);
+  const demand = getRoomDemand(getStep(stage));
   for (const endpoint of places) reserveRoom(pass, endpoint, { demand });
 }
 
@@ -103,7 +103,7 @@
 ): void {
   if (pass.reservedGangs >= MAX_RESERVATIONS) return;
   pass.reservedGangs++;
-  const { demand } = getStep(stage);
+  const demand = getRoomDemand(getStep(stage));
   const byRoom = [...usable].sort((a, b) =>
     measureFreeCores(b) - measureFreeCores(a)
   );
--- a/packages/cell/stages.ts
+++ b/packages/cell/stages.ts
@@ -68,7 +68,7 @@
 export function openStages(
   state: CellState,
   job: Job,
-  { wallNow }: { wallNow: number },
+  { now, wallNow }: { now: number; wallNow: number },
 ): void {
   const width = job.spec.steps.length;
   for (const stage of job.stages) {
@@ -84,10 +84,32 @@
     }
     state.timed.delete(stage);
     stage.isReady = true;
+    setDueTimes(stage, { now, wallNow });
     if (stage.waiting > 0) state.ready.add(stage);
   }
 }
 
+/**
+ * A job that comes again is due anew each time, and work that lasts is never
+ * late: its tasks earn whenever they are at work.
+ */
+function setDueTimes(
+  stage: Stage,
+  { now, wallNow }: { now: number; wallNow: number },
+): void {
+  if (getStep(stage).longRunning) {
+    stage.dueAt = now;
+    stage.expiresAt = Number.POSITIVE_INFINITY;
+    return;
+  }
+  const { job } = stage;
+  if (job.spec.occurrences === 0) return;
+  const lateMs = wallNow - computeDueTime(job, stage.occurrence);
+  const objectiveMs = computeObjective(job.spec);
+  stage.dueAt = now - lateMs + objectiveMs;
+  stage.expiresAt = now - lateMs + objectiveMs * EXPIRY_FACTOR;
+}
+
 /** Finds a task by its name. */
 export function findTask(
   state: CellState,
@@ -158,6 +180,8 @@
     occurrence: k,
     step: number,
     tasks,
+    dueAt: job.dueAt,
+    expiresAt: job.expiresAt,
     remaining: step.tasks,
     waiting: step.tasks,
     isReady: false,
--- a/packages/cell/start_task.ts
+++ b/packages/cell/start_task.ts
@@ -1,3 +1,5 @@
+import { getRoomDemand } from "../jobs/mod.ts";
+import { FULL_PACE } from "./constants.ts";
 import { noteLeaseSent } from "./endpoints.ts";
 import { measureFreeCores, type Pass } from "./placement_pass.ts";
 import { getStep } from "./stages.ts";
@@ -25,7 +27,8 @@
     task: task.name,
     number: options.run,
     endpoint,
-    demand: getStep(stage).demand,
+    demand: getRoomDemand(getStep(stage)),
+    charge: getStep(stage).demand,
     organisation: stage.job.spec.organisation,
     phase: RunPhase.Starting,
     settledAt: now,
@@ -34,6 +37,9 @@
     isStopUnderWay: false,
     percent: 0,
     progressAt: now,
+    pace: FULL_PACE,
+    isPaceUnderWay: false,
+    gauge: 0,
   };
   addRun(state, run);
   addPlacement(state, run);
--- a/packages/cell/state.ts
+++ b/packages/cell/state.ts
@@ -87,7 +87,7 @@
 export function addRun(state: CellState, run: Run): void {
   run.endpoint.runs.set(run.task, run);
   addDemand(run.endpoint.used, run.demand);
-  addDemand(getUsage(state, run.organisation), run.demand);
+  addDemand(getUsage(state, run.organisation), run.charge);
 }
 
 /** Removes a run that certainly no longer takes room. */
@@ -96,7 +96,7 @@
   run.endpoint.runs.delete(run.task);
   state.stopping.delete(run);
   addDemand(run.endpoint.used, run.demand, -1);
-  addDemand(getUsage(state, run.organisation), run.demand, -1);
+  addDemand(getUsage(state, run.organisation), run.charge, -1);
 }
 
 /** Counts one more task of a stage that waits to be started. */
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -39,7 +39,10 @@
   task: string;
   number: number;
   endpoint: Endpoint;
+  /** What it takes of the endpoint's capacity. */
   demand: Demand;
+  /** What it counts against its organisation's cap. */
+  charge: Demand;
   organisation: string;
   phase: RunPhase;
   /** A listing asked for after this time must show the run, if it exists. */
@@ -50,6 +53,24 @@
   isStopUnderWay: boolean;
   percent: number;
   progressAt: number;
+  /**
+   * The share of its work that it may do, in percent, as last acknowledged;
+   * `undefined` when a former owner may have set another.
+   */
+  pace: number | undefined;
+  isPaceUnderWay: boolean;
+  /**
+   * Over the last half second: the tail of its response times in ms for a task
+   * that serves, and thousandths of a core in use for any other.
+   */
+  gauge: number;
+}
+
+/** How far the filling runs of an endpoint are held back. */
+export interface Throttle {
+  /** The share of their work that they may do, in percent. */
+  percent: number;
+  changedAt: number;
 }
 
 /** One endpoint as its owner knows it. */
@@ -86,6 +107,11 @@
   failuresInRow: number;
   lastFailedJob: string;
   ejectedUntil: number;
+  throttle: Throttle;
+  /** Serving and filling runs work there side by side: it is watched closely. */
+  isShared: boolean;
+  /** It gets no new work: it is about to go down for its upkeep. */
+  isClosing: boolean;
 }
 
 /** Where a task stands. */
@@ -139,6 +165,10 @@
   job: Job;
   occurrence: number;
   step: number;
+  /** When its objective ends, in this process's time. */
+  dueAt: number;
+  /** From then on it earns nothing, in this process's time. */
+  expiresAt: number;
   tasks: Task[];
   remaining: number;
   /** Tasks that wait, so that stages with none are passed over. */
@@ -183,6 +213,8 @@
   run: number;
   saved: string;
   percent: number;
+  /** Tail of response times in ms, or thousandths of a core in use. */
+  gauge: number;
 }
 
 /** One row of an endpoint's list of ends. */
@@ -206,6 +238,7 @@
 export enum OrderKind {
   Start = "start",
   Stop = "stop",
+  Pace = "pace",
   AskAdvice = "ask_advice",
 }
 
@@ -221,6 +254,7 @@
     ticketEndsAt: number;
   }
   | { kind: OrderKind.Stop; run: Run }
+  | { kind: OrderKind.Pace; run: Run; percent: number }
   | {
     kind: OrderKind.AskAdvice;
     stage: Stage;
@@ -258,6 +292,15 @@
   Unknown = "unknown",
 }
 
+/** How an endpoint answered an order to change a run's pace. */
+export enum PaceResult {
+  Acknowledged = "acknowledged",
+  Deposed = "deposed",
+  /** The run is not there, or the endpoint takes no orders now. */
+  Refused = "refused",
+  Unknown = "unknown",
+}
+
 /** The answer of the policy service. */
 export interface AdviceAnswer {
   tickets: { endpoint: string; ticket: string }[];
@@ -292,6 +335,8 @@
   EndpointEjected = "endpoint_ejected",
   EndpointReborn = "endpoint_reborn",
   EndpointReplaced = "endpoint_replaced",
+  /** Its filling runs are held back, or let go again. */
+  Throttled = "throttled",
   LeaseLapsed = "lease_lapsed",
   Adopted = "adopted",
 }
--- a/packages/events/catalogue.ts
+++ b/packages/events/catalogue.ts
@@ -35,6 +35,7 @@
   EndpointFeedBroken = 5006,
   EndpointReborn = 5007,
   EndpointLapsed = 5008,
+  EndpointThrottled = 5009,
   RequestRefused = 6001,
   AnswerDropped = 6002,
   AttemptLost = 6003,
@@ -49,6 +50,7 @@
   TaskAdopted = 6205,
   StartRefused = 6206,
   StopUnanswered = 6207,
+  PaceUnanswered = 6208,
   AdviceAnswered = 6301,
   AdviceFailed = 6302,
   ElectionFailed = 7001,
@@ -223,6 +225,11 @@
     message: "endpoint started anew; its former runs are gone",
     remedy: "None; their tasks are started again.",
   },
+  [EventCode.EndpointThrottled]: {
+    severity: Severity.Info,
+    message: "the pace of an endpoint's filling runs was changed",
+    remedy: "None; if it stays low, services there need more room.",
+  },
   [EventCode.EndpointLapsed]: {
     severity: Severity.Warn,
     message: "endpoint out of reach until its leases ended",
@@ -283,6 +290,11 @@
     message: "an order to stop a run had no answer; it is sent again",
     remedy: "Check the endpoint if it repeats.",
   },
+  [EventCode.PaceUnanswered]: {
+    severity: Severity.Warn,
+    message: "a change of a run's pace had no answer; it is sent again",
+    remedy: "Check the endpoint if it repeats.",
+  },
   [EventCode.AdviceAnswered]: {
     severity: Severity.Debug,
     message: "the policy service named the endpoints for a step",
--- a/packages/jobs/demand.ts
+++ b/packages/jobs/demand.ts
@@ -1,10 +1,15 @@
-import type { Demand } from "./types.ts";
+import type { Demand, StepSpec } from "./types.ts";
 
 /** Makes the demand of nothing. */
 export function makeNoDemand(): Demand {
   return { milliCores: 0, memoryMb: 0, accelerators: 0 };
 }
 
+/** Returns what one task of a step takes of an endpoint's capacity. */
+export function getRoomDemand(step: StepSpec): Demand {
+  return step.isFilling ? { ...step.demand, milliCores: 0 } : step.demand;
+}
+
 /** Adds `times` demands to a total, in place; a negative number removes. */
 export function addDemand(
   total: Demand,
--- a/packages/jobs/types.ts
+++ b/packages/jobs/types.ts
@@ -29,6 +29,18 @@
   speculative: boolean;
   /** Tasks run until the job is cancelled and are restarted when they end. */
   longRunning: boolean;
+  /**
+   * Bound on the tail of the response times of tasks that serve users of their
+   * own, in milliseconds; 0: they serve nobody.
+   */
+  targetMs: number;
+  /** Takes no cores of its own: its tasks work with what others leave. */
+  isFilling: boolean;
+  /**
+   * Tasks of a step that lasts that may be away at the same time by orders of
+   * the system; 0: not limited.
+   */
+  maxAway: number;
 }
 
 /** One job as its caller handed it in. */
--- a/packages/scheduler/constants.ts
+++ b/packages/scheduler/constants.ts
@@ -64,6 +64,12 @@
 /** Longest wait of a listing; a stalled or cut endpoint shows after it. */
 export const HOLD_WAIT_MS = 1_000;
 
+/**
+ * Longest wait of a listing where serving and filling runs share an endpoint:
+ * the half second over which it measures them.
+ */
+export const SHARED_WAIT_MS = 500;
+
 /** Bound on a listing beyond its wait, in milliseconds. */
 export const HOLD_TIMEOUT_MS = 500;
 
--- a/packages/scheduler/decision_log.ts
+++ b/packages/scheduler/decision_log.ts
@@ -10,6 +10,7 @@
   [DecisionKind.EndpointEjected]: EventCode.EndpointEjected,
   [DecisionKind.EndpointReborn]: EventCode.EndpointReborn,
   [DecisionKind.EndpointReplaced]: EventCode.EndpointReborn,
+  [DecisionKind.Throttled]: EventCode.EndpointThrottled,
   [DecisionKind.LeaseLapsed]: EventCode.EndpointLapsed,
   [DecisionKind.Adopted]: EventCode.TaskAdopted,
 };
--- a/packages/scheduler/endpoint_session.ts
+++ b/packages/scheduler/endpoint_session.ts
@@ -5,6 +5,7 @@
   HOLD_RETRY_MS,
   HOLD_TIMEOUT_MS,
   HOLD_WAIT_MS,
+  SHARED_WAIT_MS,
 } from "./constants.ts";
 import type { EndpointControl, HoldAnswer, HoldOrder } from "./ports.ts";
 
@@ -67,7 +68,7 @@
       }
       const startedAt = this.#clock.now();
       const isAnswered = await this.#pollOnce(startedAt, {
-        waitMs: HOLD_WAIT_MS,
+        waitMs: this.#endpoint.isShared ? SHARED_WAIT_MS : HOLD_WAIT_MS,
       });
       const elapsed = this.#clock.now() - startedAt;
       const pause = isAnswered ? HOLD_INTERVAL_MS - elapsed : HOLD_RETRY_MS;
--- a/packages/scheduler/job_app.ts
+++ b/packages/scheduler/job_app.ts
@@ -24,6 +24,9 @@
   preferred_rack: z.string().default(""),
   max_per_endpoint: countSchema.default(0),
   long_running: z.boolean().default(false),
+  target_ms: countSchema.default(0),
+  filling: z.boolean().default(false),
+  max_away: countSchema.default(0),
 });
 
 const jobSchema = z.strictObject({
@@ -110,6 +113,9 @@
       maxPerEndpoint: step.max_per_endpoint,
       speculative: false,
       longRunning: step.long_running,
+      targetMs: step.target_ms,
+      isFilling: step.filling,
+      maxAway: step.max_away,
     })),
   };
 }
--- a/packages/scheduler/order_sender.ts
+++ b/packages/scheduler/order_sender.ts
@@ -5,6 +5,7 @@
   noteLeaseSent,
   type Order,
   OrderKind,
+  PaceResult,
   type Run,
   type Stage,
   type StartOrder,
@@ -17,6 +18,7 @@
 import { ORDER_TIMEOUT_MS, SILENCE_MS, SILENT_PAUSE_MS } from "./constants.ts";
 import type { EndpointControl, EndpointTarget } from "./ports.ts";
 
+type PaceDetails = Extract<Order, { kind: OrderKind.Pace }>;
 type AdviceDetails = Extract<Order, { kind: OrderKind.AskAdvice }>;
 
 /** What a sender works with. */
@@ -48,6 +50,7 @@
     match(order)
       .with({ kind: OrderKind.Start }, (start) => void this.#start(start))
       .with({ kind: OrderKind.Stop }, ({ run }) => void this.#stop(run))
+      .with({ kind: OrderKind.Pace }, (pace) => void this.#setPace(pace))
       .with({ kind: OrderKind.AskAdvice }, (ask) => void this.#ask(ask))
       .exhaustive();
   }
@@ -125,6 +128,33 @@
     this.#parts.onAnswered();
   }
 
+  async #setPace({ run, percent }: PaceDetails): Promise<void> {
+    const { cell, control, clock, fence, log } = this.#parts;
+    const { result, detail } = this.#parts.mayOrder(clock.now())
+      ? await control.setPace(makeTarget(run), {
+        task: run.task,
+        run: run.number,
+        percent,
+        fence,
+      }, { timeoutMs: ORDER_TIMEOUT_MS })
+      : { result: PaceResult.Unknown, detail: "this owner may not order now" };
+    if (result !== PaceResult.Acknowledged) {
+      log.record(EventCode.PaceUnanswered, {
+        subject: run.task,
+        run: run.number,
+        endpoint: run.endpoint.info.id,
+        percent,
+        reason: result,
+        detail,
+      });
+    }
+    if (result === PaceResult.Deposed) {
+      const { id } = run.endpoint.info;
+      return this.#parts.onDeposed(`${id} serves a newer owner`);
+    }
+    cell.applyPaceAnswer(run, { result, percent });
+  }
+
   async #ask(order: AdviceDetails): Promise<void> {
     const { cell, clock, log, pool } = this.#parts;
     const { stage, endpoints } = order;
--- a/packages/scheduler/ports.ts
+++ b/packages/scheduler/ports.ts
@@ -2,6 +2,7 @@
   AdviceAnswer,
   EndpointInfo,
   EndpointListing,
+  PaceResult,
   StartResult,
   StopResult,
 } from "../cell/mod.ts";
@@ -64,6 +65,12 @@
   detail: string;
 }
 
+/** How an endpoint answered a change of pace, and what it or the way said. */
+export interface PaceAnswer {
+  result: PaceResult;
+  detail: string;
+}
+
 /** Orders to endpoints. */
 export abstract class EndpointControl {
   /** Orders a start; never throws. */
@@ -80,6 +87,13 @@
     options: { timeoutMs: number },
   ): Promise<StopAnswer>;
 
+  /** Sets the share of its work that a run may do, in percent; never throws. */
+  abstract setPace(
+    target: EndpointTarget,
+    order: { task: string; run: number; percent: number; fence: number },
+    options: { timeoutMs: number },
+  ): Promise<PaceAnswer>;
+
   /**
    * Asks for the lists of runs and ends, and prolongs leases.
    *
--- a/tests/cell/cell_site.ts
+++ b/tests/cell/cell_site.ts
@@ -7,6 +7,7 @@
   noteLeaseSent,
   type Order,
   OrderKind,
+  PaceResult,
   type Present,
   StartResult,
   StopResult,
@@ -58,6 +59,9 @@
     maxPerEndpoint: 0,
     speculative: false,
     longRunning: false,
+    targetMs: 0,
+    isFilling: false,
+    maxAway: 0,
     ...step,
   };
 }
@@ -117,7 +121,7 @@
       labels: [],
       rack: "",
     });
-  readonly calls = { starts: 0, stops: 0, holds: 0, advice: 0 };
+  readonly calls = { starts: 0, stops: 0, holds: 0, paces: 0, advice: 0 };
   #commits: { at: number; owner: Cell; output: CellOutput }[] = [];
   #later: { at: number; run: () => void }[] = [];
   #heldAt = new Map<Endpoint, number>();
@@ -275,6 +279,15 @@
     const { run } = order;
     const fake = this.endpoints.get(run.endpoint.info.id);
     const fence = this.fence;
+    if (order.kind === OrderKind.Pace) {
+      this.calls.paces++;
+      const { percent } = order;
+      const result = fake && !fake.isCut
+        ? fake.setPace({ task: run.task, run: run.number, percent, fence })
+        : PaceResult.Unknown;
+      owner.applyPaceAnswer(run, { result, percent });
+      return;
+    }
     if (order.kind === OrderKind.Stop) {
       this.calls.stops++;
       const result = fake && !fake.isCut
@@ -297,6 +310,7 @@
         endpoint: run.endpoint.info.id,
         endsAt: 0,
         how: EndKind.Done,
+        pace: 100,
       };
       const { afterMs, how } = this.endRule(fakeRun, this.random);
       fakeRun.endsAt = this.now + afterMs;
--- a/tests/cell/fake_endpoint.ts
+++ b/tests/cell/fake_endpoint.ts
@@ -1,6 +1,7 @@
 import {
   type EndpointListing,
   type ListedEnd,
+  PaceResult,
   StartResult,
   StopResult,
 } from "../../packages/cell/mod.ts";
@@ -14,6 +15,8 @@
   endsAt: number;
   how: EndKind;
   demand: Demand;
+  /** Share of its work that it may do, in percent. */
+  pace: number;
 }
 
 /** An endpoint in memory: fences, lifetimes, leases, lists of ends. */
@@ -30,6 +33,10 @@
   isCut = false;
   /** Its tasks show no progress. */
   isStalled = false;
+  /** Percent of a run; by default it grows. */
+  percentOf: (run: FakeRun) => number = () => Math.round(this.#now / 10) % 100;
+  /** Figure of a run's last half second. */
+  gaugeOf: (run: FakeRun) => number = () => 0;
   /** Checkpoint that its tasks leave at their end. */
   saved = "";
   /** Called with each end, when it happens. */
@@ -40,6 +47,7 @@
    */
   onForget: (task: string) => void = () => {};
   #lastNumber = 0;
+  #now = 0;
 
   constructor(options: { id: string; bornAt: number; capacity: Demand }) {
     this.id = options.id;
@@ -83,6 +91,16 @@
     return StopResult.Acknowledged;
   }
 
+  setPace(
+    order: { task: string; run: number; percent: number; fence: number },
+  ): PaceResult {
+    if (order.fence < this.fence) return PaceResult.Deposed;
+    const run = this.runs.get(order.task);
+    if (run?.run !== order.run) return PaceResult.Refused;
+    run.pace = order.percent;
+    return PaceResult.Acknowledged;
+  }
+
   hold(
     order: { fence: number; notedEnd: number; leaseUntil?: number },
     now: number,
@@ -99,7 +117,8 @@
         task: run.task,
         run: run.run,
         saved: "",
-        percent: this.isStalled ? 1 : Math.round(now / 10) % 100,
+        percent: this.isStalled ? 1 : this.percentOf(run),
+        gauge: this.gaugeOf(run),
       })),
       ended: [...this.ends],
     };
@@ -107,6 +126,7 @@
 
   /** Ends what is due or has no lease any more. */
   advance(now: number): void {
+    this.#now = now;
     if (this.leaseEndsAt > 0 && this.bornAt + this.leaseEndsAt <= now) {
       for (const { task } of this.ends) this.onForget(task);
     }
--- a/tests/e2e/job_path_test.ts
+++ b/tests/e2e/job_path_test.ts
@@ -74,6 +74,41 @@
   for (const worker of site.workers) worker.taskMs = 100;
 });
 
+test.serial("filling work beside a strained service is held back", async (t) => {
+  for (const worker of site.workers) {
+    worker.taskMs = 20_000;
+    worker.describeRun = (task) =>
+      task.includes("a5.") ? [100, 150] : [10, 900];
+  }
+  const step = { count: 3, cpu: 500, mem_mb: 50, anti_affinity: 1 };
+  const desk = "/filings/00000000000000a5";
+  const fill = "/filings/00000000000000a6";
+  const service = { ...step, long_running: true, target_ms: 100, may_miss: 1 };
+  const batch = { ...step, fills: true };
+  for (const [path, each] of [[desk, service], [fill, batch]] as const) {
+    const body = { task_spec: "calves", steps: [each] };
+    const answer = await site.send(0, path, { method: "POST", body });
+    t.is(answer.status, 200);
+  }
+  const listPaces = (name: string) =>
+    site.workers.flatMap(({ runs }) =>
+      [...runs].flatMap(([task, { pace }]) => task.includes(name) ? [pace] : [])
+    );
+  await site.waitFor(() => {
+    const paces = listPaces("a6.");
+    return paces.length === 3 && paces.every((pace) => pace < 100);
+  });
+  t.deepEqual(listPaces("a5."), [100, 100, 100]);
+  for (const path of [desk, fill]) {
+    await site.send(1, path, { method: "DELETE" });
+  }
+  await site.waitFor(() => site.workers.every(({ runs }) => runs.size === 0));
+  for (const worker of site.workers) {
+    worker.taskMs = 100;
+    worker.describeRun = () => [0, 0];
+  }
+});
+
 test.serial("bad requests get a clear answer at once", async (t) => {
   const body = { steps: [{ count: -1 }] };
   const bad = await site.send(0, "/filings/00000000000000b1", {
--- a/tests/standins/job_platform.ts
+++ b/tests/standins/job_platform.ts
@@ -189,6 +189,7 @@
   last_seen?: number;
   wait_ms?: number;
   ticket?: string;
+  percent?: number;
 }
 
 type EndedRow = [number, string, number, string, string];
@@ -197,7 +198,10 @@
 export class WorkerStandIn {
   readonly id: string;
   readonly born = Date.now();
-  readonly runs = new Map<string, { run: number; endsAt: number }>();
+  readonly runs = new Map<
+    string,
+    { run: number; endsAt: number; pace: number }
+  >();
   readonly starts: string[] = [];
   #ended: EndedRow[] = [];
   #lastEnd = 0;
@@ -205,6 +209,9 @@
   #server: Server | undefined;
   /** How long each task runs, in milliseconds. */
   taskMs = 100;
+  /** Percent and last figure of a task, as listed. */
+  describeRun: (task: string) => [percent: number, gauge: number] =
+    () => [0, 0];
   /** Starts without a ticket are refused. */
   needsTicket = false;
 
@@ -223,6 +230,7 @@
       this.#fence = body.fence ?? 0;
       if (request.url?.endsWith("run-start")) this.#startRun(body);
       if (request.url?.endsWith("run-stop")) this.#end(body.task, "stopped");
+      if (request.url?.endsWith("pace")) this.#setPace(body);
       if (!request.url?.endsWith("hold")) {
         return sendJson(response, { clock_ms });
       }
@@ -248,7 +256,12 @@
     if (this.runs.get(body.task)?.run === body.run) return;
     this.starts.push(body.task);
     const endsAt = Date.now() + this.taskMs;
-    this.runs.set(body.task, { run: body.run, endsAt });
+    this.runs.set(body.task, { run: body.run, endsAt, pace: 100 });
+  }
+
+  #setPace(body: OrderBody): void {
+    const run = this.runs.get(body.task);
+    if (run?.run === body.run) run.pace = body.percent ?? 100;
   }
 
   async #waitForEnd(body: OrderBody): Promise<void> {
@@ -276,7 +289,12 @@
     return {
       born: this.born,
       clock_ms: Date.now() - this.born,
-      running: [...this.runs].map(([task, { run }]) => [task, run, "", 0]),
+      running: [...this.runs].map(([task, { run }]) => [
+        task,
+        run,
+        "",
+        ...this.describeRun(task),
+      ]),
       ended: this.#ended,
     };
   }
--- a/tests/virtual/owner_site.ts
+++ b/tests/virtual/owner_site.ts
@@ -2,6 +2,7 @@
 import {
   type AdviceAnswer,
   type EndpointInfo,
+  PaceResult,
   StartResult,
   StopResult,
 } from "../../packages/cell/mod.ts";
@@ -19,6 +20,7 @@
   HoldResult,
   OwnerRole,
   type Ownership,
+  type PaceAnswer,
   type SiteConfig,
   SiteRecords,
   type StartAnswer,
@@ -90,6 +92,7 @@
       demand: this.#site.getDemand(order.task),
       endsAt: 0,
       how: EndKind.Done,
+      pace: 100,
     };
     const result = await this.#send(target, options, (fake, now) => {
       if (fake.bornAt !== target.bornAt) return StartResult.OtherLifetime;
@@ -116,6 +119,19 @@
     return { result, detail: "" };
   }
 
+  override async setPace(
+    target: EndpointTarget,
+    order: { task: string; run: number; percent: number; fence: number },
+    options: { timeoutMs: number },
+  ): Promise<PaceAnswer> {
+    const result = await this.#send(
+      target,
+      options,
+      (fake) => fake.setPace(order),
+    ).catch(() => PaceResult.Unknown);
+    return { result, detail: "" };
+  }
+
   override async poll(
     target: EndpointTarget,
     order: HoldOrder,
--- a/tests/virtual/session_test.ts
+++ b/tests/virtual/session_test.ts
@@ -3,6 +3,7 @@
 import {
   type Endpoint,
   makeEndpoint,
+  PaceResult,
   RunPhase,
   StartResult,
   StopResult,
@@ -13,6 +14,7 @@
   type HoldAnswer,
   type HoldOrder,
   HoldResult,
+  type PaceAnswer,
   SessionHost,
   type StartAnswer,
   type StopAnswer,
@@ -40,6 +42,10 @@
     return Promise.resolve({ result: StopResult.Acknowledged, detail: "" });
   }
 
+  override setPace(): Promise<PaceAnswer> {
+    return Promise.resolve({ result: PaceResult.Acknowledged, detail: "" });
+  }
+
   override async poll(_target: unknown, order: HoldOrder): Promise<HoldAnswer> {
     this.holds.push(order);
     await this.#clock.sleep(this.isReachable ? order.waitMs : 600);
@@ -103,6 +109,7 @@
       number: 1,
       endpoint,
       demand,
+      charge: demand,
       organisation: "",
       phase: RunPhase.Running,
       settledAt: 0,
@@ -111,6 +118,9 @@
       isStopUnderWay: false,
       percent: 0,
       progressAt: 0,
+      pace: 100,
+      isPaceUnderWay: false,
+      gauge: 0,
     });
     session.checkNow();
   };
