Carry out waves of upkeep of the endpoints' VMs

Cause: operators ask for waves of upkeep, and nothing read them. Ruled out: draining through the endpoints' own records (the system may not write there); ordering without a record (a new owner could not tell which VMs are down and would exceed the wave's limit). Change: packages/upkeep decides (pure), the owner carries out: an endpoint is closed, emptied, its upkeep recorded and ordered; tasks of a step that lasts are taken away only as far as the step allows. platform/ lists VMs and orders. Settings: [vms] address, take_over_pause_ms.

--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -23,9 +23,10 @@
   finishJob,
   restoreCell,
 } from "./snapshot.ts";
-import { buildJob, openStages } from "./stages.ts";
+import { canBeAway } from "./sharing.ts";
+import { buildJob, findTask, openStages } from "./stages.ts";
 import { type CellOutput, type CellState, makeOutput } from "./state.ts";
-import { sendStop } from "./stops.ts";
+import { sendStop, stopRun } from "./stops.ts";
 import {
   Admission,
   type AdmissionOutcome,
@@ -258,6 +259,32 @@
     noteReplacement(this.state, endpoint, present);
   }
 
+  /** Gives these endpoints no new work, for they go down; others get it again. */
+  setClosing(ids: ReadonlySet<string>): void {
+    for (const endpoint of this.state.endpoints.values()) {
+      endpoint.isClosing = ids.has(endpoint.info.id);
+    }
+  }
+
+  /** Tells whether an endpoint certainly runs nothing. */
+  isEndpointEmpty(id: string): boolean {
+    const { endpoints, unlocated } = this.state;
+    for (const { task } of unlocated.values()) {
+      if (task.placedOn === id) return false;
+    }
+    return (endpoints.get(id)?.runs.size ?? 0) === 0;
+  }
+
+  /** Stops what runs on an endpoint, as far as it may be away. */
+  stopRunsOn(id: string, present: Present): void {
+    const endpoint = this.state.endpoints.get(id);
+    for (const run of [...endpoint?.runs.values() ?? []]) {
+      const place = findTask(this.state, run.task);
+      if (place && !canBeAway(place.stage, place.task)) continue;
+      stopRun(this.state, run, present);
+    }
+  }
+
   /** Applies the policy's answer for a stage. */
   applyAdvice(
     stage: Stage,
--- a/packages/events/catalogue.ts
+++ b/packages/events/catalogue.ts
@@ -53,6 +53,11 @@
   PaceUnanswered = 6208,
   AdviceAnswered = 6301,
   AdviceFailed = 6302,
+  WaveBegan = 6401,
+  WaveCompleted = 6402,
+  WaveRejected = 6403,
+  UpkeepOrdered = 6404,
+  UpkeepDelayed = 6405,
   ElectionFailed = 7001,
   OwnershipBegan = 7002,
   OwnershipEnded = 7003,
@@ -305,6 +310,31 @@
     message: "the policy service gave no answer; it is asked again",
     remedy: "Check the policy service if it repeats.",
   },
+  [EventCode.WaveBegan]: {
+    severity: Severity.Info,
+    message: "took up a wave of upkeep",
+    remedy: "None.",
+  },
+  [EventCode.WaveCompleted]: {
+    severity: Severity.Info,
+    message: "every VM of a wave has begun its upkeep",
+    remedy: "None.",
+  },
+  [EventCode.WaveRejected]: {
+    severity: Severity.Warn,
+    message: "a request for a wave of upkeep can't be read",
+    remedy: "Write it again; `subject` names its key.",
+  },
+  [EventCode.UpkeepOrdered]: {
+    severity: Severity.Info,
+    message: "ordered the upkeep of a VM",
+    remedy: "None; without an answer it is ordered again.",
+  },
+  [EventCode.UpkeepDelayed]: {
+    severity: Severity.Warn,
+    message: "a wave of upkeep waits for the store or the list of VMs",
+    remedy: "Check the store and the platform's service for VMs.",
+  },
   [EventCode.ElectionFailed]: {
     severity: Severity.Warn,
     message: "a step of the election had no answer; it is tried again",
--- a/packages/scheduler/constants.ts
+++ b/packages/scheduler/constants.ts
@@ -91,6 +91,21 @@
 /** Time between plans when nothing happens, in milliseconds. */
 export const TICK_MS = 100;
 
+/** Prefix of what lasts of waves of upkeep: VMs that may have begun. */
+export const UPKEEP_PREFIX = "baobabhead/upkeep/";
+
+/** Longest wait of the watch of waves; they come a few times a day. */
+export const WAVE_WATCH_MS = 10_000;
+
+/** Time between two plans of a wave, in milliseconds. */
+export const UPKEEP_TICK_MS = 200;
+
+/** Time between two lists of VMs while a wave runs, in milliseconds. */
+export const VM_LIST_MS = 1_000;
+
+/** Bound on a call to the service for VMs, which is at times slow, in ms. */
+export const VM_CALL_TIMEOUT_MS = 1_500;
+
 /** Bound on a call for advice beyond its predicted time, in milliseconds. */
 export const ADVICE_SLACK_MS = 1_500;
 
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -37,6 +37,7 @@
 import {
   type AdviceService,
   type EndpointControl,
+  type EndpointVms,
   type HoldAnswer,
   HoldResult,
   type SiteRecords,
@@ -44,6 +45,7 @@
 import { SessionPool } from "./session_pool.ts";
 import { SuspensionGuard } from "./suspension_guard.ts";
 import type { SiteConfig } from "./types.ts";
+import { UpkeepRole } from "./upkeep_role.ts";
 
 /** What an owner needs from its entry. */
 export interface OwnerParts {
@@ -51,6 +53,9 @@
   records: SiteRecords;
   control: EndpointControl;
   advice: AdviceService;
+  vms?: EndpointVms;
+  /** A new owner gives VMs no orders for this long, in milliseconds. */
+  takeOverPauseMs: number;
   clock: Clock;
   log: EventLog;
   metrics: Metrics;
@@ -77,6 +82,7 @@
   readonly #sessions: SessionPool;
   readonly #feed: EndpointFeed;
   readonly #sender: OrderSender;
+  readonly #upkeep: UpkeepRole | undefined;
   readonly #suspension = new SuspensionGuard();
   #journal: Journal | undefined;
   #isStopped = false;
@@ -110,6 +116,18 @@
       fence: ownership.revision,
       leaseMs: parts.leaseMs,
     });
+    this.#upkeep = parts.vms && new UpkeepRole({
+      ownership,
+      cell: this.cell,
+      store,
+      records,
+      vms: parts.vms,
+      clock,
+      log,
+      takeOverPauseMs: parts.takeOverPauseMs,
+      onChanged: () => this.schedulePlan(),
+      onDeposed: (reason) => this.endOwnership(reason),
+    });
     this.#sender = new OrderSender({
       cell: this.cell,
       control: parts.control,
@@ -125,6 +143,11 @@
     });
   }
 
+  /** Describes the waves of upkeep, for a dump. */
+  describeUpkeep(): unknown {
+    return this.#upkeep?.describe();
+  }
+
   /** True once the jobs are restored. */
   get isReady(): boolean {
     return this.#journal !== undefined && !this.#isStopped;
@@ -166,6 +189,7 @@
     if (this.#isStopped) return;
     this.updateConfig(this.#parts.getConfig());
     void this.#feed.run();
+    void this.#upkeep?.run();
     this.#scheduleTick();
     this.schedulePlan();
   }
@@ -180,6 +204,7 @@
     this.#isStopped = true;
     this.#cancelTick();
     this.#feed.stop();
+    this.#upkeep?.stop();
     this.#journal?.close();
     this.#sessions.stop();
   }
--- a/packages/scheduler/ports.ts
+++ b/packages/scheduler/ports.ts
@@ -6,6 +6,7 @@
   StartResult,
   StopResult,
 } from "../cell/mod.ts";
+import type { EndpointVm, UpkeepResult, WaveRequest } from "../upkeep/mod.ts";
 import type { SiteConfig } from "./types.ts";
 
 /** One lifetime of an endpoint and its address. */
@@ -128,6 +129,47 @@
   abstract close(): Promise<void>;
 }
 
+/** An order to a VM to begin its upkeep. */
+export interface UpkeepOrder {
+  vm: string;
+  /** Number of the wave that it belongs to. */
+  wave: number;
+  /** Name of the entry that gives the order. */
+  holder: string;
+  fence: number;
+}
+
+/** How the platform answered such an order, and what it or the way said. */
+export interface UpkeepAnswer {
+  result: UpkeepResult;
+  detail: string;
+}
+
+/** How far a wave of upkeep is, as operators are told. */
+export interface WaveReport {
+  number: number;
+  isCompleted: boolean;
+}
+
+/** The platform's service for the VMs of endpoints. */
+export abstract class EndpointVms {
+  /**
+   * Lists all VMs.
+   *
+   * @throws {NotSentError | UnknownEffectError} when no whole answer came
+   */
+  abstract list(options: { timeoutMs: number }): Promise<EndpointVm[]>;
+
+  /** Orders a VM to begin its upkeep, now or earlier; never throws. */
+  abstract beginUpkeep(
+    order: UpkeepOrder,
+    options: { timeoutMs: number },
+  ): Promise<UpkeepAnswer>;
+
+  /** Frees the connections. */
+  abstract close(): Promise<void>;
+}
+
 /** What operators and endpoints keep in the store, and how it is read. */
 export abstract class SiteRecords {
   /** Key of the operators' configuration. */
@@ -143,6 +185,21 @@
    */
   abstract decodeConfig(text: string): SiteConfig;
 
+  /** Prefix of the operators' requests for waves of upkeep. */
+  abstract readonly wavePrefix: string;
+
+  /** Prefix of the reports on waves. */
+  abstract readonly waveStatusPrefix: string;
+
+  /** Reads a request for a wave; nothing when it is none. */
+  abstract decodeWave(key: string, text: string): WaveRequest | undefined;
+
+  /** Writes the report on a wave. */
+  abstract encodeWaveStatus(report: WaveReport): { key: string; value: string };
+
+  /** Reads the report on a wave; nothing when it is none. */
+  abstract decodeWaveStatus(key: string, text: string): WaveReport | undefined;
+
   /** Reads an endpoint's record; nothing when it names no endpoint to use. */
   abstract decodeEndpoint(key: string, text: string): EndpointInfo | undefined;
 }
--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -11,7 +11,12 @@
 import { Election, type ElectionHost, type Ownership } from "./election.ts";
 import { OwnerGateway } from "./owner_gateway.ts";
 import { OwnerRole } from "./owner_role.ts";
-import type { AdviceService, EndpointControl, SiteRecords } from "./ports.ts";
+import type {
+  AdviceService,
+  EndpointControl,
+  EndpointVms,
+  SiteRecords,
+} from "./ports.ts";
 import type { OwnerRecord } from "./types.ts";
 
 /** Everything that an entry is built from. */
@@ -21,6 +26,7 @@
   records: SiteRecords;
   control: EndpointControl;
   advice: AdviceService;
+  vms?: EndpointVms;
   clock: Clock;
   random: Random;
   log: EventLog;
@@ -146,6 +152,7 @@
       ...parts,
       leaseMs: Math.min(TASK_LEASE_MS, settings.bounds.task_lease_ms),
       retentionMs: settings.bounds.ended_jobs_ms,
+      takeOverPauseMs: settings.vms.take_over_pause_ms,
       listLinks: () => this.#links.listNamed(),
       listSilent: () => this.#links.listSilent(),
       onIsolated: (reason) => void this.#election.stepAside(reason),
@@ -177,6 +184,7 @@
       configAgeMs: Math.round(this.config.measureAge(now)),
       links: this.#links.listNamed().map((link) => link.peer),
       advice: this.#role?.advice.describe(),
+      upkeep: this.#role?.describeUpkeep(),
       cell: cell && {
         term: cell.term,
         jobs: cell.jobs.size,
--- a/packages/scheduler/wiring.ts
+++ b/packages/scheduler/wiring.ts
@@ -3,7 +3,12 @@
 import { Metrics } from "../metrics/mod.ts";
 import type { SchedulerSettings } from "../settings/mod.ts";
 import { type KeyValueStore, MeteredStore } from "../storage/mod.ts";
-import type { AdviceService, EndpointControl, SiteRecords } from "./ports.ts";
+import type {
+  AdviceService,
+  EndpointControl,
+  EndpointVms,
+  SiteRecords,
+} from "./ports.ts";
 import { SchedulerNode } from "./scheduler_node.ts";
 
 /** The adapters of one platform. */
@@ -12,6 +17,8 @@
   records: SiteRecords;
   control: EndpointControl;
   advice: AdviceService;
+  /** None: the platform lets nobody order upkeeps. */
+  vms?: EndpointVms;
 }
 
 /** Builds an entry from its settings and a platform's adapters. */
--- a/packages/settings/scheduler_settings.ts
+++ b/packages/settings/scheduler_settings.ts
@@ -19,6 +19,10 @@
   }),
   store: z.strictObject({ address: addressSchema }),
   policy: z.strictObject({ address: addressSchema.optional() }).prefault({}),
+  vms: z.strictObject({
+    address: addressSchema.optional(),
+    take_over_pause_ms: makeIntegerSchema(0, 600_000).default(3_000),
+  }).prefault({}),
   bounds: z.strictObject({
     task_lease_ms: makeIntegerSchema(1_000, 600_000),
     key_revocation_ms: makeIntegerSchema(1_000, 600_000),
--- /dev/null
+++ b/packages/upkeep/mod.ts
@@ -0,0 +1,3 @@
+/** Waves of upkeep of the endpoints' VMs: pure decisions. */
+export * from "./plan.ts";
+export * from "./types.ts";
--- /dev/null
+++ b/packages/upkeep/plan_test.ts
@@ -0,0 +1,168 @@
+import test from "ava";
+import { SeededRandom } from "../base/mod.ts";
+import {
+  applyUpkeepAnswer,
+  collectBegun,
+  computePatience,
+  type EndpointVm,
+  makeWave,
+  noteRecorded,
+  planWave,
+  UpkeepPhase,
+  UpkeepResult,
+  type Wave,
+  type WavePlan,
+} from "./mod.ts";
+
+const UPKEEP_MS = 2_000;
+
+/** The platform as a wave meets it: VMs, their endpoints, lost answers. */
+class FakeVms {
+  now = 0;
+  readonly vms = new Map<string, EndpointVm>();
+  readonly backAt = new Map<string, number>();
+  readonly begun = new Set<string>();
+  readonly runs = new Set<string>();
+  readonly late: { at: number; vm: string }[] = [];
+  maxDown = 0;
+  lostPart = 0;
+  readonly random: SeededRandom;
+
+  constructor(count: number, seed = 1) {
+    this.random = new SeededRandom(seed);
+    for (let n = 0; n < count; n++) {
+      const name = `m${n}`;
+      this.vms.set(name, { name, isUp: true, endpoint: `e${n}` });
+    }
+  }
+
+  /** One step of 200 ms: the wave is planned, its orders are carried out. */
+  step(wave: Wave): WavePlan {
+    this.now += 200;
+    for (const { at, vm } of this.late.filter(({ at }) => at === this.now)) {
+      if (at === this.now) this.#begin(vm);
+    }
+    for (const [vm, at] of this.backAt) {
+      if (at > this.now) continue;
+      this.backAt.delete(vm);
+      const { endpoint } = this.vms.get(vm)!;
+      this.vms.set(vm, { name: vm, isUp: true, endpoint: `${endpoint}'` });
+    }
+    const plan = planWave(wave, {
+      now: this.now,
+      vms: this.vms,
+      listedAt: this.now,
+      busy: new Set(),
+      isEmpty: (endpoint) => !this.runs.has(endpoint),
+    });
+    for (const endpoint of plan.stop) this.runs.delete(endpoint);
+    noteRecorded(plan.record, this.now);
+    for (const upkeep of plan.order) {
+      const isLost = this.random.drawFloat() < this.lostPart;
+      const isLate = isLost && this.random.drawFloat() < 0.5;
+      if (isLate) this.late.push({ at: this.now + 4_000, vm: upkeep.vm });
+      else this.#begin(upkeep.vm);
+      const result = isLost ? UpkeepResult.Unknown : UpkeepResult.Begun;
+      applyUpkeepAnswer(upkeep, { result, now: this.now });
+    }
+    return plan;
+  }
+
+  /** Begins an upkeep once; it is repeated without effect. */
+  #begin(vm: string): void {
+    if (this.begun.has(vm)) return;
+    this.begun.add(vm);
+    this.vms.set(vm, { ...this.vms.get(vm)!, isUp: false });
+    this.backAt.set(vm, this.now + UPKEEP_MS);
+    this.maxDown = Math.max(this.maxDown, this.backAt.size);
+  }
+}
+
+function makeTestWave(
+  vms: number,
+  options: { maxDown?: number; durationMs?: number } = {},
+): Wave {
+  const names = Array.from({ length: vms }, (_, n) => `m${n}`);
+  const request = {
+    number: 1,
+    vms: names,
+    durationMs: options.durationMs ?? 30_000,
+    maxDown: options.maxDown ?? 2,
+  };
+  return makeWave(request, { begun: {}, now: 0 });
+}
+
+function runWave(fake: FakeVms, wave: Wave): number {
+  while (!fake.step(wave).isCompleted) {
+    if (fake.now > 300_000) throw new Error("Cannot complete the wave");
+  }
+  return fake.now;
+}
+
+test("every VM has its upkeep in time, and few are down at once", (t) => {
+  const fake = new FakeVms(6);
+  const wave = makeTestWave(6);
+  t.true(runWave(fake, wave) <= 30_000);
+  t.is(fake.begun.size, 6);
+  t.is(fake.maxDown, 2);
+});
+
+test("lost and late answers let no more VMs be down than allowed", (t) => {
+  for (let seed = 1; seed <= 200; seed++) {
+    const fake = new FakeVms(7, seed);
+    fake.lostPart = 0.5;
+    const wave = makeTestWave(7, { maxDown: 2 });
+    runWave(fake, wave);
+    t.is(fake.begun.size, 7, `seed ${seed}`);
+    t.true(fake.maxDown <= 2, `seed ${seed}: ${fake.maxDown} were down`);
+  }
+});
+
+test("an endpoint gets time to end its work, and is stopped in time", (t) => {
+  const fake = new FakeVms(2);
+  fake.runs.add("e0");
+  fake.runs.add("e1");
+  const wave = makeTestWave(2, { maxDown: 1, durationMs: 15_000 });
+  const patienceMs = computePatience(wave.request);
+  t.true(patienceMs >= 2_000);
+  t.deepEqual(fake.step(wave).close, ["e0"]);
+  while (fake.now < patienceMs) t.is(fake.step(wave).order.length, 0);
+  t.true(runWave(fake, wave) <= 15_000);
+});
+
+test("a new owner orders again what may have begun, before all else", (t) => {
+  const fake = new FakeVms(4);
+  const wave = makeTestWave(4, { maxDown: 1 });
+  while (fake.begun.size < 2) fake.step(wave);
+  const next = makeWave(wave.request, {
+    begun: collectBegun(wave),
+    now: fake.now,
+  });
+  const first = fake.step(next);
+  t.true(first.order.some(({ vm }) => vm === "m1"));
+  runWave(fake, next);
+  t.is(fake.begun.size, 4);
+  t.is(fake.maxDown, 1);
+});
+
+test("VMs that have left or belong to no wave hold nothing up", (t) => {
+  const fake = new FakeVms(3);
+  const wave = makeTestWave(5);
+  fake.step(wave);
+  runWave(fake, wave);
+  t.is(wave.upkeeps.get("m4")!.phase, UpkeepPhase.Done);
+  t.is(fake.begun.size, 3);
+});
+
+test("a VM that another wave has under way is left alone", (t) => {
+  const wave = makeTestWave(1);
+  const fake = new FakeVms(1);
+  const view = {
+    now: 1,
+    vms: fake.vms,
+    listedAt: 1,
+    isEmpty: () => true,
+  };
+  t.deepEqual(planWave(wave, { ...view, busy: new Set(["m0"]) }).close, []);
+  t.deepEqual(planWave(wave, { ...view, busy: new Set() }).close, ["e0"]);
+});
--- a/tests/cell/sharing_test.ts
+++ b/tests/cell/sharing_test.ts
@@ -118,6 +118,39 @@
   t.is(listFilling(fake)[0].pace, 100);
 });
 
+test("only so many tasks of a lasting step are taken away at once", (t) => {
+  const site = makeSite(4);
+  const step = makeServing({ tasks: 3, maxAway: 1, maxPerEndpoint: 1 });
+  site.submit(makeJob("desk", [step]));
+  site.advance(1_000);
+  const used = [...site.endpoints.values()].filter(({ runs }) => runs.size > 0);
+  t.is(used.length, 3);
+  site.cell.setClosing(new Set([used[0].id]));
+  for (const { id } of used) site.cell.stopRunsOn(id, site.present);
+  site.advance(100);
+  t.is(site.calls.stops, 1, "the others are at work");
+  site.advance(2_000);
+  const [first, second] = used;
+  t.is(first.runs.size, 0, "its task went to the free endpoint");
+  site.cell.stopRunsOn(second.id, site.present);
+  site.advance(100);
+  t.is(site.calls.stops, 2, "all are at work again");
+});
+
+test("a closed endpoint gets no work until it is open again", (t) => {
+  const site = makeSite(2);
+  site.advance(200);
+  site.cell.setClosing(new Set(["e0"]));
+  site.submit(makeJob("plain", [makeStep({ tasks: 10 })]));
+  site.advance(1_000);
+  t.is(site.endpoints.get("e0")?.runs.size, 0);
+  t.true(site.cell.isEndpointEmpty("e0"));
+  t.false(site.cell.isEndpointEmpty("e1"));
+  site.cell.setClosing(new Set());
+  site.advance(1_000);
+  t.is(site.endpoints.get("e0")?.runs.size, 2);
+});
+
 test("a task that comes again is due anew each time", (t) => {
   const site = new CellSite({ endpoints: 1, afterMs: 400 });
   const all = { milliCores: 8_000, memoryMb: 100, accelerators: 0 };
--- a/tests/harness/job_site.ts
+++ b/tests/harness/job_site.ts
@@ -13,9 +13,11 @@
 import { PlatformEndpoints } from "../../platform/endpoint_control.ts";
 import { PlatformStore } from "../../platform/key_value_store.ts";
 import { PlatformRecords } from "../../platform/site_records.ts";
+import { PlatformVms } from "../../platform/vm_service.ts";
 import {
   PolicyStandIn,
   StoreStandIn,
+  VmStandIn,
   WorkerStandIn,
 } from "../standins/job_platform.ts";
 import { sleep } from "../standins/http_server.ts";
@@ -26,6 +28,7 @@
 const OPERATIONS_PORT = 7_104;
 const STORE_PORT = 7_110;
 const POLICY_PORT = 7_111;
+const VM_PORT = 7_112;
 const WORKER_PORT = 7_120;
 
 /** Key of the one organisation of the site. */
@@ -41,6 +44,7 @@
 export class JobSite {
   readonly store = new StoreStandIn();
   readonly policy = new PolicyStandIn(["w0", "w1"]);
+  readonly vms = new VmStandIn();
   readonly workers: WorkerStandIn[] = [];
   readonly entries: RunningEntry[] = [];
   readonly #network: string;
@@ -55,6 +59,7 @@
     const host = `${this.#network}.100`;
     await this.store.start({ host, port: STORE_PORT });
     await this.policy.start({ host, port: POLICY_PORT });
+    await this.vms.start({ host, port: VM_PORT });
     for (let n = 0; n < options.workers; n++) await this.#addWorker(n);
     this.applyConfig([KEY]);
     for (let n = 0; n < options.entries; n++) await this.#addEntry(n);
@@ -66,6 +71,7 @@
     for (const worker of this.workers) worker.stop();
     this.store.stop();
     this.policy.stop();
+    this.vms.stop();
     await sleep(0);
   }
 
@@ -145,6 +151,7 @@
     const worker = new WorkerStandIn(`w${n}`);
     await worker.start({ host, port: WORKER_PORT });
     this.workers.push(worker);
+    this.vms.add(`m${n}`, worker.id);
     this.store.put(`servers/${worker.id}`, {
       service: "desk",
       addr: `${host}:${WORKER_PORT}`,
@@ -170,6 +177,7 @@
         },
         store: { address: { host: `${this.#network}.100`, port: STORE_PORT } },
         policy: {},
+        vms: { take_over_pause_ms: 200 },
         bounds: {
           task_lease_ms: 6_000,
           key_revocation_ms: 5_000,
@@ -183,6 +191,10 @@
       }),
       records: new PlatformRecords(),
       control: new PlatformEndpoints({ localAddress: host }),
+      vms: new PlatformVms({
+        address: `${this.#network}.100:${VM_PORT}`,
+        localAddress: host,
+      }),
       advice: new PlatformAdvice({
         address: `${this.#network}.100:${POLICY_PORT}`,
         localAddress: host,
--- a/tests/standins/job_platform.ts
+++ b/tests/standins/job_platform.ts
@@ -58,6 +58,12 @@
     this.#server?.closeAllConnections();
   }
 
+  /** Reads as the operator does. */
+  read(key: string): unknown {
+    const item = this.items.get(key);
+    return item && JSON.parse(Buffer.from(item.value, "base64").toString());
+  }
+
   /** Writes as the operator or an endpoint does. */
   put(key: string, value: unknown): void {
     const text = Buffer.from(JSON.stringify(value)).toString("base64");
@@ -323,3 +329,70 @@
     this.#server?.closeAllConnections();
   }
 }
+
+/** A stand-in for the service for the workers' machines. */
+export class VmStandIn {
+  readonly machines = new Map<string, { id: string; state: string }>();
+  /** Machine and wave of each upkeep that began. */
+  readonly begun: [machine: string, wave: number][] = [];
+  readonly holders = new Set<string>();
+  maxDown = 0;
+  #server: Server | undefined;
+  /** Length of an upkeep, in milliseconds. */
+  upkeepMs = 150;
+  /** Called as an upkeep begins: the machine's worker is gone. */
+  onDown: (id: string) => void = () => {};
+
+  async start(address: { host: string; port: number }): Promise<void> {
+    this.#server = await listen(address, (request, response, text) => {
+      const url = new URL(request.url ?? "/", "http://vms");
+      if (request.method === "GET") {
+        return sendJson(response, this.#list(url.searchParams));
+      }
+      this.holders.add(String(request.headers["duty-holder"]));
+      const { machine, wave } = JSON.parse(text);
+      const known = this.machines.get(machine);
+      if (!known) return sendJson(response, {}, { status: 400 });
+      const isDone = this.begun.some(([name, number]) =>
+        name === machine && number === wave
+      );
+      if (!isDone) this.#begin(machine, wave);
+      sendJson(response, {});
+    });
+  }
+
+  stop(): void {
+    this.#server?.close();
+    this.#server?.closeAllConnections();
+  }
+
+  add(machine: string, id: string): void {
+    this.machines.set(machine, { id, state: "up" });
+  }
+
+  /** One machine a page: readers must follow the token. */
+  #list(query: URLSearchParams): unknown {
+    const names = [...this.machines.keys()];
+    const index = Number(query.get("page_token") ?? 0);
+    const machine = names[index];
+    const next = index + 1 < names.length ? String(index + 1) : null;
+    return {
+      machines: machine ? [{ machine, ...this.machines.get(machine) }] : [],
+      next_token: next,
+    };
+  }
+
+  #begin(machine: string, wave: number): void {
+    const known = this.machines.get(machine)!;
+    this.begun.push([machine, wave]);
+    this.onDown(known.id);
+    this.machines.set(machine, { ...known, state: "upkeep" });
+    const down = [...this.machines.values()].filter(({ state }) =>
+      state !== "up"
+    );
+    this.maxDown = Math.max(this.maxDown, down.length);
+    setTimeout(() => {
+      this.machines.set(machine, { id: `${known.id}n`, state: "up" });
+    }, this.upkeepMs);
+  }
+}
--- a/tests/virtual/config_feed_test.ts
+++ b/tests/virtual/config_feed_test.ts
@@ -1,15 +1,12 @@
 import test from "ava";
 import { FormatError } from "../../packages/base/mod.ts";
 import { SilentEventLog } from "../../packages/events/mod.ts";
-import {
-  ConfigFeed,
-  type SiteConfig,
-  SiteRecords,
-} from "../../packages/scheduler/mod.ts";
+import { ConfigFeed, type SiteConfig } from "../../packages/scheduler/mod.ts";
+import { NoWaveRecords } from "./no_wave_records.ts";
 import { MemoryState, MemoryStore, StoreFault } from "./memory_store.ts";
 import { LaneClock, VirtualTime } from "./virtual_time.ts";
 
-class JsonRecords extends SiteRecords {
+class JsonRecords extends NoWaveRecords {
   override readonly configKey = "config";
   override readonly endpointPrefix = "endpoints/";
 
--- a/tests/virtual/owner_site.ts
+++ b/tests/virtual/owner_site.ts
@@ -22,7 +22,6 @@
   type Ownership,
   type PaceAnswer,
   type SiteConfig,
-  SiteRecords,
   type StartAnswer,
   type StartOrder,
   type StopAnswer,
@@ -30,6 +29,7 @@
 import { NotSentError, UnknownEffectError } from "../../packages/base/mod.ts";
 import { FakeEndpoint, type FakeRun } from "../cell/fake_endpoint.ts";
 import { RuleChecker } from "../cell/rule_checker.ts";
+import { NoWaveRecords } from "./no_wave_records.ts";
 import { MemoryState, MemoryStore } from "./memory_store.ts";
 import { LaneClock, VirtualTime } from "./virtual_time.ts";
 
@@ -37,7 +37,7 @@
 const LEASE_MS = 4_000;
 const WAY_MS = 2;
 
-class IdRecords extends SiteRecords {
+class IdRecords extends NoWaveRecords {
   override readonly configKey = "config";
   override readonly endpointPrefix = "endpoints/";
 
@@ -217,6 +217,7 @@
       metrics: new Metrics(),
       leaseMs: LEASE_MS,
       retentionMs: 1e9,
+      takeOverPauseMs: 0,
       listLinks: () => [],
       listSilent: () => [],
       onIsolated: () => {},
