Count a former owner's tasks until the VM list has been read

Its shards looked as if they had no endpoints, so it recorded that its predecessor had left no tasks; the predecessor's part of the team's limit was given to others while a service of it still ran: 4 tasks at a limit of 3. Ruled out: the configuration's set-back and the lost answers (the grants in the store added up to the limit all the time). Change: shards are recovered only after the first VM list.

--- a/packages/entry/control_loop.ts
+++ b/packages/entry/control_loop.ts
@@ -239,7 +239,10 @@
       reachable: new Set(reachable.map((peer) => peer.member.incarnation)),
       shardSizes: directory.countByShard(),
       quiesced: driver.engine.listQuiesced(this.#quiescing),
-      recovered: driver.engine.listRecovered(owned),
+      // Before the first VM list a shard looks as if it had no endpoints.
+      recovered: directory.tracker.revision > 0
+        ? driver.engine.listRecovered(owned)
+        : new Map(),
     };
   }
 
--- a/tests/virtual/randomised_test.ts
+++ b/tests/virtual/randomised_test.ts
@@ -78,3 +78,19 @@
   ]);
   t.deepEqual(report.faults, []);
 });
+
+test("a former owner's tasks count until the VM list has been read", async (t) => {
+  const report = await runSite(91_955, [
+    { at: 4_797, kind: FaultKind.TaskNoise, lastsMs: 348, target: 376 },
+    { at: 6_170, kind: FaultKind.RestoreConfig, lastsMs: 1_792, target: 937 },
+    { at: 9_381, kind: FaultKind.EndpointGone, lastsMs: 3_268, target: 586 },
+    { at: 10_626, kind: FaultKind.KillAndReplace, lastsMs: 3_300, target: 593 },
+    { at: 10_797, kind: FaultKind.LateEffects, lastsMs: 6_746, target: 78 },
+    { at: 10_929, kind: FaultKind.StoreDown, lastsMs: 2_335, target: 374 },
+    { at: 10_967, kind: FaultKind.TaskNoise, lastsMs: 7_348, target: 229 },
+    { at: 11_105, kind: FaultKind.Freeze, lastsMs: 553, target: 43 },
+    { at: 11_170, kind: FaultKind.CutPlatform, lastsMs: 3_154, target: 710 },
+    { at: 13_655, kind: FaultKind.LoseAnswers, lastsMs: 4_681, target: 782 },
+  ]);
+  t.deepEqual(report.faults, []);
+});
