Let the cell's policies be chosen by settings, the baselines among them

Cause: what order, packing, admission and ejection are worth could not be measured, since nothing else could be run. Ruled out: branches on names in the planner (behaviour that varies is a class). Change: packages/cell/policies.ts holds order and choice as abstract classes and the four names; [scheduling] in the settings selects first come first served, first fit, no admission and no ejection.

--- a/packages/cell/admission.ts
+++ b/packages/cell/admission.ts
@@ -78,6 +78,9 @@
       retryAfterMs: MAX_RETRY_MS,
     };
   }
+  if (state.policies.isOpen) {
+    return { admission: Admission.Accepted, reason: "" };
+  }
   const waitMs = predictWait(state, spec);
   const objectiveMs = computeObjective(spec);
   const slackMs = objectiveMs * (1 - 1 / Math.max(1, spec.queue.stretch));
--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -16,6 +16,11 @@
 import { endJob, type Present, releaseRun } from "./ends.ts";
 import { applyListing, type ListingTimes } from "./listing.ts";
 import { planStarts } from "./plan.ts";
+import {
+  buildPolicies,
+  DEFAULT_POLICIES,
+  type PolicyNames,
+} from "./policies.ts";
 import { ShareMeter } from "./share_meter.ts";
 import {
   type CellSnapshot,
@@ -65,7 +70,12 @@
 
   /** `retentionMs`: how long ended jobs are remembered. */
   constructor(
-    options: { term: number; retentionMs: number; leaseMs: number },
+    options: {
+      term: number;
+      retentionMs: number;
+      leaseMs: number;
+      policies?: PolicyNames;
+    },
   ) {
     this.#retentionMs = options.retentionMs;
     this.state = {
@@ -82,6 +92,7 @@
       unlocatedUntil: 0,
       stopping: new Set(),
       share: new ShareMeter(),
+      policies: buildPolicies(options.policies ?? DEFAULT_POLICIES),
       backlogs: new Map(),
       output: makeOutput(),
     };
--- a/packages/cell/ends.ts
+++ b/packages/cell/ends.ts
@@ -1,11 +1,6 @@
 import { RecordKind } from "../journal/mod.ts";
 import { EndKind, JobState } from "../jobs/mod.ts";
-import {
-  EJECT_AFTER_FAILURES,
-  EJECT_MS,
-  MAX_RETRY_PAUSE_MS,
-  RETRY_PAUSE_MS,
-} from "./constants.ts";
+import { EJECT_MS, MAX_RETRY_PAUSE_MS, RETRY_PAUSE_MS } from "./constants.ts";
 import { stopRun } from "./stops.ts";
 import {
   addDecision,
@@ -180,7 +175,7 @@
   if (endpoint.lastFailedJob === options.job) return;
   endpoint.lastFailedJob = options.job;
   endpoint.failuresInRow++;
-  if (endpoint.failuresInRow < EJECT_AFTER_FAILURES) return;
+  if (endpoint.failuresInRow < state.policies.ejectAfter) return;
   endpoint.ejectedUntil = options.now + EJECT_MS;
   addDecision(state, {
     kind: DecisionKind.EndpointEjected,
--- a/packages/cell/mod.ts
+++ b/packages/cell/mod.ts
@@ -4,5 +4,6 @@
 export { makeEndpoint, noteLeaseSent } from "./endpoints.ts";
 export type { CellOutput } from "./state.ts";
 export type { Present } from "./ends.ts";
+export * from "./policies.ts";
 export * from "./snapshot.ts";
 export * from "./types.ts";
--- a/packages/cell/plan.ts
+++ b/packages/cell/plan.ts
@@ -5,10 +5,10 @@
   beginPass,
   type Candidates,
   listCandidates,
-  measureFreeCores,
   type Pass,
 } from "./placement_pass.ts";
 import { planGang } from "./plan_gang.ts";
+import type { EndpointChoice } from "./policies.ts";
 import { getStep } from "./stages.ts";
 import { chooseLeastDisturbed, isSharing } from "./sharing.ts";
 import { startTask } from "./start_task.ts";
@@ -18,7 +18,7 @@
 /** Plans starts and calls for advice for all that waits. */
 export function planStarts(state: CellState, now: number): void {
   const pass = beginPass(state, now);
-  for (const stage of sortStages(state, now)) {
+  for (const stage of state.policies.order.sortStages(state.ready, now)) {
     if (stage.waiting === 0 || stage.job.outcome) continue;
     planStage(pass, stage);
   }
@@ -42,34 +42,6 @@
   else planTasks(pass, stage, candidates);
 }
 
-/** Who is served first. */
-enum Rank {
-  Owed = 0,
-  OverShare = 1,
-  /** So late that its caller gains nothing more by it. */
-  Expired = 2,
-}
-
-/**
- * Sorts the stages that wait: by rank and priority, what can be in time before
- * what is late, and then by due time. Answers the load "a backlog of short
- * work": late short work still goes before long work, and makes none late.
- */
-function sortStages(state: CellState, now: number): Stage[] {
-  const rank = ({ job, expiresAt }: Stage) => {
-    if (now > expiresAt) return Rank.Expired;
-    return job.isOverShare ? Rank.OverShare : Rank.Owed;
-  };
-  const isLate = (stage: Stage) =>
-    now > stage.dueAt && !getStep(stage).longRunning ? 1 : 0;
-  return [...state.ready].sort((a, b) =>
-    rank(a) - rank(b) ||
-    a.job.spec.queue.priority - b.job.spec.queue.priority ||
-    isLate(a) - isLate(b) ||
-    a.dueAt - b.dueAt
-  );
-}
-
 function planTasks(pass: Pass, stage: Stage, candidates: Candidates): void {
   let allowance = countBelowCap(pass.state, stage);
   if (allowance === 0) return;
@@ -93,7 +65,7 @@
     const near = selectNearRack(open, stage);
     const endpoint = isSharing(stage)
       ? chooseLeastDisturbed(near, { state: pass.state, task })
-      : chooseFullest(near, task);
+      : chooseOther(near, { choice: pass.state.policies.choice, task });
     startTask(pass, stage, { task, endpoint, run: task.lastRun + 1 });
     allowance--;
     const left = (rooms.get(endpoint) ?? 0) - 1;
@@ -111,11 +83,12 @@
   return near.length > 0 ? near : endpoints;
 }
 
-/** Packs small work tightly, so that whole endpoints stay free for gangs. */
-function chooseFullest(endpoints: Endpoint[], task: Task): Endpoint {
+/** The endpoint on which a task failed last is used only when it is alone. */
+function chooseOther(
+  endpoints: Endpoint[],
+  options: { choice: EndpointChoice; task: Task },
+): Endpoint {
+  const { choice, task } = options;
   const others = endpoints.filter(({ info }) => info.id !== task.avoid);
-  const open = others.length > 0 ? others : endpoints;
-  return open.reduce((best, endpoint) =>
-    measureFreeCores(endpoint) < measureFreeCores(best) ? endpoint : best
-  );
+  return choice.chooseEndpoint(others.length > 0 ? others : endpoints);
 }
--- a/packages/cell/state.ts
+++ b/packages/cell/state.ts
@@ -1,6 +1,7 @@
 import type { JournalRecord } from "../journal/mod.ts";
 import { addDemand, type Demand, makeNoDemand } from "../jobs/mod.ts";
 import type { Backlog } from "./admission.ts";
+import type { CellPolicies } from "./policies.ts";
 import type { ShareMeter } from "./share_meter.ts";
 import type {
   Decision,
@@ -37,6 +38,7 @@
   /** Runs that stop and are not yet told so. */
   stopping: Set<Run>;
   share: ShareMeter;
+  policies: CellPolicies;
   /** What waited for each service at the last plan, and came since. */
   backlogs: Map<string, Backlog>;
   output: CellOutput;
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -9,6 +9,7 @@
   type EndpointInfo,
   LEASE_MARGIN_MS,
   OrderKind,
+  type PolicyNames,
   type Present,
 } from "../cell/mod.ts";
 import { EventCode, type EventLog } from "../events/mod.ts";
@@ -59,6 +60,7 @@
   clock: Clock;
   log: EventLog;
   metrics: Metrics;
+  policies: PolicyNames;
   /** Longest lease of a task, in milliseconds. */
   leaseMs: number;
   /** How long ended jobs are remembered, in milliseconds. */
@@ -100,6 +102,7 @@
       term: ownership.record.term,
       retentionMs: parts.retentionMs,
       leaseMs: parts.leaseMs,
+      policies: parts.policies,
     });
     this.advice = new AdvicePool({ service: parts.advice, listLinks });
     this.#feed = new EndpointFeed({
--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -152,6 +152,7 @@
       ...parts,
       leaseMs: Math.min(TASK_LEASE_MS, settings.bounds.task_lease_ms),
       retentionMs: settings.bounds.ended_jobs_ms,
+      policies: settings.scheduling,
       takeOverPauseMs: settings.vms.take_over_pause_ms,
       listLinks: () => this.#links.listNamed(),
       listSilent: () => this.#links.listSilent(),
--- a/packages/settings/scheduler_settings.ts
+++ b/packages/settings/scheduler_settings.ts
@@ -1,5 +1,12 @@
 import { readFileSync } from "node:fs";
 import { z } from "zod";
+import {
+  AdmissionName,
+  ChoiceName,
+  DEFAULT_POLICIES,
+  EjectionName,
+  OrderName,
+} from "../cell/mod.ts";
 import { makeIntegerSchema, nameSchema } from "../config/mod.ts";
 import { addressSchema, parseWithSchema } from "./settings.ts";
 
@@ -23,6 +30,12 @@
     address: addressSchema.optional(),
     take_over_pause_ms: makeIntegerSchema(0, 600_000).default(3_000),
   }).prefault({}),
+  scheduling: z.strictObject({
+    order: z.enum(OrderName).default(DEFAULT_POLICIES.order),
+    choice: z.enum(ChoiceName).default(DEFAULT_POLICIES.choice),
+    admission: z.enum(AdmissionName).default(DEFAULT_POLICIES.admission),
+    ejection: z.enum(EjectionName).default(DEFAULT_POLICIES.ejection),
+  }).prefault({}),
   bounds: z.strictObject({
     task_lease_ms: makeIntegerSchema(1_000, 600_000),
     key_revocation_ms: makeIntegerSchema(1_000, 600_000),
--- a/tests/cell/cell_site.ts
+++ b/tests/cell/cell_site.ts
@@ -3,11 +3,13 @@
   Cell,
   type CellOutput,
   type CellSnapshot,
+  DEFAULT_POLICIES,
   type Endpoint,
   noteLeaseSent,
   type Order,
   OrderKind,
   PaceResult,
+  type PolicyNames,
   type Present,
   StartResult,
   StopResult,
@@ -100,6 +102,7 @@
   readonly endpoints = new Map<string, FakeEndpoint>();
   readonly journal: JournalRecord[] = [];
   readonly random: Random;
+  readonly policies: PolicyNames;
   readonly checker = new RuleChecker();
   cell: Cell;
   fence = 1;
@@ -131,6 +134,7 @@
     capacity?: Demand;
     seed?: number;
     afterMs?: number;
+    policies?: Partial<PolicyNames>;
   } = {}) {
     this.random = new SeededRandom(options.seed ?? 1);
     const capacity = options.capacity ??
@@ -140,6 +144,7 @@
     }
     const afterMs = options.afterMs ?? 500;
     this.endRule = () => ({ afterMs, how: EndKind.Done });
+    this.policies = { ...DEFAULT_POLICIES, ...options.policies };
     this.cell = this.#makeCell(1);
     this.listEndpoints();
   }
@@ -217,7 +222,13 @@
   }
 
   #makeCell(term: number): Cell {
-    return new Cell({ term, retentionMs: 120_000, leaseMs: LEASE_MS });
+    const { policies } = this;
+    return new Cell({
+      term,
+      retentionMs: 120_000,
+      leaseMs: LEASE_MS,
+      policies,
+    });
   }
 
   #runDue(): void {
--- a/tests/harness/job_site.ts
+++ b/tests/harness/job_site.ts
@@ -1,5 +1,6 @@
 import { SilentEventLog } from "../../packages/events/mod.ts";
 import { SeededRandom, SteadyClock } from "../../packages/base/mod.ts";
+import { DEFAULT_POLICIES } from "../../packages/cell/mod.ts";
 import { Metrics } from "../../packages/metrics/mod.ts";
 import {
   SchedulerDaemon,
@@ -177,6 +178,7 @@
         },
         store: { address: { host: `${this.#network}.100`, port: STORE_PORT } },
         policy: {},
+        scheduling: DEFAULT_POLICIES,
         vms: { take_over_pause_ms: 200 },
         bounds: {
           task_lease_ms: 6_000,
--- a/tests/virtual/owner_site.ts
+++ b/tests/virtual/owner_site.ts
@@ -1,6 +1,7 @@
 import { type Random, SeededRandom } from "../../packages/base/mod.ts";
 import {
   type AdviceAnswer,
+  DEFAULT_POLICIES,
   type EndpointInfo,
   PaceResult,
   StartResult,
@@ -218,6 +219,7 @@
       leaseMs: LEASE_MS,
       retentionMs: 1e9,
       takeOverPauseMs: 0,
+      policies: DEFAULT_POLICIES,
       listLinks: () => [],
       listSilent: () => [],
       onIsolated: () => {},
