End the import cycle between the routers

Cause: router.ts and gang_router.ts imported each other. Change: what both build on, the routed work and its attempts, has a module of its own. No behaviour changes; the engine's and the break tests pass.

--- a/packages/routing/gang_router.ts
+++ b/packages/routing/gang_router.ts
@@ -10,7 +10,7 @@
   Verdict,
 } from "../base/mod.ts";
 import type { OwnerGateway } from "./owner_gateway.ts";
-import { makeAttempt, type RoutedWork } from "./router.ts";
+import { makeAttempt, type RoutedWork } from "./routed_work.ts";
 import type { OwnerCandidate } from "./types.ts";
 
 interface Reservation {
--- a/packages/routing/router.ts
+++ b/packages/routing/router.ts
@@ -9,28 +9,13 @@
   type Work,
   WorkKind,
 } from "../base/mod.ts";
-import type { Attempt } from "../engine/mod.ts";
 import { chooseOwner } from "./choose_owner.ts";
 import { REROUTED_CAUSES } from "./constants.ts";
 import { GangRouter } from "./gang_router.ts";
 import type { OwnerGateway } from "./owner_gateway.ts";
+import { makeAttempt, type RoutedWork } from "./routed_work.ts";
 import type { OwnerCandidate } from "./types.ts";
 
-/** Where an attempt was sent, so that it can be cancelled. */
-export interface SentAttempt {
-  id: string;
-  owner: OwnerCandidate;
-}
-
-/** One piece of work on its way. */
-export interface RoutedWork {
-  work: Work;
-  maxQueued: number;
-  /** Attempts sent so far. */
-  sent: SentAttempt[];
-  cancelled: boolean;
-}
-
 /** Sends work to owners until one has run it or nothing can. */
 export class Router {
   readonly #gateway: OwnerGateway;
@@ -115,23 +100,6 @@
   }
 }
 
-/** Builds one attempt of a piece of work. */
-export function makeAttempt(routed: RoutedWork, suffix: string): Attempt {
-  const { work } = routed;
-  return {
-    id: `${work.id}.${suffix}`,
-    work: work.id,
-    team: work.team,
-    queue: work.queue,
-    kind: work.kind,
-    size: work.size,
-    deadline: work.deadline,
-    urgent: work.urgent,
-    payload: work.payload,
-    maxQueued: routed.maxQueued,
-  };
-}
-
 function isReroutable(outcome: Outcome): boolean {
   return outcome.verdict === Verdict.NotRun &&
     REROUTED_CAUSES.has(outcome.cause);
