Answer a question for a job with 'unavailable' when no owner could answer

Cause: an entry asked the former owner, which answered that it does not own the cell; the caller got 504 (unknown), though a question changes nothing. Ruled out: asking the next owner within the request (its deadline is often over). Change: a failed find or count is refused with advice when to come back; a failed submit or cancel still says that it may have been done. After: tests/virtual/caller_service_test.ts; the first fails before the change.

--- a/packages/scheduler/caller_service.ts
+++ b/packages/scheduler/caller_service.ts
@@ -52,6 +52,9 @@
   getRevokeMs: () => number;
 }
 
+/** Methods that change nothing: a caller can repeat them at any time. */
+const READS: ReadonlySet<string> = new Set(["find", "count"]);
+
 /** Serves callers: screens, authenticates, and asks the cell's owner. */
 export class CallerService {
   readonly #parts: CallerParts;
@@ -182,7 +185,8 @@
       return await run();
     } catch (error) {
       const detail = error instanceof Error ? error.message : String(error);
-      if (error instanceof NotSentError) return this.#refuse(detail);
+      const hasNoEffect = READS.has(method) || error instanceof NotSentError;
+      if (hasNoEffect) return this.#refuse(detail);
       this.#parts.log.record(EventCode.JobUnsettled, {
         method,
         path: request.path,
--- a/packages/scheduler/mod.ts
+++ b/packages/scheduler/mod.ts
@@ -5,6 +5,7 @@
 export * from "./daemon.ts";
 export * from "./election.ts";
 export * from "./endpoint_session.ts";
+export * from "./owner_gateway.ts";
 export * from "./owner_role.ts";
 export * from "./ports.ts";
 export * from "./scheduler_node.ts";
--- /dev/null
+++ b/tests/virtual/caller_service_test.ts
@@ -0,0 +1,126 @@
+import test from "ava";
+import { SeededRandom } from "../../packages/base/mod.ts";
+import { SilentEventLog } from "../../packages/events/mod.ts";
+import type { LinkHandlers } from "../../packages/links/mod.ts";
+import { Metrics } from "../../packages/metrics/mod.ts";
+import {
+  AnswerKind,
+  CallerService,
+  ConfigFeed,
+  OwnerGateway,
+  type OwnerRecord,
+  type SiteConfig,
+} from "../../packages/scheduler/mod.ts";
+import { MemoryState, MemoryStore } from "./memory_store.ts";
+import { NoWaveRecords } from "./no_wave_records.ts";
+import { LaneClock, VirtualTime } from "./virtual_time.ts";
+
+const OWNER: OwnerRecord = {
+  entry: "a",
+  incarnation: "a/1",
+  host: "a",
+  port: 1,
+  term: 1,
+  lease: 1,
+};
+
+class OpenRecords extends NoWaveRecords {
+  override readonly configKey = "config";
+  override readonly endpointPrefix = "endpoints/";
+
+  override decodeConfig(): SiteConfig {
+    const queue = { name: "filings", service: "desk", priority: 0 };
+    const rules = { attempts: 1, stretch: 1, targetLatencyMs: 1_000 };
+    const route = { host: "desk", prefix: "/f/", isOpen: true };
+    return {
+      version: 1,
+      queues: [{ ...queue, ...rules, ...route }],
+      organisations: [],
+      maxBodyBytes: 1_000,
+    };
+  }
+
+  override decodeEndpoint(): undefined {
+    return undefined;
+  }
+}
+
+/** Callers of an entry whose owner fails every call after it was sent. */
+async function startService(): Promise<CallerService> {
+  const time = new VirtualTime();
+  const clock = new LaneClock(time, "a");
+  const log = new SilentEventLog();
+  const state = new MemoryState();
+  state.revision++;
+  state.put("config", "{}", 0);
+  const config = new ConfigFeed({
+    store: new MemoryStore(state, clock),
+    records: new OpenRecords(),
+    clock,
+    wallNow: () => time.now,
+    log,
+  });
+  void config.run();
+  await time.advance(1_000);
+  const fail = () => {
+    throw new Error("the entry that was asked does not own the cell");
+  };
+  const handlers = {
+    "job.submit": fail,
+    "job.find": fail,
+    "job.cancel": fail,
+    "queue.count": fail,
+  } as unknown as LinkHandlers;
+  const gateway = new OwnerGateway({
+    clock,
+    log,
+    entry: "a",
+    localAddress: "",
+    handlers,
+  });
+  gateway.setOwner(OWNER, true);
+  return new CallerService({
+    config,
+    gateway,
+    clock,
+    log,
+    random: new SeededRandom(1),
+    metrics: new Metrics(),
+    getRevokeMs: () => 5_000,
+  });
+}
+
+const REQUEST = { host: "desk", path: "/f/1", key: "", deadlineMs: 1_000 };
+
+test("a question that got no answer is refused, with advice when to ask again", async (t) => {
+  const service = await startService();
+  for (
+    const answer of [
+      await service.find(REQUEST, "1"),
+      await service.count(REQUEST),
+    ]
+  ) {
+    t.is(answer.kind, AnswerKind.Unavailable);
+    t.true(answer.retryAfterMs! > 0);
+  }
+});
+
+test("a change that got no answer may have been done", async (t) => {
+  const service = await startService();
+  const parse = () => ({
+    id: "1",
+    payload: "",
+    steps: [],
+    occurrences: 0,
+    firstRunAt: 0,
+    intervalMs: 0,
+  });
+  const answers = [
+    await service.submit(REQUEST, parse),
+    await service.cancel(REQUEST, "1"),
+  ];
+  t.deepEqual(answers.map(({ kind }) => kind), [
+    AnswerKind.Unknown,
+    AnswerKind.Unknown,
+  ]);
+});
