--- a/tests/cell/randomised_test.ts
+++ b/tests/cell/randomised_test.ts
@@ -57,3 +57,59 @@
     t.deepEqual(unfinished, [], `seed ${seed}`);
   }
 });
+
+/** Services and filling work under strain, closings, stops and new owners. */
+function runSharedPath(seed: number): { site: CellSite; mostStopping: number } {
+  const random = new SeededRandom(seed);
+  const site = new CellSite({ seed, endpoints: 5, afterMs: 600_000 });
+  const fakes = [...site.endpoints.values()];
+  for (const fake of fakes) {
+    fake.percentOf = (run) => run.task.startsWith("desk") ? 100 : 10;
+    fake.gaugeOf = () => 20 + random.drawInt(120);
+  }
+  const desk = makeStep({
+    tasks: 4,
+    longRunning: true,
+    targetMs: 100,
+    maxAway: 1,
+    maxPerEndpoint: 1,
+  });
+  const fill = makeStep({ tasks: 6, isFilling: true });
+  site.submit(makeJob("desk", [desk]));
+  site.submit(makeJob("fill", [fill]));
+  site.advance(1_000);
+  let mostStopping = 0;
+  for (let n = 0; n < 40; n++) {
+    const { id } = fakes[random.drawInt(fakes.length)];
+    const action = random.drawInt(5);
+    if (action === 0) site.cell.setClosing(new Set([id]));
+    else if (action === 1) site.cell.stopRunsOn(id, site.present);
+    else if (action === 2) site.cell.setClosing(new Set());
+    else if (action === 3 && n % 4 === 0) site.replaceOwner();
+    mostStopping = Math.max(mostStopping, countStopping(site));
+    site.advance(100 + random.drawInt(600));
+  }
+  site.cell.setClosing(new Set());
+  for (const fake of fakes) fake.gaugeOf = () => 10;
+  site.advance(20_000);
+  return { site, mostStopping };
+}
+
+function countStopping(site: CellSite): number {
+  return [...site.cell.state.stopping].filter(({ task }) =>
+    task.startsWith("desk")
+  ).length;
+}
+
+test("services and filling work keep all rules, and all run in the end", (t) => {
+  for (let seed = 1; seed <= RUNS; seed++) {
+    const { site, mostStopping } = runSharedPath(seed);
+    t.deepEqual(site.checker.faults, [], `seed ${seed}`);
+    t.true(mostStopping <= 1, `seed ${seed}: ${mostStopping} taken away`);
+    const runs = [...site.endpoints.values()].flatMap((fake) => [
+      ...fake.runs.values(),
+    ]);
+    t.is(runs.length, 10, `seed ${seed}`);
+    t.true(runs.every(({ pace }) => pace === 100), `seed ${seed}: still slow`);
+  }
+});
