Split the plan loop off the owner's role

Change: plan_loop.ts has the loop. No behaviour changes; the owners' runs on virtual time and over the wire pass.

--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -2,13 +2,11 @@
 import {
   Admission,
   Cell,
-  type CellOutput,
   type CellSnapshot,
   CLOCK_DRIFT,
   type Endpoint,
   type EndpointInfo,
   LEASE_MARGIN_MS,
-  OrderKind,
   type PolicyNames,
   type Present,
 } from "../cell/mod.ts";
@@ -20,21 +18,19 @@
 import type { KeyValueStore } from "../storage/mod.ts";
 import { AdvicePool } from "./advice_pool.ts";
 import {
-  FLUSH_MS,
   NO_OWNER_RETRY_MS,
   OWNER_GRACE_MS,
   OWNER_KEY,
   SILENCE_MS,
   SILENT_PAUSE_MS,
-  STORE_DELAY_MS,
   STORE_RETRY_MS,
   TICK_MS,
 } from "./constants.ts";
-import { recordDecisions } from "./decision_log.ts";
 import type { Ownership } from "./election.ts";
 import { EndpointFeed } from "./endpoint_feed.ts";
 import type { SessionHost } from "./endpoint_session.ts";
 import { OrderSender } from "./order_sender.ts";
+import { PlanLoop } from "./plan_loop.ts";
 import {
   type AdviceService,
   type EndpointControl,
@@ -84,13 +80,11 @@
   readonly #sessions: SessionPool;
   readonly #feed: EndpointFeed;
   readonly #sender: OrderSender;
+  readonly #plans: PlanLoop;
   readonly #upkeep: UpkeepRole | undefined;
   readonly #suspension = new SuspensionGuard();
   #journal: Journal | undefined;
   #isStopped = false;
-  #isFlushScheduled = false;
-  #lastPlanAt = 0;
-  #planMs = 0;
   #cancelTick: () => void = () => {};
 
   constructor(ownership: Ownership, parts: OwnerParts) {
@@ -128,7 +122,7 @@
       clock,
       log,
       takeOverPauseMs: parts.takeOverPauseMs,
-      onChanged: () => this.schedulePlan(),
+      onChanged: () => this.#plans.schedulePlan(),
       onDeposed: (reason) => this.endOwnership(reason),
     });
     this.#sender = new OrderSender({
@@ -142,7 +136,16 @@
       leaseMs: parts.leaseMs,
       mayOrder: (now) => this.mayOrder(now),
       onDeposed: (reason) => this.endOwnership(reason),
-      onAnswered: () => this.schedulePlan(),
+      onAnswered: () => this.#plans.schedulePlan(),
+    });
+    this.#plans = new PlanLoop({
+      cell: this.cell,
+      sender: this.#sender,
+      sessions: this.#sessions,
+      clock,
+      log,
+      metrics: parts.metrics,
+      mayOrder: (now) => this.mayOrder(now),
     });
   }
 
@@ -175,6 +178,7 @@
           claim: { key: OWNER_KEY, revision: this.ownership.revision },
           ...contents,
         });
+        this.#plans.start(this.#journal);
         log.record(EventCode.OwnerRestored, {
           term: this.ownership.record.term,
           jobs: this.cell.state.jobs.size,
@@ -194,17 +198,18 @@
     void this.#feed.run();
     void this.#upkeep?.run();
     this.#scheduleTick();
-    this.schedulePlan();
+    this.#plans.schedulePlan();
   }
 
   /** Stops at once; with `isPlanned`, what is decided is stored first. */
   async stop(options: { isPlanned: boolean }): Promise<void> {
     if (this.#isStopped) return;
     if (options.isPlanned) {
-      this.#planNow();
+      this.#plans.planNow();
       await this.#journal?.drain();
     }
     this.#isStopped = true;
+    this.#plans.stop();
     this.#cancelTick();
     this.#feed.stop();
     this.#upkeep?.stop();
@@ -221,7 +226,7 @@
   async submit(job: JobSpec): Promise<SubmitReply> {
     if (!this.isReady) return this.#refuseAsOther();
     const now = this.#parts.clock.now();
-    if (this.#isStoreSilent(now)) {
+    if (this.#plans.isStoreSilent(now)) {
       return {
         admission: Admission.NotOwner,
         reason: "the store does not answer",
@@ -230,7 +235,7 @@
     }
     const outcome = this.cell.submit(job, this.#getPresent());
     if (outcome.admission === Admission.Refused) return outcome;
-    const isCommitted = await this.#commitNow();
+    const isCommitted = await this.#plans.commitNow();
     if (!isCommitted) return { isUnknown: true };
     return outcome;
   }
@@ -241,7 +246,7 @@
     const present = this.#getPresent();
     const isKnown = this.cell.cancel(id, { organisation, present });
     if (!isKnown) return CancelReply.NoSuchJob;
-    return await this.#commitNow()
+    return await this.#plans.commitNow()
       ? CancelReply.Cancelled
       : CancelReply.Unknown;
   }
@@ -251,18 +256,6 @@
     return this.cell.findStatus(id, organisation);
   }
 
-  /** Plans soon; several requests are met by one plan. */
-  schedulePlan(): void {
-    if (this.#isFlushScheduled || this.#isStopped || !this.#journal) return;
-    this.#isFlushScheduled = true;
-    // A plan that takes long is made less often: half of the time is left.
-    const pause = Math.max(FLUSH_MS, this.#planMs);
-    this.#parts.clock.schedule(() => {
-      this.#isFlushScheduled = false;
-      if (!this.#isStopped) this.#planNow();
-    }, pause);
-  }
-
   /** False when another owner may have been elected long ago. */
   mayOrder(now: number): boolean {
     const present = { now, wallNow: Date.now() };
@@ -283,7 +276,7 @@
     if (this.#isStopped) return;
     if (answer.kind === HoldResult.Replaced) {
       this.cell.noteReplacement(endpoint, this.#getPresent());
-      return this.schedulePlan();
+      return this.#plans.schedulePlan();
     }
     if (answer.kind !== HoldResult.Listed) {
       return this.endOwnership(`${endpoint.info.id} serves a newer owner`);
@@ -292,7 +285,7 @@
       listing: answer.listing,
       times: { ...this.#getPresent(), askedAt },
     });
-    this.schedulePlan();
+    this.#plans.schedulePlan();
   }
 
   /** Notes that an endpoint did not answer. */
@@ -338,10 +331,6 @@
     return { now: this.#parts.clock.now(), wallNow: Date.now() };
   }
 
-  #isStoreSilent(now: number): boolean {
-    return (this.#journal?.measureDelay(now) ?? 0) > STORE_DELAY_MS;
-  }
-
   #refuseAsOther(): SubmitReply {
     return {
       admission: Admission.NotOwner,
@@ -350,63 +339,9 @@
     };
   }
 
-  /** Resolves with false when the ownership ended before the commit. */
-  #commitNow(): Promise<boolean> {
-    return new Promise((resolve) => {
-      this.#sendOutput(() => resolve(true));
-      this.schedulePlan();
-      const check = () => {
-        if (this.#isStopped) resolve(false);
-        else this.#parts.clock.schedule(check, TICK_MS * 5);
-      };
-      this.#parts.clock.schedule(check, TICK_MS * 5);
-    });
-  }
-
   #updateEndpoints(infos: EndpointInfo[]): void {
     this.cell.updateEndpoints(infos);
-    this.schedulePlan();
-  }
-
-  #planNow(): void {
-    const { clock, metrics } = this.#parts;
-    const startedAt = clock.now();
-    if (this.mayOrder(startedAt)) {
-      // Room is not taken for starts that would wait for the store.
-      const mayStart = !this.#isStoreSilent(startedAt);
-      this.cell.plan(this.#getPresent(), { mayStart });
-    }
-    this.#lastPlanAt = clock.now();
-    this.#planMs = this.#lastPlanAt - startedAt;
-    metrics.observeDuration("plan", this.#planMs, {});
-    this.#sendOutput();
-    this.#sessions.update(this.cell.state.endpoints);
-  }
-
-  /** Carries out what was decided so far. */
-  #sendOutput(onCommitted?: () => void): void {
-    const { log } = this.#parts;
-    const output = this.cell.collectOutput();
-    recordDecisions(log, output.decisions);
-    this.#commit(output, onCommitted);
-    for (const order of output.orders) {
-      if (order.kind !== OrderKind.Start) this.#sender.send(order);
-    }
-  }
-
-  #commit(output: CellOutput, onCommitted?: () => void): void {
-    const isEmpty = output.records.length === 0 && output.marks.size === 0 &&
-      output.finished.size === 0;
-    if (isEmpty && !onCommitted) return;
-    this.#journal?.add(output.records, () => {
-      if (this.#isStopped) return;
-      this.cell.noteCommitted(output, Date.now());
-      for (const start of this.cell.listStarts(output, this.#getPresent())) {
-        this.#sender.send(start);
-      }
-      onCommitted?.();
-      if (!isEmpty) this.schedulePlan();
-    });
+    this.#plans.schedulePlan();
   }
 
   /** An owner that most entries can't reach serves few: another should. */
@@ -420,9 +355,7 @@
   #scheduleTick(): void {
     this.#cancelTick = this.#parts.clock.schedule(() => {
       if (this.#isStopped) return;
-      if (this.#parts.clock.now() - this.#lastPlanAt >= TICK_MS) {
-        this.#planNow();
-      }
+      this.#plans.planIfIdle();
       this.cell.dropEnded(Date.now());
       this.#checkIsolation();
       this.#scheduleTick();
