--- a/tests/e2e/upkeep_test.ts
+++ b/tests/e2e/upkeep_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { JobSite } from "../harness/job_site.ts";
 
-const site = new JobSite("127.53.0");
+const site = new JobSite("127.58.0");
 
 test.before(async () => {
   await site.start({ entries: 2, workers: 3 });
