Keep a wave's progress when its request is listed again

Cause: read as a newcomer: after each broken watch all waves were made anew, so that endpoints being emptied got work again. Change: an unchanged request changes nothing; reports are read page by page.

--- a/packages/scheduler/upkeep_role.ts
+++ b/packages/scheduler/upkeep_role.ts
@@ -18,6 +18,7 @@
   type VmUpkeep,
   type Wave,
   type WavePlan,
+  type WaveRequest,
 } from "../upkeep/mod.ts";
 import {
   OWNER_KEY,
@@ -99,12 +100,12 @@
   }
 
   async #readWaves(): Promise<number> {
-    const { store, records } = this.#parts;
+    const { records } = this.#parts;
     const recorded = await this.#listAll(UPKEEP_PREFIX);
     const begun = new Map(
       recorded.items.map(({ key, value }) => [key, JSON.parse(value)]),
     );
-    const reports = await store.list(records.waveStatusPrefix);
+    const reports = await this.#listAll(records.waveStatusPrefix);
     for (const { key, value } of reports.items) {
       const report = records.decodeWaveStatus(key, value);
       if (report?.isCompleted) this.#completed.add(report.number);
@@ -158,6 +159,7 @@
     const { number } = request;
     if (this.#completed.has(number)) return;
     const known = this.#waves.get(number);
+    if (known && isSameRequest(known.request, request)) return;
     if (known) this.#closed.delete(known);
     const before = known && collectBegun(known);
     const wave = makeWave(request, {
@@ -307,3 +309,7 @@
     return { now: this.#parts.clock.now(), wallNow: Date.now() };
   }
 }
+
+function isSameRequest(a: WaveRequest, b: WaveRequest): boolean {
+  return JSON.stringify(a) === JSON.stringify(b);
+}
