Count a key as withdrawn once no change that holds it is under way

Traced: change 3 (holds the key) was staged and waited for a slow store; change 4, equal to the version in force, was answered at once; the checker took that for a withdrawal that no later change could undo. Change 3 then became version 3, as it may: it is the later version. Ruled out: a revert (versions only rose, all entries agreed on 3). Change: the checker waits until no change that holds the key is under way.

--- a/tests/virtual/randomised_test.ts
+++ b/tests/virtual/randomised_test.ts
@@ -94,3 +94,18 @@
   ]);
   t.deepEqual(report.faults, []);
 });
+
+test("a key is withdrawn for certain once no change that holds it is under way", async (t) => {
+  const report = await runSite(584_376, [
+    { at: 737, kind: FaultKind.KillAndReplace, lastsMs: 2_055, target: 567 },
+    { at: 1_673, kind: FaultKind.WithdrawKey, lastsMs: 7_497, target: 890 },
+    { at: 8_061, kind: FaultKind.Freeze, lastsMs: 2_903, target: 259 },
+    { at: 8_170, kind: FaultKind.StoreSlow, lastsMs: 1_784, target: 363 },
+    { at: 9_393, kind: FaultKind.RacingChanges, lastsMs: 6_958, target: 739 },
+    { at: 9_736, kind: FaultKind.WithdrawKey, lastsMs: 5_753, target: 83 },
+    { at: 12_648, kind: FaultKind.Kill, lastsMs: 538, target: 846 },
+    { at: 13_100, kind: FaultKind.KillAndReplace, lastsMs: 5_836, target: 273 },
+    { at: 13_839, kind: FaultKind.TaskNoise, lastsMs: 6_777, target: 709 },
+  ]);
+  t.deepEqual(report.faults, []);
+});
--- a/tests/virtual/site.ts
+++ b/tests/virtual/site.ts
@@ -90,6 +90,8 @@
   #acceptedLimits: Record<string, number> = {};
   #pendingLimits: { version: number; limits: Record<string, number> }[] = [];
   readonly #grantedAt = new Map<string, number>();
+  /** Changes under way that hold a team's key, by team. */
+  readonly #granting = new Map<string, number>();
   /** The configuration's records as they were when the load began. */
   firstConfig = new Map<string, string>();
   #sequence = 0;
@@ -215,7 +217,9 @@
       this.#grantedAt.set(team, startedAt);
       this.revokedAt.delete(team);
     }
+    this.#countGranting(next, 1);
     const result = await node.config.apply(items, options).catch(() => null);
+    this.#countGranting(next, -1);
     // The answer for an earlier version may come after that for a later one.
     if (!result?.accepted || result.version < this.#acceptedVersion) return;
     this.#acceptedVersion = result.version;
@@ -226,7 +230,9 @@
     );
     for (const team of Object.keys(TEAM_LIMITS)) {
       const isGrantedAgain = this.#grantedAt.get(team)! >= startedAt;
-      if (isGrantedAgain || this.revokedAt.has(team)) continue;
+      // An earlier change that is still under way may become a later version.
+      const isGranting = (this.#granting.get(team) ?? 0) > 0;
+      if (isGrantedAgain || isGranting || this.revokedAt.has(team)) continue;
       this.revokedAt.set(team, this.time.now);
     }
   }
@@ -290,6 +296,12 @@
     return request;
   }
 
+  #countGranting(next: Configuration, change: number): void {
+    for (const team of Object.keys(next.keys)) {
+      this.#granting.set(team, (this.#granting.get(team) ?? 0) + change);
+    }
+  }
+
   #sendRandom(): void {
     const alive = this.listAlive();
     if (alive.length === 0) return;
