Let calls for advice wait where they are sorted

Ruled out: endpoints (2 of 33 out of reach), the owner's processor (0.19 of 0.675 cores at most), doubt after a take-over (starts went on all the time). Change: an entry with 30 ms of calls before it is asked nothing more; each plan gives the next free entry the first step in the cell's own order.

--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -93,6 +93,7 @@
       stopping: new Set(),
       share: new ShareMeter(),
       policies: buildPolicies(options.policies ?? DEFAULT_POLICIES),
+      adviceLanes: [0],
       backlogs: new Map(),
       output: makeOutput(),
     };
@@ -296,6 +297,11 @@
     }
   }
 
+  /** Takes over how long each entry that asks for advice is busy, in ms. */
+  setAdviceLanes(lanes: readonly number[]): void {
+    this.state.adviceLanes = [...lanes];
+  }
+
   /** Applies the policy's answer for a stage. */
   applyAdvice(
     stage: Stage,
--- a/packages/cell/constants.ts
+++ b/packages/cell/constants.ts
@@ -73,6 +73,12 @@
 /** Calls for advice of one step that may be under way at once. */
 export const MAX_ADVICE_RETRIES = 50;
 
+/**
+ * An entry with calls of this length before it is asked nothing more, in ms: a
+ * few ways there and back, so that it is never idle while something waits.
+ */
+export const MAX_LANE_MS = 30;
+
 /** Pause after a failed call for advice, in milliseconds. */
 export const ADVICE_RETRY_MS = 100;
 
--- a/packages/cell/state.ts
+++ b/packages/cell/state.ts
@@ -39,6 +39,11 @@
   stopping: Set<Run>;
   share: ShareMeter;
   policies: CellPolicies;
+  /**
+   * Predicted time of the calls for advice under way, in ms, for each entry
+   * that asks: the policy service takes the calls of one entry in turn.
+   */
+  adviceLanes: number[];
   /** What waited for each service at the last plan, and came since. */
   backlogs: Map<string, Backlog>;
   output: CellOutput;
--- a/packages/scheduler/advice_pool.ts
+++ b/packages/scheduler/advice_pool.ts
@@ -61,6 +61,12 @@
     }
   }
 
+  /** Lists how long each entry that can ask is busy, in milliseconds. */
+  listLanes(): number[] {
+    this.#updateCallers();
+    return this.#listAsking().map(({ backlogMs }) => backlogMs);
+  }
+
   /** Describes the calls under way, for a dump. */
   describe(): { entry: string; backlogMs: number }[] {
     return [this.#self, ...this.#callers.values()].map((caller) => ({
@@ -70,21 +76,30 @@
   }
 
   #chooseCaller(): Caller {
+    this.#updateCallers();
+    // The owner has most to do: at equal backlogs another entry asks.
+    return this.#listAsking().reduce((best, caller) =>
+      caller.backlogMs <= best.backlogMs ? caller : best
+    );
+  }
+
+  #updateCallers(): void {
     const links = this.#listLinks();
     for (const link of this.#callers.keys()) {
       if (!links.includes(link)) this.#callers.delete(link);
     }
-    let best = this.#self;
     for (const link of links) {
-      if (link.measureSilence() > MAX_SILENCE_MS) continue;
-      let caller = this.#callers.get(link);
-      if (!caller) {
-        caller = { link, backlogMs: 0 };
-        this.#callers.set(link, caller);
+      if (!this.#callers.has(link)) {
+        this.#callers.set(link, { link, backlogMs: 0 });
       }
-      // The owner has most to do: at equal backlogs another entry asks.
-      if (caller.backlogMs <= best.backlogMs) best = caller;
     }
-    return best;
+  }
+
+  /** This entry, and the others that have not fallen silent. */
+  #listAsking(): Caller[] {
+    const others = [...this.#callers.values()].filter(({ link }) =>
+      link !== undefined && link.measureSilence() <= MAX_SILENCE_MS
+    );
+    return [this.#self, ...others];
   }
 }
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -140,6 +140,7 @@
     });
     this.#plans = new PlanLoop({
       cell: this.cell,
+      advice: this.advice,
       sender: this.#sender,
       sessions: this.#sessions,
       clock,
--- a/packages/scheduler/plan_loop.ts
+++ b/packages/scheduler/plan_loop.ts
@@ -8,6 +8,7 @@
 import type { EventLog } from "../events/mod.ts";
 import type { Journal } from "../journal/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
+import type { AdvicePool } from "./advice_pool.ts";
 import { FLUSH_MS, STORE_DELAY_MS, TICK_MS } from "./constants.ts";
 import { recordDecisions } from "./decision_log.ts";
 import type { OrderSender } from "./order_sender.ts";
@@ -16,6 +17,7 @@
 /** What plans are made and carried out with. */
 export interface PlanParts {
   cell: Cell;
+  advice: AdvicePool;
   sender: OrderSender;
   sessions: SessionPool;
   clock: Clock;
@@ -67,11 +69,12 @@
 
   /** Plans at once. */
   planNow(): void {
-    const { cell, clock, metrics, mayOrder, sessions } = this.#parts;
+    const { advice, cell, clock, metrics, mayOrder, sessions } = this.#parts;
     const startedAt = clock.now();
     if (mayOrder(startedAt)) {
       // Room is not taken for starts that would wait for the store.
       const mayStart = !this.isStoreSilent(startedAt);
+      cell.setAdviceLanes(advice.listLanes());
       cell.plan(this.#getPresent(), { mayStart });
     }
     this.#lastPlanAt = clock.now();
--- a/tests/cell/cell_site.ts
+++ b/tests/cell/cell_site.ts
@@ -112,6 +112,8 @@
   /** Endpoints that the policy allows; nothing: all. */
   allowed: ((endpoint: string) => boolean) | undefined;
   adviceMs = 20;
+  /** When each entry that asks for advice is free; none: no limit. */
+  lanes: number[] | undefined;
   /** Time until a commit is answered, in milliseconds. */
   commitMs = 20;
   /** Time between two listings of an endpoint, in milliseconds. */
@@ -273,6 +275,8 @@
   }
 
   #flush(): void {
+    const lanes = this.lanes?.map((at) => Math.max(0, at - this.now));
+    this.cell.setAdviceLanes(lanes ?? Array.from({ length: 100 }, () => 0));
     this.cell.plan(this.present, { mayStart: true });
     const output = this.cell.collectOutput();
     this.#commits.push({
@@ -347,6 +351,15 @@
     });
   }
 
+  /** Returns when the entry that is free first has made a call. */
+  #claimLane(costMs: number): number | undefined {
+    if (!this.lanes) return undefined;
+    const first = Math.min(...this.lanes);
+    const endsAt = Math.max(first, this.now) + costMs;
+    this.lanes[this.lanes.indexOf(first)] = endsAt;
+    return endsAt;
+  }
+
   #advise(
     owner: Cell,
     order: Extract<Order, { kind: OrderKind.AskAdvice }>,
@@ -357,7 +370,7 @@
     const tickets = endpoints.filter(isAllowed)
       .map((endpoint) => ({ endpoint, ticket: `t-${endpoint}` }));
     this.#later.push({
-      at: this.now + this.adviceMs,
+      at: this.#claimLane(order.costMs) ?? this.now + this.adviceMs,
       run: () =>
         owner.applyAdvice(stage, {
           endpoints,
