Take a VM for gone only by a list that was asked for since

Cause: read as a newcomer: with two waves at once the second could plan before the first list of VMs had come; an empty list made all of its VMs count as gone, and the wave would have been reported as completed (MIXED). Change: a VM is gone, or up again, only by a list asked for after the last step of its upkeep. Test: fails before, passes after.

--- a/packages/upkeep/plan.ts
+++ b/packages/upkeep/plan.ts
@@ -122,12 +122,16 @@
   return Math.min(MAX_PATIENCE_MS, Math.max(MIN_PATIENCE_MS, patienceMs));
 }
 
-/** What the platform no longer lists has left; what is up again is done. */
+/**
+ * What the platform no longer lists has left; what is up again is done. Only a
+ * list that was asked for since the last step of an upkeep tells.
+ */
 function finishGone(upkeep: VmUpkeep, view: WaveView): void {
   if (upkeep.phase === UpkeepPhase.Done || upkeep.isCallUnderWay) return;
+  if (view.listedAt <= upkeep.since) return;
   const vm = view.vms.get(upkeep.vm);
   const isBack = upkeep.phase === UpkeepPhase.Begun && vm?.isUp === true &&
-    vm.endpoint !== upkeep.formerEndpoint && view.listedAt > upkeep.since;
+    vm.endpoint !== upkeep.formerEndpoint;
   if (!vm || isBack) {
     setPhase(upkeep, { phase: UpkeepPhase.Done, now: view.now });
   }
--- a/packages/upkeep/plan_test.ts
+++ b/packages/upkeep/plan_test.ts
@@ -166,3 +166,16 @@
   t.deepEqual(planWave(wave, { ...view, busy: new Set(["m0"]) }).close, []);
   t.deepEqual(planWave(wave, { ...view, busy: new Set() }).close, ["e0"]);
 });
+
+test("before VMs were listed none of a wave counts as gone", (t) => {
+  const wave = makeTestWave(2);
+  const plan = planWave(wave, {
+    now: 100,
+    vms: new Map(),
+    listedAt: Number.NEGATIVE_INFINITY,
+    busy: new Set(),
+    isEmpty: () => true,
+  });
+  t.false(plan.isCompleted);
+  t.false(plan.isOver);
+});
