Name endpoints with room in advice calls, and split long lists among idle entries

Cause: a step asked about the first 100 eligible endpoints of the cell, whatever their room. In a busy cell of hundreds of endpoints those are full, so a step made one call after the other before one named an endpoint with room, and every waiting step examined every endpoint in each plan. Change: advice_choice.ts selects endpoints with room first, as many as the learned share of allowed ones asks for, each selection from another start; lists beyond 50 are split among entries without a call; a waiting step with advice examines only its allowed endpoints.

--- a/packages/cell/ask_advice.ts
+++ b/packages/cell/ask_advice.ts
@@ -1,34 +1,85 @@
-import { MAX_ADVICE_BACKLOG_MS } from "./constants.ts";
-import type { Candidates, PlacementPass } from "./placement_pass.ts";
+import { selectEndpointsToAsk } from "./advice_choice.ts";
+import {
+  MAX_ADVICE_BACKLOG_MS,
+  MAX_ADVICE_ENDPOINTS,
+  MIN_ENDPOINTS_PER_CALL,
+  SPARE_ENTRY_FRACTION,
+} from "./constants.ts";
+import { listEligible, type PlacementPass } from "./placement_pass.ts";
 import type { CellState } from "./state.ts";
 import { type Endpoint, OrderKind, type Stage } from "./types.ts";
 
-/** Maximum number of endpoints in one advice call. */
-const MAX_ADVICE_ENDPOINTS = 100;
-
 /**
- * Orders an advice call about these endpoints. A stage has at most one call in
- * flight.
+ * Orders advice calls about these endpoints, unless calls for the stage are in
+ * flight. A long list is split among entries that make no call now, because a
+ * call takes longer with each endpoint that it names.
  */
 export function askAdvice(
   pass: PlacementPass,
   stage: Stage,
-  endpoints: Endpoint[],
+  endpoints: readonly Endpoint[],
 ): void {
   const rules = stage.job.spec.queue.advice;
   const { advice } = stage;
-  if (!rules || advice.isAsking || pass.now < advice.retryAt) return;
+  if (!rules || advice.callsInFlight > 0 || pass.now < advice.retryAt) return;
   if (endpoints.length === 0) return;
-  const endpointsToAsk = endpoints.slice(0, MAX_ADVICE_ENDPOINTS);
-  const costMs = rules.decideMs + rules.perEndpointMs * endpointsToAsk.length;
-  if (!claimAdviceTime(pass.state, costMs)) return;
-  advice.isAsking = true;
-  pass.state.output.orders.push({
-    kind: OrderKind.AskAdvice,
+  const { state } = pass;
+  for (const named of splitAmongCalls(endpoints, state.adviceBacklogsMs)) {
+    const costMs = rules.decideMs + rules.perEndpointMs * named.length;
+    if (!claimAdviceTime(state, costMs)) return;
+    advice.callsInFlight++;
+    state.output.orders.push({
+      kind: OrderKind.AskAdvice,
+      stage,
+      endpoints: named.map(({ info }) => info.id),
+      costMs,
+    });
+  }
+}
+
+/**
+ * Orders advice calls about eligible endpoints that no answered call has named
+ * yet: for a new stage, and when the allowed endpoints have too little room.
+ */
+export function askAboutUnaskedEndpoints(
+  pass: PlacementPass,
+  stage: Stage,
+): void {
+  const { queue } = stage.job.spec;
+  const service = pass.services.get(queue.service);
+  const { advice } = stage;
+  const isWaiting = advice.callsInFlight > 0 || pass.now < advice.retryAt;
+  if (!service || !queue.advice || isWaiting) return;
+  const unasked = listEligible(service, stage).filter(({ info }) =>
+    !advice.askedEndpoints.has(info.id)
+  );
+  askAdvice(
+    pass,
     stage,
-    endpoints: endpointsToAsk.map(({ info }) => info.id),
-    costMs,
-  });
+    selectEndpointsToAsk(pass, stage, {
+      endpoints: unasked,
+      accepting: service.accepting,
+    }),
+  );
+}
+
+/** Splits the endpoints into one list for each call. */
+function splitAmongCalls(
+  endpoints: readonly Endpoint[],
+  backlogsMs: readonly number[],
+): Endpoint[][] {
+  const idleEntries = backlogsMs.filter((ms) => ms === 0).length;
+  const maxCalls = Math.max(1, Math.floor(idleEntries * SPARE_ENTRY_FRACTION));
+  const wantedCalls = Math.floor(endpoints.length / MIN_ENDPOINTS_PER_CALL);
+  const calls = Math.max(1, Math.min(wantedCalls, maxCalls));
+  const length = Math.min(
+    MAX_ADVICE_ENDPOINTS,
+    Math.ceil(endpoints.length / calls),
+  );
+  return Array.from(
+    { length: calls },
+    (_, call) => endpoints.slice(call * length, (call + 1) * length),
+  ).filter((named) => named.length > 0);
 }
 
 /**
@@ -44,18 +95,3 @@
   adviceBacklogsMs[adviceBacklogsMs.indexOf(shortestMs)] += costMs;
   return true;
 }
-
-/**
- * Orders an advice call about the eligible endpoints that no answered call has
- * named yet. Used when the allowed endpoints have too little free capacity.
- */
-export function askAboutUnaskedEndpoints(
-  pass: PlacementPass,
-  stage: Stage,
-  candidates: Candidates,
-): void {
-  const unasked = candidates.eligible.filter(({ info }) =>
-    !stage.advice.askedEndpoints.has(info.id)
-  );
-  askAdvice(pass, stage, unasked);
-}
--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -95,6 +95,8 @@
       shareMeter: new ShareMeter(),
       policies: buildPolicies(options.policies ?? DEFAULT_POLICIES),
       adviceBacklogsMs: [0],
+      adviceCounts: new Map(),
+      adviceCursor: 0,
       backlogs: new Map(),
       output: makeOutput(),
     };
--- a/packages/cell/constants.ts
+++ b/packages/cell/constants.ts
@@ -92,3 +92,27 @@
 
 /** Count of run numbers per ownership term; later terms use higher numbers. */
 export const RUNS_PER_TERM = 1_000;
+
+/** Maximum number of endpoints in one advice call; the platform's limit. */
+export const MAX_ADVICE_ENDPOINTS = 100;
+
+/**
+ * Number of endpoints that the calls of a stage name if that is enough: the
+ * number on which the latency objective of a job counts for each step.
+ */
+export const USUAL_ENDPOINTS_ASKED = 30;
+
+/** Maximum number of endpoints that the calls of a stage name at a time. */
+export const MAX_ENDPOINTS_ASKED = 200;
+
+/**
+ * Room on the allowed endpoints that a stage asks for, as a multiple of its
+ * waiting tasks: other stages may take some of it before the answer.
+ */
+export const ADVICE_ROOM_FACTOR = 2;
+
+/** Fewest endpoints in a call when a list is split among entries. */
+export const MIN_ENDPOINTS_PER_CALL = 25;
+
+/** Fraction of the entries without a call that one stage may use at a time. */
+export const SPARE_ENTRY_FRACTION = 0.25;
--- a/packages/cell/order_results.ts
+++ b/packages/cell/order_results.ts
@@ -6,6 +6,7 @@
   RUNS_PER_TERM,
   START_CONFIRM_MS,
 } from "./constants.ts";
+import { noteAdviceCounts } from "./advice_choice.ts";
 import { type CurrentTime, releaseRun, stopGang } from "./task_ends.ts";
 import type { CellState } from "./state.ts";
 import { findTask, getStep } from "./stages.ts";
@@ -76,7 +77,7 @@
 ): void {
   const { advice } = stage;
   const { answer, endpoints, now } = options;
-  advice.isAsking = false;
+  advice.callsInFlight--;
   if (!answer) {
     advice.failures++;
     const backoffFactor = Math.min(advice.failures, MAX_ADVICE_BACKOFF_FACTOR);
@@ -84,6 +85,12 @@
     return;
   }
   advice.failures = 0;
+  const newlyNamed = endpoints.filter((id) => !advice.askedEndpoints.has(id));
+  const allowed = new Set(answer.tickets.map(({ endpoint }) => endpoint));
+  noteAdviceCounts(state, stage.job.spec.queue.name, {
+    named: newlyNamed.length,
+    allowed: newlyNamed.filter((id) => allowed.has(id)).length,
+  });
   for (const endpoint of endpoints) advice.askedEndpoints.add(endpoint);
   for (const { endpoint, ticket } of answer.tickets) {
     const bornAt = state.endpoints.get(endpoint)?.bornAt ?? 0;
--- a/packages/cell/placement.ts
+++ b/packages/cell/placement.ts
@@ -80,15 +80,6 @@
     now < ticket.expiresAt - TICKET_MARGIN_MS;
 }
 
-/**
- * Returns whether the policy service allows the endpoint, even if the ticket
- * has expired.
- */
-export function isAllowedByAdvice(stage: Stage, endpoint: Endpoint): boolean {
-  return !stage.job.spec.queue.advice ||
-    stage.advice.allowedEndpoints.has(endpoint.info.id);
-}
-
 /**
  * Counts how many more tasks of a stage fit on an endpoint now, next to its
  * runs and reservations and within `maxPerEndpoint`.
--- a/packages/cell/placement_pass.ts
+++ b/packages/cell/placement_pass.ts
@@ -1,12 +1,12 @@
 import { type Demand, makeZeroDemand } from "../jobs/mod.ts";
 import {
   canAcceptStarts,
-  isAllowedByAdvice,
   isEligible,
   listEjected,
   type PlacementView,
 } from "./placement.ts";
 import type { CellState } from "./state.ts";
+import { getStep } from "./stages.ts";
 import type { Endpoint, Stage } from "./types.ts";
 
 /** State of one planning pass over all ready stages. */
@@ -19,8 +19,10 @@
 /** Endpoints of one service during a pass. */
 export interface ServiceView {
   /** Listed endpoints that are not draining. */
-  eligible: Endpoint[];
-  /** Eligible endpoints that accept start orders now and are not ejected. */
+  listed: Endpoint[];
+  /** The listed endpoints that have a label, by label; filled when needed. */
+  listedByLabel: Map<string, Endpoint[]>;
+  /** Listed endpoints that accept start orders now and are not ejected. */
   accepting: Set<Endpoint>;
   /**
    * Largest amount of free cores and of free memory, each over all accepting
@@ -29,17 +31,6 @@
   maxFree: Demand;
 }
 
-/** Endpoints that a stage may use. */
-export interface Candidates {
-  /** Endpoints that could run the stage, if the policy service allows them. */
-  eligible: Endpoint[];
-  /**
-   * Eligible endpoints that the policy service allows and that accept starts
-   * now.
-   */
-  usable: Endpoint[];
-}
-
 /** Begins a planning pass. */
 export function beginPlacementPass(
   state: CellState,
@@ -54,18 +45,40 @@
   };
 }
 
-/** Lists the endpoints of a service that a stage may use. */
-export function listCandidates(
-  service: ServiceView,
-  stage: Stage,
-): Candidates {
-  const eligible = service.eligible.filter((endpoint) =>
+/**
+ * Lists the endpoints that could run the stage if they were idle and the policy
+ * service allowed them.
+ */
+export function listEligible(service: ServiceView, stage: Stage): Endpoint[] {
+  const { requiredLabel } = getStep(stage);
+  return listWithLabel(service, requiredLabel).filter((endpoint) =>
     isEligible(endpoint, stage)
   );
-  const usable = eligible.filter((endpoint) =>
-    service.accepting.has(endpoint) && isAllowedByAdvice(stage, endpoint)
-  );
-  return { eligible, usable };
+}
+
+/**
+ * Lists the endpoints that could run the stage, that the policy service allows
+ * and that accept starts now. With advice, examines only the allowed endpoints:
+ * a waiting stage then costs the same in a cell of any size.
+ */
+export function listUsable(
+  pass: PlacementPass,
+  service: ServiceView,
+  stage: Stage,
+): Endpoint[] {
+  if (!stage.job.spec.queue.advice) {
+    return listEligible(service, stage).filter((endpoint) =>
+      service.accepting.has(endpoint)
+    );
+  }
+  const usable: Endpoint[] = [];
+  for (const id of stage.advice.allowedEndpoints.keys()) {
+    const endpoint = pass.state.endpoints.get(id);
+    if (
+      endpoint && service.accepting.has(endpoint) && isEligible(endpoint, stage)
+    ) usable.push(endpoint);
+  }
+  return usable;
 }
 
 /** Returns the free capacity of an endpoint, in thousandths of a core. */
@@ -73,6 +86,16 @@
   return endpoint.info.capacity.milliCores - endpoint.used.milliCores;
 }
 
+function listWithLabel(service: ServiceView, label: string): Endpoint[] {
+  if (label === "") return service.listed;
+  let labelled = service.listedByLabel.get(label);
+  if (!labelled) {
+    labelled = service.listed.filter(({ info }) => info.labels.includes(label));
+    service.listedByLabel.set(label, labelled);
+  }
+  return labelled;
+}
+
 function collectServices(
   state: CellState,
   now: number,
@@ -85,13 +108,14 @@
     let service = services.get(info.service);
     if (!service) {
       service = {
-        eligible: [],
+        listed: [],
+        listedByLabel: new Map(),
         accepting: new Set(),
         maxFree: makeZeroDemand(),
       };
       services.set(info.service, service);
     }
-    service.eligible.push(endpoint);
+    service.listed.push(endpoint);
     if (ejected.has(endpoint) || !canAcceptStarts(endpoint, now)) continue;
     service.accepting.add(endpoint);
     const { maxFree } = service;
--- a/packages/cell/plan.ts
+++ b/packages/cell/plan.ts
@@ -1,10 +1,10 @@
 import { getCapacityDemand } from "../jobs/mod.ts";
 import { askAboutUnaskedEndpoints, askAdvice } from "./ask_advice.ts";
+import { selectForTickets } from "./advice_choice.ts";
 import { countFittingTasks, countWithinQuota, hasTicket } from "./placement.ts";
 import {
   beginPlacementPass,
-  type Candidates,
-  listCandidates,
+  listUsable,
   type PlacementPass,
 } from "./placement_pass.ts";
 import { planGang } from "./plan_gang.ts";
@@ -39,27 +39,27 @@
     demand.memoryMb <= service.maxFree.memoryMb;
   // Cheap early exit: under load most stages fit nowhere.
   if (hasAdvice && !gang && !mayFit) return;
-  const candidates = listCandidates(service, stage);
-  if (!hasAdvice) return askAdvice(pass, stage, candidates.eligible);
+  if (!hasAdvice) return askAboutUnaskedEndpoints(pass, stage);
   if (!stage.job.isCommitted) return;
-  if (gang) planGang(pass, stage, candidates);
-  else planTasks(pass, stage, candidates);
+  const usable = listUsable(pass, service, stage);
+  if (gang) planGang(pass, stage, usable);
+  else planTasks(pass, stage, usable);
 }
 
 function planTasks(
   pass: PlacementPass,
   stage: Stage,
-  candidates: Candidates,
+  usable: readonly Endpoint[],
 ): void {
   let allowance = countWithinQuota(pass.state, stage);
   if (allowance === 0) return;
   const slots = new Map<Endpoint, number>();
-  for (const endpoint of candidates.usable) {
+  for (const endpoint of usable) {
     const fittingCount = countFittingTasks(pass, endpoint, stage);
     if (fittingCount > 0) slots.set(endpoint, fittingCount);
   }
   if (slots.size === 0) {
-    return askAboutUnaskedEndpoints(pass, stage, candidates);
+    return askAboutUnaskedEndpoints(pass, stage);
   }
   let isTicketMissing = false;
   for (const task of stage.tasks) {
@@ -85,7 +85,9 @@
     if (slotsLeft > 0) slots.set(endpoint, slotsLeft);
     else slots.delete(endpoint);
   }
-  if (isTicketMissing) askAdvice(pass, stage, [...slots.keys()]);
+  if (isTicketMissing) {
+    askAdvice(pass, stage, selectForTickets(stage, slots));
+  }
 }
 
 /** Restricts endpoints to the preferred rack if any of them is in it. */
--- a/packages/cell/plan_gang.ts
+++ b/packages/cell/plan_gang.ts
@@ -8,11 +8,7 @@
   hasTicket,
   splitByRack,
 } from "./placement.ts";
-import {
-  type Candidates,
-  measureFreeCores,
-  type PlacementPass,
-} from "./placement_pass.ts";
+import { measureFreeCores, type PlacementPass } from "./placement_pass.ts";
 import { getStep } from "./stages.ts";
 import { startTask } from "./start_task.ts";
 import { type Endpoint, type Run, type Stage, TaskPhase } from "./types.ts";
@@ -21,17 +17,17 @@
 export function planGang(
   pass: PlacementPass,
   stage: Stage,
-  candidates: Candidates,
+  usable: Endpoint[],
 ): void {
   if (!canPlaceGang(pass, stage)) return;
   if (countWithinQuota(pass.state, stage) < stage.tasks.length) return;
   const avoided = new Set(stage.tasks.map((task) => task.avoidEndpoint));
-  const endpointsWithoutFailures = candidates.usable.filter((
+  const endpointsWithoutFailures = usable.filter((
     { info, failuresInRow },
   ) => !avoided.has(info.id) && failuresInRow === 0);
   const groups = getStep(stage).rackLocal
-    ? splitByRack(candidates.usable)
-    : [endpointsWithoutFailures, candidates.usable];
+    ? splitByRack(usable)
+    : [endpointsWithoutFailures, usable];
   for (const group of groups) {
     const assignment = selectGangEndpoints(pass, stage, group);
     if (!assignment) continue;
@@ -44,8 +40,8 @@
     reserveAssignment(pass, stage, assignment);
     return askAdvice(pass, stage, [...new Set(assignment)]);
   }
-  askAboutUnaskedEndpoints(pass, stage, candidates);
-  reserveForGang(pass, stage, candidates.usable);
+  askAboutUnaskedEndpoints(pass, stage);
+  reserveForGang(pass, stage, usable);
 }
 
 /**
--- a/packages/cell/stages.ts
+++ b/packages/cell/stages.ts
@@ -201,7 +201,7 @@
     advice: {
       allowedEndpoints: new Map(),
       askedEndpoints: new Set(),
-      isAsking: false,
+      callsInFlight: 0,
       retryAt: 0,
       failures: 0,
     },
--- a/packages/cell/state.ts
+++ b/packages/cell/state.ts
@@ -1,5 +1,6 @@
 import type { JournalRecord } from "../journal/mod.ts";
 import { addDemand, type Demand, makeZeroDemand } from "../jobs/mod.ts";
+import type { AdviceCounts } from "./advice_choice.ts";
 import type { Backlog } from "./admission.ts";
 import type { CellPolicies } from "./policies.ts";
 import type { ShareMeter } from "./share_meter.ts";
@@ -48,6 +49,10 @@
    * one after the other.
    */
   adviceBacklogsMs: number[];
+  /** Answers of the policy service so far, by name of the queue. */
+  adviceCounts: Map<string, AdviceCounts>;
+  /** Counts selections for advice calls, so that each begins elsewhere. */
+  adviceCursor: number;
   /** Waiting work of each service at the last plan, plus later arrivals. */
   backlogs: Map<string, Backlog>;
   output: CellOutput;
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -202,8 +202,8 @@
   allowedEndpoints: Map<string, Ticket>;
   /** Endpoints that were named in answered advice calls, allowed or not. */
   askedEndpoints: Set<string>;
-  /** An advice call for the stage is in flight. */
-  isAsking: boolean;
+  /** Number of advice calls for the stage that are in flight. */
+  callsInFlight: number;
   retryAt: number;
   failures: number;
 }
@@ -386,8 +386,10 @@
   Known = "known",
   /** The job can't be served and never runs. */
   Refused = "refused",
-  /** Another entry owns the cell and decides. */
+  /** The entry that was asked does not own the cell, or not yet. */
   NotOwner = "not_owner",
+  /** The job can't be stored now; it never runs. */
+  StoreStalled = "store_stalled",
 }
 
 /** Decision on a submitted job, with the reason and a delay for a retry. */
