Hold and repeat callers' requests across a change of owner

Ruled out: repeating at the callers; they wait at least the second that Retry-After can name. Change: OwnerCalls waits for the next owner for at most 1.5 s, while the store is reachable, and repeats calls, which are idempotent by the job's id, until a reply settles them. A refusal after an unsettled attempt counts as not run only if a later owner in another process gives it. An owner that stops ends the waits for its commits at once. Measured: tests/virtual/caller_service_test.ts: a request is accepted within 100 ms of the next owner's link, and a lost answer is settled; both got 503 and 504 before.

--- a/packages/cell/advice_choice.ts
+++ b/packages/cell/advice_choice.ts
@@ -54,7 +54,7 @@
     if (slots > 0) candidates.push({ endpoint, slots });
     else if (accepting.has(endpoint)) full.push(endpoint);
   }
-  const withRoom = rotateList(candidates, pass.state.adviceCursor++);
+  const withRoom = listFromCursor(candidates, pass.state.adviceCursor++);
   // A gang starts sooner on few endpoints with much room each.
   if (getStep(stage).gang) withRoom.sort((a, b) => b.slots - a.slots);
   const selected = selectEnoughRoom(pass.state, stage, withRoom);
@@ -127,7 +127,7 @@
 }
 
 /** Lists the items from `start` on, modulo the length, then those before. */
-function rotateList<T>(items: readonly T[], cursor: number): T[] {
+function listFromCursor<T>(items: readonly T[], cursor: number): T[] {
   if (items.length === 0) return [];
   const start = cursor * USUAL_ENDPOINTS_ASKED % items.length;
   return [...items.slice(start), ...items.slice(0, start)];
--- a/packages/events/catalogue.ts
+++ b/packages/events/catalogue.ts
@@ -66,6 +66,7 @@
   OwnerRestored = 7006,
   CommitFailed = 7007,
   LinesDropped = 7008,
+  CallRepeated = 7009,
 }
 
 /** Severity, message and remedy of each event. */
@@ -378,6 +379,11 @@
     message: "log lines beyond the rate limit were dropped",
     remedy: "None; `counts` gives the dropped lines per event code.",
   },
+  [EventCode.CallRepeated]: {
+    severity: Severity.Info,
+    message: "the owner did not settle a caller's request; it is sent again",
+    remedy: "None; check the owner if it repeats without a change of owner.",
+  },
   [EventCode.RequestRefused]: {
     severity: Severity.Info,
     message: "request refused",
--- a/packages/scheduler/caller_service.ts
+++ b/packages/scheduler/caller_service.ts
@@ -1,3 +1,4 @@
+import { match } from "ts-pattern";
 import {
   type Clock,
   computeRetryAfter,
@@ -15,8 +16,8 @@
   DEFAULT_DEADLINE_MS,
   KEY_TRUST_FRACTION,
   NO_OWNER_RETRY_MS,
-  OWNER_CALL_TIMEOUT_MS,
 } from "./constants.ts";
+import { OwnerCalls, ReplyKind } from "./owner_calls.ts";
 import type { OwnerGateway } from "./owner_gateway.ts";
 import {
   AnswerKind,
@@ -54,19 +55,22 @@
   getKeyRevocationMs: () => number;
 }
 
-/** Read-only methods: the caller may retry after any failure. */
-const READ_METHODS: ReadonlySet<string> = new Set(["find", "count"]);
-
 /**
  * Serves callers' requests: finds the queue, checks the key, and forwards the
  * request to the cell's owner.
  */
 export class CallerService {
   readonly #parts: CallerServiceParts;
+  readonly #ownerCalls: OwnerCalls;
   #inFlightCount = 0;
 
   constructor(parts: CallerServiceParts) {
     this.#parts = parts;
+    const { config, ...rest } = parts;
+    this.#ownerCalls = new OwnerCalls({
+      ...rest,
+      canHearOfOwners: () => config.isStoreReachable,
+    });
   }
 
   /** Number of requests in flight. */
@@ -96,11 +100,13 @@
         organisation,
         queue: selectQueueRules(queue),
       };
-      const reply = await this.#parts.gateway.call(
-        "job.submit",
-        { job: spec },
-        { timeoutMs: computeTimeout(request) },
-      );
+      const reply = await this.#ownerCalls.call({
+        method: "job.submit",
+        params: { job: spec },
+        isRead: false,
+        classify: classifySubmitReply,
+        timeoutMs: computeTimeout(request),
+      });
       return this.#createSubmitAnswer(spec, reply);
     });
   }
@@ -108,11 +114,13 @@
   /** Finds the state of a job. */
   find(request: CallerRequest, id: string): Promise<CallerAnswer> {
     return this.#serve("find", request, async ({ organisation }) => {
-      const status = await this.#parts.gateway.call(
-        "job.find",
-        { id, organisation },
-        { timeoutMs: computeTimeout(request) },
-      );
+      const status = await this.#ownerCalls.call({
+        method: "job.find",
+        params: { id, organisation },
+        isRead: true,
+        classify: () => ReplyKind.Final,
+        timeoutMs: computeTimeout(request),
+      });
       if (!status) return { kind: AnswerKind.NoSuchJob, detail: id };
       return { kind: AnswerKind.State, detail: "", state: status.state };
     });
@@ -121,11 +129,14 @@
   /** Cancels a job. */
   cancel(request: CallerRequest, id: string): Promise<CallerAnswer> {
     return this.#serve("cancel", request, async ({ organisation }) => {
-      const reply = await this.#parts.gateway.call(
-        "job.cancel",
-        { id, organisation },
-        { timeoutMs: computeTimeout(request) },
-      );
+      const reply = await this.#ownerCalls.call({
+        method: "job.cancel",
+        params: { id, organisation },
+        isRead: false,
+        classify: (reply) =>
+          reply === CancelReply.Unknown ? ReplyKind.Unknown : ReplyKind.Final,
+        timeoutMs: computeTimeout(request),
+      });
       if (reply === CancelReply.NoSuchJob) {
         return { kind: AnswerKind.NoSuchJob, detail: id };
       }
@@ -138,11 +149,13 @@
   /** Counts the jobs of a queue of which no task has started. */
   count(request: CallerRequest): Promise<CallerAnswer> {
     return this.#serve("count", request, async ({ queue }) => {
-      const count = await this.#parts.gateway.call(
-        "queue.count",
-        { queue: queue.name },
-        { timeoutMs: computeTimeout(request) },
-      );
+      const count = await this.#ownerCalls.call({
+        method: "queue.count",
+        params: { queue: queue.name },
+        isRead: true,
+        classify: () => ReplyKind.Final,
+        timeoutMs: computeTimeout(request),
+      });
       return { kind: AnswerKind.Count, detail: "", count };
     });
   }
@@ -201,9 +214,9 @@
       return await call();
     } catch (error) {
       const detail = error instanceof Error ? error.message : String(error);
-      const hasNoEffect = READ_METHODS.has(method) ||
-        error instanceof NotSentError;
-      if (hasNoEffect) return this.#createUnavailableAnswer(detail);
+      if (error instanceof NotSentError) {
+        return this.#createUnavailableAnswer(detail);
+      }
       this.#parts.log.record(EventCode.JobUnsettled, {
         method,
         path: request.path,
@@ -226,7 +239,7 @@
       return { kind: AnswerKind.Unknown, detail: "the owner has changed" };
     }
     const { admission, reason, retryAfterMs } = reply;
-    if (admission === Admission.NotOwner) {
+    if (admission === Admission.StoreStalled) {
       return this.#createUnavailableAnswer(reason);
     }
     if (admission === Admission.Refused) {
@@ -270,7 +283,16 @@
 function computeTimeout({ deadlineMs }: CallerRequest): number {
   const totalMs = deadlineMs > 0 ? deadlineMs : DEFAULT_DEADLINE_MS;
   const remainingMs = Math.max(ANSWER_MARGIN_MS, totalMs - ANSWER_MARGIN_MS);
-  return Math.min(OWNER_CALL_TIMEOUT_MS, remainingMs);
+  return remainingMs;
+}
+
+function classifySubmitReply(reply: SubmitReply): ReplyKind {
+  if (reply.isUnknown) return ReplyKind.Unknown;
+  return match(reply.admission)
+    .with(Admission.Accepted, Admission.Known, () => ReplyKind.Final)
+    .with(Admission.NotOwner, () => ReplyKind.NotOwner)
+    .with(Admission.Refused, Admission.StoreStalled, () => ReplyKind.Refused)
+    .exhaustive();
 }
 
 function selectQueueRules(queue: QueueRoute): JobSpec["queue"] {
--- a/packages/scheduler/config_feed.ts
+++ b/packages/scheduler/config_feed.ts
@@ -51,6 +51,11 @@
     }
   }
 
+  /** Returns whether the last read of the configuration succeeded. */
+  get isStoreReachable(): boolean {
+    return this.#isStoreReachable;
+  }
+
   /** Stops reading. */
   stop(): void {
     this.#isStopped = true;
--- a/packages/scheduler/constants.ts
+++ b/packages/scheduler/constants.ts
@@ -162,6 +162,21 @@
  */
 export const OWNER_CALL_TIMEOUT_MS = 1_000;
 
+/**
+ * Longest time for which an entry holds a request that has reached no owner, in
+ * milliseconds: the lease of a lost owner, and the restore by the next one.
+ */
+export const OWNER_WAIT_MS = 1_500;
+
+/** Pause before a call to the owner is repeated, in milliseconds. */
+export const REPEAT_PAUSE_MS = 40;
+
+/**
+ * Maximum number of requests that one entry holds while there is no owner. Some
+ * seconds of an entry's usual share of the load.
+ */
+export const MAX_HELD_CALLS = 100;
+
 /** Part of a caller's deadline reserved for sending the answer, in ms. */
 export const ANSWER_MARGIN_MS = 150;
 
--- /dev/null
+++ b/packages/scheduler/owner_calls.ts
@@ -0,0 +1,141 @@
+import { type Clock, NotSentError, UnknownEffectError } from "../base/mod.ts";
+import { EventCode, type EventLog } from "../events/mod.ts";
+import type { LinkMethod, LinkMethods } from "../links/mod.ts";
+import {
+  MAX_HELD_CALLS,
+  OWNER_CALL_TIMEOUT_MS,
+  OWNER_WAIT_MS,
+  REPEAT_PAUSE_MS,
+} from "./constants.ts";
+import type { OwnerGateway } from "./owner_gateway.ts";
+import type { OwnerRecord } from "./types.ts";
+
+/** What one reply of the owner means for the call. */
+export enum ReplyKind {
+  /** The reply settles the call. */
+  Final = "final",
+  /** The call had no effect: the receiver does not own the cell, or not yet. */
+  NotOwner = "not_owner",
+  /** The call had no effect, and the owner refuses it. */
+  Refused = "refused",
+  /** The call may have had an effect. */
+  Unknown = "unknown",
+}
+
+/** A call for a caller's request. Repeating it must change nothing. */
+export interface RepeatableCall<M extends LinkMethod> {
+  method: M;
+  params: LinkMethods[M]["params"];
+  /** The call has no effect on the owner, whatever happens to it. */
+  isRead: boolean;
+  classify: (reply: LinkMethods[M]["result"]) => ReplyKind;
+  /** Time until the caller needs an answer, in milliseconds. */
+  timeoutMs: number;
+}
+
+/** The dependencies of `OwnerCalls`. */
+export interface OwnerCallsParts {
+  gateway: OwnerGateway;
+  clock: Clock;
+  log: EventLog;
+  /** Returns whether this entry reaches the store, so that it hears of owners. */
+  canHearOfOwners: () => boolean;
+}
+
+/**
+ * Returns whether a refusal by `refusing` proves that an earlier attempt sent to
+ * `unsettled` had no effect. A later owner has read every record that an earlier
+ * one could commit. The same process may still receive the earlier attempt.
+ */
+export function isProofOfNoEffect(
+  unsettled: OwnerRecord,
+  refusing: OwnerRecord | undefined,
+): boolean {
+  return refusing !== undefined && refusing.term > unsettled.term &&
+    refusing.incarnation !== unsettled.incarnation;
+}
+
+/**
+ * Calls the cell's owner for callers. Load: all callers at once during a change
+ * of owner. A call that reaches no owner waits for the next one for at most
+ * `OWNER_WAIT_MS`; a call whose answer is lost is repeated, so that the caller
+ * learns its effect instead of having to ask.
+ */
+export class OwnerCalls {
+  readonly #parts: OwnerCallsParts;
+  #heldCount = 0;
+
+  constructor(parts: OwnerCallsParts) {
+    this.#parts = parts;
+  }
+
+  /**
+   * Calls the owner until a reply settles the call or no time is left.
+   *
+   * @throws {NotSentError} when the call certainly had no effect
+   * @throws {UnknownEffectError} when the call may have had an effect
+   */
+  async call<M extends LinkMethod>(
+    call: RepeatableCall<M>,
+  ): Promise<LinkMethods[M]["result"]> {
+    const { clock, gateway } = this.#parts;
+    const startedAt = clock.now();
+    const giveUpAt = startedAt + call.timeoutMs;
+    const waitUntil = Math.min(giveUpAt, startedAt + OWNER_WAIT_MS);
+    /** Owner of the first attempt whose effect is unknown. */
+    let unsettled: OwnerRecord | undefined;
+    let reason = "no owner is known";
+    for (let attempt = 1;; attempt++) {
+      const now = clock.now();
+      const isReachable = gateway.canReachOwner ||
+        await this.#waitForOwner(unsettled ? giveUpAt : waitUntil, now);
+      if (!isReachable) break;
+      const { owner } = gateway;
+      const timeoutMs = Math.min(OWNER_CALL_TIMEOUT_MS, giveUpAt - clock.now());
+      if (timeoutMs <= 0) break;
+      try {
+        const { method, params } = call;
+        const reply = await gateway.call(method, params, { timeoutMs });
+        const kind = call.classify(reply);
+        if (kind === ReplyKind.Final) return reply;
+        if (kind === ReplyKind.Refused) {
+          if (!unsettled || isProofOfNoEffect(unsettled, owner)) return reply;
+          reason = "refused, but an earlier attempt may have had an effect";
+          break;
+        }
+        reason = `the entry that was asked answered ${kind}`;
+        if (kind === ReplyKind.Unknown) unsettled ??= owner;
+      } catch (error) {
+        reason = error instanceof Error ? error.message : String(error);
+        const hasNoEffect = call.isRead || error instanceof NotSentError;
+        if (!hasNoEffect) unsettled ??= owner;
+      }
+      if (clock.now() >= (unsettled ? giveUpAt : waitUntil)) break;
+      this.#recordRepeat(call.method, { attempt, reason });
+      await clock.sleep(REPEAT_PAUSE_MS);
+    }
+    if (unsettled) throw new UnknownEffectError(reason);
+    throw new NotSentError(reason);
+  }
+
+  /** Waits for a reachable owner; returns whether there is one. */
+  async #waitForOwner(until: number, now: number): Promise<boolean> {
+    const { canHearOfOwners, gateway } = this.#parts;
+    const mayWait = now < until && this.#heldCount < MAX_HELD_CALLS &&
+      canHearOfOwners();
+    if (!mayWait) return false;
+    this.#heldCount++;
+    try {
+      return await gateway.waitUntilReachable(until - now);
+    } finally {
+      this.#heldCount--;
+    }
+  }
+
+  #recordRepeat(
+    method: string,
+    { attempt, reason }: { attempt: number; reason: string },
+  ): void {
+    this.#parts.log.record(EventCode.CallRepeated, { method, attempt, reason });
+  }
+}
--- a/packages/scheduler/owner_gateway.ts
+++ b/packages/scheduler/owner_gateway.ts
@@ -23,6 +23,7 @@
   #isOwnerLocal = false;
   #isConnecting = false;
   #isStopped = false;
+  readonly #waiting = new Set<() => void>();
   /** Called when nothing listens at the owner's address: its process ended. */
   onOwnerProcessGone: (owner: OwnerRecord) => void = () => {};
   /** Called when the owner cannot be reached or its link is closed. */
@@ -66,9 +67,25 @@
     this.#isOwnerLocal = isLocal;
     this.#link?.close("the owner of the cell has changed");
     this.#link = undefined;
+    if (isLocal) this.#releaseWaiting();
     if (owner && !isLocal) void this.#openLink(owner);
   }
 
+  /** Waits until calls can be sent; returns false if that takes too long. */
+  async waitUntilReachable(timeoutMs: number): Promise<boolean> {
+    if (this.canReachOwner) return true;
+    await new Promise<void>((resolve) => {
+      const release = () => {
+        cancelTimeout();
+        this.#waiting.delete(release);
+        resolve();
+      };
+      const cancelTimeout = this.#clock.schedule(release, timeoutMs);
+      this.#waiting.add(release);
+    });
+    return this.canReachOwner;
+  }
+
   /**
    * Calls a method of the owner.
    *
@@ -116,6 +133,10 @@
     }
   }
 
+  #releaseWaiting(): void {
+    for (const release of [...this.#waiting]) release();
+  }
+
   async #openLink(owner: OwnerRecord): Promise<void> {
     if (this.#isConnecting || this.#link?.isOpen) return;
     this.#isConnecting = true;
@@ -154,6 +175,7 @@
       return link.close("the owner changed while the link was opened");
     }
     this.#link = link;
+    this.#releaseWaiting();
     this.#log.record(EventCode.OwnerFollowed, {
       owner: owner.entry,
       term: owner.term,
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -239,7 +239,7 @@
     const now = this.#parts.clock.now();
     if (this.#planLoop.isStoreStalled(now)) {
       return {
-        admission: Admission.NotOwner,
+        admission: Admission.StoreStalled,
         reason: "the store does not answer",
         retryAfterMs: NO_OWNER_RETRY_MS,
       };
--- a/packages/scheduler/plan_loop.ts
+++ b/packages/scheduler/plan_loop.ts
@@ -42,6 +42,8 @@
   #isScheduled = false;
   #lastPlanAt = 0;
   #lastPlanMs = 0;
+  /** Ends the wait of each `commitNow` when the loop stops. */
+  readonly #pendingCommits = new Set<() => void>();
 
   constructor(parts: PlanLoopParts) {
     this.#parts = parts;
@@ -52,9 +54,14 @@
     this.#journal = journal;
   }
 
-  /** Stops planning and sends no further starts. */
+  /**
+   * Stops planning, sends no further starts, and ends the waits for commits,
+   * whose effect is then unknown.
+   */
   stop(): void {
     this.#isStopped = true;
+    for (const drop of this.#pendingCommits) drop();
+    this.#pendingCommits.clear();
   }
 
   /** Schedules a plan; further calls before it runs have no effect. */
@@ -99,15 +106,15 @@
    * or to false if the loop was stopped first.
    */
   commitNow(): Promise<boolean> {
-    const { clock } = this.#parts;
+    if (this.#isStopped) return Promise.resolve(false);
     return new Promise((resolve) => {
-      this.#sendOutput(() => resolve(true));
+      const drop = () => resolve(false);
+      this.#pendingCommits.add(drop);
+      this.#sendOutput(() => {
+        this.#pendingCommits.delete(drop);
+        resolve(true);
+      });
       this.schedulePlan();
-      const checkStopped = () => {
-        if (this.#isStopped) resolve(false);
-        else clock.schedule(checkStopped, PLAN_INTERVAL_MS * 5);
-      };
-      clock.schedule(checkStopped, PLAN_INTERVAL_MS * 5);
     });
   }
 
