Let large VMs own the cell, and hand it over from small or slowed ones

Cause: nothing in the election knew a VM's processor. Ruled out: a delay of claims by an absolute size; it would lengthen each change of owner where all VMs are small. Change: heartbeats carry the sender's processor speed, their answers that of the largest linked VM. Entries on VMs below 0.7 of it leave a lost cell to the others for 0.4 s; an owner on such a VM, and one whose loop is late most of 1.5 s, stores its decisions and hands over. Only the opener of a link sends heartbeats, which halves them. Of many claims at once, the later ones see the owner and write nothing. The last commits of a planned stop take at most 0.4 s; before, new work could put off their end as long as it came.

--- a/packages/links/link.ts
+++ b/packages/links/link.ts
@@ -11,32 +11,57 @@
   LINK_TIMEOUT_MS,
   MAX_LINE_LENGTH,
 } from "./constants.ts";
-import type { LinkHandlers, LinkMethod, LinkMethods } from "./types.ts";
+import type {
+  Heartbeat,
+  HeartbeatReply,
+  LinkHandlers,
+  LinkMethod,
+  LinkMethods,
+} from "./types.ts";
+
+/** What an entry tells the owner of the cell over a link that it opens. */
+export interface LinkOpener {
+  /** Sent in each heartbeat. */
+  heartbeat: Heartbeat;
+  /** Called with the answer to each heartbeat. */
+  onReply: (reply: HeartbeatReply) => void;
+}
 
 /** A connection between two entries, over which both sides call methods. */
 export class Link {
   readonly #socket: Socket;
   readonly #rpc: JSONRPCServerAndClient;
   readonly #clock: Clock;
-  readonly #localEntry: string;
+  readonly #opener: LinkOpener | undefined;
   #buffer = "";
   #cancelTimer: () => void = () => {};
   #isOpen = true;
   #lastReceivedAt: number;
-  /** Name of the peer entry; empty until its first heartbeat. */
+  /**
+   * Name of the peer entry; empty until its first heartbeat, and always empty at
+   * the opener of the link.
+   */
   peer = "";
+  /** Processor speed of the peer's VM, in cores; 0: not known. */
+  peerCores = 0;
+  /** Called when the first heartbeat of the peer has named it. */
+  onIdentified: () => void = () => {};
   /** The link was closed because no data was received for too long. */
   hasTimedOut = false;
   /** Called once, when the link is closed. */
   onClosed: (reason: string) => void = () => {};
 
+  /**
+   * `opener` is set at the side that opened the link. Only that side sends
+   * heartbeats: their answers tell it that the owner lives.
+   */
   constructor(
     socket: Socket,
-    options: { handlers: LinkHandlers; clock: Clock; entry: string },
+    options: { handlers: LinkHandlers; clock: Clock; opener?: LinkOpener },
   ) {
     this.#socket = socket;
     this.#clock = options.clock;
-    this.#localEntry = options.entry;
+    this.#opener = options.opener;
     this.#lastReceivedAt = options.clock.now();
     this.#rpc = this.#createRpc(options.handlers);
     socket.setNoDelay(true);
@@ -44,7 +69,7 @@
     socket.on("data", (text: string) => this.#receive(text));
     socket.on("error", (error) => this.close(error.message));
     socket.on("close", () => this.close("closed by the peer"));
-    this.#scheduleHeartbeat();
+    this.#scheduleCheck();
   }
 
   /** Returns the time since data was last received, in milliseconds. */
@@ -101,15 +126,20 @@
     for (const [name, handler] of Object.entries(handlers)) {
       const handle = handler as (params: unknown) => unknown;
       rpc.addMethod(name, async (params: unknown) => {
-        if (name === "link.heartbeat") {
-          this.peer = (params as { entry: string }).entry;
-        }
+        if (name === "link.heartbeat") this.#notePeer(params as Heartbeat);
         return await handle(params);
       });
     }
     return rpc;
   }
 
+  #notePeer({ entry, cores }: Heartbeat): void {
+    const isNew = this.peer === "";
+    this.peer = entry;
+    this.peerCores = cores;
+    if (isNew) this.onIdentified();
+  }
+
   #receive(text: string): void {
     this.#lastReceivedAt = this.#clock.now();
     this.#buffer += text;
@@ -131,19 +161,29 @@
     }
   }
 
-  #scheduleHeartbeat(): void {
+  /**
+   * Sends a heartbeat and notes the answer.
+   *
+   * @throws {NotSentError | UnknownEffectError} when no answer came
+   */
+  async sendHeartbeat(): Promise<void> {
+    const { heartbeat, onReply } = this.#opener ?? {};
+    if (!heartbeat || !onReply) return;
+    const timeoutMs = LINK_TIMEOUT_MS;
+    onReply(await this.call("link.heartbeat", heartbeat, { timeoutMs }));
+  }
+
+  #scheduleCheck(): void {
     this.#cancelTimer = this.#clock.schedule(() => {
       if (this.measureIdleTime() > LINK_TIMEOUT_MS) {
         this.hasTimedOut = true;
         return this.close(`no data received for ${LINK_TIMEOUT_MS} ms`);
       }
-      this.call("link.heartbeat", { entry: this.#localEntry }, {
-        timeoutMs: LINK_TIMEOUT_MS,
-      })
+      this.sendHeartbeat()
         // A failed heartbeat needs no handling: the check above closes a link
         // on which no data arrives.
         .catch(() => {});
-      this.#scheduleHeartbeat();
+      this.#scheduleCheck();
     }, LINK_HEARTBEAT_MS);
   }
 }
@@ -164,11 +204,11 @@
   options: {
     handlers: LinkHandlers;
     clock: Clock;
-    entry: string;
+    opener: LinkOpener;
     localAddress: string;
   },
 ): Promise<Link> {
-  const { localAddress, clock, entry } = options;
+  const { localAddress, clock } = options;
   const socket = await new Promise<Socket>((resolve, reject) => {
     const pendingSocket = connect({ ...address, localAddress });
     const fail = (reason: string) => {
@@ -192,6 +232,6 @@
     });
   });
   const link = new Link(socket, options);
-  await link.call("link.heartbeat", { entry }, { timeoutMs: LINK_TIMEOUT_MS });
+  await link.sendHeartbeat();
   return link;
 }
--- a/packages/links/link_server.ts
+++ b/packages/links/link_server.ts
@@ -11,17 +11,24 @@
   onLost: (peer: string, reason: string) => void = () => {};
   readonly #server: Server;
   readonly #clock: Clock;
+  #largestPeerCores = 0;
   /** When a peer's link last closed by timeout, by peer. */
   readonly #timedOutAt = new Map<string, number>();
 
   constructor(
-    options: { handlers: LinkHandlers; clock: Clock; entry: string },
+    options: { handlers: LinkHandlers; clock: Clock },
   ) {
     this.#clock = options.clock;
     this.#server = createServer((socket) => {
       const link = new Link(socket, options);
       this.links.add(link);
       link.onClosed = (reason) => this.#dropLink(link, reason);
+      link.onIdentified = () => {
+        this.#largestPeerCores = Math.max(
+          this.#largestPeerCores,
+          link.peerCores,
+        );
+      };
     });
   }
 
@@ -38,6 +45,11 @@
     return [...this.links].filter((link) => link.peer !== "");
   }
 
+  /** Processor speed of the largest VM with an open link, in cores; 0: none. */
+  get largestPeerCores(): number {
+    return this.#largestPeerCores;
+  }
+
   /** Lists entries whose link timed out recently and that have no link now. */
   listUnresponsive(): string[] {
     const cutoff = this.#clock.now() - UNRESPONSIVE_RETENTION_MS;
@@ -50,6 +62,8 @@
   #dropLink(link: Link, reason: string): void {
     this.links.delete(link);
     if (link.peer === "") return;
+    const cores = this.listIdentified().map(({ peerCores }) => peerCores);
+    this.#largestPeerCores = Math.max(0, ...cores);
     this.onLost(link.peer, reason);
     if (link.hasTimedOut) this.#timedOutAt.set(link.peer, this.#clock.now());
     else this.#timedOutAt.delete(link.peer);
--- a/packages/links/types.ts
+++ b/packages/links/types.ts
@@ -3,7 +3,7 @@
 
 /** Parameters and results of the methods that entries call on each other. */
 export interface LinkMethods {
-  "link.heartbeat": { params: { entry: string }; result: true };
+  "link.heartbeat": { params: Heartbeat; result: HeartbeatReply };
   "job.submit": { params: { job: JobSpec }; result: SubmitReply };
   "job.cancel": { params: JobQuery; result: CancelReply };
   "job.find": { params: JobQuery; result: { state: JobState } | null };
@@ -14,6 +14,20 @@
   };
 }
 
+/** Sent by the entry that opened a link. */
+export interface Heartbeat {
+  /** Name of the sender. */
+  entry: string;
+  /** Processor speed of the sender's VM, in cores. */
+  cores: number;
+}
+
+/** Answer of the cell's owner to a heartbeat. */
+export interface HeartbeatReply {
+  /** Processor speed of the largest VM linked to the owner, its own included. */
+  largestCores: number;
+}
+
 /** Name of a method that entries call on each other. */
 export type LinkMethod = keyof LinkMethods;
 
--- /dev/null
+++ b/packages/scheduler/claim_rules.ts
@@ -0,0 +1,58 @@
+import {
+  CAPABLE_FRACTION,
+  HANDOVER_AFTER_MS,
+  MIN_OWNERSHIP_MS,
+  SMALL_VM_CLAIM_DELAY_MS,
+} from "./constants.ts";
+
+/** Input of the decision to hand the cell over. */
+export interface HandoverView {
+  /** Processor speed of the owner's VM, in cores. */
+  cores: number;
+  /** Processor speed of the largest VM linked to the owner, in cores. */
+  largestPeerCores: number;
+  /** When the owner had restored the cell, in ms; `undefined`: not yet. */
+  readySince: number | undefined;
+  /** The owner's loop has been late for most of the last seconds. */
+  isOverloaded: boolean;
+}
+
+/**
+ * Returns whether a VM may own a cell whose largest VM has `largestCores`. VMs
+ * of about the same size are equal, so that the cell does not change hands for a
+ * small gain.
+ */
+export function isCapable(cores: number, largestCores: number): boolean {
+  return cores >= largestCores * CAPABLE_FRACTION;
+}
+
+/**
+ * Computes how long an entry waits before it claims a cell without an owner, in
+ * milliseconds. Load: hundreds of entries of unlike size lose their owner at the
+ * same moment; the capable ones claim first.
+ */
+export function computeClaimDelay(cores: number, largestCores: number): number {
+  return isCapable(cores, largestCores) ? 0 : SMALL_VM_CLAIM_DELAY_MS;
+}
+
+/**
+ * Returns why the owner should hand the cell over to a capable entry that is
+ * linked to it; `undefined` if it should keep the cell. A new owner keeps the
+ * cell for `MIN_OWNERSHIP_MS` even if it is overloaded: taking over is heavy work
+ * by itself, and an overload that lies in the load would follow the cell.
+ */
+export function explainHandover(
+  view: HandoverView,
+  now: number,
+): string | undefined {
+  const { cores, largestPeerCores, readySince, isOverloaded } = view;
+  if (readySince === undefined) return undefined;
+  const ownedMs = now - readySince;
+  if (!isCapable(cores, largestPeerCores) && ownedMs >= HANDOVER_AFTER_MS) {
+    return `this VM has ${cores} cores, a linked one has ${largestPeerCores}`;
+  }
+  const hasEqualPeer = isCapable(largestPeerCores, cores);
+  return isOverloaded && hasEqualPeer && ownedMs >= MIN_OWNERSHIP_MS
+    ? "the loop of this process is late most of the time"
+    : undefined;
+}
--- a/packages/scheduler/constants.ts
+++ b/packages/scheduler/constants.ts
@@ -32,6 +32,36 @@
 /** Longest random delay before a claim, in ms; spreads competing claims. */
 export const MAX_CLAIM_DELAY_MS = 60;
 
+/**
+ * Processor speed from which a VM may own the cell, as a fraction of that of the
+ * largest VM.
+ */
+export const CAPABLE_FRACTION = 0.7;
+
+/**
+ * Time for which an entry on a VM that is not capable leaves a cell without an
+ * owner to the capable ones, in milliseconds: some rounds of claims.
+ */
+export const SMALL_VM_CLAIM_DELAY_MS = 400;
+
+/**
+ * Time after which an owner on a VM that is not capable hands over to a capable
+ * entry, in milliseconds: all entries have linked to the owner by then.
+ */
+export const HANDOVER_AFTER_MS = 1_000;
+
+/** Shortest ownership after which an overloaded owner hands over, in ms. */
+export const MIN_OWNERSHIP_MS = 5_000;
+
+/** Time over which the lateness of the owner's loop is judged, in ms. */
+export const OVERLOAD_WINDOW_MS = 1_500;
+
+/**
+ * Longest time for which an owner that hands over waits for its last commits, in
+ * milliseconds.
+ */
+export const MAX_DRAIN_MS = 400;
+
 /**
  * Longest time that one watch of the endpoint records waits, in milliseconds. A
  * dead connection is detected after this time at the latest.
--- a/packages/scheduler/election.ts
+++ b/packages/scheduler/election.ts
@@ -52,7 +52,10 @@
   readonly #host: ElectionHost;
   readonly #self: Omit<OwnerRecord, "term" | "lease">;
   #ownership: Ownership | undefined;
+  readonly #getClaimDelay: () => number;
   #isStopped = false;
+  /** When the cell was found without an owner; `undefined`: it has one. */
+  #ownerMissingSince: number | undefined;
   #mayClaim = true;
   #noClaimBefore = 0;
   #isOwnerSuspected = false;
@@ -66,6 +69,11 @@
     log: EventLog;
     host: ElectionHost;
     self: Omit<OwnerRecord, "term" | "lease">;
+    /**
+     * Returns how long this entry leaves a cell without an owner to others, in
+     * milliseconds.
+     */
+    getClaimDelay?: () => number;
   }) {
     this.#store = options.store;
     this.#clock = options.clock;
@@ -73,6 +81,7 @@
     this.#log = options.log;
     this.#host = options.host;
     this.#self = options.self;
+    this.#getClaimDelay = options.getClaimDelay ?? (() => 0);
   }
 
   /**
@@ -162,13 +171,18 @@
       // The record is from an earlier process of this entry. That process has
       // ended, because this one now listens on its addresses.
       if (record.entry === this.#self.entry) return await this.#claim(item);
+      this.#ownerMissingSince = undefined;
       this.#host.handleOwnerChange(record);
       return await this.#waitForChange(page.revision);
     }
     this.#host.handleOwnerChange(undefined);
-    if (!this.#mayClaim || this.#clock.now() < this.#noClaimBefore) {
+    const now = this.#clock.now();
+    this.#ownerMissingSince ??= now;
+    if (!this.#mayClaim || now < this.#noClaimBefore) {
       return await this.#clock.sleep(STORE_RETRY_MS);
     }
+    const waitMs = this.#ownerMissingSince + this.#getClaimDelay() - now;
+    if (waitMs > 0) return await this.#clock.sleep(waitMs);
     await this.#clock.sleep(this.#random.drawInt(MAX_CLAIM_DELAY_MS));
     await this.#claim(undefined);
   }
@@ -216,7 +230,12 @@
 
   async #claim(ownerItem: StoredItem | undefined): Promise<void> {
     if (!this.#mayClaim || this.#isStopped) return;
-    const termItem = await this.#store.get(TERM_KEY);
+    // Read together: of hundreds of claims at once, those that come later see
+    // that the cell has an owner, and write nothing.
+    const { items } = await this.#store.list(CELL_PREFIX);
+    const currentItem = items.find(({ key }) => key === OWNER_KEY);
+    if (currentItem?.revision !== ownerItem?.revision) return;
+    const termItem = items.find(({ key }) => key === TERM_KEY);
     const term = Number(termItem?.value ?? "0") + 1;
     const sentAt = this.#clock.now();
     const lease = await this.#store.createLease(OWNER_LEASE_MS);
@@ -237,7 +256,9 @@
   }
 
   async #claimIfUnchanged(deadOwner: OwnerRecord): Promise<void> {
-    await this.#clock.sleep(this.#random.drawInt(MAX_CLAIM_DELAY_MS));
+    await this.#clock.sleep(
+      this.#getClaimDelay() + this.#random.drawInt(MAX_CLAIM_DELAY_MS),
+    );
     const item = await this.#store.get(OWNER_KEY);
     if (!item) return;
     const currentOwner = JSON.parse(item.value) as OwnerRecord;
@@ -270,6 +291,7 @@
       return;
     }
     this.#ownership = ownership;
+    this.#ownerMissingSince = undefined;
     this.#log.record(EventCode.OwnershipBegan, {
       term: ownership.record.term,
       fence: ownership.revision,
--- /dev/null
+++ b/packages/scheduler/loop_monitor.ts
@@ -0,0 +1,43 @@
+import { OVERLOAD_WINDOW_MS } from "./constants.ts";
+
+/** Fraction of a window for which a loop must be late to count as overloaded. */
+const OVERLOADED_FRACTION = 0.5;
+
+/** Longest lateness that one tick counts for, in ms: one long stop is none. */
+const MAX_TICK_LATENESS_MS = 400;
+
+/**
+ * Measures how late the timers of this process run. Load: a VM whose processor
+ * was slowed or taken away, or more work than one process can carry.
+ */
+export class LoopMonitor {
+  /** Time and lateness of the ticks within the window, in milliseconds. */
+  readonly #ticks: { at: number; lateMs: number }[] = [];
+  #lastTickAt: number | undefined;
+
+  /** Notes a tick that was due `intervalMs` after the one before. */
+  noteTick(now: number, intervalMs: number): void {
+    if (this.#lastTickAt !== undefined) {
+      const lateMs = Math.max(0, now - this.#lastTickAt - intervalMs);
+      this.#ticks.push({ at: now, lateMs });
+    }
+    this.#lastTickAt = now;
+    while (
+      this.#ticks.length > 0 && now - this.#ticks[0].at > OVERLOAD_WINDOW_MS
+    ) this.#ticks.shift();
+  }
+
+  /** Returns the lateness of the last tick, in milliseconds. */
+  measureLag(): number {
+    return this.#ticks.at(-1)?.lateMs ?? 0;
+  }
+
+  /** Returns whether the loop was late for most of a whole window. */
+  isOverloaded(): boolean {
+    const lateMs = this.#ticks.reduce(
+      (sum, tick) => sum + Math.min(MAX_TICK_LATENESS_MS, tick.lateMs),
+      0,
+    );
+    return lateMs >= OVERLOAD_WINDOW_MS * OVERLOADED_FRACTION;
+  }
+}
--- a/packages/scheduler/owner_gateway.ts
+++ b/packages/scheduler/owner_gateway.ts
@@ -5,6 +5,7 @@
   type LinkHandlers,
   type LinkMethod,
   type LinkMethods,
+  type LinkOpener,
   LinkRefusedError,
   openLink,
 } from "../links/mod.ts";
@@ -15,7 +16,7 @@
 export class OwnerGateway {
   readonly #clock: Clock;
   readonly #log: EventLog;
-  readonly #entry: string;
+  readonly #opener: LinkOpener;
   readonly #localAddress: string;
   readonly #handlers: LinkHandlers;
   #owner: OwnerRecord | undefined;
@@ -32,7 +33,7 @@
   constructor(options: {
     clock: Clock;
     log: EventLog;
-    entry: string;
+    opener: LinkOpener;
     localAddress: string;
     /**
      * Handlers of the calls that arrive on the link, and of this entry's own
@@ -42,7 +43,7 @@
   }) {
     this.#clock = options.clock;
     this.#log = options.log;
-    this.#entry = options.entry;
+    this.#opener = options.opener;
     this.#localAddress = options.localAddress;
     this.#handlers = options.handlers;
   }
@@ -147,7 +148,7 @@
           {
             handlers: this.#handlers,
             clock: this.#clock,
-            entry: this.#entry,
+            opener: this.#opener,
             localAddress: this.#localAddress,
           },
         );
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -17,7 +17,9 @@
 import type { Metrics } from "../metrics/mod.ts";
 import type { KeyValueStore } from "../storage/mod.ts";
 import { AdvicePool } from "./advice_pool.ts";
+import { explainHandover } from "./claim_rules.ts";
 import {
+  MAX_DRAIN_MS,
   NO_OWNER_RETRY_MS,
   OWNER_GRACE_MS,
   OWNER_KEY,
@@ -29,6 +31,7 @@
 import type { Ownership } from "./election.ts";
 import { EndpointFeed } from "./endpoint_feed.ts";
 import type { SessionHost } from "./endpoint_session.ts";
+import { LoopMonitor } from "./loop_monitor.ts";
 import { OrderSender } from "./order_sender.ts";
 import { PlanLoop } from "./plan_loop.ts";
 import {
@@ -67,6 +70,12 @@
   listUnresponsive: () => string[];
   /** Called when more entries are unreachable than reachable. */
   onIsolated: (reason: string) => void;
+  /** Processor speed of this VM, in cores. */
+  cores: number;
+  /** Returns the speed of the largest VM linked to this entry, in cores. */
+  getLargestPeerCores: () => number;
+  /** Called when another entry should own the cell. */
+  onHandover: (reason: string) => void;
   getConfig: () => SiteConfig | undefined;
   /** Called when the ownership is lost, for example to a newer owner. */
   onDeposed: (reason: string) => void;
@@ -88,6 +97,9 @@
   readonly #upkeepRole: UpkeepRole | undefined;
   readonly #suspensionGuard = new SuspensionGuard();
   #journal: Journal | undefined;
+  readonly #loopMonitor = new LoopMonitor();
+  #readySince: number | undefined;
+  #isClosing = false;
   #isStopped = false;
   #cancelTick: () => void = () => {};
 
@@ -159,9 +171,9 @@
     return this.#upkeepRole?.describe();
   }
 
-  /** True from the end of the restore until the role is stopped. */
+  /** True from the end of the restore until the role begins to stop. */
   get isReady(): boolean {
-    return this.#journal !== undefined && !this.#isStopped;
+    return this.#journal !== undefined && !this.#isClosing;
   }
 
   /**
@@ -187,6 +199,7 @@
           ...contents,
         });
         this.#planLoop.start(this.#journal);
+        this.#readySince = clock.now();
         log.record(EventCode.OwnerRestored, {
           term: this.ownership.record.term,
           jobs: this.cell.state.jobs.size,
@@ -210,15 +223,21 @@
   }
 
   /**
-   * Stops the role. With `isPlanned`, plans once more and waits until the
-   * journal has committed the pending decisions.
+   * Stops the role. With `isPlanned`, accepts nothing more, plans once more and
+   * waits until the journal has committed the pending decisions.
    */
   async stop(options: { isPlanned: boolean }): Promise<void> {
     if (this.#isStopped) return;
-    if (options.isPlanned) {
+    if (options.isPlanned && !this.#isClosing) {
+      this.#isClosing = true;
       this.#planLoop.planNow();
-      await this.#journal?.drain();
+      this.#planLoop.stopPlanning();
+      await Promise.race([
+        this.#journal?.drain(),
+        this.#parts.clock.sleep(MAX_DRAIN_MS),
+      ]);
     }
+    this.#isClosing = true;
     this.#isStopped = true;
     this.#planLoop.stop();
     this.#cancelTick();
@@ -288,7 +307,7 @@
     endpoint: Endpoint,
     { answer, askedAt }: { answer: PollAnswer; askedAt: number },
   ): void {
-    if (this.#isStopped) return;
+    if (this.#isClosing) return;
     if (answer.kind === PollResult.Replaced) {
       this.cell.noteReplacement(endpoint, this.#getCurrentTime());
       return this.#planLoop.schedulePlan();
@@ -375,9 +394,27 @@
     );
   }
 
+  /** Hands the cell over if another entry would carry it better. */
+  #checkHandover(now: number): void {
+    const reason = explainHandover({
+      cores: this.#parts.cores,
+      largestPeerCores: this.#parts.getLargestPeerCores(),
+      readySince: this.#readySince,
+      isOverloaded: this.#loopMonitor.isOverloaded(),
+    }, now);
+    if (reason) this.#parts.onHandover(reason);
+  }
+
   #scheduleTick(): void {
     this.#cancelTick = this.#parts.clock.schedule(() => {
-      if (this.#isStopped) return;
+      if (this.#isClosing) return;
+      const now = this.#parts.clock.now();
+      this.#loopMonitor.noteTick(now, PLAN_INTERVAL_MS);
+      this.#parts.metrics.setGauge(
+        "loop_lag_ms",
+        this.#loopMonitor.measureLag(),
+      );
+      this.#checkHandover(now);
       this.#planLoop.planIfIdle();
       this.cell.dropEnded(Date.now());
       this.#checkIsolation();
--- a/packages/scheduler/plan_loop.ts
+++ b/packages/scheduler/plan_loop.ts
@@ -39,6 +39,7 @@
   readonly #parts: PlanLoopParts;
   #journal: Journal | undefined;
   #isStopped = false;
+  #mayPlan = true;
   #isScheduled = false;
   #lastPlanAt = 0;
   #lastPlanMs = 0;
@@ -64,16 +65,22 @@
     this.#pendingCommits.clear();
   }
 
+  /** Makes no further plans; commits and orders in progress go on. */
+  stopPlanning(): void {
+    this.#mayPlan = false;
+  }
+
   /** Schedules a plan; further calls before it runs have no effect. */
   schedulePlan(): void {
-    if (this.#isScheduled || this.#isStopped || !this.#journal) return;
+    const mayPlan = this.#mayPlan && !this.#isStopped && this.#journal;
+    if (this.#isScheduled || !mayPlan) return;
     this.#isScheduled = true;
     // Waits at least as long as the last plan took, so that planning takes at
     // most half of the process's time.
     const delayMs = Math.max(MIN_PLAN_DELAY_MS, this.#lastPlanMs);
     this.#parts.clock.schedule(() => {
       this.#isScheduled = false;
-      if (!this.#isStopped) this.planNow();
+      if (this.#mayPlan && !this.#isStopped) this.planNow();
     }, delayMs);
   }
 
--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -7,6 +7,7 @@
 import type { KeyValueStore } from "../storage/mod.ts";
 import { CallerService } from "./caller_service.ts";
 import { ConfigFeed } from "./config_feed.ts";
+import { computeClaimDelay } from "./claim_rules.ts";
 import { NO_OWNER_RETRY_MS, TASK_LEASE_MS } from "./constants.ts";
 import { Election, type ElectionHost, type Ownership } from "./election.ts";
 import { OwnerGateway } from "./owner_gateway.ts";
@@ -43,13 +44,17 @@
   readonly gateway: OwnerGateway;
   readonly #election: Election;
   readonly #linkServer: LinkServer;
+  readonly #cores: number;
   #ownerRole: OwnerRole | undefined;
+  /** Speed of the largest VM that the owner has named, in cores. */
+  #largestCores = 0;
   #isStopping = false;
 
   constructor(parts: SchedulerParts) {
     this.parts = parts;
     const { settings, store, records, clock, log, random } = parts;
     const { name, address } = settings.vm;
+    this.#cores = settings.vm.cpu_share * settings.vm.cores;
     const handlers = this.#createHandlers();
     this.config = new ConfigFeed({
       store,
@@ -59,13 +64,16 @@
       log,
     });
     this.config.onChanged = (config) => this.#ownerRole?.updateConfig(config);
-    this.#linkServer = new LinkServer({ handlers, clock, entry: name });
+    this.#linkServer = new LinkServer({ handlers, clock });
     this.#linkServer.onLost = (peer, reason) =>
       log.record(EventCode.PeerLost, { peer, reason });
     this.gateway = new OwnerGateway({
       clock,
       log,
-      entry: name,
+      opener: {
+        heartbeat: { entry: name, cores: this.#cores },
+        onReply: ({ largestCores }) => this.#largestCores = largestCores,
+      },
       localAddress: address,
       handlers,
     });
@@ -81,6 +89,7 @@
         host: settings.listen.peers.host,
         port: settings.listen.peers.port,
       },
+      getClaimDelay: () => computeClaimDelay(this.#cores, this.#largestCores),
     });
     this.gateway.onOwnerProcessGone = (owner) =>
       this.#election.claimFromDeadOwner(owner);
@@ -151,7 +160,7 @@
 
   beginOwnership(ownership: Ownership): void {
     const { settings, ...parts } = this.parts;
-    const role = new OwnerRole(ownership, {
+    const role: OwnerRole = new OwnerRole(ownership, {
       ...parts,
       leaseMs: Math.min(TASK_LEASE_MS, settings.bounds.task_lease_ms),
       retentionMs: settings.bounds.ended_jobs_ms,
@@ -160,6 +169,9 @@
       listLinks: () => this.#linkServer.listIdentified(),
       listUnresponsive: () => this.#linkServer.listUnresponsive(),
       onIsolated: (reason) => void this.#election.stepDown(reason),
+      cores: this.#cores,
+      getLargestPeerCores: () => this.#linkServer.largestPeerCores,
+      onHandover: (reason) => void this.#releaseCell(role, reason),
       getConfig: () => this.config.config,
       onDeposed: (reason) => this.#election.noteDeposed(reason),
     });
@@ -175,6 +187,12 @@
     this.gateway.setOwner(undefined, false);
   }
 
+  /** Stores all decisions, then leaves the cell to another entry. */
+  async #releaseCell(role: OwnerRole, reason: string): Promise<void> {
+    await role.stop({ isPlanned: true });
+    await this.#election.stepDown(reason);
+  }
+
   /** Describes the state of this process for a dump. */
   describe(): Record<string, unknown> {
     const now = this.parts.clock.now();
@@ -213,7 +231,9 @@
 
   #createHandlers(): LinkHandlers {
     return {
-      "link.heartbeat": () => true,
+      "link.heartbeat": () => ({
+        largestCores: Math.max(this.#cores, this.#linkServer.largestPeerCores),
+      }),
       "job.submit": async ({ job }) =>
         await this.#ownerRole?.submit(job) ?? {
           admission: Admission.NotOwner,
--- a/packages/settings/scheduler_settings.ts
+++ b/packages/settings/scheduler_settings.ts
@@ -12,11 +12,18 @@
 
 const hostSchema = z.string().min(1, "must be an IP address");
 
+const coresSchema = z.coerce.number().positive(
+  "must be a number above 0, such as 0.5",
+).max(1_024).default(1);
+
 const schedulerSchema = z.strictObject({
   vm: z.strictObject({
     name: nameSchema,
     domain: nameSchema,
     address: hostSchema,
+    /** Share of each core that the VM may use, and number of cores. */
+    cpu_share: coresSchema,
+    cores: coresSchema,
   }),
   listen: z.strictObject({
     callers: addressSchema,
--- a/tests/harness/job_site.ts
+++ b/tests/harness/job_site.ts
@@ -177,7 +177,13 @@
     const host = `${this.#network}.${1 + n}`;
     const node = new SchedulerNode({
       settings: {
-        vm: { name: `entry-${n}`, domain: "a", address: host },
+        vm: {
+          name: `entry-${n}`,
+          domain: "a",
+          address: host,
+          cpu_share: 1,
+          cores: 1,
+        },
         listen: {
           callers: { host, port: CALLER_PORT },
           readiness: { host, port: READINESS_PORT },
--- a/tests/virtual/caller_service_test.ts
+++ b/tests/virtual/caller_service_test.ts
@@ -83,7 +83,7 @@
   const gateway = new OwnerGateway({
     clock,
     log,
-    entry: "a",
+    opener: { heartbeat: { entry: "a", cores: 1 }, onReply: () => {} },
     localAddress: "",
     handlers: new Proxy(handlers, {
       get: (target, name) => Reflect.get(target, name) ?? failCall,
--- a/tests/virtual/election_test.ts
+++ b/tests/virtual/election_test.ts
@@ -19,6 +19,7 @@
   owner: OwnerRecord | undefined;
   ownership: Ownership | undefined;
   terms: number[] = [];
+  claimDelayMs = 0;
 
   constructor(time: VirtualTime, state: MemoryStoreState, name: string) {
     super();
@@ -28,10 +29,11 @@
     this.election = new Election({
       store: this.store,
       clock,
-      random: new SeededRandom(name.charCodeAt(1)),
+      random: new SeededRandom(Number(name.slice(1)) + 1),
       log: new SilentEventLog(),
       host: this,
       self: { entry: name, incarnation: `${name}/1`, host: name, port: 1 },
+      getClaimDelay: () => this.claimDelayMs,
     });
   }
 
@@ -167,3 +169,36 @@
   // a watch is refused.
   t.true(calls <= 2 * 30, String(calls));
 });
+
+test("a killed owner: small entries leave the cell to a large one, but not for long", async (t) => {
+  const { time, entries, findOwners } = await startEntries(6);
+  const [firstOwner] = findOwners();
+  const large = entries.find((entry) => entry !== firstOwner)!;
+  for (const entry of entries) entry.claimDelayMs = entry === large ? 0 : 400;
+  time.kill(firstOwner.name);
+  firstOwner.ownership = undefined;
+  await time.advance(OWNER_LEASE_MS + 400);
+  t.deepEqual(findOwners(), [large]);
+  time.kill(large.name);
+  large.ownership = undefined;
+  await time.advance(OWNER_LEASE_MS + 900);
+  t.is(findOwners().length, 1);
+});
+
+test("a hundred entries that lose their owner write a few claims, not a hundred", async (t) => {
+  const { time, entries, findOwners } = await startEntries(100);
+  const [firstOwner] = findOwners();
+  time.kill(firstOwner.name);
+  firstOwner.ownership = undefined;
+  let writes = 0;
+  for (const { store } of entries) {
+    const { createLease, commit } = store;
+    store.createLease = (...args) => (writes++, createLease.apply(store, args));
+    store.commit = (...args) => (writes++, commit.apply(store, args));
+  }
+  await time.advance(OWNER_LEASE_MS + 400);
+  t.is(findOwners().length, 1);
+  // Two writes for each entry whose claim began in the few milliseconds before
+  // the first one was applied.
+  t.true(writes <= 60, `${writes} writes`);
+});
--- a/tests/virtual/owner_site.ts
+++ b/tests/virtual/owner_site.ts
@@ -235,6 +235,9 @@
       listLinks: () => [],
       listUnresponsive: () => [],
       onIsolated: () => {},
+      cores: 1,
+      getLargestPeerCores: () => 1,
+      onHandover: () => {},
       getConfig: () => undefined,
       onDeposed: (reason) => this.election.noteDeposed(reason),
     });
