--- a/packages/journal/load.ts
+++ b/packages/journal/load.ts
@@ -22,15 +22,31 @@
   return `${SNAPSHOT_PREFIX}${digits}/${part}-${parts}`;
 }
 
-/** Reads the newest complete snapshot and all segments after it. */
+/** How the pages of the journal are read. */
+export interface ReadJournalOptions {
+  /** Timeout of the read of one page, in milliseconds. */
+  timeoutMs: number;
+  /**
+   * Called when the read of a page has failed; resolves to whether to read the
+   * page again. The pages before it are kept.
+   */
+  onFailure: (error: unknown) => Promise<boolean>;
+}
+
+/**
+ * Reads the newest complete snapshot and all segments after it.
+ *
+ * @throws the error of a page that is not read again
+ */
 export async function readJournal<Snapshot>(
   store: KeyValueStore,
+  options: ReadJournalOptions,
 ): Promise<JournalContents<Snapshot>> {
   // Segments are read before snapshots: a segment is deleted only after its
   // snapshot is complete, so a snapshot read later covers any segment that was
   // deleted in the meantime.
-  const segments = await listAll(store, LOG_PREFIX);
-  const parts = await listAll(store, SNAPSHOT_PREFIX);
+  const segments = await listAll(store, LOG_PREFIX, options);
+  const parts = await listAll(store, SNAPSHOT_PREFIX, options);
   const snapshot = findCompleteSnapshot(parts);
   const obsolete = parts.map(({ key }) => key)
     .filter((key) => !snapshot?.keys.includes(key));
@@ -58,10 +74,17 @@
 async function listAll(
   store: KeyValueStore,
   prefix: string,
+  { timeoutMs, onFailure }: ReadJournalOptions,
 ): Promise<StoredItem[]> {
   const items: StoredItem[] = [];
   for (;;) {
-    const page: ItemPage = await store.list(prefix, items.at(-1)?.key);
+    let page: ItemPage;
+    try {
+      page = await store.list(prefix, { after: items.at(-1)?.key, timeoutMs });
+    } catch (error) {
+      if (await onFailure(error)) continue;
+      throw error;
+    }
     items.push(...page.items);
     if (!page.hasMore || page.items.length === 0) return items;
   }
--- a/packages/links/link.ts
+++ b/packages/links/link.ts
@@ -174,8 +174,11 @@
   }
 
   #scheduleCheck(): void {
+    const dueAt = this.#clock.now() + LINK_HEARTBEAT_MS;
     this.#cancelTimer = this.#clock.schedule(() => {
-      if (this.measureIdleTime() > LINK_TIMEOUT_MS) {
+      // After a stop of this process, data of a live peer may not be read yet.
+      const isLate = this.#clock.now() - dueAt > LINK_HEARTBEAT_MS;
+      if (!isLate && this.measureIdleTime() > LINK_TIMEOUT_MS) {
         this.hasTimedOut = true;
         return this.close(`no data received for ${LINK_TIMEOUT_MS} ms`);
       }
--- a/packages/links/types.ts
+++ b/packages/links/types.ts
@@ -4,6 +4,7 @@
 /** Parameters and results of the methods that entries call on each other. */
 export interface LinkMethods {
   "link.heartbeat": { params: Heartbeat; result: HeartbeatReply };
+  "owner.ready": { params: { term: number }; result: true };
   "job.submit": { params: { job: JobSpec }; result: SubmitReply };
   "job.cancel": { params: JobQuery; result: CancelReply };
   "job.find": { params: JobQuery; result: { state: JobState } | null };
@@ -26,6 +27,8 @@
 export interface HeartbeatReply {
   /** Processor speed of the largest VM linked to the owner, its own included. */
   largestCores: number;
+  /** The owner has restored the cell and serves callers. */
+  isReady: boolean;
 }
 
 /** Name of a method that entries call on each other. */
--- a/packages/platform/http_json.ts
+++ b/packages/platform/http_json.ts
@@ -1,6 +1,10 @@
-import { EventEmitter } from "node:events";
-import { Agent, request } from "undici";
-import { NotSentError, UnknownEffectError } from "../base/mod.ts";
+import { Buffer } from "node:buffer";
+import { Agent, type Dispatcher } from "undici";
+import {
+  BaobabheadError,
+  NotSentError,
+  UnknownEffectError,
+} from "../base/mod.ts";
 
 /** An HTTP call with an optional JSON body. */
 export interface JsonCall {
@@ -20,6 +24,9 @@
   "UND_ERR_CONNECT_TIMEOUT",
 ]);
 
+/** Length of `https://`; every URL has at least one more character. */
+const SCHEME_LENGTH = 8;
+
 /** Status and parsed body of an answer, whatever the status is. */
 export interface JsonAnswer {
   status: number;
@@ -93,26 +100,91 @@
   }
 
   async #exchangeOnce(call: JsonCall): Promise<JsonAnswer> {
-    // undici accepts an event emitter as signal; it costs less than an
-    // AbortSignal, and its timer is cleared when the call ends.
-    const signal = new EventEmitter();
-    const timer = setTimeout(() => signal.emit("abort"), call.timeoutMs);
-    try {
-      const response = await request(call.url, {
-        dispatcher: this.#agent,
-        method: call.method,
-        headers: { "content-type": "application/json", ...call.headers },
-        body: call.body === undefined ? undefined : JSON.stringify(call.body),
-        signal,
-        headersTimeout: 0,
-        bodyTimeout: 0,
-      });
-      const text = await response.body.text();
-      return { status: response.statusCode, body: parseJson(text) };
-    } finally {
-      clearTimeout(timer);
+    const slash = call.url.indexOf("/", SCHEME_LENGTH);
+    const pathStart = slash < 0 ? call.url.length : slash;
+    const handler = new AnswerHandler(call.timeoutMs);
+    this.#agent.dispatch({
+      origin: call.url.slice(0, pathStart),
+      path: call.url.slice(pathStart) || "/",
+      method: call.method,
+      headers: { "content-type": "application/json", ...call.headers },
+      body: call.body === undefined ? undefined : JSON.stringify(call.body),
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    }, handler);
+    const { status, text } = await handler.answer;
+    return { status, body: parseJson(text) };
+  }
+}
+
+/** Thrown when a call has no complete answer within its timeout. */
+class AnswerTimeoutError extends BaobabheadError {}
+
+/**
+ * Collects one answer. Costs less than undici's `request`, which makes a stream
+ * for each body: an owner of hundreds of endpoints reads a thousand small answers
+ * a second.
+ */
+class AnswerHandler implements Dispatcher.DispatchHandler {
+  readonly answer: Promise<{ status: number; text: string }>;
+  readonly #timer: NodeJS.Timeout;
+  #resolve!: (answer: { status: number; text: string }) => void;
+  #reject!: (error: Error) => void;
+  #controller: Dispatcher.DispatchController | undefined;
+  #hasTimedOut = false;
+  #status = 0;
+  readonly #chunks: Buffer[] = [];
+
+  constructor(timeoutMs: number) {
+    this.answer = new Promise((resolve, reject) => {
+      this.#resolve = resolve;
+      this.#reject = reject;
+    });
+    this.#timer = setTimeout(() => {
+      this.#hasTimedOut = true;
+      const error = new AnswerTimeoutError("timed out");
+      this.#controller?.abort(error);
+      // The call may still wait for a connection.
+      this.#reject(error);
+    }, timeoutMs);
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.#controller = controller;
+    if (this.#hasTimedOut) {
+      controller.abort(new AnswerTimeoutError("timed out"));
     }
   }
+
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+  ): void {
+    this.#status = status;
+  }
+
+  onResponseData(
+    _controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    this.#chunks.push(chunk);
+  }
+
+  onResponseEnd(): void {
+    clearTimeout(this.#timer);
+    const text = this.#chunks.length === 1
+      ? this.#chunks[0].toString()
+      : Buffer.concat(this.#chunks).toString();
+    this.#resolve({ status: this.#status, text });
+  }
+
+  onResponseError(
+    _controller: Dispatcher.DispatchController,
+    error: Error,
+  ): void {
+    clearTimeout(this.#timer);
+    this.#reject(error);
+  }
 }
 
 /** Returns whether a call failed before anything was sent to the server. */
--- a/packages/scheduler/constants.ts
+++ b/packages/scheduler/constants.ts
@@ -62,6 +62,12 @@
  */
 export const MAX_DRAIN_MS = 400;
 
+/**
+ * Timeout of the read of one page of the journal, in milliseconds: a page holds
+ * up to 1 MB, and a small VM's link carries 7 Mbit/s beside other traffic.
+ */
+export const JOURNAL_PAGE_TIMEOUT_MS = 6_000;
+
 /**
  * Longest time that one watch of the endpoint records waits, in milliseconds. A
  * dead connection is detected after this time at the latest.
@@ -152,6 +158,12 @@
 /** Shortest delay of a plan, in ms, so that one plan covers many events. */
 export const MIN_PLAN_DELAY_MS = 3;
 
+/**
+ * Pause between plans as a multiple of the duration of the last one, so that
+ * planning takes at most a quarter of the process's time.
+ */
+export const PLAN_PAUSE_FACTOR = 3;
+
 /** Time between plans while no event triggers one, in milliseconds. */
 export const PLAN_INTERVAL_MS = 100;
 
--- a/packages/scheduler/endpoint_feed.ts
+++ b/packages/scheduler/endpoint_feed.ts
@@ -61,7 +61,9 @@
     const items: StoredItem[] = [];
     for (;;) {
       const prefix = this.#records.endpointPrefix;
-      const page = await this.#store.list(prefix, items.at(-1)?.key);
+      const page = await this.#store.list(prefix, {
+        after: items.at(-1)?.key,
+      });
       items.push(...page.items);
       if (page.hasMore && page.items.length > 0) continue;
       this.#endpoints.clear();
--- a/packages/scheduler/endpoint_session.ts
+++ b/packages/scheduler/endpoint_session.ts
@@ -90,11 +90,16 @@
    * poll that does not wait even while a long poll is in flight.
    */
   checkNow(): void {
-    if (this.#isIdle) return this.#resume();
-    const hasUnacknowledgedStart = [...this.#endpoint.runs.values()].some((
-      { phase },
-    ) => phase === RunPhase.Unacknowledged);
-    if (hasUnacknowledgedStart) void this.#pollWithoutWait();
+    if (this.#isIdle) {
+      if (this.#isStopped || this.#isPollDue()) this.#resume();
+      return;
+    }
+    if (this.#isExtraPollInFlight) return;
+    for (const { phase } of this.#endpoint.runs.values()) {
+      if (phase !== RunPhase.Unacknowledged) continue;
+      void this.#pollWithoutWait();
+      return;
+    }
   }
 
   /** Polls without waiting, to find out whether unanswered starts succeeded. */
--- a/packages/scheduler/owner_gateway.ts
+++ b/packages/scheduler/owner_gateway.ts
@@ -19,9 +19,12 @@
   readonly #opener: LinkOpener;
   readonly #localAddress: string;
   readonly #handlers: LinkHandlers;
+  readonly #isLocalOwnerReady: () => boolean;
   #owner: OwnerRecord | undefined;
   #link: Link | undefined;
   #isOwnerLocal = false;
+  /** The owner behind the link has restored the cell, as far as is known. */
+  #isOwnerReady = false;
   #isConnecting = false;
   #isStopped = false;
   readonly #waiting = new Set<() => void>();
@@ -40,17 +43,27 @@
      * calls while it is the owner.
      */
     handlers: LinkHandlers;
+    /** Returns whether this entry, as the owner, serves callers. */
+    isLocalOwnerReady: () => boolean;
   }) {
     this.#clock = options.clock;
     this.#log = options.log;
     this.#opener = options.opener;
     this.#localAddress = options.localAddress;
     this.#handlers = options.handlers;
+    this.#isLocalOwnerReady = options.isLocalOwnerReady;
   }
 
-  /** True while calls to the owner can be sent. */
+  /** True while calls can be sent to an owner that serves callers. */
   get canReachOwner(): boolean {
-    return this.#isOwnerLocal || this.#link?.isOpen === true;
+    if (this.#isOwnerLocal) return this.#isLocalOwnerReady();
+    return this.#link?.isOpen === true && this.#isOwnerReady;
+  }
+
+  /** Notes whether the owner behind the link serves callers. */
+  noteOwnerReady(isReady: boolean): void {
+    this.#isOwnerReady = isReady;
+    if (this.canReachOwner) this.releaseWaiting();
   }
 
   /** The owner that calls go to, if any. */
@@ -68,7 +81,8 @@
     this.#isOwnerLocal = isLocal;
     this.#link?.close("the owner of the cell has changed");
     this.#link = undefined;
-    if (isLocal) this.#releaseWaiting();
+    this.#isOwnerReady = false;
+    if (this.canReachOwner) this.releaseWaiting();
     if (owner && !isLocal) void this.#openLink(owner);
   }
 
@@ -134,7 +148,8 @@
     }
   }
 
-  #releaseWaiting(): void {
+  /** Lets calls go on that wait for an owner that serves callers. */
+  releaseWaiting(): void {
     for (const release of [...this.#waiting]) release();
   }
 
@@ -176,7 +191,7 @@
       return link.close("the owner changed while the link was opened");
     }
     this.#link = link;
-    this.#releaseWaiting();
+    if (this.canReachOwner) this.releaseWaiting();
     this.#log.record(EventCode.OwnerFollowed, {
       owner: owner.entry,
       term: owner.term,
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -19,6 +19,7 @@
 import { AdvicePool } from "./advice_pool.ts";
 import { explainHandover } from "./claim_rules.ts";
 import {
+  JOURNAL_PAGE_TIMEOUT_MS,
   MAX_DRAIN_MS,
   NO_OWNER_RETRY_MS,
   OWNER_GRACE_MS,
@@ -74,6 +75,8 @@
   cores: number;
   /** Returns the speed of the largest VM linked to this entry, in cores. */
   getLargestPeerCores: () => number;
+  /** Called when the cell is restored and callers can be served. */
+  onReady: () => void;
   /** Called when another entry should own the cell. */
   onHandover: (reason: string) => void;
   getConfig: () => SiteConfig | undefined;
@@ -166,6 +169,16 @@
     });
   }
 
+  /** Logs a failed read of the journal; returns whether to read again. */
+  async #waitAfterFailedRead(error: unknown): Promise<boolean> {
+    this.#parts.log.record(EventCode.StoreUnavailable, {
+      reader: "journal",
+      reason: String(error),
+    });
+    await this.#parts.clock.sleep(STORE_RETRY_MS);
+    return !this.#isStopped;
+  }
+
   /** Describes the upkeep waves for a dump. */
   describeUpkeep(): unknown {
     return this.#upkeepRole?.describe();
@@ -185,7 +198,10 @@
     const startedAt = clock.now();
     while (!this.#isStopped && !this.#journal) {
       try {
-        const contents = await readJournal<CellSnapshot>(store);
+        const contents = await readJournal<CellSnapshot>(store, {
+          timeoutMs: JOURNAL_PAGE_TIMEOUT_MS,
+          onFailure: (error) => this.#waitAfterFailedRead(error),
+        });
         if (this.#isStopped) return;
         this.cell.restore(contents, {
           formerRunsEndAt: startedAt + this.#computeTakeOverWait(),
@@ -207,14 +223,11 @@
           elapsedMs: Math.round(clock.now() - startedAt),
         });
       } catch (error) {
-        log.record(EventCode.StoreUnavailable, {
-          reader: "journal",
-          reason: String(error),
-        });
-        await clock.sleep(STORE_RETRY_MS);
+        await this.#waitAfterFailedRead(error);
       }
     }
     if (this.#isStopped) return;
+    this.#parts.onReady();
     this.updateConfig(this.#parts.getConfig());
     void this.#endpointFeed.run();
     void this.#upkeepRole?.run();
--- a/packages/scheduler/plan_loop.ts
+++ b/packages/scheduler/plan_loop.ts
@@ -12,6 +12,7 @@
 import {
   MIN_PLAN_DELAY_MS,
   PLAN_INTERVAL_MS,
+  PLAN_PAUSE_FACTOR,
   STORE_STALL_MS,
 } from "./constants.ts";
 import { recordDecisions } from "./decision_log.ts";
@@ -75,9 +76,10 @@
     const mayPlan = this.#mayPlan && !this.#isStopped && this.#journal;
     if (this.#isScheduled || !mayPlan) return;
     this.#isScheduled = true;
-    // Waits at least as long as the last plan took, so that planning takes at
-    // most half of the process's time.
-    const delayMs = Math.max(MIN_PLAN_DELAY_MS, this.#lastPlanMs);
+    const delayMs = Math.max(
+      MIN_PLAN_DELAY_MS,
+      this.#lastPlanMs * PLAN_PAUSE_FACTOR,
+    );
     this.#parts.clock.schedule(() => {
       this.#isScheduled = false;
       if (this.#mayPlan && !this.#isStopped) this.planNow();
@@ -101,11 +103,11 @@
       cell.setAdviceBacklogs(advice.listBacklogs());
       cell.plan(this.#getCurrentTime(), { mayStart });
     }
-    this.#lastPlanAt = clock.now();
-    this.#lastPlanMs = this.#lastPlanAt - startedAt;
-    metrics.observeDuration("plan", this.#lastPlanMs, {});
+    metrics.observeDuration("plan", clock.now() - startedAt, {});
     this.#sendOutput();
     sessions.update(cell.state.endpoints);
+    this.#lastPlanAt = clock.now();
+    this.#lastPlanMs = this.#lastPlanAt - startedAt;
   }
 
   /**
--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -1,7 +1,12 @@
 import type { Clock, Random } from "../base/mod.ts";
 import { Admission } from "../cell/mod.ts";
 import { EventCode, type EventLog } from "../events/mod.ts";
-import { CancelReply, type LinkHandlers, LinkServer } from "../links/mod.ts";
+import {
+  CancelReply,
+  LINK_TIMEOUT_MS,
+  type LinkHandlers,
+  LinkServer,
+} from "../links/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type { SchedulerSettings } from "../settings/mod.ts";
 import type { KeyValueStore } from "../storage/mod.ts";
@@ -72,10 +77,14 @@
       log,
       opener: {
         heartbeat: { entry: name, cores: this.#cores },
-        onReply: ({ largestCores }) => this.#largestCores = largestCores,
+        onReply: ({ largestCores, isReady }) => {
+          this.#largestCores = largestCores;
+          this.gateway.noteOwnerReady(isReady);
+        },
       },
       localAddress: address,
       handlers,
+      isLocalOwnerReady: () => this.#ownerRole?.isReady === true,
     });
     this.#election = new Election({
       store,
@@ -119,9 +128,7 @@
   isReady(): boolean {
     if (this.#isStopping || !this.config.config) return false;
     if (!this.callerService.canTrustKeys()) return false;
-    return this.#ownerRole
-      ? this.#ownerRole.isReady
-      : this.gateway.canReachOwner;
+    return this.gateway.canReachOwner;
   }
 
   /** Begins a planned stop: releases the cell and never claims it again. */
@@ -171,6 +178,7 @@
       onIsolated: (reason) => void this.#election.stepDown(reason),
       cores: this.#cores,
       getLargestPeerCores: () => this.#linkServer.largestPeerCores,
+      onReady: () => this.#sendReady(ownership.record.term),
       onHandover: (reason) => void this.#releaseCell(role, reason),
       getConfig: () => this.config.config,
       onDeposed: (reason) => this.#election.noteDeposed(reason),
@@ -187,6 +195,24 @@
     this.gateway.setOwner(undefined, false);
   }
 
+  /**
+   * Tells all linked entries that this owner serves callers now, so that the
+   * requests that they hold need not ask.
+   */
+  #sendReady(term: number): void {
+    this.gateway.releaseWaiting();
+    for (const link of this.#linkServer.listIdentified()) {
+      link.call("owner.ready", { term }, { timeoutMs: LINK_TIMEOUT_MS })
+        // The answer to the next heartbeat says so too.
+        .catch((error) =>
+          this.parts.log.record(EventCode.PeerLost, {
+            peer: link.peer,
+            reason: String(error),
+          })
+        );
+    }
+  }
+
   /** Stores all decisions, then leaves the cell to another entry. */
   async #releaseCell(role: OwnerRole, reason: string): Promise<void> {
     await role.stop({ isPlanned: true });
@@ -233,7 +259,12 @@
     return {
       "link.heartbeat": () => ({
         largestCores: Math.max(this.#cores, this.#linkServer.largestPeerCores),
+        isReady: this.#ownerRole?.isReady === true,
       }),
+      "owner.ready": () => {
+        this.gateway.noteOwnerReady(true);
+        return true;
+      },
       "job.submit": async ({ job }) =>
         await this.#ownerRole?.submit(job) ?? {
           admission: Admission.NotOwner,
--- a/packages/scheduler/upkeep_role.ts
+++ b/packages/scheduler/upkeep_role.ts
@@ -128,7 +128,9 @@
     const items: StoredItem[] = [];
     let oldestRevision = 0;
     for (;;) {
-      const page = await this.#parts.store.list(prefix, items.at(-1)?.key);
+      const page = await this.#parts.store.list(prefix, {
+        after: items.at(-1)?.key,
+      });
       // The pages are read at different revisions; a watch that starts at the
       // revision of the first page misses no change.
       oldestRevision ||= page.revision;
--- a/packages/storage/key_value_store.ts
+++ b/packages/storage/key_value_store.ts
@@ -1,5 +1,6 @@
 import type {
   ItemPage,
+  ListOptions,
   StoredItem,
   Transaction,
   TransactionOutcome,
@@ -15,11 +16,8 @@
   /** Reads an item at the newest revision; undefined if it does not exist. */
   abstract get(key: string): Promise<StoredItem | undefined>;
 
-  /**
-   * Reads one page of the items whose keys begin with `prefix`; with `after`,
-   * only of those that follow this key.
-   */
-  abstract list(prefix: string, after?: string): Promise<ItemPage>;
+  /** Reads one page of the items whose keys begin with `prefix`. */
+  abstract list(prefix: string, options?: ListOptions): Promise<ItemPage>;
 
   /**
    * Waits up to `waitMs` milliseconds for changes, after revision `after`, of
--- a/packages/storage/metered_store.ts
+++ b/packages/storage/metered_store.ts
@@ -2,6 +2,7 @@
 import { KeyValueStore } from "./key_value_store.ts";
 import type {
   ItemPage,
+  ListOptions,
   StoredItem,
   Transaction,
   TransactionOutcome,
@@ -28,8 +29,8 @@
     return this.#measure("get", () => this.#store.get(key));
   }
 
-  override list(prefix: string, after?: string): Promise<ItemPage> {
-    return this.#measure("list", () => this.#store.list(prefix, after));
+  override list(prefix: string, options?: ListOptions): Promise<ItemPage> {
+    return this.#measure("list", () => this.#store.list(prefix, options));
   }
 
   override watch(
--- a/packages/storage/types.ts
+++ b/packages/storage/types.ts
@@ -1,3 +1,11 @@
+/** Options of a read of a page of items. */
+export interface ListOptions {
+  /** Reads only the items whose keys follow this one. */
+  after?: string;
+  /** Timeout in milliseconds, if a page may take longer than other calls. */
+  timeoutMs?: number;
+}
+
 /** One key of the store with its value. */
 export interface StoredItem {
   key: string;
--- a/tests/virtual/caller_service_test.ts
+++ b/tests/virtual/caller_service_test.ts
@@ -85,6 +85,7 @@
     log,
     opener: { heartbeat: { entry: "a", cores: 1 }, onReply: () => {} },
     localAddress: "",
+    isLocalOwnerReady: () => true,
     handlers: new Proxy(handlers, {
       get: (target, name) => Reflect.get(target, name) ?? failCall,
     }) as LinkHandlers,
--- a/tests/virtual/journal_test.ts
+++ b/tests/virtual/journal_test.ts
@@ -77,7 +77,10 @@
 }
 
 async function loadJournal(time: VirtualTime, store: MemoryStore) {
-  const pendingRead = readJournal<{ records: string[] }>(store);
+  const pendingRead = readJournal<{ records: string[] }>(store, {
+    timeoutMs: 1_000,
+    onFailure: () => Promise.resolve(false),
+  });
   await time.advance(2_000);
   return await pendingRead;
 }
@@ -171,3 +174,25 @@
   t.is(contents.snapshot, undefined);
   t.deepEqual(listJobs(contents.records), ["a"]);
 });
+
+test("a slow link: a page of the journal that fails is read again, the others are kept", async (t) => {
+  const { time, store, journal } = await startJournal();
+  journal.add([makeRecord("a")]);
+  await time.advance(1_000);
+  const pages: string[] = [];
+  const { list } = store;
+  store.list = (prefix, options) => {
+    pages.push(prefix);
+    if (pages.length === 2) return Promise.reject(new Error("timed out"));
+    return list.call(store, prefix, options);
+  };
+  let failures = 0;
+  const pendingRead = readJournal(store, {
+    timeoutMs: 1_000,
+    onFailure: () => Promise.resolve(++failures < 3),
+  });
+  await time.advance(1_000);
+  t.deepEqual(listJobs((await pendingRead).records), ["a"]);
+  t.is(failures, 1);
+  t.is(pages.length, 3);
+});
--- a/tests/virtual/memory_store.ts
+++ b/tests/virtual/memory_store.ts
@@ -7,6 +7,7 @@
 import {
   type ItemPage,
   KeyValueStore,
+  type ListOptions,
   type StoreChange,
   type StoredItem,
   type Transaction,
@@ -101,7 +102,10 @@
     return this.#read(() => this.state.items.get(key));
   }
 
-  override list(prefix: string, after = ""): Promise<ItemPage> {
+  override list(
+    prefix: string,
+    { after = "" }: ListOptions = {},
+  ): Promise<ItemPage> {
     return this.#read(() => {
       const matching = [...this.state.items.values()]
         .filter(({ key }) => key.startsWith(prefix) && key > after)
--- a/tests/virtual/owner_site.ts
+++ b/tests/virtual/owner_site.ts
@@ -237,6 +237,7 @@
       onIsolated: () => {},
       cores: 1,
       getLargestPeerCores: () => 1,
+      onReady: () => {},
       onHandover: () => {},
       getConfig: () => undefined,
       onDeposed: (reason) => this.election.noteDeposed(reason),
