Visit each endpoint's session once a plan; name the parts of an answer's collector

Cause: each plan visited every endpoint twice to find sessions (0.27 s of 5.9 s busy in the profile of an owner of 540 endpoints). Change: one pass; removed endpoints are looked for only when counts differ. The collector of an answer has methods with the project's verbs.

--- a/packages/platform/http_json.ts
+++ b/packages/platform/http_json.ts
@@ -102,7 +102,7 @@
   async #exchangeOnce(call: JsonCall): Promise<JsonAnswer> {
     const slash = call.url.indexOf("/", SCHEME_LENGTH);
     const pathStart = slash < 0 ? call.url.length : slash;
-    const handler = new AnswerHandler(call.timeoutMs);
+    const collector = new AnswerCollector(call.timeoutMs);
     this.#agent.dispatch({
       origin: call.url.slice(0, pathStart),
       path: call.url.slice(pathStart) || "/",
@@ -111,8 +111,8 @@
       body: call.body === undefined ? undefined : JSON.stringify(call.body),
       headersTimeout: 0,
       bodyTimeout: 0,
-    }, handler);
-    const { status, text } = await handler.answer;
+    }, collector.makeHandler());
+    const { status, text } = await collector.answer;
     return { status, body: parseJson(text) };
   }
 }
@@ -125,7 +125,7 @@
  * for each body: an owner of hundreds of endpoints reads a thousand small answers
  * a second.
  */
-class AnswerHandler implements Dispatcher.DispatchHandler {
+class AnswerCollector {
   readonly answer: Promise<{ status: number; text: string }>;
   readonly #timer: NodeJS.Timeout;
   #resolve!: (answer: { status: number; text: string }) => void;
@@ -149,42 +149,38 @@
     }, timeoutMs);
   }
 
-  onRequestStart(controller: Dispatcher.DispatchController): void {
-    this.#controller = controller;
-    if (this.#hasTimedOut) {
-      controller.abort(new AnswerTimeoutError("timed out"));
-    }
-  }
-
-  onResponseStart(
-    _controller: Dispatcher.DispatchController,
-    status: number,
-  ): void {
-    this.#status = status;
+  /** Makes the handler of undici for the call. */
+  makeHandler(): Dispatcher.DispatchHandler {
+    return {
+      onRequestStart: (controller) => this.#beginRequest(controller),
+      onResponseStart: (_controller, status) => {
+        this.#status = status;
+      },
+      onResponseData: (_controller, chunk) => {
+        this.#chunks.push(chunk);
+      },
+      onResponseEnd: () => this.#finish(),
+      onResponseError: (_controller, error) => {
+        clearTimeout(this.#timer);
+        this.#reject(error);
+      },
+    };
   }
 
-  onResponseData(
-    _controller: Dispatcher.DispatchController,
-    chunk: Buffer,
-  ): void {
-    this.#chunks.push(chunk);
+  /** Prevents that a call is sent whose caller was told that it timed out. */
+  #beginRequest(controller: Dispatcher.DispatchController): void {
+    this.#controller = controller;
+    if (!this.#hasTimedOut) return;
+    controller.abort(new AnswerTimeoutError("timed out"));
   }
 
-  onResponseEnd(): void {
+  #finish(): void {
     clearTimeout(this.#timer);
     const text = this.#chunks.length === 1
       ? this.#chunks[0].toString()
       : Buffer.concat(this.#chunks).toString();
     this.#resolve({ status: this.#status, text });
   }
-
-  onResponseError(
-    _controller: Dispatcher.DispatchController,
-    error: Error,
-  ): void {
-    clearTimeout(this.#timer);
-    this.#reject(error);
-  }
 }
 
 /** Returns whether a call failed before anything was sent to the server. */
--- a/packages/platform/http_json_test.ts
+++ b/packages/platform/http_json_test.ts
@@ -56,6 +56,22 @@
   });
 });
 
+test("a call that timed out in the queue is not sent later", async (t) => {
+  let received = 0;
+  const answerFirstLate: RequestListener = (_, response) => {
+    received++;
+    setTimeout(() => response.end("{}"), 2 * TIMEOUT_MS);
+  };
+  await withServer(answerFirstLate, async (url, client) => {
+    const patient = { ...makeCall(url), timeoutMs: 10 * TIMEOUT_MS };
+    const first = client.exchange(patient);
+    await t.throwsAsync(client.exchange(makeCall(url)));
+    t.is((await first).status, 200);
+    t.is((await client.exchange(patient)).status, 200);
+    t.is(received, 2);
+  });
+});
+
 test("a refused connection is reported as not sent", async (t) => {
   const client = new HttpJsonClient({ connections: 1, connectTimeoutMs: 500 });
   const error = await t.throwsAsync(
--- a/packages/scheduler/session_pool.ts
+++ b/packages/scheduler/session_pool.ts
@@ -32,13 +32,13 @@
    */
   update(endpoints: ReadonlyMap<string, Endpoint>): void {
     for (const endpoint of endpoints.values()) {
-      if (!this.#sessions.has(endpoint)) this.#addSession(endpoint);
+      const session = this.#sessions.get(endpoint);
+      if (session) session.checkNow();
+      else this.#addSession(endpoint);
     }
+    if (this.#sessions.size === endpoints.size) return;
     for (const [endpoint, session] of this.#sessions) {
-      if (endpoints.get(endpoint.info.id) === endpoint) {
-        session.checkNow();
-        continue;
-      }
+      if (endpoints.get(endpoint.info.id) === endpoint) continue;
       session.stop();
       this.#sessions.delete(endpoint);
     }
