Answer all requests before a stopping entry is killed

Cause: a held or repeated request takes up to 2.85 s; one that arrives at the end of the 3.5 s for which a stopping entry serves would be answered 6.4 s after SIGTERM, when the platform has killed the process (6 s). Change: a stopping entry ends all calls to the owner 4.5 s after the signal.

--- a/packages/scheduler/caller_service.ts
+++ b/packages/scheduler/caller_service.ts
@@ -85,6 +85,11 @@
       getKeyRevocationMs() * KEY_TRUST_FRACTION;
   }
 
+  /** Answers all later requests by this time (steady clock, in ms). */
+  restrictAnswers(answerBy: number): void {
+    this.#ownerCalls.restrictCalls(answerBy);
+  }
+
   /** Submits a job; `parse` returns the job, or an error text if invalid. */
   submit(
     request: CallerRequest,
--- a/packages/scheduler/constants.ts
+++ b/packages/scheduler/constants.ts
@@ -242,6 +242,12 @@
 /** Time for which a stopping entry still accepts requests, in ms. */
 export const SHUTDOWN_GRACE_MS = 3_500;
 
+/**
+ * Time after `SHUTDOWN_GRACE_MS` by which a stopping entry has answered all
+ * requests, in milliseconds: 1.5 s before the platform kills it.
+ */
+export const LAST_ANSWER_MS = 1_000;
+
 /** Largest body of a job request on the platform-independent API, in bytes. */
 export const MAX_JOB_BODY_BYTES = 262_144;
 
--- a/packages/scheduler/election.ts
+++ b/packages/scheduler/election.ts
@@ -169,7 +169,7 @@
     if (item && record) {
       if (record.incarnation === this.#self.incarnation) {
         return item.revision === this.#lastRevision
-          ? await this.#replaceEndedOwnership(item, record)
+          ? await this.#claimAfterEnd(item, record)
           : await this.#restoreOwnership(item, record);
       }
       // The record is from an earlier process of this entry. That process has
@@ -292,7 +292,7 @@
    * condition would let them mix with those of the next journal. A new claim
    * changes the key's revision, on which they depend.
    */
-  async #replaceEndedOwnership(
+  async #claimAfterEnd(
     item: StoredItem,
     record: OwnerRecord,
   ): Promise<void> {
--- a/packages/scheduler/owner_calls.ts
+++ b/packages/scheduler/owner_calls.ts
@@ -64,11 +64,20 @@
 export class OwnerCalls {
   readonly #parts: OwnerCallsParts;
   #heldCount = 0;
+  #answerBy = Number.POSITIVE_INFINITY;
 
   constructor(parts: OwnerCallsParts) {
     this.#parts = parts;
   }
 
+  /**
+   * Ends all later calls by this time (steady clock, in ms): the process is about
+   * to end, and each request that it has read needs an answer.
+   */
+  restrictCalls(answerBy: number): void {
+    this.#answerBy = answerBy;
+  }
+
   /**
    * Calls the owner until a reply settles the call or no time is left.
    *
@@ -80,7 +89,7 @@
   ): Promise<LinkMethods[M]["result"]> {
     const { clock, gateway } = this.#parts;
     const startedAt = clock.now();
-    const giveUpAt = startedAt + call.timeoutMs;
+    const giveUpAt = Math.min(startedAt + call.timeoutMs, this.#answerBy);
     const waitUntil = Math.min(giveUpAt, startedAt + OWNER_WAIT_MS);
     /** Owner of the first attempt whose effect is unknown. */
     let unsettled: OwnerRecord | undefined;
--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -13,7 +13,12 @@
 import { CallerService } from "./caller_service.ts";
 import { ConfigFeed } from "./config_feed.ts";
 import { computeClaimDelay } from "./claim_rules.ts";
-import { NO_OWNER_RETRY_MS, TASK_LEASE_MS } from "./constants.ts";
+import {
+  LAST_ANSWER_MS,
+  NO_OWNER_RETRY_MS,
+  SHUTDOWN_GRACE_MS,
+  TASK_LEASE_MS,
+} from "./constants.ts";
 import { Election, type ElectionHost, type Ownership } from "./election.ts";
 import { OwnerGateway } from "./owner_gateway.ts";
 import { OwnerRole } from "./owner_role.ts";
@@ -134,6 +139,9 @@
   /** Begins a planned stop: releases the cell and never claims it again. */
   async beginStop(): Promise<void> {
     this.#isStopping = true;
+    this.callerService.restrictAnswers(
+      this.parts.clock.now() + SHUTDOWN_GRACE_MS + LAST_ANSWER_MS,
+    );
     this.parts.log.record(EventCode.DrainStarted, {});
     const role = this.#ownerRole;
     if (role) await role.stop({ isPlanned: true });
--- a/tests/virtual/caller_service_test.ts
+++ b/tests/virtual/caller_service_test.ts
@@ -190,6 +190,21 @@
   t.true(elapsedMs <= OWNER_WAIT_MS + 20);
 });
 
+test("a stopping entry answers requests without an owner before it is killed", async (t) => {
+  const { service, gateway, time } = await startService();
+  service.restrictAnswers(time.now + 500);
+  const { answer, elapsedMs } = await settle(
+    time,
+    service.submit(REQUEST, parseEmptyJob),
+  );
+  t.is(answer.kind, AnswerKind.Unknown);
+  t.true(elapsedMs <= 520, `${elapsedMs} ms`);
+  gateway.setOwner(undefined, false);
+  const late = await settle(time, service.submit(REQUEST, parseEmptyJob));
+  t.is(late.answer.kind, AnswerKind.Unavailable);
+  t.true(late.elapsedMs <= 20, `${late.elapsedMs} ms`);
+});
+
 test("without an owner and without the store, requests are refused at once", async (t) => {
   const { service, gateway, time, store } = await startService();
   store.fault = StoreFault.Unavailable;
