Count only entries that reach the store as able to own the cell

Cause: found by reading: an owner on a small VM would hand over for a large entry that the store refuses, which cannot claim; another small one would get the cell and hand it over again. An entry of an earlier version sends no speed, which made every comparison false: all would have handed over, and none would have been ready. Change: an entry reports no speed while it does not reach the store; a missing or malformed speed counts as not known, an answer of the former form as ready. Measured: packages/links/link_test.ts.

--- a/packages/links/link.ts
+++ b/packages/links/link.ts
@@ -21,8 +21,8 @@
 
 /** What an entry tells the owner of the cell over a link that it opens. */
 export interface LinkOpener {
-  /** Sent in each heartbeat. */
-  heartbeat: Heartbeat;
+  /** Makes the next heartbeat. */
+  makeHeartbeat: () => Heartbeat;
   /** Called with the answer to each heartbeat. */
   onReply: (reply: HeartbeatReply) => void;
 }
@@ -44,8 +44,8 @@
   peer = "";
   /** Processor speed of the peer's VM, in cores; 0: not known. */
   peerCores = 0;
-  /** Called when the first heartbeat of the peer has named it. */
-  onIdentified: () => void = () => {};
+  /** Called when a heartbeat has changed the peer's name or speed. */
+  onPeerChanged: () => void = () => {};
   /** The link was closed because no data was received for too long. */
   hasTimedOut = false;
   /** Called once, when the link is closed. */
@@ -134,10 +134,11 @@
   }
 
   #notePeer({ entry, cores }: Heartbeat): void {
-    const isNew = this.peer === "";
+    const speed = Number.isFinite(cores) ? Number(cores) : 0;
+    if (this.peer === entry && this.peerCores === speed) return;
     this.peer = entry;
-    this.peerCores = cores;
-    if (isNew) this.onIdentified();
+    this.peerCores = speed;
+    this.onPeerChanged();
   }
 
   #receive(text: string): void {
@@ -167,10 +168,10 @@
    * @throws {NotSentError | UnknownEffectError} when no answer came
    */
   async sendHeartbeat(): Promise<void> {
-    const { heartbeat, onReply } = this.#opener ?? {};
-    if (!heartbeat || !onReply) return;
+    if (!this.#opener) return;
+    const { makeHeartbeat, onReply } = this.#opener;
     const timeoutMs = LINK_TIMEOUT_MS;
-    onReply(await this.call("link.heartbeat", heartbeat, { timeoutMs }));
+    onReply(await this.call("link.heartbeat", makeHeartbeat(), { timeoutMs }));
   }
 
   #scheduleCheck(): void {
--- a/packages/links/link_server.ts
+++ b/packages/links/link_server.ts
@@ -23,12 +23,7 @@
       const link = new Link(socket, options);
       this.links.add(link);
       link.onClosed = (reason) => this.#dropLink(link, reason);
-      link.onIdentified = () => {
-        this.#largestPeerCores = Math.max(
-          this.#largestPeerCores,
-          link.peerCores,
-        );
-      };
+      link.onPeerChanged = () => this.#updateLargestPeer();
     });
   }
 
@@ -59,11 +54,15 @@
       .map(([peer]) => peer);
   }
 
+  #updateLargestPeer(): void {
+    const cores = this.listIdentified().map(({ peerCores }) => peerCores);
+    this.#largestPeerCores = Math.max(0, ...cores);
+  }
+
   #dropLink(link: Link, reason: string): void {
     this.links.delete(link);
     if (link.peer === "") return;
-    const cores = this.listIdentified().map(({ peerCores }) => peerCores);
-    this.#largestPeerCores = Math.max(0, ...cores);
+    this.#updateLargestPeer();
     this.onLost(link.peer, reason);
     if (link.hasTimedOut) this.#timedOutAt.set(link.peer, this.#clock.now());
     else this.#timedOutAt.delete(link.peer);
--- /dev/null
+++ b/packages/links/link_test.ts
@@ -0,0 +1,61 @@
+import test from "ava";
+import { MonotonicClock } from "../base/mod.ts";
+import {
+  type HeartbeatReply,
+  type LinkHandlers,
+  LinkServer,
+  openLink,
+} from "./mod.ts";
+
+const HOST = "127.54.0.1";
+const clock = new MonotonicClock();
+
+/** Opens a link that sends `heartbeat` to a new server; returns both. */
+async function connect(
+  port: number,
+  options: { heartbeat: object; reply: unknown },
+) {
+  const handlers = {
+    "link.heartbeat": () => options.reply,
+  } as unknown as LinkHandlers;
+  const server = new LinkServer({ handlers, clock });
+  await server.listen({ host: HOST, port });
+  const replies: HeartbeatReply[] = [];
+  const link = await openLink({ host: HOST, port }, {
+    handlers,
+    clock,
+    localAddress: HOST,
+    opener: {
+      makeHeartbeat: () => ({ entry: "e1", ...options.heartbeat }),
+      onReply: (reply) => replies.push(reply),
+    },
+  });
+  return { server, link, replies };
+}
+
+test("an owner counts the speed of linked entries that can claim the cell", async (t) => {
+  const heartbeat = { cores: 1.35 };
+  const reply = { largestCores: 2, isReady: false };
+  const site = await connect(7_301, { heartbeat, reply });
+  t.is(site.server.largestPeerCores, 1.35);
+  t.deepEqual(site.replies, [reply]);
+  heartbeat.cores = 0;
+  await site.link.sendHeartbeat();
+  t.is(site.server.largestPeerCores, 0);
+  site.link.close("test");
+  site.server.close();
+});
+
+test("entries of an earlier version, or with a malformed speed, count as not known", async (t) => {
+  for (
+    const [n, heartbeat] of [{}, { cores: "x" }, { cores: null }].entries()
+  ) {
+    const site = await connect(7_302 + n, { heartbeat, reply: true });
+    t.is(site.server.largestPeerCores, 0);
+    const [{ largestCores = 0, isReady = true }] = site.replies;
+    t.is(largestCores, 0);
+    t.true(isReady);
+    site.link.close("test");
+    site.server.close();
+  }
+});
--- a/packages/links/types.ts
+++ b/packages/links/types.ts
@@ -19,16 +19,22 @@
 export interface Heartbeat {
   /** Name of the sender. */
   entry: string;
-  /** Processor speed of the sender's VM, in cores. */
-  cores: number;
+  /**
+   * Processor speed of the sender's VM, in cores; 0 while it cannot reach the
+   * store and so cannot own the cell. Earlier versions do not send it.
+   */
+  cores?: number;
 }
 
 /** Answer of the cell's owner to a heartbeat. */
 export interface HeartbeatReply {
   /** Processor speed of the largest VM linked to the owner, its own included. */
-  largestCores: number;
-  /** The owner has restored the cell and serves callers. */
-  isReady: boolean;
+  largestCores?: number;
+  /**
+   * The owner has restored the cell and serves callers. An owner of an earlier
+   * version answers `true` instead of an object, and is taken to be ready.
+   */
+  isReady?: boolean;
 }
 
 /** Name of a method that entries call on each other. */
--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -81,8 +81,11 @@
       clock,
       log,
       opener: {
-        heartbeat: { entry: name, cores: this.#cores },
-        onReply: ({ largestCores, isReady }) => {
+        makeHeartbeat: () => ({
+          entry: name,
+          cores: this.config.isStoreReachable ? this.#cores : 0,
+        }),
+        onReply: ({ largestCores = 0, isReady = true }) => {
           this.#largestCores = largestCores;
           this.gateway.noteOwnerReady(isReady);
         },
--- a/tests/virtual/caller_service_test.ts
+++ b/tests/virtual/caller_service_test.ts
@@ -83,7 +83,10 @@
   const gateway = new OwnerGateway({
     clock,
     log,
-    opener: { heartbeat: { entry: "a", cores: 1 }, onReply: () => {} },
+    opener: {
+      makeHeartbeat: () => ({ entry: "a", cores: 1 }),
+      onReply: () => {},
+    },
     localAddress: "",
     isLocalOwnerReady: () => true,
     handlers: new Proxy(handlers, {
