Name the endpoints of the data's rack first, and racks with room for a gang in one

Cause: found by reading: the selection of endpoints for advice looked at room alone, so that work near its data, or a gang that has to fit into one rack, would have asked about endpoints of other racks. Change: candidates are sorted by the rack of the data, then for such a gang by the room of their rack. Measured: advice_choice_test 'work whose data lies in one rack'.

--- a/packages/cell/advice_choice.ts
+++ b/packages/cell/advice_choice.ts
@@ -54,9 +54,10 @@
     if (slots > 0) candidates.push({ endpoint, slots });
     else if (accepting.has(endpoint)) full.push(endpoint);
   }
-  const withRoom = listFromCursor(candidates, pass.state.adviceCursor++);
-  // A gang starts sooner on few endpoints with much room each.
-  if (getStep(stage).gang) withRoom.sort((a, b) => b.slots - a.slots);
+  const withRoom = sortCandidates(
+    stage,
+    listFromCursor(candidates, pass.state.adviceCursor++),
+  );
   const selected = selectEnoughRoom(pass.state, stage, withRoom);
   const missing = USUAL_ENDPOINTS_ASKED - selected.length;
   if (missing <= 0 || selected.length < withRoom.length) return selected;
@@ -106,6 +107,33 @@
   return Math.max(MIN_ALLOWED_SHARE, allowed / named);
 }
 
+/**
+ * Sorts the candidates: those in the rack of the data first; for a gang that has
+ * to fit into one rack, those of the racks with most room; for any gang, those
+ * with much room, as it starts sooner on few endpoints.
+ */
+function sortCandidates(
+  stage: Stage,
+  candidates: readonly AdviceCandidate[],
+): AdviceCandidate[] {
+  const { gang, preferredRack, rackLocal } = getStep(stage);
+  const slotsByRack = new Map<string, number>();
+  for (const { endpoint: { info }, slots } of candidates) {
+    slotsByRack.set(info.rack, (slotsByRack.get(info.rack) ?? 0) + slots);
+  }
+  const score = ({ endpoint: { info }, slots }: AdviceCandidate) => ({
+    isNear: preferredRack !== "" && info.rack === preferredRack ? 1 : 0,
+    rackSlots: rackLocal ? slotsByRack.get(info.rack) ?? 0 : 0,
+    slots: gang ? slots : 0,
+  });
+  return candidates
+    .map((candidate) => ({ candidate, rank: score(candidate) }))
+    .sort(({ rank: a }, { rank: b }) =>
+      b.isNear - a.isNear || b.rackSlots - a.rackSlots || b.slots - a.slots
+    )
+    .map(({ candidate }) => candidate);
+}
+
 /** Selects endpoints until the allowed ones among them should have room. */
 function selectEnoughRoom(
   state: CellState,
@@ -126,7 +154,10 @@
   return selected;
 }
 
-/** Lists the items from `start` on, modulo the length, then those before. */
+/**
+ * Lists all items, beginning at another one for each value of the cursor, so that
+ * stages that ask at the same time begin at different endpoints.
+ */
 function listFromCursor<T>(items: readonly T[], cursor: number): T[] {
   if (items.length === 0) return [];
   const start = cursor * USUAL_ENDPOINTS_ASKED % items.length;
--- a/packages/cell/advice_choice_test.ts
+++ b/packages/cell/advice_choice_test.ts
@@ -54,6 +54,25 @@
   t.true(named.size >= 90, `${named.size} endpoints named`);
 });
 
+test("work whose data lies in one rack asks about the endpoints of that rack", (t) => {
+  const site = new CellSite({ endpoints: 400, afterMs: 100 });
+  site.describeEndpoint = (id) => ({ labels: [], rack: `r${id.at(-1)}` });
+  site.applyEndpointList();
+  site.advance(300);
+  const named: string[] = [];
+  site.isEndpointAllowed = (endpoint) => named.push(endpoint) > 0;
+  const step = makeStep({ tasks: 3, preferredRack: "r7" });
+  site.submit(makeJob("near", [step], { queue: gatedQueue }));
+  site.advance(300);
+  t.is(site.find("near"), JobState.Completed);
+  t.true(named.length <= 40 && named.every((id) => id.endsWith("7")));
+  named.length = 0;
+  const gang = makeStep({ tasks: 80, gang: true, rackLocal: true });
+  site.submit(makeJob("tight", [gang], { queue: gatedQueue }));
+  site.advance(300);
+  t.is(site.find("tight"), JobState.Completed);
+});
+
 test("the calls of a wide gang are made by several idle entries at once", (t) => {
   const site = new CellSite({ endpoints: 200, afterMs: 100 });
   site.advance(300);
