Watch the configuration from the revision of its read, not of its last change

Once the store had dropped that history it answered 410, the entry read again and watched from the same revision, without a pause. Ruled out: the election's watch (reads every 3 s). Change: the read gives the store's revision; a pause follows a lost history too.

--- a/packages/scheduler/config_feed.ts
+++ b/packages/scheduler/config_feed.ts
@@ -118,11 +118,15 @@
    * `undefined` if it has to be read again.
    */
   async #readOnce(sentAt: CurrentTime): Promise<number | undefined> {
+    const key = this.#records.configKey;
     try {
-      const item = await this.#store.get(this.#records.configKey);
+      const page = await this.#store.list(key);
       this.#noteConfirmed(sentAt);
+      const item = page.items.find((candidate) => candidate.key === key);
       if (item) this.#adoptItem(item);
-      return item?.revision;
+      // The watch continues from the revision of the read: the history back to
+      // the last change of the configuration may be gone.
+      return item && page.revision;
     } catch (error) {
       this.#noteFailure(error);
       return undefined;
@@ -156,8 +160,7 @@
         CONFIG_READ_INTERVAL_MS * 2;
       return isRecent ? revision : undefined;
     } catch (error) {
-      if (error instanceof HistoryGoneError) return undefined;
-      this.#noteFailure(error);
+      if (!(error instanceof HistoryGoneError)) this.#noteFailure(error);
       await this.#clock.sleep(MIN_READ_PAUSE_MS);
       return undefined;
     }
--- a/tests/virtual/config_feed_test.ts
+++ b/tests/virtual/config_feed_test.ts
@@ -75,8 +75,8 @@
 test("a configuration that does not change is read in full only once", async (t) => {
   const { time, store, feed, apply } = await startFeed();
   let reads = 0;
-  const { get } = store;
-  store.get = (...args) => (reads++, get.apply(store, args));
+  const { list } = store;
+  store.list = (...args) => (reads++, list.apply(store, args));
   for (let second = 0; second < 20; second++) {
     await time.advance(1_000);
     t.true(feed.measureAge(time.now) < 1_000);
@@ -99,6 +99,22 @@
   }
 });
 
+test("an unchanged configuration costs few calls although the store drops its history", async (t) => {
+  const { time, feed, store, state } = await startFeed();
+  let calls = 0;
+  const { list, watch } = store;
+  store.list = (...args) => (calls++, list.apply(store, args));
+  store.watch = (...args) => (calls++, watch.apply(store, args));
+  for (let second = 0; second < 30; second++) {
+    state.revision++;
+    state.compactedRevision = state.revision;
+    await time.advance(1_000);
+    t.true(feed.measureAge(time.now) < 1_000);
+  }
+  // A watch every 0.8 s, and a read and a watch after each compaction.
+  t.true(calls <= 30 * 4, `${calls} calls`);
+});
+
 test("the age of the configuration grows while the store does not answer", async (t) => {
   const { time, store, feed } = await startFeed();
   t.true(feed.measureAge(time.now) < 1_000);
