Never refuse a job that was accepted before because the store stalls

Change: a known, committed job is answered as accepted; one whose acceptance is not committed waits for the commit.

--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -134,10 +134,15 @@
     return output;
   }
 
+  /** Returns whether a job with this id was accepted, committed or not. */
+  hasJob(id: string): boolean {
+    return this.state.jobs.has(id) || this.state.ended.has(id);
+  }
+
   /** Accepts or refuses a job. Idempotent: the id identifies a repeated job. */
   submit(spec: JobSpec, time: CurrentTime): AdmissionOutcome {
     const { state } = this;
-    if (state.jobs.has(spec.id) || state.ended.has(spec.id)) {
+    if (this.hasJob(spec.id)) {
       return {
         admission: Admission.Known,
         reason: "a job with this id was accepted before",
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -269,7 +269,13 @@
   async submit(job: JobSpec): Promise<SubmitReply> {
     if (!this.isReady) return this.#refuseNotReady();
     const now = this.#parts.clock.now();
-    if (this.#planLoop.isStoreStalled(now)) {
+    // A known job was accepted before, so the answer must not say that it never
+    // runs, whatever the state of the store.
+    const isKnown = this.cell.hasJob(job.id);
+    if (isKnown && this.find(job.id, job.organisation)) {
+      return { admission: Admission.Known, reason: "accepted before" };
+    }
+    if (!isKnown && this.#planLoop.isStoreStalled(now)) {
       return {
         admission: Admission.StoreStalled,
         reason: "the store does not answer",
