Tell callers at once when a stalled owner leaves the effect unknown

By reading: an entry held a request of unknown effect for up to 2.85 s; if it was killed meanwhile, the caller asked an entry without an owner, which answered 503, while the first attempt's commit took effect. Change: a call that times out at an owner that is still linked ends the request as unknown; one whose owner was lost is repeated for 2 s at most.

--- a/packages/scheduler/constants.ts
+++ b/packages/scheduler/constants.ts
@@ -221,6 +221,14 @@
  */
 export const OWNER_WAIT_MS = 1_500;
 
+/**
+ * Longest time for which an entry tries to learn the effect of a request whose
+ * answer was lost with the owner, in milliseconds. A caller that is told that the
+ * effect is unknown does not ask elsewhere, where an entry without an owner could
+ * only answer that the request did not run.
+ */
+export const SETTLE_WAIT_MS = 2_000;
+
 /** Pause before a call to the owner is repeated, in milliseconds. */
 export const REPEAT_PAUSE_MS = 40;
 
--- a/packages/scheduler/owner_calls.ts
+++ b/packages/scheduler/owner_calls.ts
@@ -6,6 +6,7 @@
   OWNER_CALL_TIMEOUT_MS,
   OWNER_WAIT_MS,
   REPEAT_PAUSE_MS,
+  SETTLE_WAIT_MS,
 } from "./constants.ts";
 import type { OwnerGateway } from "./owner_gateway.ts";
 import type { OwnerRecord } from "./types.ts";
@@ -58,8 +59,8 @@
 /**
  * Calls the cell's owner for callers. Load: all callers at once during a change
  * of owner. A call that reaches no owner waits for the next one for at most
- * `OWNER_WAIT_MS`; a call whose answer is lost is repeated, so that the caller
- * learns its effect instead of having to ask.
+ * `OWNER_WAIT_MS`; a call whose answer is lost with its owner is repeated for at
+ * most `SETTLE_WAIT_MS`, so that the caller learns its effect.
  */
 export class OwnerCalls {
   readonly #parts: OwnerCallsParts;
@@ -91,13 +92,14 @@
     const startedAt = clock.now();
     const giveUpAt = Math.min(startedAt + call.timeoutMs, this.#answerBy);
     const waitUntil = Math.min(giveUpAt, startedAt + OWNER_WAIT_MS);
+    const settleUntil = Math.min(giveUpAt, startedAt + SETTLE_WAIT_MS);
     /** Owner of the first attempt whose effect is unknown. */
     let unsettled: OwnerRecord | undefined;
     let reason = "no owner is known";
     for (let attempt = 1;; attempt++) {
       const now = clock.now();
       const isReachable = gateway.canReachOwner ||
-        await this.#waitForOwner(unsettled ? giveUpAt : waitUntil, now);
+        await this.#waitForOwner(unsettled ? settleUntil : waitUntil, now);
       if (!isReachable) break;
       const { owner } = gateway;
       const timeoutMs = Math.min(OWNER_CALL_TIMEOUT_MS, giveUpAt - clock.now());
@@ -118,8 +120,12 @@
         reason = error instanceof Error ? error.message : String(error);
         const hasNoEffect = call.isRead || error instanceof NotSentError;
         if (!hasNoEffect) unsettled ??= owner;
+        // The owner is there but stalls: asking again would only delay the
+        // answer that the effect is unknown.
+        const isSameOwner = gateway.canReachOwner && gateway.owner === owner;
+        if (!hasNoEffect && isSameOwner) break;
       }
-      if (clock.now() >= (unsettled ? giveUpAt : waitUntil)) break;
+      if (clock.now() >= (unsettled ? settleUntil : waitUntil)) break;
       this.#recordRepeat(call.method, { attempt, reason });
       await clock.sleep(REPEAT_PAUSE_MS);
     }
