Split one attempt from the loop that settles a caller's request

Cause: the loop of OwnerCalls mixed the call, its errors and the decision. Change: one method sends the call once and names its outcome; the loop decides. Measured: caller_service_test, all nine tests as before.

--- a/packages/scheduler/owner_calls.ts
+++ b/packages/scheduler/owner_calls.ts
@@ -97,33 +97,27 @@
     let unsettled: OwnerRecord | undefined;
     let reason = "no owner is known";
     for (let attempt = 1;; attempt++) {
-      const now = clock.now();
-      const isReachable = gateway.canReachOwner ||
-        await this.#waitForOwner(unsettled ? settleUntil : waitUntil, now);
-      if (!isReachable) break;
+      const until = unsettled ? settleUntil : waitUntil;
+      if (!await this.#waitForOwner(until, clock.now())) break;
       const { owner } = gateway;
       const timeoutMs = Math.min(OWNER_CALL_TIMEOUT_MS, giveUpAt - clock.now());
       if (timeoutMs <= 0) break;
-      try {
-        const { method, params } = call;
-        const reply = await gateway.call(method, params, { timeoutMs });
-        const kind = call.classify(reply);
-        if (kind === ReplyKind.Final) return reply;
-        if (kind === ReplyKind.Refused) {
-          if (!unsettled || isProofOfNoEffect(unsettled, owner)) return reply;
-          reason = "refused, but an earlier attempt may have had an effect";
-          break;
+      const outcome = await this.#sendOnce(call, timeoutMs);
+      reason = outcome.reason;
+      if (outcome.kind === ReplyKind.Final) return outcome.reply!;
+      if (outcome.kind === ReplyKind.Refused) {
+        if (!unsettled || isProofOfNoEffect(unsettled, owner)) {
+          return outcome.reply!;
         }
-        reason = `the entry that was asked answered ${kind}`;
-        if (kind === ReplyKind.Unknown) unsettled ??= owner;
-      } catch (error) {
-        reason = error instanceof Error ? error.message : String(error);
-        const hasNoEffect = call.isRead || error instanceof NotSentError;
-        if (!hasNoEffect) unsettled ??= owner;
-        // The owner is there but stalls: asking again would only delay the
-        // answer that the effect is unknown.
+        reason = "refused, but an earlier attempt may have had an effect";
+        break;
+      }
+      if (outcome.kind === ReplyKind.Unknown) {
+        unsettled ??= owner;
+        // Without a reply, an owner that is still linked stalls: asking again
+        // would only delay the answer that the effect is unknown.
         const isSameOwner = gateway.canReachOwner && gateway.owner === owner;
-        if (!hasNoEffect && isSameOwner) break;
+        if (outcome.reply === undefined && isSameOwner) break;
       }
       if (clock.now() >= (unsettled ? settleUntil : waitUntil)) break;
       this.#recordRepeat(call.method, { attempt, reason });
@@ -133,9 +127,37 @@
     throw new NotSentError(reason);
   }
 
+  /** Sends the call once. An attempt without a reply throws nothing. */
+  async #sendOnce<M extends LinkMethod>(
+    call: RepeatableCall<M>,
+    timeoutMs: number,
+  ): Promise<
+    { kind: ReplyKind; reason: string; reply?: LinkMethods[M]["result"] }
+  > {
+    const { method, params } = call;
+    try {
+      const reply = await this.#parts.gateway.call(method, params, {
+        timeoutMs,
+      });
+      const kind = call.classify(reply);
+      return {
+        kind,
+        reply,
+        reason: `the entry that was asked answered ${kind}`,
+      };
+    } catch (error) {
+      const hasNoEffect = call.isRead || error instanceof NotSentError;
+      return {
+        kind: hasNoEffect ? ReplyKind.NotOwner : ReplyKind.Unknown,
+        reason: error instanceof Error ? error.message : String(error),
+      };
+    }
+  }
+
   /** Waits for a reachable owner; returns whether there is one. */
   async #waitForOwner(until: number, now: number): Promise<boolean> {
     const { canHearOfOwners, gateway } = this.#parts;
+    if (gateway.canReachOwner) return true;
     const mayWait = now < until && this.#heldCount < MAX_HELD_CALLS &&
       canHearOfOwners();
     if (!mayWait) return false;
