Count suspensions of the VM towards the age of the owner's lease

An owner could send orders and begin upkeeps for up to 6 s after a suspension of its VM although its lease had expired and another owner existed. The answer of a renewal or claim that was sent before the suspension and read after it set the time of the last confirmation to the time of sending, on the steady clock, which had stood still; several suspensions of less than 0.8 s each were never noticed; and the upkeep of VMs did not check for suspensions at all. Both roles read it from one object, which begins with the claim.

--- a/packages/base/clock.ts
+++ b/packages/base/clock.ts
@@ -3,6 +3,11 @@
   /** Returns milliseconds since the Unix epoch. */
   abstract now(): number;
 
+  /** Returns the system time in Unix milliseconds; it can be set and can jump. */
+  readWallTime(): number {
+    return Date.now();
+  }
+
   /** Calls `callback` once after `delayMs`; returns a cancel function. */
   abstract schedule(callback: () => void, delayMs: number): () => void;
 
--- a/packages/scheduler/config_feed.ts
+++ b/packages/scheduler/config_feed.ts
@@ -8,6 +8,7 @@
   MIN_READ_PAUSE_MS,
 } from "./constants.ts";
 import type { SiteRecords } from "./ports.ts";
+import { measureElapsed } from "./suspension_guard.ts";
 import type { OrganisationConfig, QueueRoute, SiteConfig } from "./types.ts";
 
 /**
@@ -23,8 +24,10 @@
   readonly #log: EventLog;
   readonly #organisationsByKey = new Map<string, OrganisationConfig>();
   #configRevision = 0;
-  #confirmedAt = Number.NEGATIVE_INFINITY;
-  #confirmedWallAt = Number.NEGATIVE_INFINITY;
+  #confirmedAt: CurrentTime = {
+    now: Number.NEGATIVE_INFINITY,
+    wallNow: Number.NEGATIVE_INFINITY,
+  };
   #isStoreReachable = true;
   #isStopped = false;
   /** The newest configuration; `undefined` until the first is read. */
@@ -77,15 +80,11 @@
 
   /**
    * Measures the time since the start of the last successful read of the
-   * configuration, in milliseconds. The steady clock stops while the VM is
-   * suspended, and the wall clock can be set back, so the longer of the times
-   * on both clocks is returned.
+   * configuration, in milliseconds; suspensions of the VM count too.
    */
   measureAge(now: number): number {
-    return Math.max(
-      now - this.#confirmedAt,
-      this.#wallNow() - this.#confirmedWallAt,
-    );
+    const time = { now, wallNow: this.#wallNow() };
+    return measureElapsed(this.#confirmedAt, time);
   }
 
   /**
@@ -179,9 +178,8 @@
     };
   }
 
-  #noteConfirmed({ now, wallNow }: CurrentTime): void {
-    this.#confirmedAt = now;
-    this.#confirmedWallAt = wallNow;
+  #noteConfirmed(confirmedAt: CurrentTime): void {
+    this.#confirmedAt = confirmedAt;
     if (this.#isStoreReachable) return;
     this.#isStoreReachable = true;
     this.#log.record(EventCode.StoreRecovered, { reader: "config" });
@@ -193,7 +191,7 @@
     this.#log.record(EventCode.StoreUnavailable, {
       reader: "config",
       reason: String(error),
-      ageMs: Math.round(this.#clock.now() - this.#confirmedAt),
+      ageMs: Math.round(this.#clock.now() - this.#confirmedAt.now),
     });
   }
 
--- a/packages/scheduler/election.ts
+++ b/packages/scheduler/election.ts
@@ -1,4 +1,5 @@
 import { type Clock, HistoryGoneError, type Random } from "../base/mod.ts";
+import type { CurrentTime } from "../cell/mod.ts";
 import { EventCode, type EventLog } from "../events/mod.ts";
 import {
   type KeyValueStore,
@@ -17,6 +18,7 @@
   STORE_RETRY_MS,
   TERM_KEY,
 } from "./constants.ts";
+import { LeaseConfirmation } from "./lease_confirmation.ts";
 import type { OwnerRecord } from "./types.ts";
 
 /** This entry's ownership of the cell, from a won election. */
@@ -24,8 +26,8 @@
   record: OwnerRecord;
   /** Revision of the owner's key: the fencing token, higher with each owner. */
   revision: number;
-  /** Send time of the last confirmed renewal of the lease, in ms. */
-  leaseConfirmedAt: number;
+  /** The last confirmed renewal of the lease. */
+  confirmation: LeaseConfirmation;
 }
 
 /** Receives the results of an `Election`. */
@@ -241,7 +243,7 @@
     if (currentItem?.revision !== ownerItem?.revision) return;
     const termItem = items.find(({ key }) => key === TERM_KEY);
     const term = Number(termItem?.value ?? "0") + 1;
-    const sentAt = this.#clock.now();
+    const sentAt = this.#getCurrentTime();
     const lease = await this.#store.createLease(OWNER_LEASE_MS);
     const record: OwnerRecord = { ...this.#self, term, lease };
     const { result, revision } = await this.#store.commit({
@@ -256,7 +258,8 @@
       deletes: [],
     });
     if (result !== TransactionResult.Applied) return;
-    this.#setOwnership({ record, revision, leaseConfirmedAt: sentAt });
+    const confirmation = new LeaseConfirmation(sentAt);
+    this.#setOwnership({ record, revision, confirmation });
   }
 
   async #claimIfUnchanged(deadOwner: OwnerRecord): Promise<void> {
@@ -279,10 +282,11 @@
     record: OwnerRecord,
   ): Promise<void> {
     if (!this.#mayClaim) return await this.#store.endLease(record.lease);
-    const sentAt = this.#clock.now();
+    const sentAt = this.#getCurrentTime();
     if (!await this.#store.renewLease(record.lease)) return;
     const { revision } = item;
-    this.#setOwnership({ record, revision, leaseConfirmedAt: sentAt });
+    const confirmation = new LeaseConfirmation(sentAt);
+    this.#setOwnership({ record, revision, confirmation });
   }
 
   /**
@@ -323,13 +327,17 @@
   }
 
   async #renewOwnership(ownership: Ownership): Promise<void> {
-    const sentAt = this.#clock.now();
+    const sentAt = this.#getCurrentTime();
     const isRenewed = await this.#store.renewLease(ownership.record.lease);
-    if (isRenewed) ownership.leaseConfirmedAt = sentAt;
+    if (isRenewed) ownership.confirmation.noteRenewal(sentAt);
     else this.#clearOwnership("the lease has expired");
     await this.#clock.sleep(OWNER_RENEWAL_INTERVAL_MS);
   }
 
+  #getCurrentTime(): CurrentTime {
+    return { now: this.#clock.now(), wallNow: this.#clock.readWallTime() };
+  }
+
   #clearOwnership(reason: string): void {
     const ownership = this.#ownership;
     if (!ownership) return;
--- a/packages/scheduler/mod.ts
+++ b/packages/scheduler/mod.ts
@@ -12,4 +12,5 @@
 export * from "./ports.ts";
 export * from "./scheduler_node.ts";
 export * from "./types.ts";
+export * from "./upkeep_role.ts";
 export * from "./wiring.ts";
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -44,7 +44,6 @@
   type SiteRecords,
 } from "./ports.ts";
 import { SessionPool } from "./session_pool.ts";
-import { SuspensionGuard } from "./suspension_guard.ts";
 import type { SiteConfig } from "./types.ts";
 import { UpkeepRole } from "./upkeep_role.ts";
 
@@ -98,7 +97,6 @@
   readonly #orderSender: OrderSender;
   readonly #planLoop: PlanLoop;
   readonly #upkeepRole: UpkeepRole | undefined;
-  readonly #suspensionGuard = new SuspensionGuard();
   #journal: Journal | undefined;
   readonly #loopMonitor = new LoopMonitor();
   #readySince: number | undefined;
@@ -111,6 +109,8 @@
     this.ownership = ownership;
     this.#parts = parts;
     const { store, records, clock, log, listLinks } = parts;
+    ownership.confirmation.onSuspended = () =>
+      log.record(EventCode.LoopPaused, { wasSuspended: true });
     this.cell = new Cell({
       term: ownership.record.term,
       retentionMs: parts.retentionMs,
@@ -310,15 +310,9 @@
    * has confirmed the owner's lease in the last `OWNER_GRACE_MS`.
    */
   mayOrder(now: number): boolean {
-    const time = { now, wallNow: Date.now() };
-    if (this.#suspensionGuard.checkSuspension(time)) {
-      // The lease may have expired during the suspension; orders wait for the
-      // next confirmed renewal.
-      this.ownership.leaseConfirmedAt = Number.NEGATIVE_INFINITY;
-      this.#parts.log.record(EventCode.LoopPaused, { wasSuspended: true });
-    }
-    return !this.#isStopped &&
-      now - this.ownership.leaseConfirmedAt < OWNER_GRACE_MS;
+    const time = { now, wallNow: this.#parts.clock.readWallTime() };
+    const ageMs = this.ownership.confirmation.measureAge(time);
+    return !this.#isStopped && ageMs < OWNER_GRACE_MS;
   }
 
   /** Applies an endpoint's answer to a poll. */
--- a/packages/scheduler/suspension_guard.ts
+++ b/packages/scheduler/suspension_guard.ts
@@ -22,3 +22,12 @@
       clockOffset - previousOffset > SUSPENSION_MS;
   }
 }
+
+/**
+ * Measures the time from `since` to `time`, in milliseconds. The steady clock
+ * stops while the VM is suspended, and the wall clock can be set back, so the
+ * longer of the times on both clocks is returned.
+ */
+export function measureElapsed(since: CurrentTime, time: CurrentTime): number {
+  return Math.max(time.now - since.now, time.wallNow - since.wallNow);
+}
--- a/packages/scheduler/upkeep_role.ts
+++ b/packages/scheduler/upkeep_role.ts
@@ -323,8 +323,10 @@
    * expired, another owner may send them.
    */
   #mayOrder(now: number): boolean {
-    return !this.#isStopped &&
-      now - this.#parts.ownership.leaseConfirmedAt < OWNER_LEASE_MS;
+    const { clock, ownership } = this.#parts;
+    const time = { now, wallNow: clock.readWallTime() };
+    const ageMs = ownership.confirmation.measureAge(time);
+    return !this.#isStopped && ageMs < OWNER_LEASE_MS;
   }
 
   #getCurrentTime(): CurrentTime {
--- a/tests/virtual/memory_store.ts
+++ b/tests/virtual/memory_store.ts
@@ -1,5 +1,4 @@
 import {
-  type Clock,
   HistoryGoneError,
   RefusedError,
   UnknownEffectError,
@@ -16,6 +15,7 @@
   type WatchOptions,
   type WatchResult,
 } from "../../packages/storage/mod.ts";
+import type { ProcessClock } from "./virtual_time.ts";
 
 interface Item extends StoredItem {
   lease: number;
@@ -86,14 +86,16 @@
 /** Client of the in-memory key-value store, with a fault of its own. */
 export class MemoryStore extends KeyValueStore {
   readonly state: MemoryStoreState;
-  readonly #clock: Clock;
+  readonly #clock: ProcessClock;
   fault = StoreFault.None;
   /** Delay of a write under `StoreFault.AppliedLate`, in milliseconds. */
   lateWriteDelayMs = 3_000;
   /** Time from a call to its effect, in milliseconds. */
   latencyMs = 4;
+  /** Time from the effect of a renewal or a write to its answer, in ms. */
+  answerDelayMs = 0;
 
-  constructor(state: MemoryStoreState, clock: Clock) {
+  constructor(state: MemoryStoreState, clock: ProcessClock) {
     super();
     this.state = state;
     this.#clock = clock;
@@ -148,20 +150,22 @@
   override createLease(ttlMs: number): Promise<number> {
     return this.#write(() => {
       const lease = ++this.state.lastLease;
-      const endsAt = this.#clock.now() + ttlMs;
+      const endsAt = this.#clock.readSiteTime() + ttlMs;
       this.state.leases.set(lease, { ttlMs, endsAt });
       return lease;
     });
   }
 
-  override renewLease(lease: number): Promise<boolean> {
-    return this.#read(() => {
+  override async renewLease(lease: number): Promise<boolean> {
+    const isRenewed = await this.#read(() => {
       const storedLease = this.state.leases.get(lease);
       if (storedLease) {
-        storedLease.endsAt = this.#clock.now() + storedLease.ttlMs;
+        storedLease.endsAt = this.#clock.readSiteTime() + storedLease.ttlMs;
       }
       return storedLease !== undefined;
     });
+    if (this.answerDelayMs > 0) await this.#clock.sleep(this.answerDelayMs);
+    return isRenewed;
   }
 
   override endLease(lease: number): Promise<void> {
@@ -172,7 +176,7 @@
 
   #apply(transaction: Transaction): TransactionOutcome {
     const { state } = this;
-    state.expire(this.#clock.now());
+    state.expire(this.#clock.readSiteTime());
     const areConditionsMet = transaction.expected.every(({ key, revision }) =>
       (state.items.get(key)?.revision ?? 0) === revision
     );
@@ -201,7 +205,7 @@
   async #read<T>(run: () => T): Promise<T> {
     await this.#checkFault();
     await this.#clock.sleep(this.latencyMs);
-    this.state.expire(this.#clock.now());
+    this.state.expire(this.#clock.readSiteTime());
     return run();
   }
 
@@ -209,11 +213,12 @@
   async #write<T>(run: () => T): Promise<T> {
     await this.#checkFault();
     await this.#clock.sleep(this.latencyMs);
-    this.state.expire(this.#clock.now());
+    this.state.expire(this.#clock.readSiteTime());
     if (this.fault === StoreFault.AppliedLate) {
       this.#clock.schedule(() => void run(), this.lateWriteDelayMs);
     } else {
       const answer = run();
+      if (this.answerDelayMs > 0) await this.#clock.sleep(this.answerDelayMs);
       if (this.fault !== StoreFault.LostAnswer) return answer;
     }
     await this.#clock.sleep(CALL_TIMEOUT_MS);
--- a/tests/virtual/no_upkeep_records.ts
+++ b/tests/virtual/no_upkeep_records.ts
@@ -1,11 +1,12 @@
 import { SiteRecords, type WaveReport } from "../../packages/scheduler/mod.ts";
+import type { WaveRequest } from "../../packages/upkeep/mod.ts";
 
 /** Base class of site records without upkeep waves. */
 export abstract class NoUpkeepRecords extends SiteRecords {
   override readonly wavePrefix = "waves/";
   override readonly waveStatusPrefix = "wave_reports/";
 
-  override decodeWave(): undefined {
+  override decodeWave(): WaveRequest | undefined {
     return undefined;
   }
 
--- a/tests/virtual/virtual_time.ts
+++ b/tests/virtual/virtual_time.ts
@@ -24,6 +24,10 @@
   /** Timers that came due while their process was frozen, by process id. */
   readonly #frozen = new Map<string, Timer[]>();
   readonly #killed = new Set<string>();
+  /** Time for which a process's VM was suspended, in ms, by process id. */
+  readonly #suspendedMs = new Map<string, number>();
+  /** Time by which a process's wall clock is ahead, in ms, by process id. */
+  readonly wallAheadMs = new Map<string, number>();
 
   /** Schedules a function in a process; returns a function that cancels it. */
   schedule(processId: string, delayMs: number, run: () => void): () => void {
@@ -70,6 +74,22 @@
     }
   }
 
+  /**
+   * Suspends the VM of a process for `ms`: its steady clock stands still, the
+   * wall clock goes on, and what arrives meanwhile is read afterwards.
+   */
+  async suspend(processId: string, ms: number): Promise<void> {
+    this.freeze(processId);
+    await this.advance(ms);
+    this.#suspendedMs.set(processId, this.getSuspendedTime(processId) + ms);
+    this.thaw(processId);
+  }
+
+  /** Returns for how long a process's VM was suspended, in milliseconds. */
+  getSuspendedTime(processId: string): number {
+    return this.#suspendedMs.get(processId) ?? 0;
+  }
+
   /** Advances the clock by `ms` and runs all timers that come due. */
   async advance(ms: number): Promise<void> {
     const endsAt = this.now + ms;
@@ -103,10 +123,19 @@
     this.#processId = processId;
   }
 
-  override now(): number {
+  /** Returns the time of the site, whatever this process's clocks show. */
+  readSiteTime(): number {
     return this.#time.now;
   }
 
+  override now(): number {
+    return this.#time.now - this.#time.getSuspendedTime(this.#processId);
+  }
+
+  override readWallTime(): number {
+    return this.#time.now + (this.#time.wallAheadMs.get(this.#processId) ?? 0);
+  }
+
   override schedule(run: () => void, delayMs: number): () => void {
     return this.#time.schedule(this.#processId, delayMs, run);
   }
