Refuse a heartbeat without a name, and try malformed messages on a link

The owner took a heartbeat whose name was a number or an object as that of a peer, listed it among the linked entries and could send it calls for advice. Such a heartbeat is now answered with an error, and the link stays without a name. The new test sends 18 malformed messages on links of their own: on the former code the one with a number as its name failed it; nothing else did, and no rejection was left unhandled. All pass now.

--- a/packages/links/link.ts
+++ b/packages/links/link.ts
@@ -4,7 +4,12 @@
   JSONRPCServer,
   JSONRPCServerAndClient,
 } from "json-rpc-2.0";
-import { type Clock, NotSentError, UnknownEffectError } from "../base/mod.ts";
+import {
+  type Clock,
+  FormatError,
+  NotSentError,
+  UnknownEffectError,
+} from "../base/mod.ts";
 import {
   LINK_CONNECT_TIMEOUT_MS,
   LINK_HEARTBEAT_MS,
@@ -134,6 +139,9 @@
   }
 
   #notePeer({ entry, cores }: Heartbeat): void {
+    if (typeof entry !== "string") {
+      throw new FormatError("Cannot read the name of the peer");
+    }
     const speed = Number.isFinite(cores) ? Number(cores) : 0;
     if (this.peer === entry && this.peerCores === speed) return;
     this.peer = entry;
--- a/packages/links/link_test.ts
+++ b/packages/links/link_test.ts
@@ -1,3 +1,5 @@
+import { connect as connectSocket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 import test from "ava";
 import { MonotonicClock } from "../base/mod.ts";
 import {
@@ -59,3 +61,42 @@
     site.server.close();
   }
 });
+
+// Guards against a malformed message that ends the process or that leaves the link
+// of its sender open; an unhandled rejection would fail this file.
+test("malformed messages end at most the link on which they came", async (t) => {
+  const site = await connect(7_306, { heartbeat: {}, reply: true });
+  t.teardown(() => site.server.close());
+  const messages = [
+    "",
+    "garbage",
+    "null",
+    "5",
+    '"x"',
+    "[]",
+    "[null]",
+    "{}",
+    '{"jsonrpc":"2.0","id":1}',
+    '{"jsonrpc":"2.0","id":null,"result":5}',
+    '{"jsonrpc":"2.0","id":1,"result":5}',
+    '{"jsonrpc":"2.0","id":1,"error":null}',
+    '{"jsonrpc":"2.0","id":1,"method":5}',
+    '{"jsonrpc":"2.0","id":1,"method":"no.method"}',
+    '{"jsonrpc":"2.0","id":1,"method":"link.heartbeat"}',
+    '{"jsonrpc":"2.0","method":"link.heartbeat","params":null}',
+    '{"jsonrpc":"2.0","method":"link.heartbeat","params":{"entry":5}}',
+    '{"jsonrpc":"2.0","id":1,"method":"link.heartbeat","params":{"entry":{}}}',
+  ];
+  for (const message of messages) {
+    const socket = connectSocket({ host: HOST, port: 7_306 });
+    socket.on("error", () => {});
+    socket.write(`${message}\n`);
+    await sleep(20);
+    t.true(site.link.isOpen, message);
+    const names = site.server.listIdentified().map(({ peer }) => peer);
+    t.deepEqual(names, ["e1"], message);
+    socket.destroy();
+  }
+  await t.notThrowsAsync(site.link.sendHeartbeat());
+  site.link.close("test");
+});
