Count the limit on the length of a link's line for each line by itself

A link was closed, and with it every call on it, when a line just below 4 MB was followed by other lines that arrived in the same read: the limit was checked on the whole buffer before it was split. The new text is split first and each line checked, which also reads a long line once instead of once for each of its parts. The test failed on the former code at three lines of 4 MB, 1,000 and 1,000 characters and passes now, as do the two cases of a line that is too long.

--- a/packages/links/link.ts
+++ b/packages/links/link.ts
@@ -151,11 +151,11 @@
 
   #receive(text: string): void {
     this.#lastReceivedAt = this.#clock.now();
-    this.#buffer += text;
-    if (this.#buffer.length > MAX_LINE_LENGTH) {
+    const lines = text.split("\n");
+    lines[0] = this.#buffer + lines[0];
+    if (lines.some(({ length }) => length > MAX_LINE_LENGTH)) {
       return this.close("received a line above the length limit");
     }
-    const lines = this.#buffer.split("\n");
     this.#buffer = lines.pop() ?? "";
     for (const line of lines) this.#receiveLine(line);
   }
--- a/packages/links/link_test.ts
+++ b/packages/links/link_test.ts
@@ -6,6 +6,7 @@
   type HeartbeatReply,
   type LinkHandlers,
   LinkServer,
+  MAX_LINE_LENGTH,
   openLink,
 } from "./mod.ts";
 
@@ -100,3 +101,29 @@
   await t.notThrowsAsync(site.link.sendHeartbeat());
   site.link.close("test");
 });
+
+// Guards against a link that is closed because several short lines arrive at once,
+// and against a buffer that grows without a limit.
+test("the limit on the length of a line counts each line by itself", async (t) => {
+  const port = 7_308;
+  const site = await connect(port, { heartbeat: {}, reply: true });
+  t.teardown(() => site.server.close());
+  const makeLine = (length: number) => {
+    const start = '{"jsonrpc":"2.0","method":"owner.ready","params":"';
+    return `${start.padEnd(length - 2, "x")}"}\n`;
+  };
+  const isClosedAfter = async (lineLengths: number[]) => {
+    const socket = connectSocket({ host: HOST, port });
+    socket.on("error", () => {});
+    let isClosed = false;
+    socket.on("close", () => isClosed = true);
+    socket.write(lineLengths.map(makeLine).join(""));
+    await sleep(300);
+    socket.destroy();
+    return isClosed;
+  };
+  t.false(await isClosedAfter([MAX_LINE_LENGTH, 1_000, 1_000]));
+  t.true(await isClosedAfter([MAX_LINE_LENGTH + 1]));
+  t.true(await isClosedAfter([1_000, MAX_LINE_LENGTH + 1, 1_000]));
+  site.link.close("test");
+});
