Close a link whose first heartbeat failed

An entry whose first heartbeat on a new link failed, for example because the owner's loop was late by 700 ms, reported the owner as lost and opened the next link, but the failed one stayed open and sent heartbeats. The owner counted it among its links, and each round of attempts left another. The link is now closed before the error is raised. The test, which failed before the change with one link left open at the owner, passes.

--- a/packages/links/link.ts
+++ b/packages/links/link.ts
@@ -244,6 +244,11 @@
     });
   });
   const link = new Link(socket, options);
-  await link.sendHeartbeat();
+  try {
+    await link.sendHeartbeat();
+  } catch (error) {
+    link.close("the first heartbeat failed");
+    throw error;
+  }
   return link;
 }
--- a/packages/links/link_test.ts
+++ b/packages/links/link_test.ts
@@ -1,7 +1,7 @@
 import { connect as connectSocket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import test from "ava";
-import { MonotonicClock } from "../base/mod.ts";
+import { MonotonicClock, UnknownEffectError } from "../base/mod.ts";
 import {
   type HeartbeatReply,
   type LinkHandlers,
@@ -102,6 +102,31 @@
   site.link.close("test");
 });
 
+// Guards against a link that stays open although its opener was told that opening
+// failed: the owner would count the entry as reachable.
+test("a link whose first heartbeat fails is closed", async (t) => {
+  const port = 7_307;
+  const handlers = {
+    "link.heartbeat": () => {
+      throw new Error("test");
+    },
+  } as unknown as LinkHandlers;
+  const server = new LinkServer({ handlers, clock });
+  t.teardown(() => server.close());
+  await server.listen({ host: HOST, port });
+  await t.throwsAsync(
+    openLink({ host: HOST, port }, {
+      handlers,
+      clock,
+      localAddress: HOST,
+      opener: { makeHeartbeat: () => ({ entry: "e1" }), onReply: () => {} },
+    }),
+    { instanceOf: UnknownEffectError },
+  );
+  await sleep(50);
+  t.is(server.links.size, 0);
+});
+
 // Guards against a link that is closed because several short lines arrive at once,
 // and against a buffer that grows without a limit.
 test("the limit on the length of a line counts each line by itself", async (t) => {
