Finish a planned stop although the owner's last plan fails

An owner that was told to stop and whose last plan raised an error stopped half way: it kept its lease, answered callers and never ended, until the platform killed it. The error left `beginStop` and `daemon.stop`, after which nobody ended the process.

--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -146,8 +146,11 @@
       this.parts.clock.now() + SHUTDOWN_GRACE_MS + LAST_ANSWER_MS,
     );
     this.parts.log.record(EventCode.DrainStarted, {});
-    const role = this.#ownerRole;
-    if (role) await role.stop({ isPlanned: true });
+    try {
+      await this.#ownerRole?.stop({ isPlanned: true });
+    } catch (error) {
+      this.handleUnexpectedError(error);
+    }
     await this.#election.releaseOwnership();
   }
 
