Reserve memory and accelerators for a waiting gang, not cores alone

A gang whose tasks each need most of an endpoint's memory or accelerators, but few cores, could wait without end beside smaller jobs: the reservation counted how many of its tasks fit on an endpoint by cores, put all of them on the one with the most free cores, and left the other endpoints to the jobs behind it. The count now covers cores, memory and accelerators. The new test in gang_test, a gang of two such tasks on two endpoints under a stream of small jobs, left the gang pending on the former code and completes it now, for memory and for accelerators.

--- a/packages/cell/plan_gang.ts
+++ b/packages/cell/plan_gang.ts
@@ -1,4 +1,9 @@
-import { addDemand, getCapacityDemand, makeZeroDemand } from "../jobs/mod.ts";
+import {
+  addDemand,
+  countFits,
+  getCapacityDemand,
+  makeZeroDemand,
+} from "../jobs/mod.ts";
 import { askAboutUnaskedEndpoints, askAdvice } from "./ask_advice.ts";
 import { MAX_GANG_RESERVATIONS } from "./constants.ts";
 import { stopGang } from "./task_ends.ts";
@@ -129,8 +134,10 @@
   let unreservedTasks = stage.tasks.length;
   for (const endpoint of byFreeCores) {
     if (unreservedTasks <= 0) return;
-    const maxTasks = Math.floor(
-      endpoint.info.capacity.milliCores / Math.max(1, demand.milliCores),
+    const maxTasks = countFits(
+      demand,
+      endpoint.info.capacity,
+      makeZeroDemand(),
     );
     const tasks = Math.min(unreservedTasks, maxTasks);
     unreservedTasks -= tasks;
--- a/tests/cell/gang_test.ts
+++ b/tests/cell/gang_test.ts
@@ -72,3 +72,30 @@
   t.is(site.find("a"), JobState.Failed);
   t.true(site.checker.starts <= 6);
 });
+
+// Guards against a gang that starves because capacity is reserved for it by cores
+// alone: all of its tasks on one endpoint, which has the memory of one.
+test("capacity is kept for a waiting gang whose tasks need a whole endpoint's memory or accelerators", (t) => {
+  const capacity = { milliCores: 8_000, memoryMb: 8_000, accelerators: 2 };
+  for (const need of [{ memoryMb: 8_000 }, { accelerators: 2 }]) {
+    const site = new CellSite({ endpoints: 2, capacity });
+    // The small runs on an endpoint do not end together.
+    site.endRule = (_run, random) => ({
+      afterMs: 300 + random.drawInt(400),
+      endKind: EndKind.Done,
+    });
+    const demand = { milliCores: 1_000, memoryMb: 100, accelerators: 0 };
+    const half = { milliCores: 1_000, memoryMb: 4_000, accelerators: 1 };
+    site.submit(makeJob("s0", [makeStep({ demand: half })]));
+    site.submit(makeJob("s1", [makeStep({ demand: half })]));
+    site.advance(100);
+    const gangDemand = { ...demand, ...need };
+    const gang = makeStep({ tasks: 2, gang: true, demand: gangDemand });
+    site.submit(makeJob("gang", [gang]));
+    for (let n = 2; n < 60; n++) {
+      site.submit(makeJob(`s${n}`, [makeStep({ demand: half })]));
+      site.advance(50);
+    }
+    t.is(site.find("gang"), JobState.Completed, JSON.stringify(need));
+  }
+});
