Limit ejection by the endpoints of a service, not of the whole cell

In a cell of many endpoints a small service could lose all of its endpoints at once: a third of all endpoints of the cell could be ejected, so that jobs which failed everywhere for a reason of their own stopped the service for 4 s at a time. The limit is now a third of the endpoints of each service; of two, one may be ejected, and a single one never is.

--- a/packages/cell/constants.ts
+++ b/packages/cell/constants.ts
@@ -37,7 +37,7 @@
 /** Time until an ejected endpoint is tried again, in milliseconds. */
 export const EJECT_MS = 4_000;
 
-/** Largest fraction of the endpoints that may be ejected at a time. */
+/** Largest fraction of a service's endpoints that may be ejected at a time. */
 export const MAX_EJECTED_FRACTION = 0.34;
 
 /** Time without progress after which a run is restarted elsewhere, in ms. */
--- a/packages/cell/placement.ts
+++ b/packages/cell/placement.ts
@@ -54,15 +54,26 @@
 }
 
 /**
- * Returns the ejected endpoints. At most a fraction of all endpoints is ejected
- * at a time, those with the most consecutive failures first.
+ * Returns the ejected endpoints. At most a fraction of the endpoints of a service
+ * is ejected at a time, those with the most consecutive failures first; one may
+ * be if the service has another.
  */
 export function listEjected(state: CellState, now: number): Set<Endpoint> {
-  const ejected = [...state.endpoints.values()]
-    .filter((endpoint) => endpoint.isListed && !isHealthy(endpoint, now))
-    .sort((a, b) => b.failuresInRow - a.failuresInRow);
-  const maxEjected = Math.floor(state.endpoints.size * MAX_EJECTED_FRACTION);
-  return new Set(ejected.slice(0, maxEjected));
+  const usable = [...state.endpoints.values()].filter((endpoint) =>
+    endpoint.isListed && !endpoint.info.isDraining
+  );
+  const ejected = splitBy(usable, ({ info }) => info.service)
+    .flatMap((endpoints) => {
+      const maxEjected = Math.max(
+        Math.floor(endpoints.length * MAX_EJECTED_FRACTION),
+        Math.min(1, endpoints.length - 1),
+      );
+      return endpoints
+        .filter((endpoint) => !isHealthy(endpoint, now))
+        .sort((a, b) => b.failuresInRow - a.failuresInRow)
+        .slice(0, maxEjected);
+    });
+  return new Set(ejected);
 }
 
 /**
@@ -120,14 +131,21 @@
 
 /** Groups endpoints by rack. */
 export function splitByRack(endpoints: Endpoint[]): Endpoint[][] {
-  const racks = new Map<string, Endpoint[]>();
+  return splitBy(endpoints, ({ info }) => info.rack);
+}
+
+function splitBy(
+  endpoints: Endpoint[],
+  getName: (endpoint: Endpoint) => string,
+): Endpoint[][] {
+  const groups = new Map<string, Endpoint[]>();
   for (const endpoint of endpoints) {
-    const { rack } = endpoint.info;
-    const group = racks.get(rack);
+    const name = getName(endpoint);
+    const group = groups.get(name);
     if (group) group.push(endpoint);
-    else racks.set(rack, [endpoint]);
+    else groups.set(name, [endpoint]);
   }
-  return [...racks.values()];
+  return [...groups.values()];
 }
 
 /** Counts how many more tasks `maxPerEndpoint` permits on an endpoint. */
