Start one task on an endpoint whose ejection time is over, not a whole batch

After the ejection time an endpoint that runs nothing gets work again, meant as a trial. One planning pass filled it, so that a broken endpoint failed up to as many runs at once as it has room for. The pass now starts one task on it, and the next one only after that run has ended or succeeded.

--- a/packages/cell/placement.ts
+++ b/packages/cell/placement.ts
@@ -22,6 +22,11 @@
   state: CellState;
   now: number;
   reservations: Reservations;
+  /**
+   * Endpoints whose ejection time is over and on which no run has succeeded
+   * since: they get one task at a time.
+   */
+  onTrial: ReadonlySet<Endpoint>;
 }
 
 /**
@@ -53,6 +58,17 @@
   return now >= endpoint.ejectedUntil && endpoint.runs.size === 0;
 }
 
+/**
+ * Returns the endpoints whose ejection time is over, that run nothing, and on
+ * which no run has succeeded since.
+ */
+export function listOnTrial(state: CellState, now: number): Set<Endpoint> {
+  const onTrial = [...state.endpoints.values()].filter((endpoint) =>
+    endpoint.ejectedUntil !== 0 && isHealthy(endpoint, now)
+  );
+  return new Set(onTrial);
+}
+
 /**
  * Returns the ejected endpoints. At most a fraction of the endpoints of a service
  * is ejected at a time, those with the most consecutive failures first; one may
@@ -111,6 +127,7 @@
     : endpoint.used;
   const demand = getCapacityDemand(step);
   if (!fitsInto(demand, endpoint.info.capacity, used)) return 0;
+  if (view.onTrial.has(endpoint)) return endpoint.runs.size === 0 ? 1 : 0;
   const fittingCount = countFits(demand, endpoint.info.capacity, used);
   return Math.min(fittingCount, countBelowEndpointLimit(endpoint, stage, step));
 }
--- a/packages/cell/placement_pass.ts
+++ b/packages/cell/placement_pass.ts
@@ -3,6 +3,7 @@
   canAcceptStarts,
   isEligible,
   listEjected,
+  listOnTrial,
   type PlacementView,
 } from "./placement.ts";
 import type { CellState } from "./state.ts";
@@ -40,6 +41,7 @@
     state,
     now,
     reservations: new Map(),
+    onTrial: listOnTrial(state, now),
     services: collectServices(state, now),
     reservedGangs: 0,
   };
--- a/tests/cell/ejection_test.ts
+++ b/tests/cell/ejection_test.ts
@@ -36,3 +36,34 @@
   site.advance(1_000);
   t.is(site.find("a"), JobState.Completed);
 });
+
+// Guards against a whole batch of tasks that fails on an endpoint whose ejection
+// time is over, but on which no run has succeeded.
+test("an endpoint gets one task when its ejection time is over, until a run succeeds", (t) => {
+  const site = new CellSite({ endpoints: 4 });
+  site.advance(300);
+  const { endRule } = site;
+  site.endRule = (run, random) =>
+    run.endpoint === "e0"
+      ? { afterMs: 50, endKind: EndKind.Failed }
+      : endRule(run, random);
+  const queue = makeQueue({ attempts: 9 });
+  for (let n = 0; n < 30; n++) {
+    site.submit(makeJob(`f${n}`, [makeStep({ tasks: 4 })], { queue }));
+    site.advance(100);
+  }
+  const endpoint = site.cell.state.endpoints.get("e0")!;
+  t.true(endpoint.ejectedUntil > site.now);
+  while (endpoint.runs.size > 0 || site.now < endpoint.ejectedUntil) {
+    site.advance(10);
+  }
+  const startsBefore = site.checker.startsOn.get("e0") ?? 0;
+  site.submit(makeJob("wide", [makeStep({ tasks: 24 })], { queue }));
+  let most = endpoint.runs.size;
+  for (let n = 0; n < 20; n++) {
+    site.advance(10);
+    most = Math.max(most, endpoint.runs.size);
+  }
+  t.is(most, 1);
+  t.is((site.checker.startsOn.get("e0") ?? 0) - startsBefore, 1);
+});
