--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -220,7 +220,14 @@
   addDecision(state, {
     kind: DecisionKind.Adopted,
     subject: listedRun.task,
-    inputs: { run: listedRun.run, endpoint: endpoint.info.id, isExpected },
+    inputs: {
+      run: listedRun.run,
+      endpoint: endpoint.info.id,
+      bornAt: endpoint.bornAt,
+      isExpected,
+      taskPhase: taskRef?.task.phase ?? "",
+      placedOn: taskRef?.task.placedOn ?? "",
+    },
   });
   if (!taskRef || !isExpected) {
     stopRun(state, run, times);
--- a/packages/cell/start_task.ts
+++ b/packages/cell/start_task.ts
@@ -67,6 +67,7 @@
     inputs: {
       run: run.number,
       endpoint: endpoint.info.id,
+      bornAt: endpoint.bornAt,
       freeMilliCores: measureFreeCores(endpoint),
     },
   });
--- a/packages/cell/task_ends.ts
+++ b/packages/cell/task_ends.ts
@@ -125,6 +125,9 @@
     inputs: {
       run: run.number,
       endpoint: run.endpoint.info.id,
+      bornAt: run.endpoint.bornAt,
+      phase: run.phase,
+      sinceStartMs: Math.round(options.now - run.startedAt),
       reason: options.reason,
     },
   });
--- a/packages/scheduler/order_sender.ts
+++ b/packages/scheduler/order_sender.ts
@@ -96,6 +96,7 @@
         subject: run.task,
         run: run.number,
         endpoint: endpoint.info.id,
+        bornAt: endpoint.bornAt,
         reason: result,
         detail,
         elapsedMs: Math.round(durationMs),
