Settle each start order by the lifetime of the endpoint that carried it out

Cause: an endpoint that restarts under its id forgets fencing tokens, stops and ends, and its clock starts over, while orders name the id alone. The owner nevertheless settled runs as if an order could only reach the lifetime that it knew: a start answered by the next lifetime was released as gone with the former one; an unanswered start was released when its lease should have ended, or once a stop was acknowledged, although a later lifetime could still carry it out, with a lease that the old clock made as long as the endpoint grants; an idle endpoint that restarted was not contacted, so that it knew no fencing token.

A new lifetime releases the runs of known lifetimes only; stops count for the lifetime that acknowledged them and are ordered again in the next; the runs of an unreachable endpoint whose start got no answer wait until it can no longer be carried out and its longest lease is over. Leases cover the drift of the endpoint's clock since the last listing. The platform's list tells the lifetime, so that a restarted endpoint gets the fencing token at once. An endpoint is not dropped while it has runs.

--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -274,7 +274,7 @@
   /** Applies the result of a start order. */
   applyStartAnswer(
     run: Run,
-    options: { result: StartResult; time: CurrentTime },
+    options: { result: StartResult; clockMs?: number; time: CurrentTime },
   ): void {
     applyStartAnswer(this.state, run, options);
   }
@@ -282,7 +282,7 @@
   /** Applies the result of a stop order. */
   applyStopAnswer(
     run: Run,
-    options: { result: StopResult; now: number },
+    options: { result: StopResult; bornAt: number; now: number },
   ): void {
     applyStopAnswer(run, options);
   }
--- a/packages/cell/constants.ts
+++ b/packages/cell/constants.ts
@@ -1,6 +1,13 @@
 /** Fraction by which an endpoint's clock may run slower than the owner's. */
 export const CLOCK_DRIFT = 0.02;
 
+/**
+ * Longest lease that an endpoint grants, whatever time an order names, in
+ * milliseconds; the platform's limit. An order for a former lifetime names a time on
+ * a clock that has started over since, so that only this limit bounds its lease.
+ */
+export const MAX_LEASE_MS = 6_000;
+
 /** Added to the end of a lease to cover message delay, in milliseconds. */
 export const LEASE_MARGIN_MS = 250;
 
--- a/packages/cell/endpoints.ts
+++ b/packages/cell/endpoints.ts
@@ -1,11 +1,7 @@
 import { RecordKind } from "../journal/mod.ts";
 import { makeZeroDemand } from "../jobs/mod.ts";
-import {
-  CLOCK_DRIFT,
-  FULL_PACE,
-  LEASE_MARGIN_MS,
-  REPLACED_PAUSE_MS,
-} from "./constants.ts";
+import { FULL_PACE, REPLACED_PAUSE_MS } from "./constants.ts";
+import { dropSettledRuns, findRunEnd } from "./order_effects.ts";
 import { type CurrentTime, releaseRun } from "./task_ends.ts";
 import { addDecision, type CellState } from "./state.ts";
 import { removeUnlocated } from "./stages.ts";
@@ -26,6 +22,9 @@
     lastEndNumber: 0,
     committedEndNumber: 0,
     unansweredEndsAckAt: Number.NEGATIVE_INFINITY,
+    unansweredLeaseAt: Number.NEGATIVE_INFINITY,
+    preventedRuns: new Set(),
+    lastListingAskedAt: 0,
     runs: new Map(),
     used: makeZeroDemand(),
     pausedUntil: 0,
@@ -53,6 +52,9 @@
       if (endpoint.info.address !== info.address) endpoint.isReplaced = false;
       endpoint.info = info;
       endpoint.isListed = true;
+      // A restarted endpoint has forgotten the fencing token. Contact with it keeps
+      // late orders of former owners from being carried out.
+      if (hasRestarted(endpoint)) endpoint.hasAcceptedFence = false;
     }
   }
   for (const endpoint of state.endpoints.values()) {
@@ -60,17 +62,9 @@
   }
 }
 
-/**
- * Extends `leaseEndsAt` of an endpoint to cover the lease granted by an order
- * that is sent now.
- */
-export function noteLeaseSent(
-  endpoint: Endpoint,
-  options: { now: number; leaseMs: number },
-): void {
-  const maxLeaseMs = options.leaseMs * (1 + CLOCK_DRIFT) + LEASE_MARGIN_MS;
-  const endsAt = options.now + maxLeaseMs;
-  endpoint.leaseEndsAt = Math.max(endpoint.leaseEndsAt, endsAt);
+/** Returns whether the platform lists a later lifetime than the one in contact. */
+function hasRestarted({ info, bornAt }: Endpoint): boolean {
+  return bornAt > 0 && info.bornAt > bornAt;
 }
 
 /**
@@ -83,12 +77,15 @@
       // again: contact is retried after the pause.
       endpoint.isReplaced = time.now < endpoint.pausedUntil;
     }
+    dropSettledRuns(endpoint, time.now);
     if (time.now < endpoint.leaseEndsAt) continue;
     if (endpoint.runs.size > 0) expireRuns(state, endpoint, time);
     const isSafeToDrop = time.now >= state.unlocatedUntil ||
       endpoint.hasAcceptedFence ||
       endpoint.isReplaced;
-    if (!endpoint.isListed && isSafeToDrop) dropEndpoint(state, endpoint);
+    const isUnused = !endpoint.isListed && endpoint.runs.size === 0 &&
+      endpoint.preventedRuns.size === 0;
+    if (isUnused && isSafeToDrop) dropEndpoint(state, endpoint);
   }
   settleUnlocated(state, time.now);
 }
@@ -134,21 +131,30 @@
   settleUnlocated(state, time.now);
 }
 
+/**
+ * Releases the runs that have certainly ended. A run whose start order got no answer
+ * stays: the order may be carried out later than its lease was to end.
+ */
 function expireRuns(
   state: CellState,
   endpoint: Endpoint,
   { now }: CurrentTime,
 ): void {
+  endpoint.hasAcceptedFence = false;
+  const endedRuns = [...endpoint.runs.values()].filter((run) =>
+    now >= findRunEnd(run)
+  );
+  if (endedRuns.length === 0) return;
   addDecision(state, {
     kind: DecisionKind.LeaseExpired,
     subject: endpoint.info.id,
     inputs: {
-      runs: endpoint.runs.size,
+      runs: endedRuns.length,
+      unsettledRuns: endpoint.runs.size - endedRuns.length,
       leaseEndedMsAgo: Math.round(now - endpoint.leaseEndsAt),
     },
   });
-  endpoint.hasAcceptedFence = false;
-  for (const run of [...endpoint.runs.values()]) {
+  for (const run of endedRuns) {
     releaseRun(state, run, { now, hasFailed: true, reason: "lease lapsed" });
   }
 }
--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -9,7 +9,12 @@
   setCheckpoint,
   stopGang,
 } from "./task_ends.ts";
-import { noteLeaseSent, settleUnlocated } from "./endpoints.ts";
+import { settleUnlocated } from "./endpoints.ts";
+import {
+  mayStartLater,
+  noteLeaseSent,
+  noteNewLifetime,
+} from "./order_effects.ts";
 import { addDecision, addRun, type CellState, removeWaiting } from "./state.ts";
 import { findTask, getStep, removeUnlocated } from "./stages.ts";
 import { planPaces } from "./colocation.ts";
@@ -47,6 +52,7 @@
     beginLifetime(state, endpoint, { bornAt: listing.bornAt, times });
   } else if (listing.clockMs < endpoint.lastListingClock) return;
   endpoint.lastListingClock = listing.clockMs;
+  endpoint.lastListingAskedAt = times.askedAt;
   endpoint.unresponsiveUntil = 0;
   endpoint.clockOffset = listing.clockMs - times.now;
   recordEndpoint(state, endpoint);
@@ -74,9 +80,10 @@
 }
 
 /**
- * Begins a new lifetime of an endpoint: all runs of the former one are gone.
- * Unanswered orders to the former lifetime may still reach the new one, which
- * has the same id. A late start is prevented by a stop order. After an
+ * Begins a new lifetime of an endpoint: all runs of the former one are gone. A run
+ * whose lifetime is not known may be of the new one, as both have the same id; the
+ * listing settles it. Stops that the former lifetime acknowledged have no effect in
+ * the new one, which may still get a late start, and are ordered again. After an
  * unanswered acknowledgement of ends, starts pause until it can no longer
  * arrive: it would also acknowledge new ends, whose numbers start over.
  */
@@ -101,10 +108,11 @@
   endpoint.ejectedUntil = 0;
   const lateAckUntil = endpoint.unansweredEndsAckAt + LATE_ORDER_MS;
   endpoint.pausedUntil = Math.max(endpoint.pausedUntil, lateAckUntil);
+  noteNewLifetime(endpoint, times.now);
+  stopPreventedRuns(state, endpoint, times);
   for (const run of [...endpoint.runs.values()]) {
-    if (run.phase !== RunPhase.Running) {
-      run.phase = RunPhase.Unacknowledged;
-      stopRun(state, run, times);
+    if (!run.isLifetimeKnown) {
+      run.isStopAcknowledged = false;
       continue;
     }
     releaseRun(state, run, {
@@ -115,6 +123,24 @@
   }
 }
 
+/** Stops, in a new lifetime, the runs whose late starts it may still carry out. */
+function stopPreventedRuns(
+  state: CellState,
+  endpoint: Endpoint,
+  { now }: { now: number },
+): void {
+  for (const run of endpoint.preventedRuns) {
+    const canRun = mayStartLater(run, now) &&
+      !endpoint.runs.has(run.task);
+    if (!canRun) continue;
+    run.isStopAcknowledged = false;
+    addRun(state, run);
+    state.stoppingRuns.add(run);
+    sendStop(state, run);
+  }
+  endpoint.preventedRuns.clear();
+}
+
 function recordEndpoint(state: CellState, endpoint: Endpoint): void {
   if (endpoint.isRecorded || endpoint.isRecording) return;
   endpoint.isRecording = true;
@@ -166,6 +192,8 @@
   if (!run || run.number < listedRun.run) {
     run = adoptRun(state, endpoint, options);
   }
+  run.isLifetimeKnown = true;
+  run.startMayArriveUntil = 0;
   if (
     run.phase === RunPhase.Starting || run.phase === RunPhase.Unacknowledged
   ) {
@@ -207,6 +235,9 @@
     startedAt: times.now,
     isStopAcknowledged: false,
     isStopOrderInFlight: false,
+    isLifetimeKnown: true,
+    startMayArriveUntil: 0,
+    hasTicket: false,
     percent: listedRun.percent,
     progressAt: times.now,
     pace: undefined,
@@ -285,6 +316,7 @@
   if (run.phase === RunPhase.Starting) return;
   if (run.phase === RunPhase.Stopping) {
     if (!run.isStopAcknowledged) return sendStop(state, run);
+    if (mayStartLater(run, times.now)) run.endpoint.preventedRuns.add(run);
     return releaseRun(state, run, {
       now: times.now,
       hasFailed: false,
--- a/packages/cell/mod.ts
+++ b/packages/cell/mod.ts
@@ -1,7 +1,12 @@
 /** Decision logic of a cell's owner, without I/O: jobs, endpoints, runs. */
 export * from "./cell.ts";
 export * from "./constants.ts";
-export { makeEndpoint, noteLeaseSent } from "./endpoints.ts";
+export { makeEndpoint } from "./endpoints.ts";
+export {
+  noteLeaseSent,
+  noteLeaseUnanswered,
+  noteStartSent,
+} from "./order_effects.ts";
 export type { CellOutput } from "./state.ts";
 export type { CurrentTime } from "./task_ends.ts";
 export * from "./policies.ts";
--- /dev/null
+++ b/packages/cell/order_effects.ts
@@ -0,0 +1,127 @@
+import {
+  CLOCK_DRIFT,
+  LATE_ORDER_MS,
+  LEASE_MARGIN_MS,
+  MAX_LEASE_MS,
+} from "./constants.ts";
+import type { Endpoint, Run } from "./types.ts";
+
+/**
+ * Longest time for which a run goes on after an order with any lease was carried
+ * out, by the owner's clock, in milliseconds.
+ */
+export const MAX_GRANTED_LEASE_MS = MAX_LEASE_MS * (1 + CLOCK_DRIFT) +
+  LEASE_MARGIN_MS;
+
+/**
+ * Extends `leaseEndsAt` of an endpoint to cover the lease granted by an order
+ * that is sent now. The endpoint's clock may have fallen behind the estimate since
+ * the last listing, so that the lease ends later than ordered.
+ */
+export function noteLeaseSent(
+  endpoint: Endpoint,
+  options: { now: number; leaseMs: number },
+): void {
+  const { now, leaseMs } = options;
+  const { lastListingAskedAt } = endpoint;
+  const estimateAgeMs = lastListingAskedAt > 0 ? now - lastListingAskedAt : 0;
+  const maxLeaseMs = (leaseMs + estimateAgeMs * CLOCK_DRIFT) *
+      (1 + CLOCK_DRIFT) + LEASE_MARGIN_MS;
+  raiseLeaseEnd(endpoint, now + Math.min(maxLeaseMs, MAX_GRANTED_LEASE_MS));
+}
+
+/** Notes that a start order is sent now: the lease, and how late it may arrive. */
+export function noteStartSent(
+  run: Run,
+  options: { now: number; leaseMs: number; ticketEndsAt: number },
+): void {
+  const { now, ticketEndsAt } = options;
+  noteLeaseSent(run.endpoint, options);
+  run.startMayArriveUntil = Math.min(
+    now + LATE_ORDER_MS,
+    ticketEndsAt + LEASE_MARGIN_MS,
+  );
+}
+
+/** Notes that an order with a lease got no answer. */
+export function noteLeaseUnanswered(endpoint: Endpoint, now: number): void {
+  endpoint.unansweredLeaseAt = Math.max(endpoint.unansweredLeaseAt, now);
+}
+
+/**
+ * Extends `leaseEndsAt` when a new lifetime of the endpoint is found. Orders that
+ * name times on the former lifetime's clock, which was ahead, get the longest lease
+ * that the endpoint grants: the poll that found the lifetime, and unanswered orders
+ * that may still arrive.
+ */
+export function noteNewLifetime(
+  endpoint: Endpoint,
+  now: number,
+): void {
+  const lastArrivalAt = Math.max(
+    now,
+    endpoint.unansweredLeaseAt + LATE_ORDER_MS,
+  );
+  raiseLeaseEnd(endpoint, lastArrivalAt + MAX_GRANTED_LEASE_MS);
+}
+
+/**
+ * Notes that a start order was carried out. `clockMs`: the endpoint's clock in its
+ * answer. While the lifetime that carried it out is not known, its lease may be the
+ * longest that the endpoint grants.
+ */
+export function noteStartCarriedOut(
+  run: Run,
+  options: { clockMs: number | undefined; now: number },
+): void {
+  run.startMayArriveUntil = 0;
+  if (run.isLifetimeKnown) return;
+  run.isLifetimeKnown = matchesLifetime(run.endpoint, options);
+  if (run.isLifetimeKnown) return;
+  raiseLeaseEnd(run.endpoint, options.now + MAX_GRANTED_LEASE_MS);
+}
+
+/**
+ * Returns by when a run has certainly ended although its endpoint can't be reached,
+ * on the owner's steady clock.
+ */
+export function findRunEnd(run: Run): number {
+  const { leaseEndsAt } = run.endpoint;
+  if (run.startMayArriveUntil === 0) return leaseEndsAt;
+  return Math.max(leaseEndsAt, run.startMayArriveUntil + MAX_GRANTED_LEASE_MS);
+}
+
+/** Forgets the prevented runs of an endpoint that can no longer be started. */
+export function dropSettledRuns(endpoint: Endpoint, now: number): void {
+  for (const run of endpoint.preventedRuns) {
+    if (!mayStartLater(run, now)) endpoint.preventedRuns.delete(run);
+  }
+}
+
+/**
+ * Returns whether the start order of a run may still be carried out although the
+ * endpoint has acknowledged a stop: by a later lifetime, which knows of no stop.
+ */
+export function mayStartLater(run: Run, now: number): boolean {
+  return !run.hasTicket && now < run.startMayArriveUntil;
+}
+
+/**
+ * Returns whether an answer comes from the lifetime of the newest listing. The clock
+ * of a lifetime that began after the listing can't be ahead of the time since then;
+ * that of the same lifetime has advanced by about this time.
+ */
+function matchesLifetime(
+  endpoint: Endpoint,
+  { clockMs, now }: { clockMs: number | undefined; now: number },
+): boolean {
+  if (clockMs === undefined || endpoint.lastListingAskedAt === 0) return false;
+  const longestMs = (now - endpoint.lastListingAskedAt) * (1 + CLOCK_DRIFT) +
+    LEASE_MARGIN_MS;
+  return clockMs > longestMs && clockMs >= endpoint.lastListingClock &&
+    clockMs <= endpoint.lastListingClock + longestMs;
+}
+
+function raiseLeaseEnd(endpoint: Endpoint, endsAt: number): void {
+  endpoint.leaseEndsAt = Math.max(endpoint.leaseEndsAt, endsAt);
+}
--- /dev/null
+++ b/packages/cell/order_effects_test.ts
@@ -0,0 +1,55 @@
+import test from "ava";
+import { makeZeroDemand } from "../jobs/mod.ts";
+import { CLOCK_DRIFT, MAX_LEASE_MS } from "./constants.ts";
+import { makeEndpoint, updateEndpoints } from "./endpoints.ts";
+import { noteLeaseSent } from "./order_effects.ts";
+import { Cell } from "./cell.ts";
+import type { EndpointInfo } from "./types.ts";
+
+const LEASE_MS = 4_000;
+
+function makeInfo(overrides: Partial<EndpointInfo> = {}): EndpointInfo {
+  return {
+    id: "e0",
+    address: "10.0.0.1:1",
+    service: "desk",
+    domain: "a",
+    labels: [],
+    rack: "",
+    capacity: makeZeroDemand(),
+    isDraining: false,
+    bornAt: 0,
+    ...overrides,
+  };
+}
+
+// Guards against a task that is started elsewhere while it runs, because the clock of
+// an endpoint without polls had fallen behind the owner's estimate of it.
+test("the end of a lease covers the drift of the clock since the last listing", (t) => {
+  const endpoint = makeEndpoint(makeInfo());
+  endpoint.lastListingAskedAt = 1_000;
+  const now = 31_000;
+  noteLeaseSent(endpoint, { now, leaseMs: LEASE_MS });
+  const driftMs = (now - endpoint.lastListingAskedAt) * CLOCK_DRIFT;
+  const latestEndsAt = now + (LEASE_MS + driftMs) * (1 + CLOCK_DRIFT);
+  t.true(endpoint.leaseEndsAt >= latestEndsAt);
+  t.true(endpoint.leaseEndsAt < now + MAX_LEASE_MS);
+});
+
+// Guards against orders of a former owner that an idle endpoint carries out after it
+// has restarted and forgotten the fencing token.
+test("an endpoint that the platform lists with a later lifetime is contacted again", (t) => {
+  const { state } = new Cell({
+    term: 1,
+    retentionMs: 1,
+    leaseMs: LEASE_MS,
+  });
+  updateEndpoints(state, [makeInfo({ bornAt: 5 })]);
+  const endpoint = state.endpoints.get("e0")!;
+  endpoint.bornAt = 5;
+  endpoint.hasAcceptedFence = true;
+  updateEndpoints(state, [makeInfo({ bornAt: 5 })]);
+  t.true(endpoint.hasAcceptedFence);
+  updateEndpoints(state, [makeInfo({ bornAt: 9 })]);
+  t.false(endpoint.hasAcceptedFence);
+});
--- a/packages/cell/order_results.ts
+++ b/packages/cell/order_results.ts
@@ -7,6 +7,7 @@
   START_CONFIRM_MS,
 } from "./constants.ts";
 import { noteAdviceCounts } from "./advice_choice.ts";
+import { noteLeaseUnanswered, noteStartCarriedOut } from "./order_effects.ts";
 import { type CurrentTime, releaseRun, stopGang } from "./task_ends.ts";
 import type { CellState } from "./state.ts";
 import { findTask, getStep } from "./stages.ts";
@@ -25,20 +26,27 @@
 export function applyStartAnswer(
   state: CellState,
   run: Run,
-  options: { result: StartResult; time: CurrentTime },
+  options: {
+    result: StartResult;
+    /** The endpoint's clock in its answer, in milliseconds. */
+    clockMs?: number;
+    time: CurrentTime;
+  },
 ): void {
-  const { result } = options;
+  const { result, clockMs } = options;
   const { now } = options.time;
   if (run.endpoint.runs.get(run.task) !== run) return;
   run.lastChangedAt = now;
   if (result === StartResult.Started) {
     if (run.phase === RunPhase.Starting) run.phase = RunPhase.Running;
+    noteStartCarriedOut(run, { clockMs, now });
     run.progressAt = now;
     const taskRef = findTask(state, run.task);
     if (taskRef) taskRef.stage.job.hasStarted = true;
     return;
   }
   if (result === StartResult.Unknown) {
+    noteLeaseUnanswered(run.endpoint, now);
     if (run.phase === RunPhase.Starting) run.phase = RunPhase.Unacknowledged;
     return;
   }
@@ -46,14 +54,19 @@
   releaseRun(state, run, { now, hasFailed: true, reason: result });
 }
 
-/** Applies the result of a stop order. */
+/**
+ * Applies the result of a stop order. `bornAt`: the endpoint's lifetime when the
+ * order was sent; an acknowledgement by a former lifetime has no effect.
+ */
 export function applyStopAnswer(
   run: Run,
-  options: { result: StopResult; now: number },
+  options: { result: StopResult; bornAt: number; now: number },
 ): void {
   run.isStopOrderInFlight = false;
   run.lastChangedAt = options.now;
-  if (options.result === StopResult.Acknowledged) run.isStopAcknowledged = true;
+  const isAcknowledged = options.result === StopResult.Acknowledged &&
+    options.bornAt === run.endpoint.bornAt;
+  if (isAcknowledged) run.isStopAcknowledged = true;
 }
 
 /** Applies the result of a pace order, which is retried until acknowledged. */
--- a/packages/cell/snapshot.ts
+++ b/packages/cell/snapshot.ts
@@ -230,6 +230,7 @@
     rack: "",
     capacity: { milliCores: 0, memoryMb: 0, accelerators: 0 },
     isDraining: true,
+    bornAt: 0,
   });
   endpoint.isListed = false;
   endpoint.isRecorded = true;
--- a/packages/cell/start_task.ts
+++ b/packages/cell/start_task.ts
@@ -1,7 +1,7 @@
 import { getCapacityDemand } from "../jobs/mod.ts";
 import { FULL_PACE } from "./constants.ts";
-import { noteLeaseSent } from "./endpoints.ts";
 import { measureFreeCores, type PlacementPass } from "./placement_pass.ts";
+import { noteLeaseSent } from "./order_effects.ts";
 import { getStep } from "./stages.ts";
 import { addDecision, addPlacement, addRun, removeWaiting } from "./state.ts";
 import {
@@ -38,6 +38,9 @@
     startedAt: now,
     isStopAcknowledged: false,
     isStopOrderInFlight: false,
+    isLifetimeKnown: false,
+    startMayArriveUntil: 0,
+    hasTicket: stage.job.spec.queue.advice !== undefined,
     percent: 0,
     progressAt: now,
     pace: FULL_PACE,
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -12,6 +12,11 @@
   capacity: Demand;
   /** The endpoint is leaving the cluster and gets no new work. */
   isDraining: boolean;
+  /**
+   * When the endpoint's lifetime started, in Unix milliseconds, as the platform's
+   * list says; 0: the list does not say.
+   */
+  bornAt: number;
 }
 
 /** An organisation's share and quota. */
@@ -56,11 +61,24 @@
   lastChangedAt: number;
   startedAt: number;
   /**
-   * The endpoint acknowledged a stop: a run that is then not listed has ended
-   * or can no longer start.
+   * The endpoint acknowledged a stop in its current lifetime: a run that is then
+   * not listed has ended or can no longer start in this lifetime.
    */
   isStopAcknowledged: boolean;
   isStopOrderInFlight: boolean;
+  /**
+   * The run is known to belong to the lifetime `endpoint.bornAt`: a listing showed
+   * it, or the clock in the answer to its start order. Any other run may belong to
+   * a lifetime that has not been listed yet.
+   */
+  isLifetimeKnown: boolean;
+  /**
+   * Time until which the unanswered start order may still be carried out, by any
+   * lifetime of the endpoint; 0: not sent, or carried out.
+   */
+  startMayArriveUntil: number;
+  /** The start order carries a ticket, which no later lifetime accepts. */
+  hasTicket: boolean;
   /** Progress as last listed, in percent. */
   percent: number;
   /** When the listed progress last changed. */
@@ -122,6 +140,15 @@
   committedEndNumber: number;
   /** Send time of the last unanswered acknowledgement of ends. */
   unansweredEndsAckAt: number;
+  /** Time of the last order with a lease that got no answer. */
+  unansweredLeaseAt: number;
+  /**
+   * Runs that were stopped before their unanswered start orders were carried out. A
+   * later lifetime of the endpoint knows of no stop and may still start them.
+   */
+  preventedRuns: Set<Run>;
+  /** When the newest applied listing was requested; 0: none yet. */
+  lastListingAskedAt: number;
   runs: Map<string, Run>;
   used: Demand;
   /**
--- a/packages/scheduler/endpoint_session.ts
+++ b/packages/scheduler/endpoint_session.ts
@@ -1,5 +1,10 @@
 import type { Clock } from "../base/mod.ts";
-import { type Endpoint, noteLeaseSent, RunPhase } from "../cell/mod.ts";
+import {
+  type Endpoint,
+  noteLeaseSent,
+  noteLeaseUnanswered,
+  RunPhase,
+} from "../cell/mod.ts";
 import {
   COLOCATED_POLL_WAIT_MS,
   POLL_INTERVAL_MS,
@@ -118,10 +123,11 @@
   }
 
   #isPollDue(): boolean {
-    const { hasAcceptedFence, isReplaced, runs, isListed, isRecorded } =
+    const { hasAcceptedFence, isReplaced, isListed, isRecorded } =
       this.#endpoint;
+    const { runs, preventedRuns } = this.#endpoint;
     if (isReplaced) return false;
-    if (runs.size > 0) return true;
+    if (runs.size > 0 || preventedRuns.size > 0) return true;
     return hasAcceptedFence
       ? this.#hasUnacknowledgedEnds()
       : isListed || isRecorded;
@@ -182,6 +188,7 @@
     } catch (error) {
       this.#isUnresponsive = true;
       if (request.acknowledgedEnd > 0) endpoint.unansweredEndsAckAt = now;
+      if (request.leaseUntil !== undefined) noteLeaseUnanswered(endpoint, now);
       const elapsedMs = this.#clock.now() - now;
       if (!this.#isStopped) {
         this.#host.handlePollFailure(endpoint, { error, elapsedMs });
--- a/packages/scheduler/order_sender.ts
+++ b/packages/scheduler/order_sender.ts
@@ -2,7 +2,7 @@
 import type { Clock } from "../base/mod.ts";
 import {
   type Cell,
-  noteLeaseSent,
+  noteStartSent,
   type Order,
   OrderKind,
   PaceResult,
@@ -73,17 +73,22 @@
     const now = clock.now();
     let result = StartResult.Unavailable;
     let detail = "order not sent: owner stopped or lease not confirmed";
+    let clockMs: number | undefined;
     if (this.#parts.mayOrder(now)) {
-      noteLeaseSent(endpoint, { now, leaseMs });
-      ({ result, detail } = await control.start(makeEndpointTarget(run), {
-        task: run.task,
-        run: run.number,
-        payload: order.payload,
-        leaseUntil: Math.floor(now + endpoint.clockOffset) + leaseMs,
-        fence,
-        checkpoint: order.checkpoint,
-        ticket: order.ticket,
-      }, { timeoutMs: ORDER_TIMEOUT_MS }));
+      noteStartSent(run, { now, leaseMs, ticketEndsAt: order.ticketEndsAt });
+      ({ result, detail, clockMs } = await control.start(
+        makeEndpointTarget(run),
+        {
+          task: run.task,
+          run: run.number,
+          payload: order.payload,
+          leaseUntil: Math.floor(now + endpoint.clockOffset) + leaseMs,
+          fence,
+          checkpoint: order.checkpoint,
+          ticket: order.ticket,
+        },
+        { timeoutMs: ORDER_TIMEOUT_MS },
+      ));
     }
     const answeredAt = clock.now();
     const durationMs = answeredAt - now;
@@ -108,6 +113,7 @@
     }
     cell.applyStartAnswer(run, {
       result,
+      clockMs,
       time: { now: answeredAt, wallNow: Date.now() },
     });
     this.#parts.onAnswered();
@@ -116,8 +122,9 @@
   async #stop(run: Run): Promise<void> {
     const { control, clock, fence, log } = this.#parts;
     const mayOrder = this.#parts.mayOrder(clock.now());
+    const target = makeEndpointTarget(run);
     const { result, detail } = mayOrder
-      ? await control.stop(makeEndpointTarget(run), {
+      ? await control.stop(target, {
         task: run.task,
         run: run.number,
         fence,
@@ -139,7 +146,11 @@
       const { id } = run.endpoint.info;
       return this.#parts.onDeposed(`${id} serves a newer owner`);
     }
-    this.#parts.cell.applyStopAnswer(run, { result, now: clock.now() });
+    this.#parts.cell.applyStopAnswer(run, {
+      result,
+      bornAt: target.bornAt,
+      now: clock.now(),
+    });
     this.#parts.onAnswered();
   }
 
--- a/packages/scheduler/ports.ts
+++ b/packages/scheduler/ports.ts
@@ -67,6 +67,8 @@
 export interface StartAnswer {
   result: StartResult;
   detail: string;
+  /** The endpoint's clock when it answered, in milliseconds, if it says so. */
+  clockMs?: number;
 }
 
 /** Outcome of a stop order; `detail` is the endpoint's or an error text. */
--- a/tests/cell/cell_site.ts
+++ b/tests/cell/cell_site.ts
@@ -7,6 +7,7 @@
   DEFAULT_POLICIES,
   type Endpoint,
   noteLeaseSent,
+  noteStartSent,
   type Order,
   OrderKind,
   PaceResult,
@@ -207,6 +208,7 @@
       ...this.describeEndpoint(endpoint.id),
       capacity: endpoint.capacity,
       isDraining: this.draining.has(endpoint.id),
+      bornAt: endpoint.bornAt,
     })));
   }
 
@@ -245,7 +247,10 @@
     this.cell = this.#makeCell(this.fence);
     this.cell.restore(
       { snapshot: this.snapshot, records: structuredClone(this.journal) },
-      { formerRunsEndAt: this.now + FORMER_LEASES_MS, time: this.time },
+      {
+        formerRunsEndAt: this.now + FORMER_LEASES_MS,
+        time: this.time,
+      },
     );
     this.applyEndpointList();
   }
@@ -289,7 +294,9 @@
   #pollEndpoints(): void {
     for (const endpoint of this.cell.state.endpoints.values()) {
       const lastPolledAt = this.#polledAt.get(endpoint) ?? 0;
-      if (this.now - lastPolledAt < this.pollIntervalMs) continue;
+      const isDue = !endpoint.hasAcceptedFence ||
+        this.now - lastPolledAt >= this.pollIntervalMs;
+      if (!isDue) continue;
       this.#polledAt.set(endpoint, this.now);
       const fake = this.endpoints.get(endpoint.info.id);
       if (!fake || fake.isUnreachable) continue;
@@ -351,11 +358,13 @@
       const result = fake && !fake.isUnreachable
         ? fake.stop({ task: run.task, run: run.number, fence }, this.now)
         : StopResult.Unknown;
-      owner.applyStopAnswer(run, { result, now: this.now });
+      const { bornAt } = run.endpoint;
+      owner.applyStopAnswer(run, { result, bornAt, now: this.now });
       return;
     }
     this.calls.starts++;
-    noteLeaseSent(run.endpoint, { now: this.now, leaseMs: LEASE_MS });
+    const { ticketEndsAt } = order;
+    noteStartSent(run, { now: this.now, leaseMs: LEASE_MS, ticketEndsAt });
     const leaseUntil = this.now + run.endpoint.clockOffset + LEASE_MS;
     const start = (isDelayed: boolean) => {
       // A delayed order has already reached the endpoint's VM.
@@ -394,10 +403,11 @@
       });
     }
     const result = isAnswerLost ? StartResult.Unknown : start(false);
+    const clockMs = fake?.readClock(this.now);
     const time = this.time;
     this.#scheduledCalls.push({
       at: this.now + (isAnswerLost ? 1_000 : 10),
-      run: () => owner.applyStartAnswer(run, { result, time }),
+      run: () => owner.applyStartAnswer(run, { result, clockMs, time }),
     });
   }
 
--- a/tests/cell/restarted_endpoint_test.ts
+++ b/tests/cell/restarted_endpoint_test.ts
@@ -63,7 +63,7 @@
 
 // Guards against a second run after a take-over: the former owner's late start is
 // carried out by a lifetime of the endpoint that has seen no fencing token yet.
-test("a new owner waits for the late starts of the former one where an endpoint may restart", (t) => {
+test("a new owner contacts a restarted endpoint before it carries out late starts of the former one", (t) => {
   const site = new CellSite({ endpoints: 2, afterMs: 15_000 });
   site.advance(200);
   site.delayStarts({ byMs: 6_000 });
@@ -77,6 +77,7 @@
   site.pollIntervalMs = 4_500;
   site.advance(3_000);
   target.restart(site.now);
+  site.applyEndpointList();
   site.advance(ALL_ORDERS_SETTLED_MS);
   t.deepEqual(site.checker.violations, []);
   t.is(site.find("a"), JobState.Completed);
--- a/tests/virtual/endpoint_id_records.ts
+++ b/tests/virtual/endpoint_id_records.ts
@@ -18,7 +18,8 @@
     return { version: 1, queues: [], organisations: [], maxBodyBytes: 1_000 };
   }
 
-  override decodeEndpoint(key: string): EndpointInfo {
+  /** `text`: start of the endpoint's lifetime, Unix milliseconds; may be empty. */
+  override decodeEndpoint(key: string, text: string): EndpointInfo {
     const id = key.slice(this.endpointPrefix.length);
     return {
       id,
@@ -29,6 +30,7 @@
       rack: "",
       capacity: ENDPOINT_CAPACITY,
       isDraining: false,
+      bornAt: Number(text),
     };
   }
 }
--- a/tests/virtual/owner_random_test.ts
+++ b/tests/virtual/owner_random_test.ts
@@ -32,7 +32,7 @@
     () => entry.store.fault = StoreFault.None,
     () => owner.control.unreachableEndpoints.add(endpoint.id),
     () => owner.control.unreachableEndpoints.clear(),
-    () => endpoint.restart(site.time.now),
+    () => site.restartEndpoint(endpoint),
     () => {
       site.time.kill(owner.name);
       owner.role = undefined;
--- a/tests/virtual/owner_site.ts
+++ b/tests/virtual/owner_site.ts
@@ -73,7 +73,9 @@
       endKind: EndKind.Done,
       pace: 100,
     };
+    let clockMs: number | undefined;
     const result = await this.#send(target, options, (fakeEndpoint, now) => {
+      clockMs = fakeEndpoint.readClock(now);
       run.endsAt = now + this.#site.drawRunTime();
       run.endKind = this.#site.drawEndKind();
       const { fence, leaseUntil } = order;
@@ -83,7 +85,7 @@
       }
       return started;
     }).catch(() => StartResult.Unknown);
-    return { result, detail: "" };
+    return { result, detail: "", clockMs };
   }
 
   override async stop(
@@ -267,12 +269,18 @@
       fakeEndpoint.onEndDiscarded = (task) =>
         this.checker.reportableDone.delete(task);
       this.endpoints.set(fakeEndpoint.id, fakeEndpoint);
-      this.state.put(`endpoints/${fakeEndpoint.id}`, "", 0);
+      this.#registerEndpoint(fakeEndpoint);
     }
     for (let n = 0; n < sizes.entries; n++) this.addEntry();
     this.#advanceEndpoints();
   }
 
+  /** Restarts an endpoint under its id; it registers anew. */
+  restartEndpoint(endpoint: FakeEndpoint): void {
+    endpoint.restart(this.time.now);
+    this.#registerEndpoint(endpoint);
+  }
+
   /** Adds an entry, which takes part in the election at once. */
   addEntry(): OwnerEntry {
     const entry = new OwnerEntry(this, `e${this.entries.length}`);
@@ -313,6 +321,10 @@
     return this.random.drawFloat() < 0.5 ? "lost" : "late";
   }
 
+  #registerEndpoint({ id, bornAt }: FakeEndpoint): void {
+    this.state.put(`endpoints/${id}`, String(bornAt), 0);
+  }
+
   /** Ends runs that are finished or whose lease has expired, every 10 ms. */
   #advanceEndpoints(): void {
     this.time.schedule("world", 10, () => {
--- a/tests/virtual/session_test.ts
+++ b/tests/virtual/session_test.ts
@@ -99,6 +99,7 @@
     rack: "",
     capacity: demand,
     isDraining: false,
+    bornAt: 0,
   });
   const session = new EndpointSession({
     endpoint,
@@ -120,6 +121,9 @@
       lastChangedAt: 0,
       startedAt: 0,
       isStopAcknowledged: false,
+      isLifetimeKnown: false,
+      startMayArriveUntil: 0,
+      hasTicket: false,
       isStopOrderInFlight: false,
       percent: 0,
       progressAt: 0,
