Acknowledge ends only to an endpoint that answered the last poll

Cause: the numbers of ends start over with each lifetime, and the poll that followed failed polls carried the acknowledgement of the former lifetime; it erased ends of the next one that the owner had not seen. Evidence: the new test of the session; on the former code the first poll after the failures acknowledged 7.

--- a/packages/scheduler/endpoint_session.ts
+++ b/packages/scheduler/endpoint_session.ts
@@ -159,7 +159,9 @@
     const hasRuns = endpoint.runs.size > 0;
     const request: PollRequest = {
       fence: this.#fence,
-      acknowledgedEnd: this.#hasUnacknowledgedEnds()
+      // The numbers of ends start over with each lifetime. Only an endpoint that
+      // answered the last poll is taken to be in the lifetime that listed them.
+      acknowledgedEnd: !this.#isUnresponsive && this.#hasUnacknowledgedEnds()
         ? endpoint.committedEndNumber
         : 0,
       waitMs: endpoint.hasAcceptedFence && hasRuns ? options.waitMs : 0,
--- a/tests/virtual/session_test.ts
+++ b/tests/virtual/session_test.ts
@@ -179,3 +179,25 @@
   await time.advance(5_000);
   t.true(control.polls.length <= pollsBefore + 1);
 });
+
+// Guards against an acknowledgement that erases ends of the next lifetime, whose
+// numbers start over: their tasks would run again.
+test("ends are acknowledged only to an endpoint that answered the last poll", async (t) => {
+  const { time, control, endpoint, addRun } = startSession();
+  await time.advance(200);
+  addRun();
+  await time.advance(200);
+  control.isReachable = false;
+  await time.advance(2_000);
+  endpoint.committedEndNumber = 7;
+  const failedPolls = control.polls.length;
+  await time.advance(2_000);
+  control.isReachable = true;
+  await time.advance(4_000);
+  const later = control.polls.slice(failedPolls + 1);
+  const first = later.findIndex(({ acknowledgedEnd }) => acknowledgedEnd === 7);
+  t.true(first > 0);
+  const before = later.slice(0, first);
+  t.true(before.some(({ leaseUntil }) => leaseUntil === undefined));
+  t.true(before.every(({ acknowledgedEnd }) => acknowledgedEnd === 0));
+});
