--- a/packages/scheduler/endpoint_session.ts
+++ b/packages/scheduler/endpoint_session.ts
@@ -1,5 +1,10 @@
 import type { Clock } from "../base/mod.ts";
-import { type Endpoint, noteLeaseSent, RunPhase } from "../cell/mod.ts";
+import {
+  type Endpoint,
+  noteLeaseSent,
+  noteLeaseUnanswered,
+  RunPhase,
+} from "../cell/mod.ts";
 import {
   COLOCATED_POLL_WAIT_MS,
   POLL_INTERVAL_MS,
@@ -118,10 +123,11 @@
   }
 
   #isPollDue(): boolean {
-    const { hasAcceptedFence, isReplaced, runs, isListed, isRecorded } =
+    const { hasAcceptedFence, isReplaced, isListed, isRecorded } =
       this.#endpoint;
+    const { runs, preventedRuns } = this.#endpoint;
     if (isReplaced) return false;
-    if (runs.size > 0) return true;
+    if (runs.size > 0 || preventedRuns.size > 0) return true;
     return hasAcceptedFence
       ? this.#hasUnacknowledgedEnds()
       : isListed || isRecorded;
@@ -153,7 +159,9 @@
     const hasRuns = endpoint.runs.size > 0;
     const request: PollRequest = {
       fence: this.#fence,
-      acknowledgedEnd: this.#hasUnacknowledgedEnds()
+      // The numbers of ends start over with each lifetime. Only an endpoint that
+      // answered the last poll is taken to be in the lifetime that listed them.
+      acknowledgedEnd: !this.#isUnresponsive && this.#hasUnacknowledgedEnds()
         ? endpoint.committedEndNumber
         : 0,
       waitMs: endpoint.hasAcceptedFence && hasRuns ? options.waitMs : 0,
@@ -182,6 +190,7 @@
     } catch (error) {
       this.#isUnresponsive = true;
       if (request.acknowledgedEnd > 0) endpoint.unansweredEndsAckAt = now;
+      if (request.leaseUntil !== undefined) noteLeaseUnanswered(endpoint, now);
       const elapsedMs = this.#clock.now() - now;
       if (!this.#isStopped) {
         this.#host.handlePollFailure(endpoint, { error, elapsedMs });
--- a/tests/virtual/owner_site.ts
+++ b/tests/virtual/owner_site.ts
@@ -35,6 +35,9 @@
 const LEASE_MS = 4_000;
 const ONE_WAY_DELAY_MS = 2;
 
+/** Shortest and longest delay of an order that is carried out late, in ms. */
+const LATE_ORDER_MS = { min: 2_000, max: 12_000 };
+
 /** Policy service that returns no tickets. */
 class NoAdviceService extends AdviceService {
   override ask(): Promise<AdviceAnswer> {
@@ -70,10 +73,9 @@
       endKind: EndKind.Done,
       pace: 100,
     };
+    let clockMs: number | undefined;
     const result = await this.#send(target, options, (fakeEndpoint, now) => {
-      if (fakeEndpoint.bornAt !== target.bornAt) {
-        return StartResult.OtherLifetime;
-      }
+      clockMs = fakeEndpoint.readClock(now);
       run.endsAt = now + this.#site.drawRunTime();
       run.endKind = this.#site.drawEndKind();
       const { fence, leaseUntil } = order;
@@ -83,7 +85,7 @@
       }
       return started;
     }).catch(() => StartResult.Unknown);
-    return { result, detail: "" };
+    return { result, detail: "", clockMs };
   }
 
   override async stop(
@@ -144,7 +146,9 @@
     const { time } = this.#site;
     const delivery = this.#site.drawDelivery();
     if (delivery === "late") {
-      time.schedule("world", 1_000 + this.#site.random.drawInt(6_000), () => {
+      const { min, max } = LATE_ORDER_MS;
+      const delayMs = min + this.#site.random.drawInt(max - min);
+      time.schedule("world", delayMs, () => {
         handle(fakeEndpoint, time.now);
       });
     }
@@ -265,12 +269,18 @@
       fakeEndpoint.onEndDiscarded = (task) =>
         this.checker.reportableDone.delete(task);
       this.endpoints.set(fakeEndpoint.id, fakeEndpoint);
-      this.state.put(`endpoints/${fakeEndpoint.id}`, "", 0);
+      this.#registerEndpoint(fakeEndpoint);
     }
     for (let n = 0; n < sizes.entries; n++) this.addEntry();
     this.#advanceEndpoints();
   }
 
+  /** Restarts an endpoint under its id; it registers anew. */
+  restartEndpoint(endpoint: FakeEndpoint): void {
+    endpoint.restart(this.time.now);
+    this.#registerEndpoint(endpoint);
+  }
+
   /** Adds an entry, which takes part in the election at once. */
   addEntry(): OwnerEntry {
     const entry = new OwnerEntry(this, `e${this.entries.length}`);
@@ -311,6 +321,10 @@
     return this.random.drawFloat() < 0.5 ? "lost" : "late";
   }
 
+  #registerEndpoint({ id, bornAt }: FakeEndpoint): void {
+    this.state.put(`endpoints/${id}`, String(bornAt), 0);
+  }
+
   /** Ends runs that are finished or whose lease has expired, every 10 ms. */
   #advanceEndpoints(): void {
     this.time.schedule("world", 10, () => {
