--- a/tests/cell/ejection_test.ts
+++ b/tests/cell/ejection_test.ts
@@ -19,7 +19,7 @@
 test("a service of a large cell keeps an endpoint although runs fail on all of its endpoints", (t) => {
   const site = new CellSite({ endpoints: 10 });
   site.cell.updateEndpoints(
-    [...site.endpoints.values()].map(({ id, capacity }, n) => ({
+    [...site.endpoints.values()].map(({ id, capacity, bornAt }, n) => ({
       id,
       address: id,
       service: n < 2 ? "desk" : "other",
@@ -27,6 +27,7 @@
       labels: [],
       rack: "",
       capacity,
+      bornAt,
       isDraining: false,
     })),
   );
