Forget which job failed last on an endpoint when the endpoint restarts

A restart of an endpoint cleared its count of failures, but not the job of the last one. The first failure of that job on the new lifetime then counted as a repeated one and was left out, so that ejection came one failure late. The new test in ejection_test counted no failure after the restart on the former code and one now.

--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -105,6 +105,7 @@
   endpoint.committedEndNumber = 0;
   endpoint.lastListingClock = 0;
   endpoint.failuresInRow = 0;
+  endpoint.lastFailedJob = "";
   endpoint.ejectedUntil = 0;
   const lateAckUntil = endpoint.unansweredEndsAckAt + LATE_ORDER_MS;
   endpoint.pausedUntil = Math.max(endpoint.pausedUntil, lateAckUntil);
--- a/tests/cell/ejection_test.ts
+++ b/tests/cell/ejection_test.ts
@@ -68,3 +68,19 @@
   t.is(most, 1);
   t.is((site.checker.startsOn.get("e0") ?? 0) - startsBefore, 1);
 });
+
+// Guards against a failure on a restarted endpoint that counts as a repeated one of
+// the same job, because the endpoint's former lifetime failed that job.
+test("a failure on a restarted endpoint counts, whatever job failed before its restart", (t) => {
+  const site = new CellSite({ endpoints: 1 });
+  site.advance(300);
+  site.endRule = () => ({ afterMs: 50, endKind: EndKind.Failed });
+  const queue = makeQueue({ attempts: 9 });
+  site.submit(makeJob("a", [makeStep()], { queue }));
+  site.advance(200);
+  const endpoint = site.cell.state.endpoints.get("e0")!;
+  t.is(endpoint.failuresInRow, 1);
+  site.endpoints.get("e0")!.restart(site.now);
+  site.advance(4_000);
+  t.is(endpoint.failuresInRow, 1);
+});
