Take a refusal for proof only if it is later than every lost attempt

Callers saw: a submission answered 429 or 503, which promises that the job never runs, although an attempt of the same request was still under way to the owner that refused it; the job could run afterwards (REFUSED).

Cause: an entry that lost the answers of two owners noted only the first of them. A refusal by the second counted as proof, as it is later than the first, though the second may still receive or commit the attempt that was sent to it.

Evidence: found by reading the paths that end in 429 or 503.

Change: the entry notes each owner whose answer was lost; a refusal proves nothing unless the refusing owner is later than all of them and none runs in its process.

Measured: the new test of caller_service_test fails on the code before ("refused" instead of "unknown") and passes now; the other 9 tests of the file pass.

--- a/packages/scheduler/owner_calls.ts
+++ b/packages/scheduler/owner_calls.ts
@@ -44,16 +44,20 @@
 }
 
 /**
- * Returns whether a refusal by `refusing` proves that an earlier attempt sent to
- * `unsettled` had no effect. A later owner has read every record that an earlier
- * one could commit. The same process may still receive the earlier attempt.
+ * Returns whether a refusal by `refusing` proves that earlier attempts, sent to
+ * the owners `unsettled`, had no effect. A later owner has read every record
+ * that an earlier one could commit. The same process may still receive an
+ * earlier attempt.
  */
 export function isProofOfNoEffect(
-  unsettled: OwnerRecord,
+  unsettled: readonly (OwnerRecord | undefined)[],
   refusing: OwnerRecord | undefined,
 ): boolean {
-  return refusing !== undefined && refusing.term > unsettled.term &&
-    refusing.incarnation !== unsettled.incarnation;
+  return unsettled.every((owner) =>
+    owner !== undefined && refusing !== undefined &&
+    refusing.term > owner.term &&
+    refusing.incarnation !== owner.incarnation
+  );
 }
 
 /**
@@ -93,11 +97,11 @@
     const giveUpAt = Math.min(startedAt + call.timeoutMs, this.#answerBy);
     const waitUntil = Math.min(giveUpAt, startedAt + OWNER_WAIT_MS);
     const settleUntil = Math.min(giveUpAt, startedAt + SETTLE_WAIT_MS);
-    /** Owner of the first attempt whose effect is unknown. */
-    let unsettled: OwnerRecord | undefined;
+    /** Owners of the attempts whose effect is unknown. */
+    const unsettled: (OwnerRecord | undefined)[] = [];
     let reason = "no owner is known";
     for (let attempt = 1;; attempt++) {
-      const until = unsettled ? settleUntil : waitUntil;
+      const until = unsettled.length > 0 ? settleUntil : waitUntil;
       if (!await this.#waitForOwner(until, clock.now())) break;
       const { owner } = gateway;
       const timeoutMs = Math.min(OWNER_CALL_TIMEOUT_MS, giveUpAt - clock.now());
@@ -106,24 +110,24 @@
       reason = outcome.reason;
       if (outcome.kind === ReplyKind.Final) return outcome.reply!;
       if (outcome.kind === ReplyKind.Refused) {
-        if (!unsettled || isProofOfNoEffect(unsettled, owner)) {
-          return outcome.reply!;
-        }
+        if (isProofOfNoEffect(unsettled, owner)) return outcome.reply!;
         reason = "refused, but an earlier attempt may have had an effect";
         break;
       }
       if (outcome.kind === ReplyKind.Unknown) {
-        unsettled ??= owner;
+        unsettled.push(owner);
         // Without a reply, an owner that is still linked stalls: asking again
         // would only delay the answer that the effect is unknown.
         const isSameOwner = gateway.canReachOwner && gateway.owner === owner;
         if (outcome.reply === undefined && isSameOwner) break;
       }
-      if (clock.now() >= (unsettled ? settleUntil : waitUntil)) break;
+      if (clock.now() >= (unsettled.length > 0 ? settleUntil : waitUntil)) {
+        break;
+      }
       this.#recordRepeat(call.method, { attempt, reason });
       await clock.sleep(REPEAT_PAUSE_MS);
     }
-    if (unsettled) throw new UnknownEffectError(reason);
+    if (unsettled.length > 0) throw new UnknownEffectError(reason);
     throw new NotSentError(reason);
   }
 
--- a/tests/virtual/caller_service_test.ts
+++ b/tests/virtual/caller_service_test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { SeededRandom } from "../../packages/base/mod.ts";
+import { SeededRandom, UnknownEffectError } from "../../packages/base/mod.ts";
 import { SilentEventLog } from "../../packages/events/mod.ts";
 import { Admission } from "../../packages/cell/mod.ts";
 import type { LinkHandlers } from "../../packages/links/mod.ts";
@@ -253,3 +253,37 @@
     t.is((await settle(time, pending)).answer.kind, kind);
   }
 });
+
+// Guards against a job that runs although its caller was told that it never
+// would: with two lost answers, the refusal must be later than both attempts.
+test("after two lost answers, the owner that may still receive one of them cannot refuse", async (t) => {
+  const laterOwner = { ...OWNER, incarnation: "c/1", term: 3 };
+  for (
+    const [refusing, kind] of [
+      [NEXT_OWNER, AnswerKind.Unknown],
+      [{ ...OWNER, term: 3 }, AnswerKind.Unknown],
+      [laterOwner, AnswerKind.Refused],
+    ] as const
+  ) {
+    const { service, gateway, time, handlers } = await startService();
+    let loseAnswer = () => {};
+    handlers["job.submit"] = () =>
+      new Promise((_, reject) => {
+        loseAnswer = () => reject(new UnknownEffectError("the link broke"));
+      });
+    const pending = service.submit(REQUEST, parseEmptyJob);
+    const loseOwner = async () => {
+      await time.advance(100);
+      gateway.setOwner(undefined, false);
+      loseAnswer();
+      await time.advance(100);
+    };
+    await loseOwner();
+    gateway.setOwner(NEXT_OWNER, true);
+    await loseOwner();
+    const refusal = { admission: Admission.Refused, reason: "full" };
+    handlers["job.submit"] = () => refusal;
+    gateway.setOwner(refusing, true);
+    t.is((await settle(time, pending)).answer.kind, kind);
+  }
+});
