Test the two paths on which a caller was refused although its job ran

Cause: both paths need an owner that is lost while it commits a submission, and a next owner whose store stalls. The commit had taken effect, and the next owner refused the job that it had read; or the next owner took the job in, its commit got no answer, and its refusal of the third attempt passed for proof as it is later than the first owner.

Job was started by the owner of term 5 at 33.18 s and refused with 503 at 33.71 s, 1340 ms after its caller asked; five others were refused with 503 at 34.04 s after an attempt that the same owner had left unanswered for a second.

--- a/tests/virtual/caller_service_test.ts
+++ b/tests/virtual/caller_service_test.ts
@@ -1,139 +1,20 @@
 import test from "ava";
-import { SeededRandom, UnknownEffectError } from "../../packages/base/mod.ts";
-import { SilentEventLog } from "../../packages/events/mod.ts";
+import { UnknownEffectError } from "../../packages/base/mod.ts";
 import { Admission } from "../../packages/cell/mod.ts";
-import type { LinkHandlers } from "../../packages/links/mod.ts";
-import { Metrics } from "../../packages/metrics/mod.ts";
 import {
   AnswerKind,
-  type CallerAnswer,
-  CallerService,
-  ConfigFeed,
   OWNER_CALL_TIMEOUT_MS,
   OWNER_WAIT_MS,
-  OwnerGateway,
-  type OwnerRecord,
-  type SiteConfig,
 } from "../../packages/scheduler/mod.ts";
-import { MemoryStore, MemoryStoreState, StoreFault } from "./memory_store.ts";
-import { NoUpkeepRecords } from "./no_upkeep_records.ts";
-import { ProcessClock, VirtualTime } from "./virtual_time.ts";
-
-const OWNER: OwnerRecord = {
-  entry: "a",
-  incarnation: "a/1",
-  host: "a",
-  port: 1,
-  term: 1,
-  lease: 1,
-};
-
-/** Records of a site with one queue that needs no key. */
-class OpenQueueRecords extends NoUpkeepRecords {
-  override readonly configKey = "config";
-  override readonly endpointPrefix = "endpoints/";
-
-  override decodeConfig(): SiteConfig {
-    const queue = { name: "filings", service: "desk", priority: 0 };
-    const rules = { attempts: 1, stretch: 1, targetLatencyMs: 1_000 };
-    const route = { host: "desk", prefix: "/f/", isOpen: true };
-    return {
-      version: 1,
-      queues: [{ ...queue, ...rules, ...route }],
-      organisations: [],
-      maxBodyBytes: 1_000,
-    };
-  }
-
-  override decodeEndpoint(): undefined {
-    return undefined;
-  }
-}
-
-/** A caller service, its store, and the handlers of the owner that it calls. */
-interface ServiceSite {
-  service: CallerService;
-  gateway: OwnerGateway;
-  time: VirtualTime;
-  store: MemoryStore;
-  /** Handlers of the current owner; a missing one fails after receipt. */
-  handlers: Partial<LinkHandlers>;
-}
-
-async function startService(): Promise<ServiceSite> {
-  const time = new VirtualTime();
-  const clock = new ProcessClock(time, "a");
-  const log = new SilentEventLog();
-  const state = new MemoryStoreState();
-  state.revision++;
-  state.put("config", "{}", 0);
-  const store = new MemoryStore(state, clock);
-  const config = new ConfigFeed({
-    store,
-    records: new OpenQueueRecords(),
-    clock,
-    wallNow: () => time.now,
-    log,
-  });
-  void config.run();
-  await time.advance(1_000);
-  const handlers: Partial<LinkHandlers> = {};
-  const failCall = () => {
-    throw new Error("the entry that was asked does not own the cell");
-  };
-  const gateway = new OwnerGateway({
-    clock,
-    log,
-    opener: {
-      makeHeartbeat: () => ({ entry: "a", cores: 1 }),
-      onReply: () => {},
-    },
-    localAddress: "",
-    isLocalOwnerReady: () => true,
-    handlers: new Proxy(handlers, {
-      get: (target, name) => Reflect.get(target, name) ?? failCall,
-    }) as LinkHandlers,
-  });
-  gateway.setOwner(OWNER, true);
-  const service = new CallerService({
-    config,
-    gateway,
-    clock,
-    log,
-    random: new SeededRandom(1),
-    metrics: new Metrics(),
-    getKeyRevocationMs: () => 5_000,
-  });
-  return { service, gateway, time, store, handlers };
-}
-
-const REQUEST = { host: "desk", path: "/f/1", key: "", deadlineMs: 3_000 };
-
-const NEXT_OWNER: OwnerRecord = { ...OWNER, incarnation: "b/1", term: 2 };
-
-const parseEmptyJob = () => ({
-  id: "1",
-  payload: "",
-  steps: [],
-  occurrences: 0,
-  firstRunAt: 0,
-  intervalMs: 0,
-});
-
-/** Advances the time until the answer is there, at most to the deadline. */
-async function settle(
-  time: VirtualTime,
-  pending: Promise<CallerAnswer>,
-): Promise<{ answer: CallerAnswer; elapsedMs: number }> {
-  const startedAt = time.now;
-  let answer: CallerAnswer | undefined;
-  void pending.then((settled) => answer = settled);
-  while (!answer && time.now - startedAt < REQUEST.deadlineMs) {
-    await time.advance(10);
-  }
-  if (!answer) throw new Error("No answer at the caller's deadline");
-  return { answer, elapsedMs: time.now - startedAt };
-}
+import { StoreFault } from "./memory_store.ts";
+import {
+  NEXT_OWNER,
+  OWNER,
+  parseEmptyJob,
+  REQUEST,
+  settle,
+  startService,
+} from "./service_site.ts";
 
 test("a query without an answer is unavailable and has a retry delay", async (t) => {
   const { service, time } = await startService();
