Do not refuse a repeated submission whose first attempt may have had an effect

Callers saw: 504 for a submission, then 503 ("the job never runs") for the same job from the same entry, which had no owner or no recent keys; the job ran.

Cause: an entry answered each attempt by itself. Nothing in a request tells a first attempt from a repeated one.

Change: an entry remembers for 30 s the submissions that are under way or that it answered as unknown, 10,000 at most. It answers a repeated one as unknown instead of "not run" if it can't reach an owner or check the key. The refusal of an owner that doesn't know the job still counts, and callers of other jobs get 503 with a delay as before. Other entries don't know of these submissions: they still answer 503.

--- a/packages/scheduler/caller_service.ts
+++ b/packages/scheduler/caller_service.ts
@@ -7,7 +7,7 @@
 } from "../base/mod.ts";
 import { Admission } from "../cell/mod.ts";
 import { EventCode, type EventLog } from "../events/mod.ts";
-import type { JobSpec, StepSpec } from "../jobs/mod.ts";
+import type { JobSpec } from "../jobs/mod.ts";
 import { CancelReply, type SubmitReply } from "../links/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type { ConfigFeed } from "./config_feed.ts";
@@ -20,28 +20,14 @@
 import { OwnerCalls, ReplyKind } from "./owner_calls.ts";
 import type { OwnerGateway } from "./owner_gateway.ts";
 import {
+  type AdmittedCaller,
   AnswerKind,
   type CallerAnswer,
   type CallerRequest,
+  type JobRequest,
   type QueueRoute,
 } from "./types.ts";
-
-/** A job as submitted by a caller. */
-export interface JobRequest {
-  id: string;
-  payload: string;
-  steps: StepSpec[];
-  occurrences: number;
-  firstRunAt: number;
-  intervalMs: number;
-}
-
-/** The queue and organisation of a request that passed the checks. */
-interface AdmittedCaller {
-  queue: QueueRoute;
-  /** Name of the organisation; empty for an open queue. */
-  organisation: string;
-}
+import { UnsettledRequests } from "./unsettled_requests.ts";
 
 /** The dependencies and settings of a `CallerService`. */
 export interface CallerServiceParts {
@@ -62,6 +48,7 @@
 export class CallerService {
   readonly #parts: CallerServiceParts;
   readonly #ownerCalls: OwnerCalls;
+  readonly #unsettledSubmissions = new UnsettledRequests();
   #inFlightCount = 0;
 
   constructor(parts: CallerServiceParts) {
@@ -105,13 +92,22 @@
         organisation,
         queue: selectQueueRules(queue),
       };
-      const reply = await this.#ownerCalls.call({
-        method: "job.submit",
-        params: { job: spec },
-        isRead: false,
-        classify: classifySubmitReply,
-        timeoutMs: computeTimeout(request),
-      });
+      const call = () =>
+        this.#ownerCalls.call({
+          method: "job.submit",
+          params: { job: spec },
+          isRead: false,
+          classify: classifySubmitReply,
+          timeoutMs: computeTimeout(request),
+        });
+      const reply = await this.#unsettledSubmissions.observe(
+        formatRequestKey(request),
+        {
+          now: this.#parts.clock.now(),
+          call,
+          isSettled: ({ isUnknown }) => !isUnknown,
+        },
+      );
       return this.#createSubmitAnswer(spec, reply);
     });
   }
@@ -173,7 +169,7 @@
     const startedAt = this.#parts.clock.now();
     this.#inFlightCount++;
     try {
-      const admitted = this.#admit(request, startedAt);
+      const admitted = this.#admit(method, request, startedAt);
       const answer = "kind" in admitted
         ? admitted
         : await this.#callOwner(method, request, () => handler(admitted));
@@ -184,21 +180,23 @@
     }
   }
 
-  #admit(request: CallerRequest, now: number): AdmittedCaller | CallerAnswer {
+  #admit(
+    method: string,
+    request: CallerRequest,
+    now: number,
+  ): AdmittedCaller | CallerAnswer {
     const { config } = this.#parts;
     if (!config.config) {
-      return this.#createUnavailableAnswer(
-        "no configuration has been read yet",
-      );
+      const reason = "no configuration has been read yet";
+      return this.#createUndeliveredAnswer(method, request, reason);
     }
     const queue = config.findQueue(request);
     if (!queue) return { kind: AnswerKind.NoSuchQueue, detail: request.path };
     if (queue.isOpen) return { queue, organisation: "" };
     if (!this.canTrustKeys()) {
       const ageMs = config.measureAge(now);
-      return this.#createUnavailableAnswer(
-        `keys were last confirmed ${Math.round(ageMs)} ms ago`,
-      );
+      const reason = `keys were last confirmed ${Math.round(ageMs)} ms ago`;
+      return this.#createUndeliveredAnswer(method, request, reason);
     }
     const organisation = config.findOrganisation(request.key);
     if (!organisation) {
@@ -219,18 +217,42 @@
       return await call();
     } catch (error) {
       const detail = error instanceof Error ? error.message : String(error);
-      if (error instanceof NotSentError) {
-        return this.#createUnavailableAnswer(detail);
-      }
-      this.#parts.log.record(EventCode.JobUnsettled, {
-        method,
-        path: request.path,
-        reason: detail,
-      });
-      return { kind: AnswerKind.Unknown, detail };
+      return error instanceof NotSentError
+        ? this.#createUndeliveredAnswer(method, request, detail)
+        : this.#createUnknownAnswer(method, request, detail);
     }
   }
 
+  #createUnknownAnswer(
+    method: string,
+    { path }: CallerRequest,
+    detail: string,
+  ): CallerAnswer {
+    this.#parts.log.record(EventCode.JobUnsettled, {
+      method,
+      path,
+      reason: detail,
+    });
+    return { kind: AnswerKind.Unknown, detail };
+  }
+
+  /**
+   * Answers a request that reached no owner: it did not run, but an earlier
+   * attempt of a submission may have.
+   */
+  #createUndeliveredAnswer(
+    method: string,
+    request: CallerRequest,
+    reason: string,
+  ): CallerAnswer {
+    const now = this.#parts.clock.now();
+    const mayHaveRun = method === "submit" &&
+      this.#unsettledSubmissions.has(formatRequestKey(request), now);
+    if (!mayHaveRun) return this.#createUnavailableAnswer(reason);
+    const detail = `${reason}; an earlier attempt may have had an effect`;
+    return this.#createUnknownAnswer(method, request, detail);
+  }
+
   #createUnavailableAnswer(detail: string): CallerAnswer {
     return {
       kind: AnswerKind.Unavailable,
@@ -291,6 +313,11 @@
   return remainingMs;
 }
 
+/** Formats what identifies a submission to this entry. */
+function formatRequestKey({ host, path }: CallerRequest): string {
+  return `${host}${path}`;
+}
+
 function classifySubmitReply(reply: SubmitReply): ReplyKind {
   if (reply.isUnknown) return ReplyKind.Unknown;
   return match(reply.admission)
--- a/packages/scheduler/constants.ts
+++ b/packages/scheduler/constants.ts
@@ -238,6 +238,15 @@
  */
 export const MAX_HELD_CALLS = 100;
 
+/**
+ * Time for which an entry remembers a submission whose effect is unknown, in
+ * milliseconds: ten times the usual deadline, while callers repeat it.
+ */
+export const UNSETTLED_RETENTION_MS = 30_000;
+
+/** Maximum number of such submissions; about 1 MB. */
+export const MAX_UNSETTLED_REQUESTS = 10_000;
+
 /** Part of a caller's deadline reserved for sending the answer, in ms. */
 export const ANSWER_MARGIN_MS = 150;
 
--- a/packages/scheduler/job_app.ts
+++ b/packages/scheduler/job_app.ts
@@ -3,10 +3,14 @@
 import { z } from "zod";
 import { Verdict } from "../base/mod.ts";
 import { createBodyLimit } from "./body_limit.ts";
-import type { JobRequest } from "./caller_service.ts";
 import { MAX_JOB_BODY_BYTES } from "./constants.ts";
 import type { SchedulerNode } from "./scheduler_node.ts";
-import { AnswerKind, type CallerAnswer, type CallerRequest } from "./types.ts";
+import {
+  AnswerKind,
+  type CallerAnswer,
+  type CallerRequest,
+  type JobRequest,
+} from "./types.ts";
 
 const countSchema = z.int().min(0);
 
--- a/packages/scheduler/types.ts
+++ b/packages/scheduler/types.ts
@@ -1,5 +1,5 @@
 import type { OrganisationRules } from "../cell/mod.ts";
-import type { JobState, QueueRules } from "../jobs/mod.ts";
+import type { JobState, QueueRules, StepSpec } from "../jobs/mod.ts";
 
 /** A queue, and the host and path prefix that callers use for it. */
 export interface QueueRoute extends QueueRules {
@@ -72,3 +72,20 @@
   /** Time for which the caller waits, in milliseconds; 0 if not given. */
   deadlineMs: number;
 }
+
+/** A job as submitted by a caller. */
+export interface JobRequest {
+  id: string;
+  payload: string;
+  steps: StepSpec[];
+  occurrences: number;
+  firstRunAt: number;
+  intervalMs: number;
+}
+
+/** The queue and organisation of a request that passed the checks. */
+export interface AdmittedCaller {
+  queue: QueueRoute;
+  /** Name of the organisation; empty for an open queue. */
+  organisation: string;
+}
