Answer refusals at once although the caller prefers `respond-async`

Callers saw: 202 and a `Location` for every request with `Prefer: respond-async`, also for malformed, unauthenticated and impossible ones; they learned of the refusal by asking.

Cause: the entry raced the outcome against a promise that was already resolved; the filters take more turns of the event loop than that, so the outcome never won.

Change: the pipeline says when it sends the work to an owner, and the entry answers 202 then or with the outcome that came before.

--- a/packages/entry/caller_app.ts
+++ b/packages/entry/caller_app.ts
@@ -43,17 +43,14 @@
 
 async function receiveWork(node: EntryNode, c: Context): Promise<Response> {
   const body = await c.req.text();
-  const { id, outcome } = node.submit({
+  const { id, outcome, dispatched } = node.submit({
     queue: c.req.param("queue") ?? "",
     authorization: c.req.header("authorization") ?? "",
     idempotencyKey: c.req.header("idempotency-key"),
     body,
   });
   if (!isAsyncPreferred(c)) return sendOutcome(c, await outcome, { id });
-  const earlyOutcome = await Promise.race([
-    outcome,
-    Promise.resolve(undefined),
-  ]);
+  const earlyOutcome = await Promise.race([outcome, dispatched]);
   if (earlyOutcome) return sendOutcome(c, earlyOutcome, { id });
   const location = `/v1/work/${id}`;
   return c.json({ work: id, state: WorkState.Pending }, 202, { location });
--- a/packages/entry/caller_app_test.ts
+++ b/packages/entry/caller_app_test.ts
@@ -174,6 +174,29 @@
   });
 }
 
+// Guards against a 202 for work that a check refuses: its caller would learn of the
+// refusal only by asking.
+test("refuses at once with `respond-async`, and answers 202 to work that it accepts", async (t) => {
+  const ownSite = new Site(8);
+  await ownSite.start();
+  const [{ node: ownNode }] = ownSite.entries.values();
+  const ownApp = createCallerApp(ownNode);
+  const submit = async (body: unknown, key = ownSite.keys.get("ox")) => {
+    const response = await ownApp.request("/v1/queues/all/work", {
+      method: "POST",
+      headers: { authorization: `Bearer ${key}`, prefer: "respond-async" },
+      body: JSON.stringify(body),
+    });
+    const { state } = await response.json() as { state?: string };
+    return { status: response.status, state };
+  };
+  t.is((await submit({ cores: -1 })).status, 400);
+  t.is((await submit({}, "bbh.ox.wrong")).status, 401);
+  t.is((await submit({ cores: 64 })).status, 422);
+  const payload = { ref: "async", runMs: 10 };
+  t.deepEqual(await submit({ payload }), { status: 202, state: "pending" });
+});
+
 test("hides work from other teams", async (t) => {
   const submitted = site.send([...site.entries.values()][0], {
     team: "ox",
--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -118,23 +118,27 @@
   }
 
   /**
-   * Starts one request in the pipeline. Returns its id and a promise of its
-   * outcome.
+   * Starts one request in the pipeline. Returns its id, a promise of its outcome,
+   * and one that resolves once the work has passed all checks; that one never
+   * resolves for a request that a check refuses.
    */
   submit(
     raw: Omit<RawRequest, "id" | "arrivedAt">,
-  ): { id: string; outcome: Promise<Outcome> } {
+  ): { id: string; outcome: Promise<Outcome>; dispatched: Promise<void> } {
     const { id: vm, domain } = this.parts.settings.vm;
     const id = `${domain}~${vm}~${this.parts.makeId()}`;
     const arrivedAt = this.parts.clock.now();
     const context = this.#pipeline.createContext({ ...raw, id, arrivedAt });
     this.workRegistry.add(context);
+    const dispatched = new Promise<void>((resolve) =>
+      context.onDispatched = resolve
+    );
     const outcome = this.#pipeline.run(context).then((settledOutcome) => {
       const now = this.parts.clock.now();
       this.workRegistry.finish(id, settledOutcome, { now });
       return settledOutcome;
     });
-    return { id, outcome };
+    return { id, outcome, dispatched };
   }
 
   /** Finds work of a team at the entry that received it. */
--- a/packages/pipeline/filters/6_dispatch.ts
+++ b/packages/pipeline/filters/6_dispatch.ts
@@ -13,6 +13,7 @@
       sentAttempts: [],
       cancelled: false,
     };
+    context.onDispatched?.();
     return await this.host.route(context.routed);
   }
 }
--- a/packages/pipeline/types.ts
+++ b/packages/pipeline/types.ts
@@ -23,6 +23,8 @@
   team?: string;
   work?: Work;
   routed?: RoutedWork;
+  /** Called once the work has passed all checks and is sent to an owner. */
+  onDispatched?: () => void;
   /** Reports the outcome to the home of the request's idempotency key. */
   finishKey?: (outcome: Outcome) => void;
 }
