Give every request an outcome, also after an error in its last checks

Callers saw: no outcome for a request whose result contradicted itself; the entry counted the request as pending for ever and did not finish its next drain.

Cause: the check of the answers, the report to the home of the idempotency key and the assertion stood outside the try of the pipeline, so that an error in them rejected the promise on which the registry's count depends. The report came before the assertion.

Change: the checks stand inside the try and come before the report; an error of the report keeps the outcome.

--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -71,7 +71,7 @@
 
   constructor(parts: EntryParts, services: EntryServices) {
     super();
-    const { clock, metrics } = parts;
+    const { clock, metrics, log } = parts;
     this.parts = parts;
     this.member = services.control.self;
     this.control = services.control;
@@ -84,7 +84,7 @@
     this.#pause = services.pause;
     this.#router = services.router;
     this.#poller = services.poller;
-    this.#pipeline = new Pipeline({ host: this, clock, metrics });
+    this.#pipeline = new Pipeline({ host: this, clock, metrics, log });
     this.#controlStepLoop = new Loop(clock, {
       step: () => this.controlLoop.step(),
       intervalMs: () => this.#computeControlInterval(),
--- a/packages/pipeline/filters/7_settle.ts
+++ b/packages/pipeline/filters/7_settle.ts
@@ -7,25 +7,15 @@
 } from "../../base/mod.ts";
 import type { RequestContext } from "../types.ts";
 
-/**
- * Checks the answers of an outcome, reports the checked outcome to the home of
- * the idempotency key, and returns it.
- */
-export function settleOutcome(
-  context: RequestContext,
-  outcome: Outcome,
-): Outcome {
-  const settledOutcome = checkAnswers(context, outcome);
-  context.finishKey?.(settledOutcome);
-  return settledOutcome;
-}
-
 /**
  * Checks the answers of work that ran: returns the outcome unchanged if every
  * task has an answer and all answers belong to this work, or else an outcome
  * with the verdict "may have run".
  */
-function checkAnswers(context: RequestContext, outcome: Outcome): Outcome {
+export function checkAnswers(
+  context: RequestContext,
+  outcome: Outcome,
+): Outcome {
   const work = context.work;
   if (!work || !context.routed || outcome.verdict !== Verdict.Ran) {
     return outcome;
--- a/packages/pipeline/pipeline.ts
+++ b/packages/pipeline/pipeline.ts
@@ -6,6 +6,7 @@
   type Outcome,
   Verdict,
 } from "../base/mod.ts";
+import { EventCode, type EventLog } from "../events/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type { Filter } from "./filter.ts";
 import { ReceiveFilter } from "./filters/1_receive.ts";
@@ -14,7 +15,7 @@
 import { AdmitFilter } from "./filters/4_admit.ts";
 import { DeduplicateFilter } from "./filters/5_deduplicate.ts";
 import { DispatchFilter } from "./filters/6_dispatch.ts";
-import { assertOutcome, settleOutcome } from "./filters/7_settle.ts";
+import { assertOutcome, checkAnswers } from "./filters/7_settle.ts";
 import type { PipelineHost, RawRequest, RequestContext } from "./types.ts";
 
 /**
@@ -25,15 +26,22 @@
   readonly #host: PipelineHost;
   readonly #clock: Clock;
   readonly #metrics: Metrics;
+  readonly #log: EventLog;
   readonly #filters: Filter[];
 
   constructor(
-    options: { host: PipelineHost; clock: Clock; metrics: Metrics },
+    options: {
+      host: PipelineHost;
+      clock: Clock;
+      metrics: Metrics;
+      log: EventLog;
+    },
   ) {
     const { host } = options;
     this.#host = host;
     this.#clock = options.clock;
     this.#metrics = options.metrics;
+    this.#log = options.log;
     this.#filters = [
       new ReceiveFilter(host),
       new AuthenticateFilter(host),
@@ -53,29 +61,42 @@
   }
 
   /**
-   * Runs a request through the filters. An error in a filter becomes an
-   * outcome.
-   *
-   * @throws {InvariantError} if a "not run" outcome has answers
+   * Runs a request through the filters and reports its outcome to the home of
+   * its idempotency key. Never throws: an error becomes an outcome.
    */
   async run(context: RequestContext): Promise<Outcome> {
-    let outcome: Outcome;
+    const outcome = await this.#computeOutcome(context);
     try {
-      outcome = await this.#applyFilters(context);
+      context.finishKey?.(outcome);
     } catch (error) {
-      outcome = makeInternalErrorOutcome(context, error);
+      this.#recordError(context, error);
     }
-    const settledOutcome = settleOutcome(
-      context,
-      restrictVerdict(context, outcome),
-    );
-    assertOutcome(settledOutcome);
-    const labels = {
-      verdict: settledOutcome.verdict,
-      cause: settledOutcome.cause,
-    };
-    this.#metrics.countEvent("outcomes", labels);
-    return settledOutcome;
+    const { verdict, cause } = outcome;
+    this.#metrics.countEvent("outcomes", { verdict, cause });
+    return outcome;
+  }
+
+  async #computeOutcome(context: RequestContext): Promise<Outcome> {
+    try {
+      const outcome = await this.#applyFilters(context);
+      const checkedOutcome = checkAnswers(
+        context,
+        restrictVerdict(context, outcome),
+      );
+      assertOutcome(checkedOutcome);
+      return checkedOutcome;
+    } catch (error) {
+      this.#recordError(context, error);
+      return restrictVerdict(context, makeInternalErrorOutcome(context, error));
+    }
+  }
+
+  #recordError({ raw }: RequestContext, error: unknown): void {
+    this.#metrics.countEvent("invariant_failures");
+    this.#log.record(EventCode.InvariantBroken, {
+      subject: raw.id,
+      error: String(error),
+    });
   }
 
   async #applyFilters(context: RequestContext): Promise<Outcome> {
@@ -93,7 +114,7 @@
 }
 
 /**
- * Returns the outcome of a request whose filter threw an error. Work that was
+ * Returns the outcome of a request after an error of this entry. Work that was
  * not dispatched yet cannot have run.
  */
 function makeInternalErrorOutcome(
