Answer `may_have_run` after an unexpected error instead of "rejected"

Callers saw: 400 with `not_run` (or 400, or 500 without a verdict, on the interfaces for jobs) for a request that an entry could not answer because of an error of its own; the work may have been sent to an owner before the error.

Cause: the handlers of unexpected errors answered as if only reading the request could fail.

A body that can't be read is refused as a bad request where it is read, before anything is sent.

--- a/packages/entry/caller_app.ts
+++ b/packages/entry/caller_app.ts
@@ -1,8 +1,14 @@
 import { type Context, Hono } from "hono";
 import { bodyLimit } from "hono/body-limit";
 import type { ContentfulStatusCode } from "hono/utils/http-status";
-import { Cause, makeNotRunOutcome, type Outcome } from "../base/mod.ts";
+import {
+  Cause,
+  makeMayHaveRunOutcome,
+  makeNotRunOutcome,
+  type Outcome,
+} from "../base/mod.ts";
 import { findTeamOfKey, MAX_BODY_BYTES } from "../config/mod.ts";
+import { EventCode } from "../events/mod.ts";
 import { WorkState, type WorkView } from "../peers/mod.ts";
 import { renderOutcome } from "../pipeline/mod.ts";
 import type { EntryNode } from "./entry_node.ts";
@@ -35,14 +41,23 @@
   app.notFound((c) =>
     sendRefusal(c, Cause.NotFound, { detail: "no such path" })
   );
-  app.onError((error, c) =>
-    sendRefusal(c, Cause.BadRequest, { detail: error.message })
-  );
+  app.onError((error, c) => {
+    node.parts.log.record(EventCode.InvariantBroken, { error: String(error) });
+    const detail = `internal error: ${error.message}`;
+    const outcome = makeMayHaveRunOutcome(Cause.EntryLost, detail);
+    return sendOutcome(c, outcome, { id: "" });
+  });
   return app;
 }
 
 async function receiveWork(node: EntryNode, c: Context): Promise<Response> {
-  const body = await c.req.text();
+  let body: string;
+  try {
+    body = await c.req.text();
+  } catch (error) {
+    const detail = `cannot read the body: ${String(error)}`;
+    return sendRefusal(c, Cause.BadRequest, { detail });
+  }
   const { id, outcome, dispatched } = node.submit({
     queue: c.req.param("queue") ?? "",
     authorization: c.req.header("authorization") ?? "",
--- a/packages/entry/caller_app_test.ts
+++ b/packages/entry/caller_app_test.ts
@@ -197,6 +197,25 @@
   t.deepEqual(await submit({ payload }), { status: 202, state: "pending" });
 });
 
+// Guards against `not_run` for a request that may have run: an error can occur
+// after the work was sent to an owner.
+test("an unexpected error is answered `may_have_run`", async (t) => {
+  const brokenNode = Object.create(node, {
+    submit: {
+      value: () => {
+        throw new Error("broken");
+      },
+    },
+  });
+  const response = await createCallerApp(brokenNode).request(
+    "/v1/queues/all/work",
+    { method: "POST", body: "{}" },
+  );
+  t.is(response.status, 502);
+  const problem = await response.json() as { verdict?: string };
+  t.is(problem.verdict, "may_have_run");
+});
+
 test("hides work from other teams", async (t) => {
   const submitted = site.send([...site.entries.values()][0], {
     team: "ox",
--- a/packages/scheduler/job_app.ts
+++ b/packages/scheduler/job_app.ts
@@ -2,6 +2,7 @@
 import type { ContentfulStatusCode } from "hono/utils/http-status";
 import { z } from "zod";
 import { Verdict } from "../base/mod.ts";
+import { EventCode } from "../events/mod.ts";
 import { createBodyLimit } from "./body_limit.ts";
 import { MAX_JOB_BODY_BYTES } from "./constants.ts";
 import type { SchedulerNode } from "./scheduler_node.ts";
@@ -86,6 +87,14 @@
     "/v1/queues/:queue/jobs",
     async (c) => sendAnswer(c, await node.callerService.count(readRequest(c))),
   );
+  app.onError((error, c) => {
+    node.parts.log.record(EventCode.InvariantBroken, {
+      reason: String(error),
+      stack: error.stack,
+    });
+    const detail = `internal error: ${error.message}`;
+    return sendAnswer(c, { kind: AnswerKind.Unknown, detail });
+  });
   return app;
 }
 
