Record the events of dropped answers, lost attempts and queries

Operators saw: the page of events explains 6002, 6003 and 6104, but no log ever had them; a caller's `may_have_run` could not be traced in the log of the entry that gave it.

Cause: the codes were defined and never recorded.

Change: the pipeline records 6002 with the tasks whose answers it drops, and 6003 when dispatched work ends as `may_have_run`; the caller service records 6104 (debug) for each query of a job. The text of 6002 no longer speaks of late answers, which reach an owner that has ended the attempt and are not seen by the pipeline.

--- a/packages/events/catalogue.ts
+++ b/packages/events/catalogue.ts
@@ -391,7 +391,7 @@
   },
   [EventCode.AnswerDropped]: {
     severity: Severity.Warn,
-    message: "dropped a late, mismatched or incomplete answer",
+    message: "dropped answers that belong to other work or are incomplete",
     remedy: "Check the endpoint if it repeats.",
   },
   [EventCode.AttemptLost]: {
--- a/packages/pipeline/pipeline.ts
+++ b/packages/pipeline/pipeline.ts
@@ -71,8 +71,12 @@
     } catch (error) {
       this.#recordError(context, error);
     }
-    const { verdict, cause } = outcome;
+    const { verdict, cause, detail } = outcome;
     this.#metrics.countEvent("outcomes", { verdict, cause });
+    if (context.routed && verdict === Verdict.MayHaveRun) {
+      const subject = context.raw.id;
+      this.#log.record(EventCode.AttemptLost, { subject, cause, detail });
+    }
     return outcome;
   }
 
@@ -83,6 +87,15 @@
         context,
         restrictVerdict(context, outcome),
       );
+      if (
+        checkedOutcome.verdict !== Verdict.Ran && outcome.answers.length > 0
+      ) {
+        this.#log.record(EventCode.AnswerDropped, {
+          subject: context.raw.id,
+          tasks: outcome.answers.map(({ task }) => task),
+          reason: checkedOutcome.detail,
+        });
+      }
       assertOutcome(checkedOutcome);
       return checkedOutcome;
     } catch (error) {
--- a/packages/pipeline/pipeline_test.ts
+++ b/packages/pipeline/pipeline_test.ts
@@ -1,5 +1,12 @@
 import test from "ava";
-import { BodyEncoding, Cause, makeRanOutcome, Verdict } from "../base/mod.ts";
+import {
+  BodyEncoding,
+  Cause,
+  makeMayHaveRunOutcome,
+  makeRanOutcome,
+  Verdict,
+} from "../base/mod.ts";
+import { EventCode } from "../events/mod.ts";
 import { Site } from "../../tests/virtual/site.ts";
 
 const BODY = { queue: "all", body: "{}" };
@@ -19,7 +26,10 @@
   await site.start();
   const [{ node }] = site.entries.values();
   const authorization = `Bearer ${site.keys.get("ox")}`;
-  return { node, submit: () => node.submit({ ...BODY, authorization }) };
+  const events: EventCode[] = [];
+  node.parts.log.record = (code) => void events.push(code);
+  const submit = () => node.submit({ ...BODY, authorization });
+  return { node, events, submit };
 }
 
 // Guards against a request that stays without an outcome after an error: its caller
@@ -47,3 +57,18 @@
   t.is((await submit().outcome).verdict, Verdict.NotRun);
   t.is(node.workRegistry.pending, 0);
 });
+
+test("a lost attempt and an incomplete answer are logged", async (t) => {
+  const { node, events, submit } = await startEntry();
+  node.route = () =>
+    Promise.resolve(makeMayHaveRunOutcome(Cause.EndpointLost, "no answer"));
+  await submit().outcome;
+  t.deepEqual(events, [EventCode.AttemptLost]);
+  node.route = () => Promise.resolve(makeRanOutcome([ANSWER]));
+  const outcome = await submit().outcome;
+  t.is(outcome.verdict, Verdict.MayHaveRun);
+  t.deepEqual(events.slice(1), [
+    EventCode.AnswerDropped,
+    EventCode.AttemptLost,
+  ]);
+});
--- a/packages/scheduler/caller_service.ts
+++ b/packages/scheduler/caller_service.ts
@@ -122,6 +122,11 @@
         classify: () => ReplyKind.Final,
         timeoutMs: computeTimeout(request),
       });
+      this.#parts.log.record(EventCode.JobAsked, {
+        subject: id,
+        organisation,
+        state: status?.state,
+      });
       if (!status) return { kind: AnswerKind.NoSuchJob, detail: id };
       return { kind: AnswerKind.State, detail: "", state: status.state };
     });
