Let commands fail when the entry refuses the call

Operators saw: `status`, `plan`, `apply`, `dump`, `drain` and `cancel` took the body of a 503 for an answer: they printed it with the exit code of a success, or failed with a TypeError on a field that it doesn't have.

Cause: the commands read the body without the status of the answer.

Change: one function fetches from an entry and fails with the status and the reason of a refusal. `cancel` fails unless the answer holds an outcome or a state, as the outcome of the work may have any status. `submit` and `job` judged the status before.

Measured: the new test of nine command lines against an entry that answers 503 fails on the code before (the first command, `status`) and passes now, with the other tests of the file.

--- a/packages/cli/commands/apply.ts
+++ b/packages/cli/commands/apply.ts
@@ -1,5 +1,10 @@
 import os from "node:os";
-import { callEntry, ENTRY_HELP, ENTRY_OPTIONS } from "../entry_api.ts";
+import {
+  callEntry,
+  ENTRY_HELP,
+  ENTRY_OPTIONS,
+  fetchFromEntry,
+} from "../entry_api.ts";
 import { CommandError } from "../errors.ts";
 import { requireArgument } from "../require_option.ts";
 import { type Command, type CommandOutput, ExitCode } from "../types.ts";
@@ -50,7 +55,7 @@
       ExitCode.Usage,
     );
   }
-  const { body } = await callEntry(input, {
+  const body = await fetchFromEntry(input, {
     method: "GET",
     path: "/v1/admin/config",
   });
--- a/packages/cli/commands/cancel.ts
+++ b/packages/cli/commands/cancel.ts
@@ -13,10 +13,13 @@
     const id = encodeURIComponent(requireArgument(input, "WORK-ID"));
     const path = `/v1/work/${id}`;
     const answer = await callEntry(input, { method: "DELETE", path });
-    const text = JSON.stringify(answer.body, null, 2);
-    if (answer.status === 404) {
-      return { code: ExitCode.Failed, error: text, json: answer.body };
+    const { body } = answer;
+    const text = JSON.stringify(body, null, 2);
+    // The outcome of the work may have any status; a body without an outcome or a
+    // state says that the call failed.
+    if (body?.verdict === undefined && body?.state === undefined) {
+      return { code: ExitCode.Failed, error: text, json: body };
     }
-    return { code: ExitCode.Ok, text, json: answer.body };
+    return { code: ExitCode.Ok, text, json: body };
   },
 };
--- a/packages/cli/commands/drain.ts
+++ b/packages/cli/commands/drain.ts
@@ -1,4 +1,4 @@
-import { callEntry, ENTRY_HELP, ENTRY_OPTIONS } from "../entry_api.ts";
+import { ENTRY_HELP, ENTRY_OPTIONS, fetchFromEntry } from "../entry_api.ts";
 import { type Command, ExitCode } from "../types.ts";
 
 /** Drains an entry. */
@@ -10,7 +10,7 @@
   help: ENTRY_HELP,
   async run(input) {
     const path = "/v1/admin/drain";
-    const { body } = await callEntry(input, { method: "POST", path });
+    const body = await fetchFromEntry(input, { method: "POST", path });
     const text = "draining; the process stops when nothing is in flight";
     return { code: ExitCode.Ok, text, json: body };
   },
--- a/packages/cli/commands/dump.ts
+++ b/packages/cli/commands/dump.ts
@@ -1,4 +1,4 @@
-import { callEntry, ENTRY_HELP, ENTRY_OPTIONS } from "../entry_api.ts";
+import { ENTRY_HELP, ENTRY_OPTIONS, fetchFromEntry } from "../entry_api.ts";
 import { type Command, ExitCode } from "../types.ts";
 
 /** Prints the complete state of an entry. */
@@ -10,7 +10,7 @@
   help: ENTRY_HELP,
   async run(input) {
     const path = "/v1/admin/dump";
-    const { body } = await callEntry(input, { method: "GET", path });
+    const body = await fetchFromEntry(input, { method: "GET", path });
     const text = JSON.stringify(body, null, 2);
     return { code: ExitCode.Ok, text, json: body };
   },
--- a/packages/cli/commands/plan.ts
+++ b/packages/cli/commands/plan.ts
@@ -4,7 +4,7 @@
   diffItems,
   splitConfiguration,
 } from "../../config/mod.ts";
-import { callEntry, ENTRY_HELP, ENTRY_OPTIONS } from "../entry_api.ts";
+import { ENTRY_HELP, ENTRY_OPTIONS, fetchFromEntry } from "../entry_api.ts";
 import { requireArgument } from "../require_option.ts";
 import { type Command, ExitCode } from "../types.ts";
 import { readConfiguration } from "./check.ts";
@@ -19,7 +19,7 @@
   async run(input) {
     const directory = requireArgument(input, "DIRECTORY");
     const items = splitConfiguration(readConfiguration(directory));
-    const { body } = await callEntry(input, {
+    const body = await fetchFromEntry(input, {
       method: "GET",
       path: "/v1/admin/config",
     });
--- a/packages/cli/commands/status.ts
+++ b/packages/cli/commands/status.ts
@@ -1,4 +1,4 @@
-import { callEntry, ENTRY_HELP, ENTRY_OPTIONS } from "../entry_api.ts";
+import { ENTRY_HELP, ENTRY_OPTIONS, fetchFromEntry } from "../entry_api.ts";
 import { formatTable } from "../format_table.ts";
 import { type Command, ExitCode } from "../types.ts";
 
@@ -11,7 +11,7 @@
   help: ENTRY_HELP,
   async run(input) {
     const path = "/v1/admin/status";
-    const { body } = await callEntry(input, { method: "GET", path });
+    const body = await fetchFromEntry(input, { method: "GET", path });
     const header = [
       "entry",
       "reachable",
--- a/packages/cli/entry_api.ts
+++ b/packages/cli/entry_api.ts
@@ -61,6 +61,24 @@
   );
 }
 
+/**
+ * Calls an entry and returns the body of its answer.
+ *
+ * @throws {CommandError} as `callEntry`, and when the entry refuses the call
+ */
+export async function fetchFromEntry(
+  input: CommandInput,
+  call: EntryCall,
+): Promise<EntryAnswer["body"]> {
+  const { status, body } = await callEntry(input, call);
+  if (status < 300) return body;
+  const reason = body?.error ?? body?.detail ?? JSON.stringify(body);
+  throw new CommandError(
+    `Cannot ${call.method} ${call.path}: status ${status}, ${reason}`,
+    ExitCode.Failed,
+  );
+}
+
 async function sendEntryCall(
   entryUrl: string,
   call: EntryCall,
--- a/packages/cli/run_test.ts
+++ b/packages/cli/run_test.ts
@@ -1,4 +1,5 @@
 import { mkdtempSync, readFileSync } from "node:fs";
+import { createServer } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import test from "ava";
@@ -90,3 +91,41 @@
   const secondOutput = await runCommandLine([...args, "--file", file]);
   t.is(secondOutput.code, ExitCode.Invalid);
 });
+
+// Guards against commands that take the body of a refusal for an answer and print it,
+// or fail on a missing field, with the exit code of a success.
+test("commands fail when the entry refuses the call", async (t) => {
+  const server = createServer((_, response) => {
+    response.writeHead(503, { "content-type": "application/json" });
+    response.end(JSON.stringify({ error: "this entry is not ready" }));
+  });
+  await new Promise<void>((resolve) =>
+    server.listen(7_305, "127.54.0.9", resolve)
+  );
+  t.teardown(() => server.close());
+  const config = "examples/vanua/config";
+  for (
+    const command of [
+      ["status"],
+      ["dump"],
+      ["drain"],
+      ["plan", config],
+      ["apply", config],
+      ["apply", config, "--base", "1"],
+      ["cancel", "a~b~c"],
+      ["submit", "--queue", "all"],
+      ["job", "status", "1", "--queue", "all"],
+    ]
+  ) {
+    const output = await runCommandLine([
+      ...command,
+      "--entry",
+      "http://127.54.0.9:7305",
+      "--key",
+      "k",
+    ]);
+    t.is(output.code, ExitCode.Failed, command.join(" "));
+    t.is(output.text, undefined, command.join(" "));
+    t.regex(output.error ?? "", /not ready/, command.join(" "));
+  }
+});
