Keep the room and the quota of runs of ended jobs at a take-over

An ended job is not restored, so a new owner did not know what its runs, which a stop leaves running for up to 400 ms, take. It took the capacity of the endpoint instead, as it was at that moment: 0 until the list of endpoints came. Charges to the quota were lost in the same way, and also when a job was cancelled or a gang was done before the endpoint of an unlocated task had answered.

Adopting the run takes its cost. A run of which nothing is known fills its endpoint and the quota of its organisation until it ends, by a demand that exceeds any capacity and is not a copy of one.

All seven tests of tests/cell/room_at_take_over_test.ts failed before the change and pass with it. Stops of the fake endpoint can take time.

--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -90,6 +90,7 @@
       ready: new Set(),
       awaitingStartTime: new Set(),
       unlocated: new Map(),
+      remnants: new Map(),
       unlocatedUntil: 0,
       stoppingRuns: new Set(),
       shareMeter: new ShareMeter(),
--- a/packages/cell/constants.ts
+++ b/packages/cell/constants.ts
@@ -1,6 +1,19 @@
+import type { Demand } from "../jobs/mod.ts";
+
 /** Fraction by which an endpoint's clock may run slower than the owner's. */
 export const CLOCK_DRIFT = 0.02;
 
+/**
+ * Demand and charge of a run of which nothing is known, in the units of
+ * `Demand`: more than any endpoint or quota holds. An integer that is exact in
+ * sums, because it is subtracted again.
+ */
+export const UNKNOWN_DEMAND: Readonly<Demand> = {
+  milliCores: 2 ** 40,
+  memoryMb: 2 ** 40,
+  accelerators: 2 ** 40,
+};
+
 /** Added to the end of a lease to cover message delay, in milliseconds. */
 export const LEASE_MARGIN_MS = 250;
 
--- a/packages/cell/endpoints.ts
+++ b/packages/cell/endpoints.ts
@@ -8,6 +8,7 @@
 } from "./constants.ts";
 import { type CurrentTime, releaseRun } from "./task_ends.ts";
 import { addDecision, type CellState } from "./state.ts";
+import { mayHideRuns, settleRemnants } from "./remnants.ts";
 import { removeUnlocated } from "./stages.ts";
 import { DecisionKind, type Endpoint, type EndpointInfo } from "./types.ts";
 
@@ -93,14 +94,14 @@
   settleUnlocated(state, time.now);
 }
 
-/** Requeues the unlocated tasks that certainly do not run any more. */
+/**
+ * Requeues the unlocated tasks that certainly do not run any more, and drops the
+ * remnants of which that holds.
+ */
 export function settleUnlocated(state: CellState, now: number): void {
-  if (state.unlocated.size === 0) return;
+  settleRemnants(state, now);
   for (const taskRef of [...state.unlocated.values()]) {
-    const endpoint = state.endpoints.get(taskRef.task.placedOn);
-    const mayStillRun = endpoint && !endpoint.hasAcceptedFence &&
-      !endpoint.isReplaced;
-    if (mayStillRun && now < state.unlocatedUntil) continue;
+    if (mayHideRuns(state, taskRef.task.placedOn, now)) continue;
     removeUnlocated(state, taskRef);
   }
 }
--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -1,6 +1,6 @@
 import { RecordKind } from "../journal/mod.ts";
 import { EndKind, getCapacityDemand, parseTaskName } from "../jobs/mod.ts";
-import { LATE_ORDER_MS, STALL_MS } from "./constants.ts";
+import { LATE_ORDER_MS, STALL_MS, UNKNOWN_DEMAND } from "./constants.ts";
 import {
   type CurrentTime,
   recordEnd,
@@ -11,6 +11,7 @@
 } from "./task_ends.ts";
 import { noteLeaseSent, settleUnlocated } from "./endpoints.ts";
 import { addDecision, addRun, type CellState, removeWaiting } from "./state.ts";
+import { claimRemnant } from "./remnants.ts";
 import { findTask, getStep, removeUnlocated } from "./stages.ts";
 import { planPaces } from "./colocation.ts";
 import { sendStop, stopRun } from "./stop_run.ts";
@@ -193,15 +194,11 @@
 ): Run {
   const { listedRun, times } = options;
   const taskRef = findTask(state, listedRun.task);
-  const step = taskRef && getStep(taskRef.stage);
   const run: Run = {
     task: listedRun.task,
     number: listedRun.run,
     endpoint,
-    // A run of an unknown task is taken to occupy the whole endpoint.
-    demand: step ? getCapacityDemand(step) : endpoint.info.capacity,
-    charge: step?.demand ?? endpoint.info.capacity,
-    organisation: taskRef?.stage.job.spec.organisation ?? "",
+    ...computeRunCost(state, endpoint, listedRun.task),
     phase: RunPhase.Running,
     lastChangedAt: times.now,
     startedAt: times.now,
@@ -231,11 +228,40 @@
   task.phase = TaskPhase.Placed;
   removeWaiting(state, stage);
   task.run = run;
+  task.placedOn = endpoint.info.id;
   task.lastRun = Math.max(task.lastRun, listedRun.run);
   stage.job.hasStarted = true;
   return run;
 }
 
+/**
+ * Computes what a listed run takes from its endpoint and its organisation's
+ * quota. A run of which nothing is known fills both until it ends.
+ */
+function computeRunCost(
+  state: CellState,
+  endpoint: Endpoint,
+  task: string,
+): Pick<Run, "demand" | "charge" | "organisation"> {
+  const remnant = claimRemnant(state, { task, endpoint: endpoint.info.id });
+  const stage = findTask(state, task)?.stage;
+  if (stage) {
+    const step = getStep(stage);
+    return {
+      demand: getCapacityDemand(step),
+      charge: step.demand,
+      organisation: stage.job.spec.organisation,
+    };
+  }
+  if (remnant) {
+    const { demand, charge, organisation } = remnant;
+    return { demand, charge, organisation };
+  }
+  const endedJob = state.ended.get(parseTaskName(task)?.job ?? "");
+  const organisation = endedJob?.organisation ?? "";
+  return { demand: UNKNOWN_DEMAND, charge: UNKNOWN_DEMAND, organisation };
+}
+
 /**
  * Updates the progress of a run. Stops a run without progress, so that its task
  * is restarted elsewhere.
--- /dev/null
+++ b/packages/cell/remnants.ts
@@ -0,0 +1,96 @@
+import { addDemand, getCapacityDemand } from "../jobs/mod.ts";
+import { type CellState, getUsage } from "./state.ts";
+import { findTask, getStep, removeUnlocated } from "./stages.ts";
+import type { Remnant, Stage, Task } from "./types.ts";
+
+/**
+ * Returns whether an endpoint may still have runs of former owners that this
+ * owner has not seen. An endpoint that is not known was dropped: it had none.
+ */
+export function mayHideRuns(
+  state: CellState,
+  endpointId: string,
+  now: number,
+): boolean {
+  const endpoint = state.endpoints.get(endpointId);
+  return endpoint !== undefined && !endpoint.hasAcceptedFence &&
+    !endpoint.isReplaced && now < state.unlocatedUntil;
+}
+
+/** Adds a remnant and charges it to the quota of its organisation. */
+export function addRemnant(state: CellState, remnant: Remnant): void {
+  const key = formatKey(remnant);
+  if (state.remnants.has(key)) return;
+  state.remnants.set(key, remnant);
+  addDemand(getUsage(state, remnant.organisation), remnant.charge);
+}
+
+/** Adds a remnant for a task that may still run where it was placed. */
+export function addTaskRemnant(
+  state: CellState,
+  { stage, task }: { stage: Stage; task: Task },
+): void {
+  if (task.placedOn === "") return;
+  const step = getStep(stage);
+  addRemnant(state, {
+    task: task.name,
+    endpoint: task.placedOn,
+    demand: getCapacityDemand(step),
+    charge: step.demand,
+    organisation: stage.job.spec.organisation,
+  });
+}
+
+/** Turns an unlocated task that needs no further run into a remnant. */
+export function releaseUnlocated(
+  state: CellState,
+  taskRef: { stage: Stage; task: Task },
+): void {
+  if (!state.unlocated.has(taskRef.task.name)) return;
+  removeUnlocated(state, taskRef);
+  addTaskRemnant(state, taskRef);
+}
+
+/** Removes a remnant whose run is listed now, and returns it. */
+export function claimRemnant(
+  state: CellState,
+  place: { task: string; endpoint: string },
+): Remnant | undefined {
+  const remnant = state.remnants.get(formatKey(place));
+  if (remnant) removeRemnant(state, remnant);
+  return remnant;
+}
+
+/** Removes the remnants that certainly do not run any more. */
+export function settleRemnants(state: CellState, now: number): void {
+  for (const remnant of [...state.remnants.values()]) {
+    if (mayHideRuns(state, remnant.endpoint, now)) continue;
+    removeRemnant(state, remnant);
+  }
+}
+
+/**
+ * Collects the remnants and the runs that no task of an unfinished job names,
+ * for a snapshot: a later owner cannot compute what they take.
+ */
+export function collectRemnants(state: CellState): Remnant[] {
+  const remnants = [...state.remnants.values()];
+  for (const endpoint of state.endpoints.values()) {
+    for (const run of endpoint.runs.values()) {
+      if (findTask(state, run.task)?.task.run === run) continue;
+      const { task, demand, charge, organisation } = run;
+      const { id } = endpoint.info;
+      remnants.push({ task, endpoint: id, demand, charge, organisation });
+    }
+  }
+  return remnants;
+}
+
+function removeRemnant(state: CellState, remnant: Remnant): void {
+  state.remnants.delete(formatKey(remnant));
+  addDemand(getUsage(state, remnant.organisation), remnant.charge, -1);
+}
+
+function formatKey(place: { task: string; endpoint: string }): string {
+  return `${place.task}@${place.endpoint}`;
+}
--- a/packages/cell/snapshot.ts
+++ b/packages/cell/snapshot.ts
@@ -2,12 +2,14 @@
 import { type JobSpec, JobState } from "../jobs/mod.ts";
 import { applyEnd, type CurrentTime } from "./task_ends.ts";
 import { makeEndpoint } from "./endpoints.ts";
+import { addRemnant, addTaskRemnant, collectRemnants } from "./remnants.ts";
 import type { CellState } from "./state.ts";
 import { addUnlocated, buildJob, findTask, openStages } from "./stages.ts";
 import {
   type EndedJob,
   type Endpoint,
   type Job,
+  type Remnant,
   type Stage,
   type Task,
   TaskPhase,
@@ -38,6 +40,8 @@
   jobs: JobSnapshot[];
   ended: [string, EndedJob][];
   endpoints: { id: string; address: string; service: string }[];
+  /** Missing in snapshots of earlier versions. */
+  remnants?: Remnant[];
 }
 
 /** Exports the durable state with all decisions so far, committed or not. */
@@ -53,6 +57,7 @@
     jobs: [...state.jobs.values()].map(describeJob),
     ended: [...state.ended],
     endpoints,
+    remnants: collectRemnants(state),
   };
 }
 
@@ -71,18 +76,30 @@
   for (const endpoint of contents.snapshot?.endpoints ?? []) {
     restoreEndpoint(state, endpoint);
   }
+  for (const remnant of contents.snapshot?.remnants ?? []) {
+    addRemnant(state, remnant);
+  }
   for (const job of contents.snapshot?.jobs ?? []) {
     restoreJob(state, job, time);
   }
   for (const record of contents.records) applyRecord(state, record, time);
   for (const job of state.jobs.values()) {
-    if (job.outcome) {
-      finishJob(state, job, time);
-      continue;
-    }
-    openStages(state, job, time);
-    for (const stage of job.stages) {
-      for (const task of stage.tasks) addUnlocated(state, { stage, task });
+    restorePlacements(state, job);
+    if (job.outcome) finishJob(state, job, time);
+    else openStages(state, job, time);
+  }
+}
+
+/**
+ * Marks the placed tasks of a job as possibly running: as unlocated if they need
+ * to run, otherwise as remnants.
+ */
+function restorePlacements(state: CellState, job: Job): void {
+  for (const stage of job.stages) {
+    for (const task of stage.tasks) {
+      const isNeeded = !job.outcome && task.phase !== TaskPhase.Done;
+      if (isNeeded) addUnlocated(state, { stage, task });
+      else addTaskRemnant(state, { stage, task });
     }
   }
 }
--- a/packages/cell/state.ts
+++ b/packages/cell/state.ts
@@ -11,6 +11,7 @@
   Job,
   Order,
   OrganisationRules,
+  Remnant,
   Run,
   Stage,
   Task,
@@ -26,7 +27,10 @@
   ended: Map<string, EndedJob>;
   endpoints: Map<string, Endpoint>;
   organisations: Map<string, OrganisationRules>;
-  /** Resources in use by each organisation, unlocated tasks included. */
+  /**
+   * Resources in use by each organisation, unlocated tasks and remnants
+   * included.
+   */
   usage: Map<string, Demand>;
   /** Ready stages with waiting tasks. */
   ready: Set<Stage>;
@@ -34,6 +38,8 @@
   awaitingStartTime: Set<Stage>;
   /** Tasks that may still run where a former owner placed them, by name. */
   unlocated: Map<string, { stage: Stage; task: Task }>;
+  /** Runs of former owners that no task needs, by task and endpoint. */
+  remnants: Map<string, Remnant>;
   /**
    * From this time on no run of a former owner is left, not even on an endpoint
    * that this owner has no contact with.
--- a/packages/cell/task_ends.ts
+++ b/packages/cell/task_ends.ts
@@ -9,7 +9,8 @@
   removeRun,
   removeWaiting,
 } from "./state.ts";
-import { findTask, getStep, openStages, removeUnlocated } from "./stages.ts";
+import { releaseUnlocated } from "./remnants.ts";
+import { findTask, getStep, openStages } from "./stages.ts";
 import {
   DecisionKind,
   type Endpoint,
@@ -156,7 +157,7 @@
     state.ready.delete(stage);
     state.awaitingStartTime.delete(stage);
     for (const task of stage.tasks) {
-      removeUnlocated(state, { stage, task });
+      releaseUnlocated(state, { stage, task });
       // The run of a done task ends by itself; its end is not listed yet.
       if (task.run && task.phase !== TaskPhase.Done) {
         stopRun(state, task.run, options);
@@ -208,7 +209,7 @@
   const tasks = getStep(stage).gang ? stage.tasks : [taskRef.task];
   for (const task of tasks) {
     if (task.phase === TaskPhase.Done) continue;
-    removeUnlocated(state, { stage, task });
+    releaseUnlocated(state, { stage, task });
     if (task.phase === TaskPhase.Waiting) {
       removeWaiting(state, stage);
     }
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -185,6 +185,22 @@
   placedOn: string;
 }
 
+/**
+ * What may still run where a former owner placed it although its task needs no
+ * further run: the job has ended, or the task is done. It counts towards the
+ * quota until the endpoint's listing settles it.
+ */
+export interface Remnant {
+  task: string;
+  /** Id of the endpoint. */
+  endpoint: string;
+  /** Resources taken from the endpoint's capacity. */
+  demand: Demand;
+  /** Resources charged to the organisation's quota. */
+  charge: Demand;
+  organisation: string;
+}
+
 /** Permission from the policy service to start a step on one endpoint. */
 export interface Ticket {
   ticket: string;
--- a/tests/cell/cell_site.ts
+++ b/tests/cell/cell_site.ts
@@ -219,8 +219,11 @@
     }
   }
 
-  /** Replaces the owner; commits of the former owner in flight are lost. */
-  replaceOwner(): void {
+  /**
+   * Replaces the owner; commits of the former owner in flight are lost. The new
+   * owner does not know the list of endpoints yet if `isListLate`.
+   */
+  replaceOwner({ isListLate = false } = {}): void {
     this.fence++;
     this.#commits = [];
     this.#polledAt.clear();
@@ -229,7 +232,7 @@
       { snapshot: this.snapshot, records: structuredClone(this.journal) },
       { formerRunsEndAt: this.now + FORMER_LEASES_MS, time: this.time },
     );
-    this.applyEndpointList();
+    if (!isListLate) this.applyEndpointList();
   }
 
   /** Takes a snapshot and clears the journal that it replaces. */
--- a/tests/cell/fake_endpoint.ts
+++ b/tests/cell/fake_endpoint.ts
@@ -19,6 +19,8 @@
   demand: Demand;
   /** Speed that the scheduler allows, in percent of full speed. */
   pace: number;
+  /** When an ordered stop ends the run; undefined: no stop was ordered. */
+  stopsAt?: number;
 }
 
 /** In-memory endpoint with fencing, lifetimes, leases and a list of ends. */
@@ -37,6 +39,8 @@
   highestEndedRuns = new Map<string, number>();
   /** Orders and polls do not reach the endpoint. */
   isUnreachable = false;
+  /** Returns how long a stop takes, in milliseconds. */
+  getStopMs: () => number = () => 0;
   /** Its runs report no progress. */
   isStalled = false;
   /** Returns the progress of a run in percent; the default changes over time. */
@@ -98,7 +102,10 @@
     );
     this.highestEndedRuns.set(order.task, highestRun);
     const run = this.runs.get(order.task);
-    if (run && run.run <= order.run) this.#end(run, EndKind.Stopped);
+    if (run && run.run <= order.run) {
+      run.stopsAt ??= now + this.getStopMs();
+      this.advance(now);
+    }
     return StopResult.Acknowledged;
   }
 
@@ -148,6 +155,8 @@
       const leaseExpiresAt = this.bornAt + this.leaseEndsAt;
       if (leaseExpiresAt <= Math.min(now, run.endsAt)) {
         this.#end(run, EndKind.LeaseExpired);
+      } else if (run.stopsAt !== undefined && run.stopsAt <= now) {
+        this.#end(run, EndKind.Stopped);
       } else if (run.endsAt <= now) this.#end(run, run.endKind);
     }
   }
--- /dev/null
+++ b/tests/cell/room_at_take_over_test.ts
@@ -0,0 +1,132 @@
+import test, { type ExecutionContext } from "ava";
+import { EndKind } from "../../packages/jobs/mod.ts";
+import { CellSite, makeJob, makeQueue, makeStep } from "./cell_site.ts";
+
+const QUEUE = makeQueue({ attempts: 1 });
+const STOP_MS = 400;
+
+/** Makes a site whose endpoint runs `a` in full and takes time to stop it. */
+function runFullEndpoint(): CellSite {
+  const site = new CellSite({ endpoints: 1, afterMs: 60_000 });
+  for (const fake of site.endpoints.values()) fake.getStopMs = () => STOP_MS;
+  site.advance(200);
+  site.submit(makeJob("a", [makeStep({ tasks: 8 })], { queue: QUEUE }));
+  site.advance(300);
+  return site;
+}
+
+/** Lets a listing arrive before the list of endpoints, then submits work. */
+function takeOverAndSubmit(t: ExecutionContext, site: CellSite): void {
+  site.replaceOwner({ isListLate: true });
+  site.advance(20);
+  const [endpoint] = site.cell.state.endpoints.values();
+  t.true(endpoint.runs.size > 0 && !endpoint.isListed);
+  site.applyEndpointList();
+  site.submit(makeJob("b", [makeStep({ tasks: 8 })]));
+  site.advance(2_000);
+  const [fake] = site.endpoints.values();
+  t.is(fake.runs.size, 8);
+  t.deepEqual(site.checker.violations, []);
+}
+
+/** Ends job `a` and advances until the store holds that. */
+const END_CASES: [string, (site: CellSite) => void][] = [
+  ["cancelled", (site) => {
+    site.cancel("a");
+    site.advance(30);
+  }],
+  ["failed", (site) => {
+    const [fake] = site.endpoints.values();
+    const [run] = fake.runs.values();
+    run.endsAt = site.now;
+    run.endKind = EndKind.Failed;
+    site.advance(130);
+  }],
+  ["cancelled, and is known from a snapshot only", (site) => {
+    site.cancel("a");
+    site.advance(30);
+    site.takeSnapshot();
+  }],
+  ["cancelled and forgotten", (site) => {
+    site.cancel("a");
+    site.advance(30);
+    site.takeSnapshot();
+    site.snapshot = {
+      jobs: [],
+      ended: [],
+      endpoints: site.snapshot!.endpoints,
+    };
+  }],
+];
+
+for (const [how, endJob] of END_CASES) {
+  // Regression: a new owner took the demand of such a run to be the capacity of
+  // its endpoint, which was 0 until the list of endpoints came.
+  test(`a listed run keeps its room at a take-over although its job is ${how}`, (t) => {
+    const site = runFullEndpoint();
+    endJob(site);
+    takeOverAndSubmit(t, site);
+  });
+}
+
+const QUOTA = { milliCores: 8_000, memoryMb: 80_000, accelerators: 0 };
+
+/** Sets and checks a quota that one endpoint fills. */
+function setQuota(site: CellSite): void {
+  site.checker.setQuota(QUOTA);
+  site.cell.updateOrganisations([{ name: "norte", weight: 9, cap: QUOTA }]);
+}
+
+for (const isFromSnapshot of [false, true]) {
+  const source = isFromSnapshot ? "a snapshot" : "records";
+  // Regression: only the tasks of unfinished jobs were restored, so that what a
+  // cancelled job still ran out of reach did not count.
+  test(`runs of a cancelled job on an unreachable endpoint count towards the quota, restored from ${source}`, (t) => {
+    const site = new CellSite({ endpoints: 2, afterMs: 60_000 });
+    setQuota(site);
+    for (const fake of site.endpoints.values()) fake.getStopMs = () => STOP_MS;
+    site.submit(makeJob("a", [makeStep({ tasks: 8 })]));
+    site.advance(500);
+    for (const fake of site.endpoints.values()) {
+      fake.isUnreachable = fake.runs.size > 0;
+    }
+    site.cancel("a");
+    site.advance(30);
+    if (isFromSnapshot) site.takeSnapshot();
+    site.replaceOwner();
+    setQuota(site);
+    site.submit(makeJob("b", [makeStep({ tasks: 8 })]));
+    site.advance(1_000);
+    t.is(site.checker.starts, 8);
+    site.advance(15_000);
+    t.is(site.checker.starts, 16);
+    t.deepEqual(site.checker.violations, []);
+    t.is(site.cell.state.usage.get("norte")?.milliCores, 8_000);
+    t.is(site.cell.state.remnants.size, 0);
+  });
+}
+
+test("a job cancelled by the new owner before its endpoint answers still counts towards the quota", (t) => {
+  // Regression: cancelling a job released the charge of its unlocated tasks at
+  // once.
+  const site = new CellSite({ endpoints: 2, afterMs: 60_000 });
+  setQuota(site);
+  site.submit(makeJob("a", [makeStep({ tasks: 8 })]));
+  site.advance(500);
+  for (const fake of site.endpoints.values()) {
+    fake.isUnreachable = fake.runs.size > 0;
+  }
+  site.replaceOwner();
+  setQuota(site);
+  site.cancel("a");
+  site.advance(50);
+  site.submit(makeJob("b", [makeStep({ tasks: 8 })]));
+  site.advance(1_000);
+  for (const fake of site.endpoints.values()) {
+    fake.isUnreachable = false;
+    fake.getStopMs = () => STOP_MS;
+  }
+  site.advance(2_000);
+  t.is(site.checker.starts, 16);
+  t.deepEqual(site.checker.violations, []);
+});
