Start nothing before the owner knows the quotas

A new owner whose entry had not read the configuration yet had no rules of organisations, which counted as no quotas: it could start work beyond every cap (QUOTA), for as long as the store did not answer the first read.

Admission still takes an unknown share as unlimited, because that only decides the order. The test "nothing starts before a new owner knows the quotas" failed before the change and passes with it; the owners of the randomised runs now get the configuration that their records decode.

--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -85,7 +85,7 @@
       jobs: new Map(),
       ended: new Map(),
       endpoints: new Map(),
-      organisations: new Map(),
+      organisations: undefined,
       usage: new Map(),
       ready: new Set(),
       awaitingStartTime: new Set(),
@@ -151,7 +151,7 @@
     }
     const error = findJobError(spec);
     if (error) return { admission: Admission.Refused, reason: error };
-    const rules = state.organisations.get(spec.organisation);
+    const rules = state.organisations?.get(spec.organisation);
     const isOverShare = state.shareMeter.checkOverShare(spec.organisation, {
       jobsPerSecond: rules?.weight ?? 0,
       now: time.now,
@@ -238,7 +238,7 @@
     updateEndpoints(this.state, infos);
   }
 
-  /** Replaces the rules of all organisations. */
+  /** Replaces the rules of all organisations; nothing starts before that. */
   updateOrganisations(rules: readonly OrganisationRules[]): void {
     this.state.organisations = new Map(rules.map((rule) => [rule.name, rule]));
   }
--- a/packages/cell/placement.ts
+++ b/packages/cell/placement.ts
@@ -104,9 +104,13 @@
   return Math.min(fittingCount, countBelowEndpointLimit(endpoint, stage, step));
 }
 
-/** Counts how many tasks of a stage its organisation's quota still permits. */
+/**
+ * Counts how many tasks of a stage its organisation's quota still permits: none
+ * until the rules of the organisations are known.
+ */
 export function countWithinQuota(state: CellState, stage: Stage): number {
   const { organisation } = stage.job.spec;
+  if (!state.organisations) return 0;
   const cap = state.organisations.get(organisation)?.cap;
   if (!cap) return Number.MAX_SAFE_INTEGER;
   const capacity = {
--- a/packages/cell/state.ts
+++ b/packages/cell/state.ts
@@ -26,7 +26,8 @@
   jobs: Map<string, Job>;
   ended: Map<string, EndedJob>;
   endpoints: Map<string, Endpoint>;
-  organisations: Map<string, OrganisationRules>;
+  /** Rules of the organisations; `undefined` until they are known. */
+  organisations: Map<string, OrganisationRules> | undefined;
   /**
    * Resources in use by each organisation, unlocated tasks and remnants
    * included.
--- a/tests/cell/cell_site.ts
+++ b/tests/cell/cell_site.ts
@@ -162,6 +162,7 @@
     this.endRule = () => ({ afterMs, endKind: EndKind.Done });
     this.policies = { ...DEFAULT_POLICIES, ...options.policies };
     this.cell = this.#makeCell(1);
+    this.cell.updateOrganisations([]);
     this.applyEndpointList();
   }
 
@@ -221,13 +222,15 @@
 
   /**
    * Replaces the owner; commits of the former owner in flight are lost. The new
-   * owner does not know the list of endpoints yet if `isListLate`.
+   * owner does not know the list of endpoints yet if `isListLate`, and not the
+   * rules of organisations if `areRulesLate`.
    */
-  replaceOwner({ isListLate = false } = {}): void {
+  replaceOwner({ isListLate = false, areRulesLate = false } = {}): void {
     this.fence++;
     this.#commits = [];
     this.#polledAt.clear();
     this.cell = this.#makeCell(this.fence);
+    if (!areRulesLate) this.cell.updateOrganisations([]);
     this.cell.restore(
       { snapshot: this.snapshot, records: structuredClone(this.journal) },
       { formerRunsEndAt: this.now + FORMER_LEASES_MS, time: this.time },
--- a/tests/cell/room_at_take_over_test.ts
+++ b/tests/cell/room_at_take_over_test.ts
@@ -77,6 +77,21 @@
   site.cell.updateOrganisations([{ name: "norte", weight: 9, cap: QUOTA }]);
 }
 
+test("nothing starts before a new owner knows the quotas", (t) => {
+  // Regression: no rules of organisations counted as no quotas.
+  const site = new CellSite({ endpoints: 2, afterMs: 60_000 });
+  setQuota(site);
+  site.submit(makeJob("a", [makeStep({ tasks: 16 })]));
+  site.advance(500);
+  t.is(site.checker.starts, 8);
+  site.replaceOwner({ areRulesLate: true });
+  site.advance(500);
+  t.is(site.checker.starts, 8);
+  site.cell.updateOrganisations([]);
+  site.advance(500);
+  t.is(site.checker.starts, 16);
+});
+
 for (const isFromSnapshot of [false, true]) {
   const source = isFromSnapshot ? "a snapshot" : "records";
   // Regression: only the tasks of unfinished jobs were restored, so that what a
--- a/tests/virtual/owner_site.ts
+++ b/tests/virtual/owner_site.ts
@@ -212,7 +212,7 @@
       getLargestPeerCores: () => 1,
       onReady: () => {},
       onHandover: () => {},
-      getConfig: () => undefined,
+      getConfig: () => new EndpointIdRecords().decodeConfig(),
       onDeposed: (reason) => this.election.noteDeposed(reason),
     });
     void this.role.start();
