Record that an endpoint was dropped while its use is being recorded

Nothing else was affected, as no task is placed before that commit.

The test "an endpoint that leaves before its record is committed is not restored" failed before the change and passes with it.

--- a/packages/cell/endpoints.ts
+++ b/packages/cell/endpoints.ts
@@ -156,7 +156,8 @@
 
 function dropEndpoint(state: CellState, endpoint: Endpoint): void {
   state.endpoints.delete(endpoint.info.id);
-  if (!endpoint.isRecorded) return;
+  // A record in flight is committed before this one.
+  if (!endpoint.isRecorded && !endpoint.isRecording) return;
   state.output.records.push({
     kind: RecordKind.EndpointDropped,
     endpoint: endpoint.info.id,
--- a/tests/cell/room_at_take_over_test.ts
+++ b/tests/cell/room_at_take_over_test.ts
@@ -145,3 +145,23 @@
   t.is(site.checker.starts, 16);
   t.deepEqual(site.checker.violations, []);
 });
+
+test("an endpoint that leaves before its record is committed is not restored", (t) => {
+  // Regression: the record that it was dropped was omitted while the record of
+  // its use was in flight, so every later owner polled it.
+  const site = new CellSite({ endpoints: 2 });
+  site.commitMs = 100;
+  site.advance(30);
+  const { cell } = site;
+  t.true(
+    [...cell.state.endpoints.values()].every((endpoint) =>
+      endpoint.isRecording && !endpoint.isRecorded
+    ),
+  );
+  site.endpoints.delete("e0");
+  site.applyEndpointList();
+  site.advance(500);
+  t.false(cell.state.endpoints.has("e0"));
+  site.replaceOwner({ isListLate: true });
+  t.deepEqual([...site.cell.state.endpoints.keys()], ["e1"]);
+});
