Count every run of a step towards its limit on an endpoint

The limit of a step's tasks on one endpoint counted the current runs of its tasks only.

Now every run on the endpoint that belongs to a task of the step counts. The checker judges the limit at the endpoint.

--- a/packages/cell/placement.ts
+++ b/packages/cell/placement.ts
@@ -134,7 +134,10 @@
   return [...racks.values()];
 }
 
-/** Counts how many more tasks `maxPerEndpoint` permits on an endpoint. */
+/**
+ * Counts how many more tasks `maxPerEndpoint` permits on an endpoint. Runs that
+ * are being stopped count, whether they are their task's current run or not.
+ */
 function countBelowEndpointLimit(
   endpoint: Endpoint,
   stage: Stage,
@@ -142,8 +145,8 @@
 ): number {
   if (step.maxPerEndpoint <= 0) return Number.MAX_SAFE_INTEGER;
   let running = 0;
-  for (const { run } of stage.tasks) {
-    if (run?.endpoint === endpoint) running++;
+  for (const { name } of stage.tasks) {
+    if (endpoint.runs.has(name)) running++;
   }
   return Math.max(0, step.maxPerEndpoint - running);
 }
--- a/tests/cell/invariant_checker.ts
+++ b/tests/cell/invariant_checker.ts
@@ -3,6 +3,7 @@
   type Demand,
   EndKind,
   fitsInto,
+  formatStageName,
   type JobSpec,
   makeZeroDemand,
   parseTaskName,
@@ -54,6 +55,7 @@
     }
     this.#checkSingleRun(endpoints, endpoint, run);
     this.#checkCapacity(endpoint, run);
+    this.#checkEndpointLimit(job, endpoint, run);
     this.#checkDependencies(job, taskParts);
     this.#checkQuota(endpoints);
   }
@@ -97,6 +99,23 @@
     this.violations.push(`${endpoint.id} exceeds its capacity`);
   }
 
+  /** Checks `maxPerEndpoint`; runs that are being stopped count too. */
+  #checkEndpointLimit(
+    job: JobSpec,
+    endpoint: FakeEndpoint,
+    run: FakeRun,
+  ): void {
+    const { job: id, occurrence, step } = parseTaskName(run.task)!;
+    const { maxPerEndpoint } = job.steps[step];
+    if (maxPerEndpoint === 0) return;
+    const stage = formatStageName({ job: id, occurrence, step });
+    const running = [...endpoint.runs.keys()].filter((task) =>
+      task.startsWith(`${stage}.`)
+    );
+    if (running.length <= maxPerEndpoint) return;
+    this.violations.push(`${stage} exceeds its limit on ${endpoint.id}`);
+  }
+
   #checkDependencies(
     job: JobSpec,
     taskParts: { job: string; occurrence: number; step: number },
--- a/tests/cell/room_at_take_over_test.ts
+++ b/tests/cell/room_at_take_over_test.ts
@@ -165,3 +165,22 @@
   site.replaceOwner({ isListLate: true });
   t.deepEqual([...site.cell.state.endpoints.keys()], ["e1"]);
 });
+
+test("a run that is not its task's current one counts towards the limit of its step on an endpoint", (t) => {
+  // Regression: only the current runs of the step's tasks were counted, so that
+  // another one started beside a late run that was being stopped.
+  const site = new CellSite({ endpoints: 1, afterMs: 60_000 });
+  const [fake] = site.endpoints.values();
+  fake.getStopMs = () => STOP_MS;
+  site.submit(makeJob("a", [makeStep({ tasks: 3, maxPerEndpoint: 1 })]));
+  site.advance(500);
+  const [run] = fake.runs.values();
+  const lateRun = { ...run, task: "a.0.0.2", run: 1 };
+  fake.runs.set(lateRun.task, lateRun);
+  site.advance(150);
+  run.endsAt = site.now;
+  site.advance(1_500);
+  t.is(site.checker.done.size, 1);
+  t.is(site.checker.starts, 2);
+  t.deepEqual(site.checker.violations, []);
+});
