Log what the owner takes a run's demand and its endpoint's room to be

No decision changes; the computation of a listed run's cost moves to remnants.ts. The tests of packages/cell, the take-overs and the house style pass.

--- a/packages/cell/endpoints.ts
+++ b/packages/cell/endpoints.ts
@@ -101,7 +101,8 @@
 export function settleUnlocated(state: CellState, now: number): void {
   settleRemnants(state, now);
   for (const taskRef of [...state.unlocated.values()]) {
-    if (mayHideRuns(state, taskRef.task.placedOn, now)) continue;
+    const endpointId = taskRef.task.placedOn;
+    if (mayHideRuns(state, { endpointId, now })) continue;
     removeUnlocated(state, taskRef);
   }
 }
--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -1,6 +1,6 @@
 import { RecordKind } from "../journal/mod.ts";
-import { EndKind, getCapacityDemand, parseTaskName } from "../jobs/mod.ts";
-import { LATE_ORDER_MS, STALL_MS, UNKNOWN_DEMAND } from "./constants.ts";
+import { EndKind, parseTaskName } from "../jobs/mod.ts";
+import { LATE_ORDER_MS, STALL_MS } from "./constants.ts";
 import {
   type CurrentTime,
   recordEnd,
@@ -10,8 +10,14 @@
   stopGang,
 } from "./task_ends.ts";
 import { noteLeaseSent, settleUnlocated } from "./endpoints.ts";
-import { addDecision, addRun, type CellState, removeWaiting } from "./state.ts";
-import { claimRemnant } from "./remnants.ts";
+import {
+  addDecision,
+  addRun,
+  type CellState,
+  describeRoom,
+  removeWaiting,
+} from "./state.ts";
+import { computeRunCost } from "./remnants.ts";
 import { findTask, getStep, removeUnlocated } from "./stages.ts";
 import { planPaces } from "./colocation.ts";
 import { sendStop, stopRun } from "./stop_run.ts";
@@ -194,11 +200,15 @@
 ): Run {
   const { listedRun, times } = options;
   const taskRef = findTask(state, listedRun.task);
+  const { source, ...cost } = computeRunCost(state, {
+    task: listedRun.task,
+    endpoint: endpoint.info.id,
+  });
   const run: Run = {
     task: listedRun.task,
     number: listedRun.run,
     endpoint,
-    ...computeRunCost(state, endpoint, listedRun.task),
+    ...cost,
     phase: RunPhase.Running,
     lastChangedAt: times.now,
     startedAt: times.now,
@@ -224,6 +234,9 @@
       isExpected,
       taskPhase: taskRef?.task.phase ?? "",
       placedOn: taskRef?.task.placedOn ?? "",
+      isListed: endpoint.isListed,
+      source,
+      ...describeRoom(run),
     },
   });
   if (!taskRef || !isExpected) {
@@ -241,34 +254,6 @@
   return run;
 }
 
-/**
- * Computes what a listed run takes from its endpoint and its organisation's
- * quota. A run of which nothing is known fills both until it ends.
- */
-function computeRunCost(
-  state: CellState,
-  endpoint: Endpoint,
-  task: string,
-): Pick<Run, "demand" | "charge" | "organisation"> {
-  const remnant = claimRemnant(state, { task, endpoint: endpoint.info.id });
-  const stage = findTask(state, task)?.stage;
-  if (stage) {
-    const step = getStep(stage);
-    return {
-      demand: getCapacityDemand(step),
-      charge: step.demand,
-      organisation: stage.job.spec.organisation,
-    };
-  }
-  if (remnant) {
-    const { demand, charge, organisation } = remnant;
-    return { demand, charge, organisation };
-  }
-  const endedJob = state.ended.get(parseTaskName(task)?.job ?? "");
-  const organisation = endedJob?.organisation ?? "";
-  return { demand: UNKNOWN_DEMAND, charge: UNKNOWN_DEMAND, organisation };
-}
-
 /**
  * Updates the progress of a run. Stops a run without progress, so that its task
  * is restarted elsewhere.
--- a/packages/cell/remnants.ts
+++ b/packages/cell/remnants.ts
@@ -1,7 +1,8 @@
-import { addDemand, getCapacityDemand } from "../jobs/mod.ts";
+import { addDemand, getCapacityDemand, parseTaskName } from "../jobs/mod.ts";
+import { UNKNOWN_DEMAND } from "./constants.ts";
 import { type CellState, getUsage } from "./state.ts";
 import { findTask, getStep, removeUnlocated } from "./stages.ts";
-import type { Remnant, Stage, Task } from "./types.ts";
+import type { Remnant, Run, Stage, Task } from "./types.ts";
 
 /**
  * Returns whether an endpoint may still have runs of former owners that this
@@ -9,8 +10,7 @@
  */
 export function mayHideRuns(
   state: CellState,
-  endpointId: string,
-  now: number,
+  { endpointId, now }: { endpointId: string; now: number },
 ): boolean {
   const endpoint = state.endpoints.get(endpointId);
   return endpoint !== undefined && !endpoint.hasAcceptedFence &&
@@ -51,20 +51,44 @@
   addTaskRemnant(state, taskRef);
 }
 
-/** Removes a remnant whose run is listed now, and returns it. */
-export function claimRemnant(
+/**
+ * Computes what a listed run takes from its endpoint and its organisation's
+ * quota. A run of which nothing is known fills both until it ends. `source`: what
+ * that was taken from, for the log.
+ */
+export function computeRunCost(
   state: CellState,
   place: { task: string; endpoint: string },
-): Remnant | undefined {
-  const remnant = state.remnants.get(formatKey(place));
-  if (remnant) removeRemnant(state, remnant);
-  return remnant;
+): Pick<Run, "demand" | "charge" | "organisation"> & { source: string } {
+  const remnant = claimRemnant(state, place);
+  const stage = findTask(state, place.task)?.stage;
+  if (stage) {
+    const step = getStep(stage);
+    return {
+      demand: getCapacityDemand(step),
+      charge: step.demand,
+      organisation: stage.job.spec.organisation,
+      source: "job",
+    };
+  }
+  if (remnant) {
+    const { demand, charge, organisation } = remnant;
+    return { demand, charge, organisation, source: "remnant" };
+  }
+  const endedJob = state.ended.get(parseTaskName(place.task)?.job ?? "");
+  const organisation = endedJob?.organisation ?? "";
+  return {
+    demand: UNKNOWN_DEMAND,
+    charge: UNKNOWN_DEMAND,
+    organisation,
+    source: "unknown",
+  };
 }
 
 /** Removes the remnants that certainly do not run any more. */
 export function settleRemnants(state: CellState, now: number): void {
   for (const remnant of [...state.remnants.values()]) {
-    if (mayHideRuns(state, remnant.endpoint, now)) continue;
+    if (mayHideRuns(state, { endpointId: remnant.endpoint, now })) continue;
     removeRemnant(state, remnant);
   }
 }
@@ -86,6 +110,16 @@
   return remnants;
 }
 
+/** Removes a remnant whose run is listed now, and returns it. */
+function claimRemnant(
+  state: CellState,
+  place: { task: string; endpoint: string },
+): Remnant | undefined {
+  const remnant = state.remnants.get(formatKey(place));
+  if (remnant) removeRemnant(state, remnant);
+  return remnant;
+}
+
 function removeRemnant(state: CellState, remnant: Remnant): void {
   state.remnants.delete(formatKey(remnant));
   addDemand(getUsage(state, remnant.organisation), remnant.charge, -1);
--- a/packages/cell/start_task.ts
+++ b/packages/cell/start_task.ts
@@ -3,7 +3,13 @@
 import { noteLeaseSent } from "./endpoints.ts";
 import { measureFreeCores, type PlacementPass } from "./placement_pass.ts";
 import { getStep } from "./stages.ts";
-import { addDecision, addPlacement, addRun, removeWaiting } from "./state.ts";
+import {
+  addDecision,
+  addPlacement,
+  addRun,
+  describeRoom,
+  removeWaiting,
+} from "./state.ts";
 import {
   DecisionKind,
   type Endpoint,
@@ -69,6 +75,7 @@
       endpoint: endpoint.info.id,
       bornAt: endpoint.bornAt,
       freeMilliCores: measureFreeCores(endpoint),
+      ...describeRoom(run),
     },
   });
 }
--- a/packages/cell/state.ts
+++ b/packages/cell/state.ts
@@ -149,6 +149,24 @@
   else placements.set(id, [[run.task, run.number]]);
 }
 
+/**
+ * Describes what a run takes and the room of its endpoint as the owner sees
+ * them, for the log: thousandths of a core, MB of memory, accelerators. `taken`
+ * is what all runs take there, this one included.
+ */
+export function describeRoom(run: Run): Record<string, number[]> {
+  const { info, used } = run.endpoint;
+  return {
+    demand: listAmounts(run.demand),
+    room: listAmounts(info.capacity),
+    taken: listAmounts(used),
+  };
+}
+
+function listAmounts(demand: Demand): number[] {
+  return [demand.milliCores, demand.memoryMb, demand.accelerators];
+}
+
 /** Adds a decision for the log. */
 export function addDecision(state: CellState, decision: Decision): void {
   state.output.decisions.push(decision);
