Start no task of which a run is still being stopped

A late order can start a run of a task that waits again. The owner stopped that run when it was listed, but could start the task beside it for the up to 400 ms of the stop. On another endpoint it then ran twice; on the same one the new run replaced the other in the owner's view, whose room and charge stayed taken until the next change of owner. The same was lost when a listed run had a higher number than the run of its task that the owner knew there.

A pass now leaves out tasks of which any run is being stopped, and a listed run takes the place of the earlier one. Three new tests in tests/cell/room_at_take_over_test.ts failed before the change and pass with it.

--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -15,6 +15,7 @@
   addRun,
   type CellState,
   describeRoom,
+  removeRun,
   removeWaiting,
 } from "./state.ts";
 import { computeRunCost } from "./remnants.ts";
@@ -189,9 +190,9 @@
 }
 
 /**
- * Adopts a run that a former owner or a late order started. Stops the run
- * unless its task is unlocated, that is, may still run where a former owner
- * placed it.
+ * Adopts a run that a former owner or a late order started; it takes the place
+ * of an earlier run of the task on the endpoint. Stops the run unless its task
+ * is unlocated, that is, may still run where a former owner placed it.
  */
 function adoptRun(
   state: CellState,
@@ -220,6 +221,11 @@
     isPaceOrderInFlight: false,
     gauge: listedRun.gauge,
   };
+  const earlierRun = endpoint.runs.get(listedRun.task);
+  if (earlierRun) {
+    removeRun(state, earlierRun);
+    if (taskRef?.task.run === earlierRun) taskRef.task.run = run;
+  }
   addRun(state, run);
   // A former owner may have granted a full lease just now.
   noteLeaseSent(endpoint, { now: times.now, leaseMs: state.leaseMs });
--- a/packages/cell/placement_pass.ts
+++ b/packages/cell/placement_pass.ts
@@ -12,6 +12,8 @@
 /** State of one planning pass over all ready stages. */
 export interface PlacementPass extends PlacementView {
   services: Map<string, ServiceView>;
+  /** Names of the tasks of which a run, current or not, is being stopped. */
+  stoppingTasks: Set<string>;
   /** Number of gangs that do not fit yet but reserve capacity in this pass. */
   reservedGangs: number;
 }
@@ -41,6 +43,7 @@
     now,
     reservations: new Map(),
     services: collectServices(state, now),
+    stoppingTasks: new Set([...state.stoppingRuns].map(({ task }) => task)),
     reservedGangs: 0,
   };
 }
--- a/packages/cell/plan.ts
+++ b/packages/cell/plan.ts
@@ -65,6 +65,7 @@
   for (const task of stage.tasks) {
     if (allowance <= 0) break;
     if (task.phase !== TaskPhase.Waiting || pass.now < task.notBefore) continue;
+    if (pass.stoppingTasks.has(task.name)) continue;
     const endpointsWithTicket = [...slots.keys()].filter((endpoint) =>
       hasTicket(pass, stage, endpoint)
     );
--- a/packages/cell/plan_gang.ts
+++ b/packages/cell/plan_gang.ts
@@ -57,7 +57,9 @@
     stopGang(pass.state, stage, pass);
     return false;
   }
-  return stage.tasks.every(({ notBefore }) => pass.now >= notBefore);
+  return stage.tasks.every(({ name, notBefore }) =>
+    pass.now >= notBefore && !pass.stoppingTasks.has(name)
+  );
 }
 
 /** Selects an endpoint for each task; `undefined` if the gang does not fit. */
--- a/tests/cell/room_at_take_over_test.ts
+++ b/tests/cell/room_at_take_over_test.ts
@@ -1,5 +1,5 @@
 import test, { type ExecutionContext } from "ava";
-import { EndKind } from "../../packages/jobs/mod.ts";
+import { EndKind, JobState } from "../../packages/jobs/mod.ts";
 import { CellSite, makeJob, makeQueue, makeStep } from "./cell_site.ts";
 
 const QUEUE = makeQueue({ attempts: 1 });
@@ -184,3 +184,55 @@
   t.is(site.checker.starts, 2);
   t.deepEqual(site.checker.violations, []);
 });
+
+for (const where of ["the same endpoint", "another endpoint"]) {
+  // Regression: the task was started beside its run that was being stopped. On
+  // the same endpoint, the new run replaced the other one in the owner's view,
+  // whose room and charge then stayed taken for good.
+  test(`a task waits until its late run has been stopped, with free room on ${where}`, (t) => {
+    const site = new CellSite({ endpoints: 2, afterMs: 60_000 });
+    const [fake, other] = site.endpoints.values();
+    for (const each of [fake, other]) each.getStopMs = () => STOP_MS;
+    site.submit(makeJob("b", [makeStep({ tasks: 16 })]));
+    site.advance(500);
+    site.submit(makeJob("a", [makeStep()]));
+    site.advance(50);
+    const [run] = fake.runs.values();
+    const lateRun = { ...run, task: "a.0.0.0", run: 1 };
+    fake.runs.set(lateRun.task, lateRun);
+    site.advance(150);
+    const [first, second] = (where === "another endpoint" ? other : fake).runs
+      .values();
+    first.endsAt = site.now;
+    second.endsAt = site.now;
+    site.advance(2_000);
+    t.is(site.checker.starts, 17);
+    t.deepEqual(site.checker.violations, []);
+    const used = [...site.cell.state.endpoints.values()].reduce(
+      (sum, endpoint) => sum + endpoint.used.milliCores,
+      0,
+    );
+    t.is(used, 15_000);
+    t.is(site.cell.state.usage.get("norte")?.milliCores, 15_000);
+  });
+}
+
+test("a listed run takes the place of an earlier run of its task on the endpoint", (t) => {
+  // Regression: the room and the charge of the earlier run stayed taken, and its
+  // task was never started again.
+  const site = new CellSite({ endpoints: 1 });
+  site.endRule = ({ run }) => ({
+    afterMs: run === 1 ? 60_000 : 500,
+    endKind: EndKind.Done,
+  });
+  site.submit(makeJob("a", [makeStep()]));
+  site.advance(500);
+  const [fake] = site.endpoints.values();
+  const [run] = fake.runs.values();
+  fake.runs.set(run.task, { ...run, run: 2 });
+  site.advance(3_000);
+  t.is(site.find("a"), JobState.Completed);
+  const [endpoint] = site.cell.state.endpoints.values();
+  t.is(endpoint.used.milliCores, 0);
+  t.is(site.cell.state.usage.get("norte")?.milliCores, 0);
+});
