--- a/packages/cell/placement.ts
+++ b/packages/cell/placement.ts
@@ -132,9 +132,13 @@
   return Math.min(fittingCount, countBelowEndpointLimit(endpoint, stage, step));
 }
 
-/** Counts how many tasks of a stage its organisation's quota still permits. */
+/**
+ * Counts how many tasks of a stage its organisation's quota still permits: none
+ * until the rules of the organisations are known.
+ */
 export function countWithinQuota(state: CellState, stage: Stage): number {
   const { organisation } = stage.job.spec;
+  if (!state.organisations) return 0;
   const cap = state.organisations.get(organisation)?.cap;
   if (!cap) return Number.MAX_SAFE_INTEGER;
   const capacity = {
@@ -165,7 +169,10 @@
   return [...groups.values()];
 }
 
-/** Counts how many more tasks `maxPerEndpoint` permits on an endpoint. */
+/**
+ * Counts how many more tasks `maxPerEndpoint` permits on an endpoint. Runs that
+ * are being stopped count, whether they are their task's current run or not.
+ */
 function countBelowEndpointLimit(
   endpoint: Endpoint,
   stage: Stage,
@@ -173,8 +180,8 @@
 ): number {
   if (step.maxPerEndpoint <= 0) return Number.MAX_SAFE_INTEGER;
   let running = 0;
-  for (const { run } of stage.tasks) {
-    if (run?.endpoint === endpoint) running++;
+  for (const { name } of stage.tasks) {
+    if (endpoint.runs.has(name)) running++;
   }
   return Math.max(0, step.maxPerEndpoint - running);
 }
--- a/tests/cell/cell_site.ts
+++ b/tests/cell/cell_site.ts
@@ -164,6 +164,7 @@
     this.endRule = () => ({ afterMs, endKind: EndKind.Done });
     this.policies = { ...DEFAULT_POLICIES, ...options.policies };
     this.cell = this.#makeCell(1);
+    this.cell.updateOrganisations([]);
     this.applyEndpointList();
   }
 
@@ -239,12 +240,17 @@
     }
   }
 
-  /** Replaces the owner; commits of the former owner in flight are lost. */
-  replaceOwner(): void {
+  /**
+   * Replaces the owner; commits of the former owner in flight are lost. The new
+   * owner does not know the list of endpoints yet if `isListLate`, and not the
+   * rules of organisations if `areRulesLate`.
+   */
+  replaceOwner({ isListLate = false, areRulesLate = false } = {}): void {
     this.fence++;
     this.#commits = [];
     this.#polledAt.clear();
     this.cell = this.#makeCell(this.fence);
+    if (!areRulesLate) this.cell.updateOrganisations([]);
     this.cell.restore(
       { snapshot: this.snapshot, records: structuredClone(this.journal) },
       {
@@ -252,7 +258,7 @@
         time: this.time,
       },
     );
-    this.applyEndpointList();
+    if (!isListLate) this.applyEndpointList();
   }
 
   /** Takes a snapshot and clears the journal that it replaces. */
