--- a/tests/cell/ejection_test.ts
+++ b/tests/cell/ejection_test.ts
@@ -28,6 +28,7 @@
       rack: "",
       capacity,
       isDraining: false,
+      bornAt: 0,
     })),
   );
   site.advance(300);
