--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -1,5 +1,5 @@
 import { RecordKind } from "../journal/mod.ts";
-import { EndKind, getCapacityDemand, parseTaskName } from "../jobs/mod.ts";
+import { EndKind, parseTaskName } from "../jobs/mod.ts";
 import { LATE_ORDER_MS, STALL_MS } from "./constants.ts";
 import {
   type CurrentTime,
@@ -15,7 +15,15 @@
   noteLeaseSent,
   noteNewLifetime,
 } from "./order_effects.ts";
-import { addDecision, addRun, type CellState, removeWaiting } from "./state.ts";
+import {
+  addDecision,
+  addRun,
+  type CellState,
+  describeRoom,
+  removeRun,
+  removeWaiting,
+} from "./state.ts";
+import { computeRunCost } from "./remnants.ts";
 import { findTask, getStep, removeUnlocated } from "./stages.ts";
 import { planPaces } from "./colocation.ts";
 import { sendStop, stopRun } from "./stop_run.ts";
@@ -211,9 +219,9 @@
 }
 
 /**
- * Adopts a run that a former owner or a late order started. Stops the run
- * unless its task is unlocated, that is, may still run where a former owner
- * placed it.
+ * Adopts a run that a former owner or a late order started; it takes the place
+ * of an earlier run of the task on the endpoint. Stops the run unless its task
+ * is unlocated, that is, may still run where a former owner placed it.
  */
 function adoptRun(
   state: CellState,
@@ -222,15 +230,15 @@
 ): Run {
   const { listedRun, times } = options;
   const taskRef = findTask(state, listedRun.task);
-  const step = taskRef && getStep(taskRef.stage);
+  const { source, ...cost } = computeRunCost(state, {
+    task: listedRun.task,
+    endpoint: endpoint.info.id,
+  });
   const run: Run = {
     task: listedRun.task,
     number: listedRun.run,
     endpoint,
-    // A run of an unknown task is taken to occupy the whole endpoint.
-    demand: step ? getCapacityDemand(step) : endpoint.info.capacity,
-    charge: step?.demand ?? endpoint.info.capacity,
-    organisation: taskRef?.stage.job.spec.organisation ?? "",
+    ...cost,
     phase: RunPhase.Running,
     lastChangedAt: times.now,
     startedAt: times.now,
@@ -245,6 +253,11 @@
     isPaceOrderInFlight: false,
     gauge: listedRun.gauge,
   };
+  const earlierRun = endpoint.runs.get(listedRun.task);
+  if (earlierRun) {
+    removeRun(state, earlierRun);
+    if (taskRef?.task.run === earlierRun) taskRef.task.run = run;
+  }
   addRun(state, run);
   // A former owner may have granted a full lease just now.
   noteLeaseSent(endpoint, { now: times.now, leaseMs: state.leaseMs });
@@ -259,6 +272,9 @@
       isExpected,
       taskPhase: taskRef?.task.phase ?? "",
       placedOn: taskRef?.task.placedOn ?? "",
+      isListed: endpoint.isListed,
+      source,
+      ...describeRoom(run),
     },
   });
   if (!taskRef || !isExpected) {
@@ -270,6 +286,7 @@
   task.phase = TaskPhase.Placed;
   removeWaiting(state, stage);
   task.run = run;
+  task.placedOn = endpoint.info.id;
   task.lastRun = Math.max(task.lastRun, listedRun.run);
   stage.job.hasStarted = true;
   return run;
--- a/packages/cell/state.ts
+++ b/packages/cell/state.ts
@@ -11,6 +11,7 @@
   Job,
   Order,
   OrganisationRules,
+  Remnant,
   Run,
   Stage,
   Task,
@@ -25,8 +26,12 @@
   jobs: Map<string, Job>;
   ended: Map<string, EndedJob>;
   endpoints: Map<string, Endpoint>;
-  organisations: Map<string, OrganisationRules>;
-  /** Resources in use by each organisation, unlocated tasks included. */
+  /** Rules of the organisations; `undefined` until they are known. */
+  organisations: Map<string, OrganisationRules> | undefined;
+  /**
+   * Resources in use by each organisation, unlocated tasks and remnants
+   * included.
+   */
   usage: Map<string, Demand>;
   /** Ready stages with waiting tasks. */
   ready: Set<Stage>;
@@ -34,6 +39,8 @@
   awaitingStartTime: Set<Stage>;
   /** Tasks that may still run where a former owner placed them, by name. */
   unlocated: Map<string, { stage: Stage; task: Task }>;
+  /** Runs of former owners that no task needs, by task and endpoint. */
+  remnants: Map<string, Remnant>;
   /**
    * From this time on no run of a former owner is left, not even on an endpoint
    * that this owner has no contact with.
@@ -142,6 +149,24 @@
   else placements.set(id, [[run.task, run.number]]);
 }
 
+/**
+ * Describes what a run takes and the room of its endpoint as the owner sees
+ * them, for the log: thousandths of a core, MB of memory, accelerators. `taken`
+ * is what all runs take there, this one included.
+ */
+export function describeRoom(run: Run): Record<string, number[]> {
+  const { info, used } = run.endpoint;
+  return {
+    demand: listAmounts(run.demand),
+    room: listAmounts(info.capacity),
+    taken: listAmounts(used),
+  };
+}
+
+function listAmounts(demand: Demand): number[] {
+  return [demand.milliCores, demand.memoryMb, demand.accelerators];
+}
+
 /** Adds a decision for the log. */
 export function addDecision(state: CellState, decision: Decision): void {
   state.output.decisions.push(decision);
