Pass the method and the reason of an answer as options

Cause: three functions of the caller service that the memory of unsettled submissions had changed took three arguments, which the house style test forbids; the full test run showed it. Change: they take the request and one object; no behaviour changes.

--- a/packages/scheduler/caller_service.ts
+++ b/packages/scheduler/caller_service.ts
@@ -174,7 +174,7 @@
     const startedAt = this.#parts.clock.now();
     this.#inFlightCount++;
     try {
-      const admitted = this.#admit(method, request, startedAt);
+      const admitted = this.#admit(request, { method, now: startedAt });
       const answer = "kind" in admitted
         ? admitted
         : await this.#callOwner(method, request, () => handler(admitted));
@@ -186,14 +186,13 @@
   }
 
   #admit(
-    method: string,
     request: CallerRequest,
-    now: number,
+    { method, now }: { method: string; now: number },
   ): AdmittedCaller | CallerAnswer {
     const { config } = this.#parts;
     if (!config.config) {
       const reason = "no configuration has been read yet";
-      return this.#createUndeliveredAnswer(method, request, reason);
+      return this.#createUndeliveredAnswer(request, { method, reason });
     }
     const queue = config.findQueue(request);
     if (!queue) return { kind: AnswerKind.NoSuchQueue, detail: request.path };
@@ -201,7 +200,7 @@
     if (!this.canTrustKeys()) {
       const ageMs = config.measureAge(now);
       const reason = `keys were last confirmed ${Math.round(ageMs)} ms ago`;
-      return this.#createUndeliveredAnswer(method, request, reason);
+      return this.#createUndeliveredAnswer(request, { method, reason });
     }
     const organisation = config.findOrganisation(request.key);
     if (!organisation) {
@@ -221,24 +220,19 @@
     try {
       return await call();
     } catch (error) {
-      const detail = error instanceof Error ? error.message : String(error);
+      const reason = error instanceof Error ? error.message : String(error);
       return error instanceof NotSentError
-        ? this.#createUndeliveredAnswer(method, request, detail)
-        : this.#createUnknownAnswer(method, request, detail);
+        ? this.#createUndeliveredAnswer(request, { method, reason })
+        : this.#createUnknownAnswer(request, { method, reason });
     }
   }
 
   #createUnknownAnswer(
-    method: string,
     { path }: CallerRequest,
-    detail: string,
+    { method, reason }: { method: string; reason: string },
   ): CallerAnswer {
-    this.#parts.log.record(EventCode.JobUnsettled, {
-      method,
-      path,
-      reason: detail,
-    });
-    return { kind: AnswerKind.Unknown, detail };
+    this.#parts.log.record(EventCode.JobUnsettled, { method, path, reason });
+    return { kind: AnswerKind.Unknown, detail: reason };
   }
 
   /**
@@ -246,16 +240,17 @@
    * attempt of a submission may have.
    */
   #createUndeliveredAnswer(
-    method: string,
     request: CallerRequest,
-    reason: string,
+    { method, reason }: { method: string; reason: string },
   ): CallerAnswer {
     const now = this.#parts.clock.now();
     const mayHaveRun = method === "submit" &&
       this.#unsettledSubmissions.has(formatRequestKey(request), now);
     if (!mayHaveRun) return this.#createUnavailableAnswer(reason);
-    const detail = `${reason}; an earlier attempt may have had an effect`;
-    return this.#createUnknownAnswer(method, request, detail);
+    return this.#createUnknownAnswer(request, {
+      method,
+      reason: `${reason}; an earlier attempt may have had an effect`,
+    });
   }
 
   #createUnavailableAnswer(detail: string): CallerAnswer {
