--- a/packages/cell/placement_pass.ts
+++ b/packages/cell/placement_pass.ts
@@ -3,6 +3,7 @@
   canAcceptStarts,
   isEligible,
   listEjected,
+  listOnTrial,
   type PlacementView,
 } from "./placement.ts";
 import type { CellState } from "./state.ts";
@@ -42,6 +43,7 @@
     state,
     now,
     reservations: new Map(),
+    onTrial: listOnTrial(state, now),
     services: collectServices(state, now),
     stoppingTasks: new Set([...state.stoppingRuns].map(({ task }) => task)),
     reservedGangs: 0,
--- a/packages/links/link.ts
+++ b/packages/links/link.ts
@@ -4,7 +4,12 @@
   JSONRPCServer,
   JSONRPCServerAndClient,
 } from "json-rpc-2.0";
-import { type Clock, NotSentError, UnknownEffectError } from "../base/mod.ts";
+import {
+  type Clock,
+  FormatError,
+  NotSentError,
+  UnknownEffectError,
+} from "../base/mod.ts";
 import {
   LINK_CONNECT_TIMEOUT_MS,
   LINK_HEARTBEAT_MS,
@@ -134,6 +139,9 @@
   }
 
   #notePeer({ entry, cores }: Heartbeat): void {
+    if (typeof entry !== "string") {
+      throw new FormatError("Cannot read the name of the peer");
+    }
     const speed = Number.isFinite(cores) ? Number(cores) : 0;
     if (this.peer === entry && this.peerCores === speed) return;
     this.peer = entry;
@@ -143,11 +151,11 @@
 
   #receive(text: string): void {
     this.#lastReceivedAt = this.#clock.now();
-    this.#buffer += text;
-    if (this.#buffer.length > MAX_LINE_LENGTH) {
+    const lines = text.split("\n");
+    lines[0] = this.#buffer + lines[0];
+    if (lines.some(({ length }) => length > MAX_LINE_LENGTH)) {
       return this.close("received a line above the length limit");
     }
-    const lines = this.#buffer.split("\n");
     this.#buffer = lines.pop() ?? "";
     for (const line of lines) this.#receiveLine(line);
   }
@@ -236,6 +244,11 @@
     });
   });
   const link = new Link(socket, options);
-  await link.sendHeartbeat();
+  try {
+    await link.sendHeartbeat();
+  } catch (error) {
+    link.close("the first heartbeat failed");
+    throw error;
+  }
   return link;
 }
--- a/packages/links/link_test.ts
+++ b/packages/links/link_test.ts
@@ -1,9 +1,12 @@
+import { connect as connectSocket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 import test from "ava";
-import { MonotonicClock } from "../base/mod.ts";
+import { MonotonicClock, UnknownEffectError } from "../base/mod.ts";
 import {
   type HeartbeatReply,
   type LinkHandlers,
   LinkServer,
+  MAX_LINE_LENGTH,
   openLink,
 } from "./mod.ts";
 
@@ -59,3 +62,93 @@
     site.server.close();
   }
 });
+
+// Guards against a malformed message that ends the process or that leaves the link
+// of its sender open; an unhandled rejection would fail this file.
+test("malformed messages end at most the link on which they came", async (t) => {
+  const site = await connect(7_306, { heartbeat: {}, reply: true });
+  t.teardown(() => site.server.close());
+  const messages = [
+    "",
+    "garbage",
+    "null",
+    "5",
+    '"x"',
+    "[]",
+    "[null]",
+    "{}",
+    '{"jsonrpc":"2.0","id":1}',
+    '{"jsonrpc":"2.0","id":null,"result":5}',
+    '{"jsonrpc":"2.0","id":1,"result":5}',
+    '{"jsonrpc":"2.0","id":1,"error":null}',
+    '{"jsonrpc":"2.0","id":1,"method":5}',
+    '{"jsonrpc":"2.0","id":1,"method":"no.method"}',
+    '{"jsonrpc":"2.0","id":1,"method":"link.heartbeat"}',
+    '{"jsonrpc":"2.0","method":"link.heartbeat","params":null}',
+    '{"jsonrpc":"2.0","method":"link.heartbeat","params":{"entry":5}}',
+    '{"jsonrpc":"2.0","id":1,"method":"link.heartbeat","params":{"entry":{}}}',
+  ];
+  for (const message of messages) {
+    const socket = connectSocket({ host: HOST, port: 7_306 });
+    socket.on("error", () => {});
+    socket.write(`${message}\n`);
+    await sleep(20);
+    t.true(site.link.isOpen, message);
+    const names = site.server.listIdentified().map(({ peer }) => peer);
+    t.deepEqual(names, ["e1"], message);
+    socket.destroy();
+  }
+  await t.notThrowsAsync(site.link.sendHeartbeat());
+  site.link.close("test");
+});
+
+// Guards against a link that stays open although its opener was told that opening
+// failed: the owner would count the entry as reachable.
+test("a link whose first heartbeat fails is closed", async (t) => {
+  const port = 7_307;
+  const handlers = {
+    "link.heartbeat": () => {
+      throw new Error("test");
+    },
+  } as unknown as LinkHandlers;
+  const server = new LinkServer({ handlers, clock });
+  t.teardown(() => server.close());
+  await server.listen({ host: HOST, port });
+  await t.throwsAsync(
+    openLink({ host: HOST, port }, {
+      handlers,
+      clock,
+      localAddress: HOST,
+      opener: { makeHeartbeat: () => ({ entry: "e1" }), onReply: () => {} },
+    }),
+    { instanceOf: UnknownEffectError },
+  );
+  await sleep(50);
+  t.is(server.links.size, 0);
+});
+
+// Guards against a link that is closed because several short lines arrive at once,
+// and against a buffer that grows without a limit.
+test("the limit on the length of a line counts each line by itself", async (t) => {
+  const port = 7_308;
+  const site = await connect(port, { heartbeat: {}, reply: true });
+  t.teardown(() => site.server.close());
+  const makeLine = (length: number) => {
+    const start = '{"jsonrpc":"2.0","method":"owner.ready","params":"';
+    return `${start.padEnd(length - 2, "x")}"}\n`;
+  };
+  const isClosedAfter = async (lineLengths: number[]) => {
+    const socket = connectSocket({ host: HOST, port });
+    socket.on("error", () => {});
+    let isClosed = false;
+    socket.on("close", () => isClosed = true);
+    socket.write(lineLengths.map(makeLine).join(""));
+    await sleep(300);
+    socket.destroy();
+    return isClosed;
+  };
+  t.false(await isClosedAfter([MAX_LINE_LENGTH, 1_000, 1_000]));
+  t.true(await isClosedAfter([MAX_LINE_LENGTH + 1]));
+  t.true(await isClosedAfter([1_000, MAX_LINE_LENGTH + 1, 1_000]));
+  site.link.close("test");
+});
--- a/packages/scheduler/job_app.ts
+++ b/packages/scheduler/job_app.ts
@@ -2,11 +2,16 @@
 import type { ContentfulStatusCode } from "hono/utils/http-status";
 import { z } from "zod";
 import { Verdict } from "../base/mod.ts";
+import { EventCode } from "../events/mod.ts";
 import { createBodyLimit } from "./body_limit.ts";
-import type { JobRequest } from "./caller_service.ts";
 import { MAX_JOB_BODY_BYTES } from "./constants.ts";
 import type { SchedulerNode } from "./scheduler_node.ts";
-import { AnswerKind, type CallerAnswer, type CallerRequest } from "./types.ts";
+import {
+  AnswerKind,
+  type CallerAnswer,
+  type CallerRequest,
+  type JobRequest,
+} from "./types.ts";
 
 const countSchema = z.int().min(0);
 
@@ -82,6 +87,14 @@
     "/v1/queues/:queue/jobs",
     async (c) => sendAnswer(c, await node.callerService.count(readRequest(c))),
   );
+  app.onError((error, c) => {
+    node.parts.log.record(EventCode.InvariantBroken, {
+      reason: String(error),
+      stack: error.stack,
+    });
+    const detail = `internal error: ${error.message}`;
+    return sendAnswer(c, { kind: AnswerKind.Unknown, detail });
+  });
   return app;
 }
 
