--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -103,8 +103,7 @@
       self: {
         entry: name,
         incarnation: parts.incarnation,
-        host: settings.listen.peers.host,
-        port: settings.listen.peers.port,
+        ...settings.listen.advertise_peers ?? settings.listen.peers,
       },
       getClaimDelay: () => computeClaimDelay(this.#cores, this.#largestCores),
     });
--- a/packages/settings/scheduler_settings.ts
+++ b/packages/settings/scheduler_settings.ts
@@ -29,6 +29,8 @@
     callers: addressSchema,
     readiness: addressSchema,
     peers: addressSchema,
+    /** Address at which other entries reach `peers`, if it is another one. */
+    advertise_peers: addressSchema.optional(),
     operations: addressSchema,
   }),
   store: z.strictObject({ address: addressSchema }),
--- a/tests/harness/fleet.ts
+++ b/tests/harness/fleet.ts
@@ -15,7 +15,7 @@
   EndpointFaults,
   HistoryEvent,
 } from "../standins/endpoint_host.ts";
-import type { RelayFaults } from "../standins/relay.ts";
+import type { RelayFaults } from "../standins/relay_host.ts";
 import type { PlatformFaults } from "../standins/platform.ts";
 import { sleep } from "../standins/http_server.ts";
 
@@ -257,7 +257,7 @@
       writeFileSync(path, addLines(text, "listen", lines));
     }
     const host = `${this.network}.0.1`;
-    const script = "dist/tests/standins/relay.js";
+    const script = "dist/tests/standins/relay_host.js";
     await waitForReady(this.#spawn([script, host, "3100", ...routes], "relay"));
   }
 
--- a/tests/harness/job_site.ts
+++ b/tests/harness/job_site.ts
@@ -15,8 +15,8 @@
 import { PlatformStore } from "../../platform/key_value_store.ts";
 import { PlatformRecords } from "../../platform/site_records.ts";
 import { PlatformVms } from "../../platform/vm_service.ts";
+import { EndpointStandIn } from "../standins/endpoint.ts";
 import {
-  EndpointStandIn,
   PolicyServiceStandIn,
   StoreStandIn,
   VmServiceStandIn,
--- a/tests/standins/job_platform.ts
+++ b/tests/standins/job_platform.ts
@@ -37,21 +37,43 @@
   #server: Server | undefined;
   /** Refuses every call with 503. */
   isDown = false;
+  /** Refuses the calls from these addresses with 503. */
+  readonly refusedSources = new Set<string>();
+  /** Delay of every call, in milliseconds. */
+  delayMs = 0;
+  /** Serves calls but closes the connection instead of answering. */
+  losesAnswers = false;
+  /** Answers no transaction, and carries it out after this time, in ms. */
+  commitDelayMs = 0;
   /** Number of calls so far, refused ones included. */
   calls = 0;
 
   async start(address: { host: string; port: number }): Promise<void> {
     this.#server = await listen(address, async (request, response, body) => {
       this.calls++;
-      if (this.isDown) return sendJson(response, {}, { status: 503 });
+      const source = request.socket.remoteAddress ?? "";
+      if (this.isDown || this.refusedSources.has(source)) {
+        return sendJson(response, {}, { status: 503 });
+      }
+      if (this.delayMs > 0) await sleep(this.delayMs);
       this.#expireLeases();
       const url = new URL(request.url ?? "/", "http://store");
       const [, , call, id] = url.pathname.split("/");
+      const { commitDelayMs } = this;
+      if (call === "kv-txn" && commitDelayMs > 0) {
+        response.destroy();
+        await sleep(commitDelayMs);
+        this.#expireLeases();
+      }
       const { status = 200, value } = await this.#serve(call, {
         id: Number(id),
         query: url.searchParams,
         body: body ? JSON.parse(body) : {},
       });
+      if (this.losesAnswers || response.destroyed) {
+        response.destroy();
+        return;
+      }
       sendJson(response, value ?? {}, { status });
     });
   }
@@ -74,6 +96,12 @@
     this.#setItem(key, { value: text, lease: 0 });
   }
 
+  /** Removes a key, as the end of the lease of its writer would. */
+  remove(key: string): void {
+    this.#revision++;
+    this.#removeItem(key);
+  }
+
   async #serve(
     call: string,
     request: {
@@ -190,135 +218,6 @@
   }
 }
 
-/** Body of a call to an endpoint; which fields are set depends on the call. */
-interface OrderBody {
-  task: string;
-  run: number;
-  fence?: number;
-  until_ms?: number;
-  last_seen?: number;
-  wait_ms?: number;
-  ticket?: string;
-  percent?: number;
-}
-
-/** An ended run: number of the end, task, run, kind of end, checkpoint. */
-type WireEndedRun = [number, string, number, string, string];
-
-/** Stand-in for one of the platform's endpoints. */
-export class EndpointStandIn {
-  readonly id: string;
-  /** Start of the endpoint's lifetime, in Unix milliseconds. */
-  readonly born = Date.now();
-  /** Runs in progress by task; `pace` is in percent. */
-  readonly runs = new Map<
-    string,
-    { run: number; endsAt: number; pace: number }
-  >();
-  /** Task of each run that was started, in order. */
-  readonly starts: string[] = [];
-  /** Ended runs that the owner has not yet acknowledged. */
-  #endedRuns: WireEndedRun[] = [];
-  #lastEndNumber = 0;
-  #fence = 0;
-  #server: Server | undefined;
-  /** Duration of each run, in milliseconds. */
-  runMs = 100;
-  /** Returns the progress in percent and the gauge of a task's run. */
-  measureRun: (task: string) => [percent: number, gauge: number] = () => [0, 0];
-  /** Refuses starts without the ticket of the policy service. */
-  needsTicket = false;
-
-  constructor(id: string) {
-    this.id = id;
-  }
-
-  async start(address: { host: string; port: number }): Promise<void> {
-    this.#server = await listen(address, async (request, response, text) => {
-      const body = JSON.parse(text) as OrderBody;
-      const reason = this.#findRefusal(request.url ?? "", body);
-      const clock_ms = Date.now() - this.born;
-      if (reason) {
-        return sendJson(response, { clock_ms, reason }, { status: 409 });
-      }
-      this.#fence = body.fence ?? 0;
-      if (request.url?.endsWith("run-start")) this.#startRun(body);
-      if (request.url?.endsWith("run-stop")) this.#endRun(body.task, "stopped");
-      if (request.url?.endsWith("pace")) this.#setPace(body);
-      if (!request.url?.endsWith("hold")) {
-        return sendJson(response, { clock_ms });
-      }
-      await this.#waitForRunEnd(body);
-      sendJson(response, this.#listRuns());
-    });
-  }
-
-  stop(): void {
-    this.#server?.close();
-    this.#server?.closeAllConnections();
-  }
-
-  #findRefusal(url: string, body: OrderBody): string | undefined {
-    if ((body.fence ?? 0) < this.#fence) return "fence";
-    const isStart = url.endsWith("run-start");
-    return isStart && this.needsTicket && body.ticket !== `t-${this.id}`
-      ? "ticket"
-      : undefined;
-  }
-
-  #startRun(body: OrderBody): void {
-    if (this.runs.get(body.task)?.run === body.run) return;
-    this.starts.push(body.task);
-    const endsAt = Date.now() + this.runMs;
-    this.runs.set(body.task, { run: body.run, endsAt, pace: 100 });
-  }
-
-  #setPace(body: OrderBody): void {
-    const run = this.runs.get(body.task);
-    if (run?.run === body.run) run.pace = body.percent ?? 100;
-  }
-
-  /** Drops acknowledged ends, then waits until a run ends or `wait_ms` passes. */
-  async #waitForRunEnd(body: OrderBody): Promise<void> {
-    const acknowledgedEnd = body.last_seen ?? 0;
-    this.#endedRuns = this.#endedRuns.filter(([number]) =>
-      number > acknowledgedEnd
-    );
-    const deadline = Date.now() + (body.wait_ms ?? 0);
-    const initialEndNumber = this.#lastEndNumber;
-    do {
-      for (const [task, { endsAt }] of [...this.runs]) {
-        if (endsAt <= Date.now()) this.#endRun(task, "done");
-      }
-      if (this.#lastEndNumber > initialEndNumber || Date.now() >= deadline) {
-        return;
-      }
-      await sleep(5);
-    } while (this.#server?.listening);
-  }
-
-  #endRun(task: string, endKind: string): void {
-    const run = this.runs.get(task);
-    if (!run) return;
-    this.runs.delete(task);
-    this.#endedRuns.push([++this.#lastEndNumber, task, run.run, endKind, ""]);
-  }
-
-  #listRuns(): unknown {
-    return {
-      born: this.born,
-      clock_ms: Date.now() - this.born,
-      running: [...this.runs].map(([task, { run }]) => [
-        task,
-        run,
-        "",
-        ...this.measureRun(task),
-      ]),
-      ended: this.#endedRuns,
-    };
-  }
-}
-
 /** Stand-in for the policy service; returns tickets for allowed endpoints. */
 export class PolicyServiceStandIn {
   readonly #allowedEndpoints: Set<string>;
