A soak of the bundle as processes under random faults: npm run soak

Change: tests/soak runs the bundle as processes with the stand-ins and a relay between each pair that talks, draws series of overlapping faults from a seed, and checks on the histories of callers and endpoints only. tools/soak.ts is its command line. A failure prints the schedule and keeps all logs. The endpoint stand-in now reports the progress of its runs; without it, owners moved every long run as stalled.

--- a/tests/e2e/job_path_test.ts
+++ b/tests/e2e/job_path_test.ts
@@ -129,7 +129,7 @@
   await site.waitFor(() => site.endpoints.every(({ runs }) => runs.size === 0));
   for (const endpoint of site.endpoints) {
     endpoint.runMs = 100;
-    endpoint.measureRun = () => [0, 0];
+    endpoint.measureRun = undefined;
   }
 });
 
--- /dev/null
+++ b/tests/soak/checker.ts
@@ -0,0 +1,390 @@
+import { match } from "ts-pattern";
+import { type EndpointEvent, EndpointEventKind } from "../standins/endpoint.ts";
+import {
+  CANCEL_MS,
+  CONFIG_MS,
+  CONTACT_MS,
+  LOSS_SLACK_MS,
+  RECOVER_MS,
+  REVOKE_MS,
+  STOP_GRACE_MS,
+  VISIBLE_MS,
+} from "./constants.ts";
+import {
+  CallKind,
+  Rule,
+  type SoakCall,
+  type SoakEvent,
+  SoakEventKind,
+  type SoakFaultEvent,
+  type SoakJob,
+  type Violation,
+} from "./types.ts";
+
+/** What callers know of a job. */
+interface JobRecord {
+  job: SoakJob;
+  acceptedAt: number | undefined;
+  /** Every call that submitted the job was refused. */
+  isRefused: boolean;
+  cancelSentAt: number | undefined;
+  cancelledAt: number | undefined;
+  isCompleted: boolean;
+  lastState: string;
+}
+
+/** What endpoints recorded of a task. */
+interface TaskRecord {
+  starts: EndpointEvent[];
+  /** Runs in progress. */
+  running: EndpointEvent[];
+  ends: EndpointEvent[];
+  /** Time of the first end as done whose end was acknowledged. */
+  doneAt: number | undefined;
+}
+
+/** Statuses with which a job was not accepted and never runs. */
+const REFUSED_STATUSES = new Set([429, 503]);
+
+/**
+ * Checks the promises to callers on a history of a soak. Events are observed in
+ * the order of their times.
+ */
+export class SoakChecker {
+  readonly violations: Violation[] = [];
+  /** Number of events by kind. */
+  readonly counts: Record<string, number> = {};
+  readonly #capacities: Map<string, { milliCores: number; memoryMb: number }>;
+  readonly #jobs = new Map<string, JobRecord>();
+  readonly #tasks = new Map<string, TaskRecord>();
+  readonly #runsByEndpoint = new Map<string, EndpointEvent[]>();
+  readonly #faults: SoakFaultEvent[] = [];
+  /** Time from which each key is in force or withdrawn. */
+  readonly #keys = new Map<string, { at: number; isValid: boolean }>();
+  #healedAt: number | undefined;
+
+  /** `capacities`: capacity of each endpoint by its id. */
+  constructor(
+    capacities: Map<string, { milliCores: number; memoryMb: number }>,
+  ) {
+    this.#capacities = capacities;
+  }
+
+  observe(event: SoakEvent): void {
+    this.counts[event.kind] = (this.counts[event.kind] ?? 0) + 1;
+    match(event)
+      .with({ kind: SoakEventKind.Job }, ({ job }) => this.#addJob(job))
+      .with({ kind: SoakEventKind.Call }, (call) => this.#observeCall(call))
+      .with(
+        { kind: SoakEventKind.Config },
+        (config) => this.#adoptConfig(config),
+      )
+      .with({ kind: SoakEventKind.Fault }, (fault) => this.#faults.push(fault))
+      .with({ kind: SoakEventKind.Healed }, ({ at }) => this.#healedAt = at)
+      .with(
+        { kind: SoakEventKind.Recovered },
+        ({ at, entry }) => this.#checkRecovery(at, entry),
+      )
+      .with(
+        { kind: EndpointEventKind.Started },
+        (start) => this.#observeStart(start),
+      )
+      .with({ kind: EndpointEventKind.Ended }, (end) => this.#observeEnd(end))
+      .with(
+        { kind: EndpointEventKind.Acknowledged },
+        (end) => this.#observeAcknowledged(end),
+      )
+      .exhaustive();
+  }
+
+  /** Lists the accepted jobs that are not shown as completed. */
+  listUnfinishedJobs(): string[] {
+    return [...this.#jobs.values()]
+      .filter(({ acceptedAt, isCompleted, cancelSentAt }) =>
+        acceptedAt !== undefined && !isCompleted && cancelSentAt === undefined
+      ).map(({ job }) => job.id);
+  }
+
+  /** Checks what is known only at the end of the soak. */
+  finish(now: number): void {
+    for (const id of this.listUnfinishedJobs()) {
+      const { lastState } = this.#jobs.get(id)!;
+      this.#report(Rule.Unfinished, {
+        at: now,
+        subject: id,
+        detail: `last shown as ${lastState || "nothing"}`,
+      });
+    }
+    for (const { job, isRefused, acceptedAt } of this.#jobs.values()) {
+      if (!isRefused || acceptedAt !== undefined) continue;
+      const start = this.#listTasks(job).flatMap(({ name }) =>
+        this.#tasks.get(name)?.starts ?? []
+      )[0];
+      if (!start) {
+        continue;
+      }
+      this.#report(Rule.NotRun, { ...start, subject: job.id, detail: "" });
+    }
+  }
+
+  #addJob(job: SoakJob): void {
+    this.#jobs.set(job.id, {
+      job,
+      acceptedAt: undefined,
+      isRefused: true,
+      cancelSentAt: undefined,
+      cancelledAt: undefined,
+      isCompleted: false,
+      lastState: "",
+    });
+  }
+
+  #adoptConfig({ at, keys }: { at: number; keys: string[] }): void {
+    for (const [key, state] of this.#keys) {
+      if (state.isValid && !keys.includes(key)) {
+        this.#keys.set(key, { at, isValid: false });
+      }
+    }
+    for (const key of keys) {
+      if (!this.#keys.get(key)?.isValid) {
+        this.#keys.set(key, { at, isValid: true });
+      }
+    }
+  }
+
+  #observeCall(call: SoakCall): void {
+    const record = this.#jobs.get(call.job);
+    if (!record) return;
+    this.#checkKey(call);
+    this.#checkAnswer(call);
+    const isSuccess = call.status >= 200 && call.status < 300;
+    if (call.call === CallKind.Submit) {
+      if (isSuccess) record.acceptedAt ??= call.at;
+      const isRefused = REFUSED_STATUSES.has(call.status) ||
+        (call.status >= 400 && call.status < 500);
+      if (!isRefused) record.isRefused = false;
+    }
+    if (call.call === CallKind.Cancel) {
+      record.cancelSentAt ??= call.sentAt;
+      if (isSuccess) record.cancelledAt ??= call.at;
+    }
+    if (call.call === CallKind.Find) this.#checkState(call, record);
+  }
+
+  #checkKey(call: SoakCall): void {
+    const key = this.#keys.get(call.key);
+    const isSuccess = call.status >= 200 && call.status < 300;
+    const ageMs = key ? call.sentAt - key.at : Infinity;
+    const report = (detail: string) =>
+      this.#report(Rule.Key, { at: call.at, subject: call.job, detail });
+    if (!key?.isValid && isSuccess && ageMs > REVOKE_MS) {
+      report(`${call.key} works at entry ${call.entry}, ${ageMs} ms too old`);
+    }
+    if (key?.isValid && call.status === 401 && ageMs > CONFIG_MS) {
+      if (this.#isCalm(call)) {
+        report(`${call.key} refused by entry ${call.entry}`);
+      }
+    }
+  }
+
+  #checkAnswer(call: SoakCall): void {
+    const subject = call.job;
+    if (call.status > 0 && !call.isWhole) {
+      this.#report(Rule.Answer, { at: call.at, subject, detail: call.detail });
+    }
+    const durationMs = call.at - call.sentAt;
+    if (call.status > 0 || call.hasTimedOut || durationMs <= LOSS_SLACK_MS) {
+      return;
+    }
+    const stop = this.#faults.find(({ stoppedEntry, at }) =>
+      stoppedEntry === call.entry && call.at >= at &&
+      call.sentAt <= at + STOP_GRACE_MS + 1_000
+    );
+    if (!stop || !this.#isCalm(call, stop)) return;
+    this.#report(Rule.PlannedStop, {
+      at: call.at,
+      subject,
+      detail: `entry ${call.entry} after ${durationMs} ms: ${call.detail}`,
+    });
+  }
+
+  #checkState(call: SoakCall, record: JobRecord): void {
+    const { job, acceptedAt, cancelSentAt } = record;
+    const report = (rule: Rule, detail: string) =>
+      this.#report(rule, { at: call.at, subject: job.id, detail });
+    if (call.status === 410) {
+      record.lastState = "unknown";
+      const isVisible = acceptedAt !== undefined &&
+        call.sentAt > acceptedAt + VISIBLE_MS;
+      if (isVisible && cancelSentAt === undefined && this.#isCalm(call)) {
+        report(Rule.Unknown, `entry ${call.entry}`);
+      }
+    }
+    if (call.status !== 200) return;
+    record.lastState = call.state;
+    if (call.state === "completed") {
+      const missing = this.#listTasks(job).find(({ name }) =>
+        !this.#hasDone(name, call.at)
+      );
+      if (missing) report(Rule.State, `completed before ${missing.name}`);
+      record.isCompleted = true;
+    }
+    const isCancelled = call.state === "cancelled" &&
+      cancelSentAt === undefined;
+    if (call.state === "failed" || isCancelled) {
+      report(Rule.State, `${call.state} without cause`);
+    }
+  }
+
+  #observeStart(start: EndpointEvent): void {
+    const task = this.#getTask(start.task);
+    const report = (rule: Rule, detail: string) =>
+      this.#report(rule, {
+        at: start.at,
+        subject: start.task,
+        detail: `${describeRun(start)}; ${detail}`,
+      });
+    const [other] = task.running;
+    if (other) report(Rule.AtOnce, `beside ${describeRun(other)}`);
+    if (task.doneAt !== undefined && task.doneAt < start.at) {
+      report(Rule.AfterEnd, `ended ${start.at - task.doneAt} ms before`);
+    }
+    task.starts.push(start);
+    task.running.push(start);
+    const runs = this.#runsByEndpoint.get(start.endpoint) ?? [];
+    this.#runsByEndpoint.set(start.endpoint, [...runs, start]);
+    const record = this.#findJob(start.task);
+    const step = record && findStep(record.job, start.task);
+    if (!step || record.job.payload !== start.detail) {
+      report(Rule.Unasked, start.detail);
+      return;
+    }
+    this.#checkCapacity(start, (detail) => report(Rule.Capacity, detail));
+    const earlier = this.#listTasks(record.job).find(({ name, step: number }) =>
+      step.after.includes(number) && !this.#hasDone(name, start.at)
+    );
+    if (earlier) report(Rule.Order, `before ${earlier.name}`);
+    const { cancelledAt } = record;
+    const isTooLate = cancelledAt !== undefined &&
+      start.at > cancelledAt + CANCEL_MS;
+    const isCalm = this.#isCalm({ sentAt: cancelledAt ?? 0, at: start.at });
+    if (isTooLate && isCalm && !start.isLate) {
+      report(Rule.Cancelled, `cancelled ${start.at - cancelledAt} ms before`);
+    }
+  }
+
+  #checkCapacity(
+    start: EndpointEvent,
+    report: (detail: string) => void,
+  ): void {
+    const capacity = this.#capacities.get(start.endpoint);
+    const used = { milliCores: 0, memoryMb: 0 };
+    for (const { task } of this.#runsByEndpoint.get(start.endpoint) ?? []) {
+      const record = this.#findJob(task);
+      const step = record && findStep(record.job, task);
+      used.milliCores += step?.milliCores ?? 0;
+      used.memoryMb += step?.memoryMb ?? 0;
+    }
+    const isExceeded = !capacity || used.milliCores > capacity.milliCores ||
+      used.memoryMb > capacity.memoryMb;
+    if (isExceeded) report(`${used.milliCores} mC, ${used.memoryMb} MB`);
+  }
+
+  #observeEnd(end: EndpointEvent): void {
+    const task = this.#getTask(end.task);
+    task.running = task.running.filter((start) => !isSameRun(start, end));
+    task.ends.push(end);
+    const runs = this.#runsByEndpoint.get(end.endpoint) ?? [];
+    this.#runsByEndpoint.set(
+      end.endpoint,
+      runs.filter((start) => !isSameRun(start, end)),
+    );
+  }
+
+  #observeAcknowledged(event: EndpointEvent): void {
+    if (event.detail !== "done") return;
+    const task = this.#getTask(event.task);
+    const end = task.ends.find((candidate) => isSameRun(candidate, event));
+    if (!end) return;
+    task.doneAt ??= end.at;
+    const laterStart = task.starts.find(({ at }) => at > end.at);
+    if (!laterStart) return;
+    this.#report(Rule.AfterEnd, {
+      at: event.at,
+      subject: event.task,
+      detail: `${describeRun(laterStart)} started ${laterStart.at - end.at}` +
+        ` ms after the end of ${describeRun(end)}, acknowledged later`,
+    });
+  }
+
+  #checkRecovery(at: number, entry: number): void {
+    const recoveryMs = at - (this.#healedAt ?? at);
+    if (recoveryMs <= RECOVER_MS) return;
+    this.#report(Rule.Recovery, {
+      at,
+      subject: `entry ${entry}`,
+      detail: `${recoveryMs} ms`,
+    });
+  }
+
+  /**
+   * Returns whether there was no fault, apart from `exception`, from
+   * `CONTACT_MS` before the time span until its end.
+   */
+  #isCalm(
+    { sentAt, at }: { sentAt: number; at: number },
+    exception?: SoakFaultEvent,
+  ): boolean {
+    return !this.#faults.some((fault) =>
+      fault !== exception && fault.at <= at &&
+      fault.endsAt >= sentAt - CONTACT_MS
+    );
+  }
+
+  #findJob(task: string): JobRecord | undefined {
+    return this.#jobs.get(task.split(".")[0]);
+  }
+
+  #getTask(name: string): TaskRecord {
+    const task = this.#tasks.get(name) ??
+      { starts: [], running: [], ends: [], doneAt: undefined };
+    this.#tasks.set(name, task);
+    return task;
+  }
+
+  #hasDone(name: string, by: number): boolean {
+    return this.#getTask(name).ends.some(({ detail, at }) =>
+      detail === "done" && at <= by
+    );
+  }
+
+  #listTasks(job: SoakJob): { name: string; step: number }[] {
+    return job.steps.flatMap(({ tasks }, step) =>
+      Array.from({ length: tasks }, (_, index) => ({
+        name: `${job.id}.0.${step}.${index}`,
+        step,
+      }))
+    );
+  }
+
+  #report(rule: Rule, violation: Omit<Violation, "rule">): void {
+    const { at, subject, detail } = violation;
+    this.violations.push({ rule, at, subject, detail });
+  }
+}
+
+/** Finds the step of a task by the task's name. */
+export function findStep(job: SoakJob, task: string): SoakJob["steps"][0] {
+  return job.steps[Number(task.split(".")[2])];
+}
+
+function isSameRun(a: EndpointEvent, b: EndpointEvent): boolean {
+  return a.endpoint === b.endpoint && a.born === b.born && a.run === b.run &&
+    a.task === b.task;
+}
+
+function describeRun({ endpoint, born, run, isLate }: EndpointEvent): string {
+  return `run ${run} on ${endpoint}/${born}${
+    isLate ? " (carried out late)" : ""
+  }`;
+}
--- a/tests/standins/endpoint.ts
+++ b/tests/standins/endpoint.ts
@@ -52,6 +52,7 @@
 interface Run {
   task: string;
   run: number;
+  startedAt: number;
   endsAt: number;
   endKind: string;
   pace: number;
@@ -88,8 +89,11 @@
   runMs = 100;
   /** Returns the duration of a task's run, in milliseconds. */
   measureDuration: (task: string) => number = () => this.runMs;
-  /** Returns the progress in percent and the gauge of a task's run. */
-  measureRun: (task: string) => [percent: number, gauge: number] = () => [0, 0];
+  /**
+   * Returns the progress in percent and the gauge of a task's run; by default
+   * the progress is the elapsed part of the run's duration.
+   */
+  measureRun: ((task: string) => [percent: number, gauge: number]) | undefined;
   /** Refuses starts without the ticket of the policy service. */
   needsTicket = false;
   /** Time until a stopped run ends, in milliseconds. */
@@ -98,7 +102,7 @@
   clockRate = 1;
   /** Answers no call, and carries each out after this time, in ms. */
   lateMs = 0;
-  /** Carries out and answers calls only when this is false again. */
+  /** Carries out and answers calls of this lifetime once this is false again. */
   isStalled = false;
   /** Called with each event of a run. */
   onEvent: (event: EndpointEvent) => void = () => {};
@@ -190,16 +194,13 @@
       response.destroy();
       return;
     }
-    let isLate = false;
-    while (this.isStalled) {
-      isLate = true;
-      await sleep(TICK_MS);
-    }
-    if (!this.#server?.listening) return;
+    const lifetime = this.#lifetime;
+    const isLate = this.isStalled;
+    while (this.isStalled) await sleep(TICK_MS);
+    if (lifetime !== this.#lifetime) return;
     if (expectedId !== this.id) {
       return sendJson(response, {}, { status: 421 });
     }
-    const lifetime = this.#lifetime;
     const reason = this.#carryOut(call, body, { isLate });
     if (reason) {
       const refusal = { clock_ms: this.#measureClock(), reason };
@@ -253,6 +254,7 @@
     lifetime.runs.set(formatRun(body), {
       task,
       run,
+      startedAt: now,
       endsAt,
       endKind: "done",
       pace: 100,
@@ -340,11 +342,11 @@
     return {
       born,
       clock_ms: this.#measureClock(),
-      running: [...runs.values()].map(({ task, run }) => [
-        task,
-        run,
+      running: [...runs.values()].map((run) => [
+        run.task,
+        run.run,
         "",
-        ...this.measureRun(task),
+        ...this.measureRun?.(run.task) ?? [measurePercent(run, Date.now()), 0],
       ]),
       ended: endedRuns.slice(0, MAX_LISTED_ENDS),
     };
@@ -365,6 +367,11 @@
   };
 }
 
+function measurePercent({ startedAt, endsAt }: Run, now: number): number {
+  const durationMs = Math.max(1, endsAt - startedAt);
+  return Math.floor(100 * (now - startedAt) / durationMs);
+}
+
 function formatRun({ task, run }: { task: string; run: number }): string {
   return `${task}/${run}`;
 }
--- a/tests/standins/relay.ts
+++ b/tests/standins/relay.ts
@@ -29,6 +29,8 @@
   fault: LinkFault;
   /** Delay of each message, in milliseconds; for `LinkFault.Delay`. */
   delayMs?: number;
+  /** What is held is lost if its sender closes the connection meanwhile. */
+  losesHeld?: boolean;
 }
 
 /** Network address of a server. */
@@ -137,6 +139,7 @@
         .on("error", () => this.#close(connection))
         .on("close", () => {
           direction.hasEnded = true;
+          if (this.#findRule(connection)?.losesHeld) direction.held.length = 0;
           this.#release(connection, direction);
         });
     }
--- /dev/null
+++ b/tools/soak.ts
@@ -0,0 +1,67 @@
+/**
+ * Runs the real bundle as processes under faults drawn from a seed, and checks
+ * what callers and endpoints see. For each seed that fails, prints the
+ * violations, the schedule of the faults, and the folder with all logs.
+ *
+ * Usage: node dist/tools/soak.js [--seeds N] [--seed S] [--seconds T]
+ * [--entries E] [--endpoints W] [--without KIND]...
+ * `--without` leaves a kind of fault out of the schedule.
+ */
+import process from "node:process";
+import { parseArgs } from "node:util";
+import { runSoak, type SoakReport } from "../tests/soak/run_soak.ts";
+import type { Violation } from "../tests/soak/types.ts";
+
+const { values } = parseArgs({
+  options: {
+    seeds: { type: "string", default: "1" },
+    seed: { type: "string", default: "1" },
+    seconds: { type: "string", default: "30" },
+    entries: { type: "string", default: "4" },
+    endpoints: { type: "string", default: "5" },
+    without: { type: "string", multiple: true },
+  },
+});
+const firstSeed = Number(values.seed);
+const failedSeeds: number[] = [];
+
+for (let seed = firstSeed; seed < firstSeed + Number(values.seeds); seed++) {
+  const report = await runSoak({
+    seed,
+    seconds: Number(values.seconds),
+    entries: Number(values.entries),
+    endpoints: Number(values.endpoints),
+    without: values.without,
+    onViolation: (violation) =>
+      print(`seed ${seed}: ${describeViolation(violation)}`),
+  });
+  printReport(report);
+  if (report.violations.length > 0) failedSeeds.push(seed);
+}
+print(
+  failedSeeds.length > 0
+    ? `FAILED: seeds ${failedSeeds.join(" ")}`
+    : "all seeds passed",
+);
+process.exit(failedSeeds.length > 0 ? 1 : 0);
+
+function printReport(report: SoakReport): void {
+  const { seed, violations, counts, faults, timeLine, directory } = report;
+  const verdict = violations.length > 0 ? "FAILED" : "passed";
+  print(`seed ${seed} ${verdict}: ${JSON.stringify({ counts, faults })}`);
+  if (violations.length === 0) return;
+  for (const line of timeLine) print(`  ${line}`);
+  for (const violation of violations) {
+    const seconds = (violation.at - report.startedAt) / 1_000;
+    print(`  ${seconds.toFixed(2)} s ${describeViolation(violation)}`);
+  }
+  print(`  logs and history: ${directory}`);
+}
+
+function describeViolation({ rule, subject, detail }: Violation): string {
+  return `${rule}: ${subject}: ${detail}`;
+}
+
+function print(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
