--- a/tests/soak/checker.ts
+++ b/tests/soak/checker.ts
@@ -1,5 +1,8 @@
 import { match } from "ts-pattern";
-import { type EndpointEvent, EndpointEventKind } from "../standins/endpoint.ts";
+import {
+  type EndpointEvent,
+  EndpointEventKind,
+} from "../standins/endpoint_lifetime.ts";
 import {
   CANCEL_MS,
   CONFIG_MS,
--- a/tests/soak/soak_site.ts
+++ b/tests/soak/soak_site.ts
@@ -1,5 +1,6 @@
 import { SeededRandom } from "../../packages/base/mod.ts";
-import { type EndpointEvent, EndpointStandIn } from "../standins/endpoint.ts";
+import { EndpointStandIn } from "../standins/endpoint.ts";
+import type { EndpointEvent } from "../standins/endpoint_lifetime.ts";
 import {
   PolicyServiceStandIn,
   StoreStandIn,
@@ -188,11 +189,10 @@
   }
 
   async #addEndpoint(n: number, random: SeededRandom): Promise<void> {
-    const endpoint = new EndpointStandIn(`w${n}`);
+    const clockRate = SLOWEST_CLOCK + (1 - SLOWEST_CLOCK) * random.drawFloat();
+    const endpoint = new EndpointStandIn(`w${n}`, { clockRate });
     const address = { host: this.getEndpointHost(n), port: ENDPOINT_PORT };
     endpoint.stopMs = STOP_MS;
-    endpoint.clockRate = SLOWEST_CLOCK +
-      (1 - SLOWEST_CLOCK) * random.drawFloat();
     endpoint.measureDuration = (task) => this.measureDuration(task);
     endpoint.onEvent = (event) => this.onEvent(event);
     await endpoint.start(address);
--- a/tests/soak/types.ts
+++ b/tests/soak/types.ts
@@ -1,4 +1,4 @@
-import type { EndpointEvent } from "../standins/endpoint.ts";
+import type { EndpointEvent } from "../standins/endpoint_lifetime.ts";
 
 /** What happened in a soak, apart from the runs of tasks on endpoints. */
 export enum SoakEventKind {
