Soak: calls in flight around planned stops, seeds that differ from their start

Two processes of the soak outlived it when it was killed. Change: callers press a stopping entry with small jobs over open connections until it is out of rotation; a seed draws how distant the store is; the generator is warmed up; entries end with the soak.

--- a/tests/soak/caller.ts
+++ b/tests/soak/caller.ts
@@ -21,6 +21,8 @@
 const MAX_RETRY_MS = 2_000;
 /** Pause between two actions of a caller, in milliseconds. */
 const ACTION_PAUSE_MS = 900;
+/** Pause between two calls around a planned stop, in milliseconds. */
+const PRESS_PAUSE_MS = 20;
 /** Shares of a caller's actions; the others ask for the state of a job. */
 const SUBMIT_RATIO = 0.4;
 const CANCEL_RATIO = 0.03;
@@ -28,6 +30,13 @@
 const REPEAT_RATIO = 0.1;
 /** Share of the calls that use a withdrawn key, if there is one. */
 const OLD_KEY_RATIO = 0.1;
+const SMALL_STEP: SoakStep = {
+  tasks: 1,
+  milliCores: 100,
+  memoryMb: 50,
+  after: [],
+  runMs: 50,
+};
 const LONG_TASK_RATIO = 0.25;
 const SHORT_TASK_MS = 800;
 
@@ -89,6 +98,20 @@
     }
   }
 
+  /**
+   * Submits small jobs to this entry, one after the other, until its connection
+   * has ended and the load balancer sends it no new ones, or the time is over.
+   */
+  async pressEntry(entry: number, forMs: number): Promise<void> {
+    const deadline = Date.now() + forMs;
+    const { view } = this.#parts;
+    while (Date.now() < deadline && !this.#isStopped) {
+      if (!this.#clients.has(entry) && !view.rotation.includes(entry)) return;
+      await this.submitTo(entry, { isSmall: true });
+      await sleep(PRESS_PAUSE_MS);
+    }
+  }
+
   stop(): void {
     this.#isStopped = true;
   }
@@ -117,8 +140,12 @@
   }
 
   /** Submits a job once to this entry; returns whether it was accepted. */
-  async submitTo(entry: number): Promise<boolean> {
+  async submitTo(
+    entry: number,
+    { isSmall = false }: { isSmall?: boolean } = {},
+  ): Promise<boolean> {
     const job = this.#drawJob();
+    if (isSmall) job.steps = [SMALL_STEP];
     this.#parts.onEvent({ kind: SoakEventKind.Job, at: Date.now(), job });
     this.#entry = entry;
     const { call } = await this.#call(CallKind.Submit, job);
@@ -203,6 +230,7 @@
       isWhole: false,
       detail: "",
       hasTimedOut: false,
+      isRefused: false,
     };
     let retryAfterMs: number | undefined;
     try {
@@ -225,7 +253,10 @@
       readAnswer(call, text);
     } catch (error) {
       call.status = 0;
-      call.hasTimedOut = (error as Error).name === "TimeoutError";
+      const { name, code } = error as { name: string; code?: string };
+      call.hasTimedOut = name === "TimeoutError";
+      // The relay resets a connection that the entry's address refused.
+      call.isRefused = code === "ECONNRESET";
       call.detail = String(error);
     }
     call.at = Date.now();
--- a/tests/soak/checker.ts
+++ b/tests/soak/checker.ts
@@ -196,9 +196,8 @@
       this.#report(Rule.Answer, { at: call.at, subject, detail: call.detail });
     }
     const durationMs = call.at - call.sentAt;
-    if (call.status > 0 || call.hasTimedOut || durationMs <= LOSS_SLACK_MS) {
-      return;
-    }
+    const isLost = call.status === 0 && !call.hasTimedOut && !call.isRefused;
+    if (!isLost || durationMs <= LOSS_SLACK_MS) return;
     const stop = this.#faults.find(({ stoppedEntry, at }) =>
       stoppedEntry === call.entry && call.at >= at &&
       call.sentAt <= at + STOP_GRACE_MS + 1_000
--- a/tests/soak/checker_test.ts
+++ b/tests/soak/checker_test.ts
@@ -80,6 +80,7 @@
     isWhole: true,
     detail: "",
     hasTimedOut: false,
+    isRefused: false,
     ...event,
     sentAt,
   };
--- a/tests/soak/entry_process.ts
+++ b/tests/soak/entry_process.ts
@@ -23,9 +23,10 @@
   store: string;
   policy: string;
   vms: string;
+  /** File with the program. */
+  bundle: string;
 }
 
-const BUNDLE = "target/entry.cjs";
 const NODE_ARGS = ["--max-old-space-size=220", "--max-semi-space-size=8"];
 
 /** One entry of the soak: the real bundle as a process. */
@@ -80,15 +81,18 @@
 
   start(): void {
     if (this.#child) return;
-    const { directory, name } = this.place;
+    const { directory, name, bundle } = this.place;
     const log = openSync(join(directory, `${name}.log`), "a");
-    const child = spawn(process.execPath, [...NODE_ARGS, BUNDLE], {
+    const child = spawn(process.execPath, [...NODE_ARGS, bundle], {
       stdio: ["ignore", log, log],
       env: { PATH: process.env.PATH, BAOBABHEAD_NODE_FILE: this.#settingsFile },
     });
     this.#child = child;
+    const killWithParent = () => child.kill("SIGKILL");
+    process.once("exit", killWithParent);
     this.#exited = new Promise((resolve) => {
       child.once("exit", () => {
+        process.off("exit", killWithParent);
         if (this.#child === child) this.#child = undefined;
         resolve();
       });
--- a/tests/soak/inject_faults.ts
+++ b/tests/soak/inject_faults.ts
@@ -13,6 +13,9 @@
   SoakFaultKind.WithdrawKey,
 ]);
 
+/** Time for callers to open connections before a planned stop, in ms. */
+const PRESS_LEAD_MS = 500;
+
 /** What the injector needs of a run. */
 export interface InjectorParts {
   site: SoakSite;
@@ -34,7 +37,8 @@
     onEvent({
       kind: SoakEventKind.Fault,
       at,
-      endsAt: at + fault.lastsMs + fault.delayMs + (isStop ? STOP_GRACE_MS : 0),
+      endsAt: at + fault.lastsMs + fault.delayMs +
+        (isStop ? PRESS_LEAD_MS + STOP_GRACE_MS : 0),
       fault: fault.kind,
       stoppedEntry: isStop ? entryNumber : -1,
     });
@@ -58,6 +62,7 @@
       entry.start();
     })
     .with(SoakFaultKind.PlannedStop, async () => {
+      await sleep(PRESS_LEAD_MS);
       await entry.stop();
       await sleep(delayMs);
       entry.start();
--- a/tests/soak/run_soak.ts
+++ b/tests/soak/run_soak.ts
@@ -1,7 +1,6 @@
 import { appendFileSync, mkdirSync, rmSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { request } from "undici";
-import { SeededRandom } from "../../packages/base/mod.ts";
 import { sleep } from "../standins/http_server.ts";
 import { SoakCaller } from "./caller.ts";
 import { findStep, SoakChecker } from "./checker.ts";
@@ -11,13 +10,15 @@
   MAX_RUN_MS,
   MAX_STEPS,
   RECOVER_MS,
+  STOP_GRACE_MS,
 } from "./constants.ts";
 import { injectFault } from "./inject_faults.ts";
-import { describeFault, drawFaults } from "./schedule.ts";
+import { createRandom, describeFault, drawFaults } from "./schedule.ts";
 import { CAPACITY, SoakSite } from "./soak_site.ts";
 import {
   type SoakEvent,
   SoakEventKind,
+  type SoakFaultEvent,
   type SoakJob,
   type Violation,
 } from "./types.ts";
@@ -31,6 +32,11 @@
 const START_TIMEOUT_MS = 20_000;
 const POLL_MS = 200;
 const CALLERS = 8;
+/** Callers that press an entry around its planned stop. */
+const PRESSING_CALLERS = 4;
+const BUNDLE = "target/entry.cjs";
+/** Time for which callers press a stopping entry, in milliseconds. */
+const PRESS_MS = 1_000 + STOP_GRACE_MS;
 const FIRST_NETWORK = 60;
 const NETWORKS = 120;
 
@@ -42,6 +48,8 @@
   endpoints: number;
   /** Kinds of faults to leave out of the schedule, to tell causes apart. */
   without?: string[];
+  /** File with the program; by default the bundle. */
+  bundle?: string;
   /** Called with each violation as soon as it is found. */
   onViolation?: (violation: Violation) => void;
 }
@@ -97,6 +105,7 @@
     this.#site = new SoakSite({
       network: `127.${FIRST_NETWORK + seed % NETWORKS}`,
       directory: this.#directory,
+      bundle: options.bundle ?? BUNDLE,
     });
     this.#misses = Array.from({ length: entries }, () => MAX_MISSES);
     const capacities = Array.from(
@@ -105,12 +114,12 @@
     );
     this.#checker = new SoakChecker(new Map(capacities));
     const record = (event: SoakEvent) => this.#record(event);
-    for (let number = 0; number <= CALLERS; number++) {
+    for (let number = 0; number <= CALLERS + PRESSING_CALLERS; number++) {
       this.#callers.push(
         new SoakCaller({
           number,
           host: this.#site.getCallerHost(number),
-          random: new SeededRandom(seed * 1_000 + number),
+          random: createRandom(seed * 1_000 + number),
           view: this.#view,
           onEvent: record,
         }),
@@ -133,13 +142,17 @@
     writeFileSync(join(this.#directory, "faults.txt"), timeLine.join("\n"));
     await this.#start();
     const startedAt = Date.now();
-    const [finder, ...callers] = this.#callers;
+    const [finder] = this.#callers;
+    const callers = this.#callers.slice(1, 1 + CALLERS);
     const running = callers.map((caller) => caller.run());
     const injected = faults.map(async (fault) => {
       await sleep(startedAt + fault.atMs - Date.now());
       await injectFault({
         site: this.#site,
-        onEvent: (event) => this.#record(event),
+        onEvent: (event) => {
+          this.#record(event);
+          if (event.kind === SoakEventKind.Fault) this.#pressStopping(event);
+        },
         applyConfig: (change) => this.#applyConfig(change),
       }, fault);
     });
@@ -147,7 +160,7 @@
     const healedAt = Date.now();
     this.#record({ kind: SoakEventKind.Healed, at: healedAt });
     await this.#waitForRecovery(finder, healedAt);
-    for (const caller of callers) caller.stop();
+    for (const caller of this.#callers.slice(1)) caller.stop();
     await Promise.all(running);
     await this.#waitForJobs(finder);
     this.#check(Infinity);
@@ -164,6 +177,14 @@
     rmSync(this.#directory, { recursive: true });
   }
 
+  /** Keeps calls in flight at an entry that is about to stop. */
+  #pressStopping({ stoppedEntry }: SoakFaultEvent): void {
+    if (stoppedEntry < 0) return;
+    for (const caller of this.#callers.slice(1 + CALLERS)) {
+      void caller.pressEntry(stoppedEntry, PRESS_MS);
+    }
+  }
+
   async #start(): Promise<void> {
     const { seed } = this.#options;
     await this.#site.start(this.#options, seed);
--- a/tests/soak/schedule.ts
+++ b/tests/soak/schedule.ts
@@ -64,6 +64,7 @@
 /** Longest pause between two series, in milliseconds. */
 const MAX_PAUSE_MS = 6_000;
 const MAX_FAULT_MS = 8_000;
+const WARM_UP_DRAWS = 50;
 const MIN_DELAY_MS = 50;
 const MAX_DELAY_MS = 1_550;
 /**
@@ -82,9 +83,16 @@
   ...Object.values(LinkFault).map(() => SoakFaultKind.Link),
 ];
 
+/** Creates a generator; the first numbers of neighbouring seeds are unlike. */
+export function createRandom(seed: number): Random {
+  const random = new SeededRandom(seed);
+  for (let n = 0; n < WARM_UP_DRAWS; n++) random.drawFloat();
+  return random;
+}
+
 /** Draws the faults of one seed, in the order of their times. */
 export function drawFaults(seed: number, site: ScheduleSite): SoakFault[] {
-  const random = new SeededRandom(seed);
+  const random = createRandom(seed);
   const faults: SoakFault[] = [];
   let atMs = CALM_START_MS;
   if (random.drawFloat() < CALM_STOP_RATIO) {
--- a/tests/soak/soak_site.ts
+++ b/tests/soak/soak_site.ts
@@ -1,4 +1,4 @@
-import { SeededRandom } from "../../packages/base/mod.ts";
+import type { Random } from "../../packages/base/mod.ts";
 import { EndpointStandIn } from "../standins/endpoint.ts";
 import type { EndpointEvent } from "../standins/endpoint_lifetime.ts";
 import {
@@ -7,6 +7,7 @@
   VmServiceStandIn,
 } from "../standins/job_platform.ts";
 import { type LinkRule, Relay } from "../standins/relay.ts";
+import { createRandom } from "./schedule.ts";
 import { EntryPort, EntryProcess } from "./entry_process.ts";
 
 /** Added to a server's port to get the port of its relay. */
@@ -20,6 +21,8 @@
 const SLOWEST_CLOCK = 0.98;
 /** Silence after which an endpoint's record is removed, in milliseconds. */
 const RECORD_LIFETIME_MS = 1_500;
+/** Durations of a transaction, in milliseconds: a near and a distant store. */
+const TRANSACTION_MS = [0, 50, 200];
 const OWNER_KEY = "baobabhead/cell/owner";
 
 /** Capacity of each endpoint. */
@@ -44,6 +47,7 @@
   readonly #vms = new VmServiceStandIn();
   readonly #network: string;
   readonly #directory: string;
+  readonly #bundle: string;
   readonly #downEndpoints = new Set<EndpointStandIn>();
   readonly #rules = new Set<LinkRule>();
   #configVersion = 0;
@@ -53,8 +57,11 @@
   measureDuration: (task: string) => number = () => 0;
 
   /** `network`: first two parts of the addresses, such as `127.60`. */
-  constructor(options: { network: string; directory: string }) {
+  constructor(
+    options: { network: string; directory: string; bundle: string },
+  ) {
     this.#network = options.network;
+    this.#bundle = options.bundle;
     this.#directory = options.directory;
     this.#policy = new PolicyServiceStandIn([]);
   }
@@ -69,8 +76,10 @@
   }
 
   async start(size: SiteSize, seed: number): Promise<void> {
-    const random = new SeededRandom(seed);
+    const random = createRandom(seed);
     const host = this.platformHost;
+    this.store.transactionMs =
+      TRANSACTION_MS[random.drawInt(TRANSACTION_MS.length)];
     await this.store.start({ host, port: STORE_PORT });
     await this.#policy.start({ host, port: POLICY_PORT });
     await this.#vms.start({ host, port: VM_SERVICE_PORT });
@@ -91,6 +100,7 @@
           store,
           policy: `${host}:${POLICY_PORT}`,
           vms: `${host}:${VM_SERVICE_PORT}`,
+          bundle: this.#bundle,
         }),
       );
     }
@@ -188,7 +198,7 @@
     for (const endpoint of this.endpoints) endpoint.endDueRuns(now);
   }
 
-  async #addEndpoint(n: number, random: SeededRandom): Promise<void> {
+  async #addEndpoint(n: number, random: Random): Promise<void> {
     const clockRate = SLOWEST_CLOCK + (1 - SLOWEST_CLOCK) * random.drawFloat();
     const endpoint = new EndpointStandIn(`w${n}`, { clockRate });
     const address = { host: this.getEndpointHost(n), port: ENDPOINT_PORT };
--- a/tests/soak/types.ts
+++ b/tests/soak/types.ts
@@ -60,6 +60,8 @@
   detail: string;
   /** The caller ended the wait. */
   hasTimedOut: boolean;
+  /** Nothing listened at the entry's address. */
+  isRefused: boolean;
 }
 
 /** A fault of the soak while it lasts. */
--- a/tests/standins/job_platform.ts
+++ b/tests/standins/job_platform.ts
@@ -41,6 +41,8 @@
   readonly refusedSources = new Set<string>();
   /** Delay of every call, in milliseconds. */
   delayMs = 0;
+  /** Duration of every transaction, in milliseconds. */
+  transactionMs = 0;
   /** Serves calls but closes the connection instead of answering. */
   losesAnswers = false;
   /** Answers no transaction, and carries it out after this time, in ms. */
@@ -59,7 +61,8 @@
       this.#expireLeases();
       const url = new URL(request.url ?? "/", "http://store");
       const [, , call, id] = url.pathname.split("/");
-      const { commitDelayMs } = this;
+      const { commitDelayMs, transactionMs } = this;
+      if (call === "kv-txn" && transactionMs > 0) await sleep(transactionMs);
       if (call === "kv-txn" && commitDelayMs > 0) {
         response.destroy();
         await sleep(commitDelayMs);
--- a/tests/standins/relay.ts
+++ b/tests/standins/relay.ts
@@ -114,6 +114,10 @@
       return;
     }
     const server = connect({ ...to, localAddress: source });
+    // Callers can tell a server that does not run from a lost answer.
+    const refuse = () => client.resetAndDestroy();
+    server.once("error", refuse);
+    server.once("connect", () => server.off("error", refuse));
     const makeDirection = (from: Socket, target: Socket): Direction => ({
       from,
       to: target,
--- a/tools/soak.ts
+++ b/tools/soak.ts
@@ -5,6 +5,7 @@
  *
  * Usage: node dist/tools/soak.js [--seeds N] [--seed S] [--seconds T]
  * [--entries E] [--endpoints W] [--without KIND]...
+ * [--bundle FILE]
  * `--without` leaves a kind of fault out of the schedule.
  */
 import process from "node:process";
@@ -19,9 +20,14 @@
     seconds: { type: "string", default: "30" },
     entries: { type: "string", default: "4" },
     endpoints: { type: "string", default: "5" },
+    bundle: { type: "string" },
     without: { type: "string", multiple: true },
   },
 });
+// The processes of a run end with this one.
+for (const signal of ["SIGINT", "SIGTERM"]) {
+  process.on(signal, () => process.exit(1));
+}
 const firstSeed = Number(values.seed);
 const failedSeeds: number[] = [];
 
@@ -32,6 +38,7 @@
     entries: Number(values.entries),
     endpoints: Number(values.endpoints),
     without: values.without,
+    bundle: values.bundle,
     onViolation: (violation) =>
       print(`seed ${seed}: ${describeViolation(violation)}`),
   });
