--- a/tests/cell/cell_site.ts
+++ b/tests/cell/cell_site.ts
@@ -7,6 +7,7 @@
   DEFAULT_POLICIES,
   type Endpoint,
   noteLeaseSent,
+  noteStartSent,
   type Order,
   OrderKind,
   PaceResult,
@@ -144,6 +145,7 @@
   #commits: { at: number; owner: Cell; output: CellOutput }[] = [];
   #scheduledCalls: { at: number; run: () => void }[] = [];
   #polledAt = new Map<Endpoint, number>();
+  #startDelay: { byMs: number } | undefined;
 
   constructor(options: {
     endpoints?: number;
@@ -179,6 +181,23 @@
     return endpoint;
   }
 
+  /**
+   * From now on, start orders get no answer and are carried out after `byMs`, in
+   * milliseconds, even by a later lifetime of the endpoint; `undefined`: ends this.
+   */
+  delayStarts(delay: { byMs: number } | undefined): void {
+    this.#startDelay = delay;
+  }
+
+  /** Finds the endpoint on which the owner has placed a task. */
+  findPlacement(task: string): FakeEndpoint {
+    for (const { info, runs } of this.cell.state.endpoints.values()) {
+      const fake = runs.has(task) && this.endpoints.get(info.id);
+      if (fake) return fake;
+    }
+    throw new Error(`${task} is not placed`);
+  }
+
   /** Passes the current list of endpoints to the cell. */
   applyEndpointList(): void {
     this.cell.updateEndpoints([...this.endpoints.values()].map((endpoint) => ({
@@ -189,6 +208,7 @@
       ...this.describeEndpoint(endpoint.id),
       capacity: endpoint.capacity,
       isDraining: this.draining.has(endpoint.id),
+      bornAt: endpoint.bornAt,
     })));
   }
 
@@ -227,7 +247,10 @@
     this.cell = this.#makeCell(this.fence);
     this.cell.restore(
       { snapshot: this.snapshot, records: structuredClone(this.journal) },
-      { formerRunsEndAt: this.now + FORMER_LEASES_MS, time: this.time },
+      {
+        formerRunsEndAt: this.now + FORMER_LEASES_MS,
+        time: this.time,
+      },
     );
     this.applyEndpointList();
   }
@@ -271,7 +294,9 @@
   #pollEndpoints(): void {
     for (const endpoint of this.cell.state.endpoints.values()) {
       const lastPolledAt = this.#polledAt.get(endpoint) ?? 0;
-      if (this.now - lastPolledAt < this.pollIntervalMs) continue;
+      const isDue = !endpoint.hasAcceptedFence ||
+        this.now - lastPolledAt >= this.pollIntervalMs;
+      if (!isDue) continue;
       this.#polledAt.set(endpoint, this.now);
       const fake = this.endpoints.get(endpoint.info.id);
       if (!fake || fake.isUnreachable) continue;
@@ -333,16 +358,18 @@
       const result = fake && !fake.isUnreachable
         ? fake.stop({ task: run.task, run: run.number, fence }, this.now)
         : StopResult.Unknown;
-      owner.applyStopAnswer(run, { result, now: this.now });
+      const { bornAt } = run.endpoint;
+      owner.applyStopAnswer(run, { result, bornAt, now: this.now });
       return;
     }
     this.calls.starts++;
-    noteLeaseSent(run.endpoint, { now: this.now, leaseMs: LEASE_MS });
+    const { ticketEndsAt } = order;
+    noteStartSent(run, { now: this.now, leaseMs: LEASE_MS, ticketEndsAt });
     const leaseUntil = this.now + run.endpoint.clockOffset + LEASE_MS;
-    const { bornAt } = run.endpoint;
-    const start = () => {
-      if (!fake || fake.isUnreachable) return StartResult.Unknown;
-      if (fake.bornAt !== bornAt) return StartResult.OtherLifetime;
+    const start = (isDelayed: boolean) => {
+      // A delayed order has already reached the endpoint's VM.
+      const isLost = !fake || (fake.isUnreachable && !isDelayed);
+      if (isLost) return StartResult.Unknown;
       const fakeRun: FakeRun = {
         task: run.task,
         run: run.number,
@@ -363,16 +390,24 @@
       }
       return result;
     };
-    const isAnswerLost = this.random.drawFloat() < this.lostStartRatio;
-    if (isAnswerLost && this.random.drawFloat() < 0.5) {
-      const at = this.now + 500 + this.random.drawInt(6_000);
-      this.#scheduledCalls.push({ at, run: start });
+    const isAnswerLost = this.#startDelay !== undefined ||
+      this.random.drawFloat() < this.lostStartRatio;
+    const isLate = isAnswerLost &&
+      (this.#startDelay !== undefined || this.random.drawFloat() < 0.5);
+    if (isLate) {
+      const delayMs = this.#startDelay?.byMs ??
+        2_000 + this.random.drawInt(10_000);
+      this.#scheduledCalls.push({
+        at: this.now + delayMs,
+        run: () => start(true),
+      });
     }
-    const result = isAnswerLost ? StartResult.Unknown : start();
+    const result = isAnswerLost ? StartResult.Unknown : start(false);
+    const clockMs = fake?.readClock(this.now);
     const time = this.time;
     this.#scheduledCalls.push({
       at: this.now + (isAnswerLost ? 1_000 : 10),
-      run: () => owner.applyStartAnswer(run, { result, time }),
+      run: () => owner.applyStartAnswer(run, { result, clockMs, time }),
     });
   }
 
