Soak: a regression case for restarted endpoints, recovery measured for each entry

Recovery was measured one entry after the other, so an entry paid for the waits of those before it, and an owner that refuses a job because others would be late counted as not recovered, although it serves. Each entry has a probe of its own; a decision of the owner, accepted or refused for its wait, ends it. The history of tasks has a module of its own.

--- a/tests/soak/caller.ts
+++ b/tests/soak/caller.ts
@@ -139,17 +139,17 @@
     return false;
   }
 
-  /** Submits a job once to this entry; returns whether it was accepted. */
+  /** Submits a job once to this entry; returns the status of the answer. */
   async submitTo(
     entry: number,
     { isSmall = false }: { isSmall?: boolean } = {},
-  ): Promise<boolean> {
+  ): Promise<number> {
     const job = this.#drawJob();
     if (isSmall) job.steps = [SMALL_STEP];
     this.#parts.onEvent({ kind: SoakEventKind.Job, at: Date.now(), job });
     this.#entry = entry;
     const { call } = await this.#call(CallKind.Submit, job);
-    return call.status === 200;
+    return call.status;
   }
 
   /** Asks for the state of a job; returns it, or "" without one. */
--- a/tests/soak/checker.ts
+++ b/tests/soak/checker.ts
@@ -13,6 +13,7 @@
   STOP_GRACE_MS,
   VISIBLE_MS,
 } from "./constants.ts";
+import { findStep, listTasks, TaskHistory } from "./task_history.ts";
 import {
   CallKind,
   Rule,
@@ -36,16 +37,6 @@
   lastState: string;
 }
 
-/** What endpoints recorded of a task. */
-interface TaskRecord {
-  starts: EndpointEvent[];
-  /** Runs in progress. */
-  running: EndpointEvent[];
-  ends: EndpointEvent[];
-  /** Time of the first end as done whose end was acknowledged. */
-  doneAt: number | undefined;
-}
-
 /** Statuses with which a job was not accepted and never runs. */
 const REFUSED_STATUSES = new Set([429, 503]);
 
@@ -59,8 +50,7 @@
   readonly counts: Record<string, number> = {};
   readonly #capacities: Map<string, { milliCores: number; memoryMb: number }>;
   readonly #jobs = new Map<string, JobRecord>();
-  readonly #tasks = new Map<string, TaskRecord>();
-  readonly #runsByEndpoint = new Map<string, EndpointEvent[]>();
+  readonly #tasks = new TaskHistory();
   readonly #faults: SoakFaultEvent[] = [];
   /** Time from which each key is in force or withdrawn. */
   readonly #keys = new Map<string, { at: number; isValid: boolean }>();
@@ -92,7 +82,7 @@
         { kind: EndpointEventKind.Started },
         (start) => this.#observeStart(start),
       )
-      .with({ kind: EndpointEventKind.Ended }, (end) => this.#observeEnd(end))
+      .with({ kind: EndpointEventKind.Ended }, (end) => this.#tasks.addEnd(end))
       .with(
         { kind: EndpointEventKind.Acknowledged },
         (end) => this.#observeAcknowledged(end),
@@ -120,8 +110,8 @@
     }
     for (const { job, isRefused, acceptedAt } of this.#jobs.values()) {
       if (!isRefused || acceptedAt !== undefined) continue;
-      const start = this.#listTasks(job).flatMap(({ name }) =>
-        this.#tasks.get(name)?.starts ?? []
+      const start = listTasks(job).flatMap(({ name }) =>
+        this.#tasks.getTask(name).starts
       )[0];
       if (!start) {
         continue;
@@ -225,8 +215,8 @@
     if (call.status !== 200) return;
     record.lastState = call.state;
     if (call.state === "completed") {
-      const missing = this.#listTasks(job).find(({ name }) =>
-        !this.#hasDone(name, call.at)
+      const missing = listTasks(job).find(({ name }) =>
+        !this.#tasks.hasDone(name, call.at)
       );
       if (missing) report(Rule.State, `completed before ${missing.name}`);
       record.isCompleted = true;
@@ -239,7 +229,7 @@
   }
 
   #observeStart(start: EndpointEvent): void {
-    const task = this.#getTask(start.task);
+    const task = this.#tasks.getTask(start.task);
     const report = (rule: Rule, detail: string) =>
       this.#report(rule, {
         at: start.at,
@@ -251,10 +241,7 @@
     if (task.doneAt !== undefined && task.doneAt < start.at) {
       report(Rule.AfterEnd, `ended ${start.at - task.doneAt} ms before`);
     }
-    task.starts.push(start);
-    task.running.push(start);
-    const runs = this.#runsByEndpoint.get(start.endpoint) ?? [];
-    this.#runsByEndpoint.set(start.endpoint, [...runs, start]);
+    this.#tasks.addStart(start);
     const record = this.#findJob(start.task);
     const step = record && findStep(record.job, start.task);
     if (!step || record.job.payload !== start.detail) {
@@ -262,8 +249,8 @@
       return;
     }
     this.#checkCapacity(start, (detail) => report(Rule.Capacity, detail));
-    const earlier = this.#listTasks(record.job).find(({ name, step: number }) =>
-      step.after.includes(number) && !this.#hasDone(name, start.at)
+    const earlier = listTasks(record.job).find(({ name, step: number }) =>
+      step.after.includes(number) && !this.#tasks.hasDone(name, start.at)
     );
     if (earlier) report(Rule.Order, `before ${earlier.name}`);
     const { cancelledAt } = record;
@@ -281,7 +268,7 @@
   ): void {
     const capacity = this.#capacities.get(start.endpoint);
     const used = { milliCores: 0, memoryMb: 0 };
-    for (const { task } of this.#runsByEndpoint.get(start.endpoint) ?? []) {
+    for (const { task } of this.#tasks.listRuns(start.endpoint)) {
       const record = this.#findJob(task);
       const step = record && findStep(record.job, task);
       used.milliCores += step?.milliCores ?? 0;
@@ -292,24 +279,11 @@
     if (isExceeded) report(`${used.milliCores} mC, ${used.memoryMb} MB`);
   }
 
-  #observeEnd(end: EndpointEvent): void {
-    const task = this.#getTask(end.task);
-    task.running = task.running.filter((start) => !isSameRun(start, end));
-    task.ends.push(end);
-    const runs = this.#runsByEndpoint.get(end.endpoint) ?? [];
-    this.#runsByEndpoint.set(
-      end.endpoint,
-      runs.filter((start) => !isSameRun(start, end)),
-    );
-  }
-
   #observeAcknowledged(event: EndpointEvent): void {
-    if (event.detail !== "done") return;
-    const task = this.#getTask(event.task);
-    const end = task.ends.find((candidate) => isSameRun(candidate, event));
+    const end = this.#tasks.acknowledge(event);
     if (!end) return;
-    task.doneAt ??= end.at;
-    const laterStart = task.starts.find(({ at }) => at > end.at);
+    const { starts } = this.#tasks.getTask(event.task);
+    const laterStart = starts.find(({ at }) => at > end.at);
     if (!laterStart) return;
     this.#report(Rule.AfterEnd, {
       at: event.at,
@@ -347,44 +321,12 @@
     return this.#jobs.get(task.split(".")[0]);
   }
 
-  #getTask(name: string): TaskRecord {
-    const task = this.#tasks.get(name) ??
-      { starts: [], running: [], ends: [], doneAt: undefined };
-    this.#tasks.set(name, task);
-    return task;
-  }
-
-  #hasDone(name: string, by: number): boolean {
-    return this.#getTask(name).ends.some(({ detail, at }) =>
-      detail === "done" && at <= by
-    );
-  }
-
-  #listTasks(job: SoakJob): { name: string; step: number }[] {
-    return job.steps.flatMap(({ tasks }, step) =>
-      Array.from({ length: tasks }, (_, index) => ({
-        name: `${job.id}.0.${step}.${index}`,
-        step,
-      }))
-    );
-  }
-
   #report(rule: Rule, violation: Omit<Violation, "rule">): void {
     const { at, subject, detail } = violation;
     this.violations.push({ rule, at, subject, detail });
   }
 }
 
-/** Finds the step of a task by the task's name. */
-export function findStep(job: SoakJob, task: string): SoakJob["steps"][0] {
-  return job.steps[Number(task.split(".")[2])];
-}
-
-function isSameRun(a: EndpointEvent, b: EndpointEvent): boolean {
-  return a.endpoint === b.endpoint && a.born === b.born && a.run === b.run &&
-    a.task === b.task;
-}
-
 function describeRun({ endpoint, born, run, isLate }: EndpointEvent): string {
   return `run ${run} on ${endpoint}/${born}${
     isLate ? " (carried out late)" : ""
--- a/tests/soak/run_soak.ts
+++ b/tests/soak/run_soak.ts
@@ -3,7 +3,7 @@
 import { request } from "undici";
 import { sleep } from "../standins/http_server.ts";
 import { SoakCaller } from "./caller.ts";
-import { findStep, SoakChecker } from "./checker.ts";
+import { SoakChecker } from "./checker.ts";
 import {
   CONTACT_MS,
   FINISH_MS,
@@ -13,8 +13,14 @@
   STOP_GRACE_MS,
 } from "./constants.ts";
 import { injectFault } from "./inject_faults.ts";
-import { createRandom, describeFault, drawFaults } from "./schedule.ts";
+import {
+  createRandom,
+  describeFault,
+  drawFaults,
+  type SoakFault,
+} from "./schedule.ts";
 import { CAPACITY, SoakSite } from "./soak_site.ts";
+import { findStep } from "./task_history.ts";
 import {
   type SoakEvent,
   SoakEventKind,
@@ -35,6 +41,10 @@
 /** Callers that press an entry around its planned stop. */
 const PRESSING_CALLERS = 4;
 const BUNDLE = "target/entry.cjs";
+/** The owner accepts a job, or refuses it because others would be late. */
+const DECIDED_STATUSES = new Set([200, 429]);
+/** The callers after the finder and these probe one entry each. */
+const FIRST_PROBE = 1 + CALLERS + PRESSING_CALLERS;
 /** Time for which callers press a stopping entry, in milliseconds. */
 const PRESS_MS = 1_000 + STOP_GRACE_MS;
 const FIRST_NETWORK = 60;
@@ -46,6 +56,8 @@
   seconds: number;
   entries: number;
   endpoints: number;
+  /** The faults to inject; by default those of the seed. */
+  faults?: SoakFault[];
   /** Kinds of faults to leave out of the schedule, to tell causes apart. */
   without?: string[];
   /** File with the program; by default the bundle. */
@@ -114,7 +126,8 @@
     );
     this.#checker = new SoakChecker(new Map(capacities));
     const record = (event: SoakEvent) => this.#record(event);
-    for (let number = 0; number <= CALLERS + PRESSING_CALLERS; number++) {
+    const callerCount = FIRST_PROBE + entries;
+    for (let number = 0; number < callerCount; number++) {
       this.#callers.push(
         new SoakCaller({
           number,
@@ -128,7 +141,7 @@
     this.#site.onEvent = record;
     this.#site.measureDuration = (task) => {
       const job = this.#jobs.get(task.split(".")[0]);
-      return job ? findStep(job, task).runMs : 0;
+      return job && findStep(job, task)?.runMs || 0;
     };
   }
 
@@ -136,8 +149,9 @@
     const { seed, seconds } = this.#options;
     const durationMs = seconds * 1_000;
     const { without = [] } = this.#options;
-    const faults = drawFaults(seed, { ...this.#options, durationMs })
-      .filter(({ kind }) => !without.includes(kind));
+    const drawn = this.#options.faults ??
+      drawFaults(seed, { ...this.#options, durationMs });
+    const faults = drawn.filter(({ kind }) => !without.includes(kind));
     const timeLine = faults.map(describeFault);
     writeFileSync(join(this.#directory, "faults.txt"), timeLine.join("\n"));
     await this.#start();
@@ -159,7 +173,12 @@
     await Promise.all([sleep(durationMs), ...injected]);
     const healedAt = Date.now();
     this.#record({ kind: SoakEventKind.Healed, at: healedAt });
-    await this.#waitForRecovery(finder, healedAt);
+    const probes = this.#callers.slice(FIRST_PROBE);
+    await Promise.all(
+      probes.map((caller, entry) =>
+        this.#waitForRecovery(caller, { entry, healedAt })
+      ),
+    );
     for (const caller of this.#callers.slice(1)) caller.stop();
     await Promise.all(running);
     await this.#waitForJobs(finder);
@@ -180,7 +199,7 @@
   /** Keeps calls in flight at an entry that is about to stop. */
   #pressStopping({ stoppedEntry }: SoakFaultEvent): void {
     if (stoppedEntry < 0) return;
-    for (const caller of this.#callers.slice(1 + CALLERS)) {
+    for (const caller of this.#callers.slice(1 + CALLERS, FIRST_PROBE)) {
       void caller.pressEntry(stoppedEntry, PRESS_MS);
     }
   }
@@ -250,15 +269,18 @@
     this.#view.rotation = ready.length * 2 < entries.length ? entries : ready;
   }
 
-  /** Submits a job to each entry until it is accepted. */
-  async #waitForRecovery(caller: SoakCaller, healedAt: number): Promise<void> {
-    for (let entry = 0; entry < this.#options.entries; entry++) {
-      while (!await caller.submitTo(entry)) {
-        if (Date.now() > healedAt + RECOVER_MS + CONTACT_MS) break;
-        await sleep(POLL_MS);
-      }
-      this.#record({ kind: SoakEventKind.Recovered, at: Date.now(), entry });
+  /** Submits jobs to an entry until the cell's owner decides on one. */
+  async #waitForRecovery(
+    caller: SoakCaller,
+    { entry, healedAt }: { entry: number; healedAt: number },
+  ): Promise<void> {
+    const deadline = healedAt + RECOVER_MS + CONTACT_MS;
+    for (;;) {
+      const status = await caller.submitTo(entry, { isSmall: true });
+      if (DECIDED_STATUSES.has(status) || Date.now() > deadline) break;
+      await sleep(POLL_MS);
     }
+    this.#record({ kind: SoakEventKind.Recovered, at: Date.now(), entry });
   }
 
   /** Asks for the states of all jobs until they are completed. */
--- /dev/null
+++ b/tests/soak/task_history.ts
@@ -0,0 +1,85 @@
+import type { EndpointEvent } from "../standins/endpoint_lifetime.ts";
+import type { SoakJob, SoakStep } from "./types.ts";
+
+/** What endpoints recorded of a task. */
+export interface TaskRecord {
+  starts: EndpointEvent[];
+  /** Runs in progress. */
+  running: EndpointEvent[];
+  ends: EndpointEvent[];
+  /** Time of the first end as done whose end was acknowledged. */
+  doneAt: number | undefined;
+}
+
+/** The runs of all tasks, as endpoints recorded them. */
+export class TaskHistory {
+  readonly #tasks = new Map<string, TaskRecord>();
+  readonly #runsByEndpoint = new Map<string, EndpointEvent[]>();
+
+  getTask(name: string): TaskRecord {
+    const task = this.#tasks.get(name) ??
+      { starts: [], running: [], ends: [], doneAt: undefined };
+    this.#tasks.set(name, task);
+    return task;
+  }
+
+  /** Lists the runs in progress on an endpoint. */
+  listRuns(endpoint: string): EndpointEvent[] {
+    return this.#runsByEndpoint.get(endpoint) ?? [];
+  }
+
+  /** Returns whether a run of the task has ended as done by this time. */
+  hasDone(name: string, by: number): boolean {
+    return this.getTask(name).ends.some(({ detail, at }) =>
+      detail === "done" && at <= by
+    );
+  }
+
+  addStart(start: EndpointEvent): void {
+    const task = this.getTask(start.task);
+    task.starts.push(start);
+    task.running.push(start);
+    const runs = this.listRuns(start.endpoint);
+    this.#runsByEndpoint.set(start.endpoint, [...runs, start]);
+  }
+
+  addEnd(end: EndpointEvent): void {
+    const task = this.getTask(end.task);
+    task.running = task.running.filter((start) => !isSameRun(start, end));
+    task.ends.push(end);
+    const runs = this.listRuns(end.endpoint);
+    this.#runsByEndpoint.set(
+      end.endpoint,
+      runs.filter((start) => !isSameRun(start, end)),
+    );
+  }
+
+  /** Finds the end that was acknowledged, if the run was done. */
+  acknowledge(event: EndpointEvent): EndpointEvent | undefined {
+    if (event.detail !== "done") return undefined;
+    const task = this.getTask(event.task);
+    const end = task.ends.find((candidate) => isSameRun(candidate, event));
+    if (end) task.doneAt ??= end.at;
+    return end;
+  }
+}
+
+function isSameRun(a: EndpointEvent, b: EndpointEvent): boolean {
+  return a.endpoint === b.endpoint && a.born === b.born && a.run === b.run &&
+    a.task === b.task;
+}
+
+/** Lists the names of the tasks of a job, with the number of their step. */
+export function listTasks(job: SoakJob): { name: string; step: number }[] {
+  return job.steps.flatMap(({ tasks }, step) =>
+    Array.from({ length: tasks }, (_, index) => ({
+      name: `${job.id}.0.${step}.${index}`,
+      step,
+    }))
+  );
+}
+
+/** Finds the step of a task by the task's name. */
+export function findStep(job: SoakJob, task: string): SoakStep | undefined {
+  return job.steps[Number(task.split(".")[2])];
+}
--- a/tests/soak/types.ts
+++ b/tests/soak/types.ts
@@ -12,7 +12,7 @@
   Fault = "fault",
   /** The last fault has ended. */
   Healed = "healed",
-  /** After the last fault, an entry accepted a job. */
+  /** After the last fault, the owner decided on a job from an entry. */
   Recovered = "recovered",
 }
 
--- a/tools/soak.ts
+++ b/tools/soak.ts
@@ -5,11 +5,13 @@
  *
  * Usage: node dist/tools/soak.js [--seeds N] [--seed S] [--seconds T]
  * [--entries E] [--endpoints W] [--without KIND]...
- * [--bundle FILE]
- * `--without` leaves a kind of fault out of the schedule.
+ * [--bundle FILE] [--case NAME]
+ * `--without` leaves a kind of fault out of the schedule, `--case` plays the
+ * faults of a regression case.
  */
 import process from "node:process";
 import { parseArgs } from "node:util";
+import { REGRESSION_CASES } from "../tests/soak/regression_cases.ts";
 import { runSoak, type SoakReport } from "../tests/soak/run_soak.ts";
 import type { Violation } from "../tests/soak/types.ts";
 
@@ -20,6 +22,7 @@
     seconds: { type: "string", default: "30" },
     entries: { type: "string", default: "4" },
     endpoints: { type: "string", default: "5" },
+    case: { type: "string" },
     bundle: { type: "string" },
     without: { type: "string", multiple: true },
   },
@@ -29,6 +32,9 @@
   process.on(signal, () => process.exit(1));
 }
 const firstSeed = Number(values.seed);
+const regressionCase = REGRESSION_CASES.find(({ name }) =>
+  name === values.case
+);
 const failedSeeds: number[] = [];
 
 for (let seed = firstSeed; seed < firstSeed + Number(values.seeds); seed++) {
@@ -39,6 +45,7 @@
     endpoints: Number(values.endpoints),
     without: values.without,
     bundle: values.bundle,
+    faults: regressionCase?.faults,
     onViolation: (violation) =>
       print(`seed ${seed}: ${describeViolation(violation)}`),
   });
