--- a/packages/cell/constants.ts
+++ b/packages/cell/constants.ts
@@ -1,6 +1,19 @@
+import type { Demand } from "../jobs/mod.ts";
+
 /** Fraction by which an endpoint's clock may run slower than the owner's. */
 export const CLOCK_DRIFT = 0.02;
 
+/**
+ * Demand and charge of a run of which nothing is known, in the units of
+ * `Demand`: more than any endpoint or quota holds. An integer that is exact in
+ * sums, because it is subtracted again.
+ */
+export const UNKNOWN_DEMAND: Readonly<Demand> = {
+  milliCores: 2 ** 40,
+  memoryMb: 2 ** 40,
+  accelerators: 2 ** 40,
+};
+
 /**
  * Longest lease that an endpoint grants, whatever time an order names, in
  * milliseconds; the platform's limit. An order for a former lifetime names a time on
@@ -44,7 +57,7 @@
 /** Time until an ejected endpoint is tried again, in milliseconds. */
 export const EJECT_MS = 4_000;
 
-/** Largest fraction of the endpoints that may be ejected at a time. */
+/** Largest fraction of a service's endpoints that may be ejected at a time. */
 export const MAX_EJECTED_FRACTION = 0.34;
 
 /** Time without progress after which a run is restarted elsewhere, in ms. */
--- a/packages/cell/endpoints.ts
+++ b/packages/cell/endpoints.ts
@@ -4,6 +4,7 @@
 import { dropSettledRuns, findRunEnd } from "./order_effects.ts";
 import { type CurrentTime, releaseRun } from "./task_ends.ts";
 import { addDecision, type CellState } from "./state.ts";
+import { mayHideRuns, settleRemnants } from "./remnants.ts";
 import { removeUnlocated } from "./stages.ts";
 import { DecisionKind, type Endpoint, type EndpointInfo } from "./types.ts";
 
@@ -90,14 +91,15 @@
   settleUnlocated(state, time.now);
 }
 
-/** Requeues the unlocated tasks that certainly do not run any more. */
+/**
+ * Requeues the unlocated tasks that certainly do not run any more, and drops the
+ * remnants of which that holds.
+ */
 export function settleUnlocated(state: CellState, now: number): void {
-  if (state.unlocated.size === 0) return;
+  settleRemnants(state, now);
   for (const taskRef of [...state.unlocated.values()]) {
-    const endpoint = state.endpoints.get(taskRef.task.placedOn);
-    const mayStillRun = endpoint && !endpoint.hasAcceptedFence &&
-      !endpoint.isReplaced;
-    if (mayStillRun && now < state.unlocatedUntil) continue;
+    const endpointId = taskRef.task.placedOn;
+    if (mayHideRuns(state, { endpointId, now })) continue;
     removeUnlocated(state, taskRef);
   }
 }
@@ -161,7 +163,8 @@
 
 function dropEndpoint(state: CellState, endpoint: Endpoint): void {
   state.endpoints.delete(endpoint.info.id);
-  if (!endpoint.isRecorded) return;
+  // A record in flight is committed before this one.
+  if (!endpoint.isRecorded && !endpoint.isRecording) return;
   state.output.records.push({
     kind: RecordKind.EndpointDropped,
     endpoint: endpoint.info.id,
--- a/packages/cell/placement.ts
+++ b/packages/cell/placement.ts
@@ -22,6 +22,11 @@
   state: CellState;
   now: number;
   reservations: Reservations;
+  /**
+   * Endpoints whose ejection time is over and on which no run has succeeded
+   * since: they get one task at a time.
+   */
+  onTrial: ReadonlySet<Endpoint>;
 }
 
 /**
@@ -54,15 +59,37 @@
 }
 
 /**
- * Returns the ejected endpoints. At most a fraction of all endpoints is ejected
- * at a time, those with the most consecutive failures first.
+ * Returns the endpoints whose ejection time is over, that run nothing, and on
+ * which no run has succeeded since.
+ */
+export function listOnTrial(state: CellState, now: number): Set<Endpoint> {
+  const onTrial = [...state.endpoints.values()].filter((endpoint) =>
+    endpoint.ejectedUntil !== 0 && isHealthy(endpoint, now)
+  );
+  return new Set(onTrial);
+}
+
+/**
+ * Returns the ejected endpoints. At most a fraction of the endpoints of a service
+ * is ejected at a time, those with the most consecutive failures first; one may
+ * be if the service has another.
  */
 export function listEjected(state: CellState, now: number): Set<Endpoint> {
-  const ejected = [...state.endpoints.values()]
-    .filter((endpoint) => endpoint.isListed && !isHealthy(endpoint, now))
-    .sort((a, b) => b.failuresInRow - a.failuresInRow);
-  const maxEjected = Math.floor(state.endpoints.size * MAX_EJECTED_FRACTION);
-  return new Set(ejected.slice(0, maxEjected));
+  const usable = [...state.endpoints.values()].filter((endpoint) =>
+    endpoint.isListed && !endpoint.info.isDraining
+  );
+  const ejected = splitBy(usable, ({ info }) => info.service)
+    .flatMap((endpoints) => {
+      const maxEjected = Math.max(
+        Math.floor(endpoints.length * MAX_EJECTED_FRACTION),
+        Math.min(1, endpoints.length - 1),
+      );
+      return endpoints
+        .filter((endpoint) => !isHealthy(endpoint, now))
+        .sort((a, b) => b.failuresInRow - a.failuresInRow)
+        .slice(0, maxEjected);
+    });
+  return new Set(ejected);
 }
 
 /**
@@ -100,13 +127,18 @@
     : endpoint.used;
   const demand = getCapacityDemand(step);
   if (!fitsInto(demand, endpoint.info.capacity, used)) return 0;
+  if (view.onTrial.has(endpoint)) return endpoint.runs.size === 0 ? 1 : 0;
   const fittingCount = countFits(demand, endpoint.info.capacity, used);
   return Math.min(fittingCount, countBelowEndpointLimit(endpoint, stage, step));
 }
 
-/** Counts how many tasks of a stage its organisation's quota still permits. */
+/**
+ * Counts how many tasks of a stage its organisation's quota still permits: none
+ * until the rules of the organisations are known.
+ */
 export function countWithinQuota(state: CellState, stage: Stage): number {
   const { organisation } = stage.job.spec;
+  if (!state.organisations) return 0;
   const cap = state.organisations.get(organisation)?.cap;
   if (!cap) return Number.MAX_SAFE_INTEGER;
   const capacity = {
@@ -120,17 +152,27 @@
 
 /** Groups endpoints by rack. */
 export function splitByRack(endpoints: Endpoint[]): Endpoint[][] {
-  const racks = new Map<string, Endpoint[]>();
+  return splitBy(endpoints, ({ info }) => info.rack);
+}
+
+function splitBy(
+  endpoints: Endpoint[],
+  getName: (endpoint: Endpoint) => string,
+): Endpoint[][] {
+  const groups = new Map<string, Endpoint[]>();
   for (const endpoint of endpoints) {
-    const { rack } = endpoint.info;
-    const group = racks.get(rack);
+    const name = getName(endpoint);
+    const group = groups.get(name);
     if (group) group.push(endpoint);
-    else racks.set(rack, [endpoint]);
+    else groups.set(name, [endpoint]);
   }
-  return [...racks.values()];
+  return [...groups.values()];
 }
 
-/** Counts how many more tasks `maxPerEndpoint` permits on an endpoint. */
+/**
+ * Counts how many more tasks `maxPerEndpoint` permits on an endpoint. Runs that
+ * are being stopped count, whether they are their task's current run or not.
+ */
 function countBelowEndpointLimit(
   endpoint: Endpoint,
   stage: Stage,
@@ -138,8 +180,8 @@
 ): number {
   if (step.maxPerEndpoint <= 0) return Number.MAX_SAFE_INTEGER;
   let running = 0;
-  for (const { run } of stage.tasks) {
-    if (run?.endpoint === endpoint) running++;
+  for (const { name } of stage.tasks) {
+    if (endpoint.runs.has(name)) running++;
   }
   return Math.max(0, step.maxPerEndpoint - running);
 }
