Extend no lease at the first listing of an endpoint; give lifetimes a file of their own

Since a new owner took the first listing of each endpoint for a restart and assumed the longest lease: tasks on an endpoint that was cut off right after a take-over waited 6.4 s instead of 4.3 s. Cause: the lifetime is 0 before the first listing. Change: only a known lifetime can be followed by a new one. Evidence: the new test failed with the former condition and passes now.

--- /dev/null
+++ b/packages/cell/lifetimes.ts
@@ -0,0 +1,70 @@
+import { LATE_ORDER_MS } from "./constants.ts";
+import { mayStartLater, noteNewLifetime } from "./order_effects.ts";
+import { addDecision, addRun, type CellState } from "./state.ts";
+import { sendStop } from "./stop_run.ts";
+import { type CurrentTime, releaseRun } from "./task_ends.ts";
+import { DecisionKind, type Endpoint } from "./types.ts";
+
+/**
+ * Begins a new lifetime of an endpoint: all runs of the former one are gone. A run
+ * whose lifetime is not known may be of the new one, as both have the same id; the
+ * listing settles it. Stops that the former lifetime acknowledged have no effect in
+ * the new one, which may still get a late start, and are ordered again. After an
+ * unanswered acknowledgement of ends, starts pause until it can no longer
+ * arrive: it would also acknowledge new ends, whose numbers start over.
+ */
+export function beginLifetime(
+  state: CellState,
+  endpoint: Endpoint,
+  options: { bornAt: number; times: CurrentTime },
+): void {
+  const { bornAt, times } = options;
+  const hasRestarted = endpoint.bornAt > 0;
+  if (hasRestarted) {
+    addDecision(state, {
+      kind: DecisionKind.EndpointReborn,
+      subject: endpoint.info.id,
+      inputs: { was: endpoint.bornAt, is: bornAt, runs: endpoint.runs.size },
+    });
+  }
+  endpoint.bornAt = bornAt;
+  endpoint.lastEndNumber = 0;
+  endpoint.committedEndNumber = 0;
+  endpoint.lastListingClock = 0;
+  endpoint.failuresInRow = 0;
+  endpoint.lastFailedJob = "";
+  endpoint.ejectedUntil = 0;
+  const lateAckUntil = endpoint.unansweredEndsAckAt + LATE_ORDER_MS;
+  endpoint.pausedUntil = Math.max(endpoint.pausedUntil, lateAckUntil);
+  if (hasRestarted) noteNewLifetime(endpoint, times.now);
+  stopPreventedRuns(state, endpoint, times);
+  for (const run of [...endpoint.runs.values()]) {
+    if (!run.isLifetimeKnown) {
+      run.isStopAcknowledged = false;
+      continue;
+    }
+    releaseRun(state, run, {
+      now: times.now,
+      hasFailed: false,
+      reason: "the endpoint restarted",
+    });
+  }
+}
+
+/** Stops, in a new lifetime, the runs whose late starts it may still carry out. */
+function stopPreventedRuns(
+  state: CellState,
+  endpoint: Endpoint,
+  { now }: { now: number },
+): void {
+  for (const run of endpoint.preventedRuns) {
+    const canRun = mayStartLater(run, now) &&
+      !endpoint.runs.has(run.task);
+    if (!canRun) continue;
+    run.isStopAcknowledged = false;
+    addRun(state, run);
+    state.stoppingRuns.add(run);
+    sendStop(state, run);
+  }
+  endpoint.preventedRuns.clear();
+}
--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -1,6 +1,6 @@
 import { RecordKind } from "../journal/mod.ts";
 import { EndKind, parseTaskName } from "../jobs/mod.ts";
-import { LATE_ORDER_MS, STALL_MS } from "./constants.ts";
+import { STALL_MS } from "./constants.ts";
 import {
   type CurrentTime,
   recordEnd,
@@ -10,11 +10,8 @@
   stopGang,
 } from "./task_ends.ts";
 import { settleUnlocated } from "./endpoints.ts";
-import {
-  mayStartLater,
-  noteLeaseSent,
-  noteNewLifetime,
-} from "./order_effects.ts";
+import { beginLifetime } from "./lifetimes.ts";
+import { mayStartLater, noteLeaseSent } from "./order_effects.ts";
 import {
   addDecision,
   addRun,
@@ -87,69 +84,6 @@
   settleUnlocated(state, times.now);
 }
 
-/**
- * Begins a new lifetime of an endpoint: all runs of the former one are gone. A run
- * whose lifetime is not known may be of the new one, as both have the same id; the
- * listing settles it. Stops that the former lifetime acknowledged have no effect in
- * the new one, which may still get a late start, and are ordered again. After an
- * unanswered acknowledgement of ends, starts pause until it can no longer
- * arrive: it would also acknowledge new ends, whose numbers start over.
- */
-function beginLifetime(
-  state: CellState,
-  endpoint: Endpoint,
-  options: { bornAt: number; times: CurrentTime },
-): void {
-  const { bornAt, times } = options;
-  if (endpoint.bornAt > 0) {
-    addDecision(state, {
-      kind: DecisionKind.EndpointReborn,
-      subject: endpoint.info.id,
-      inputs: { was: endpoint.bornAt, is: bornAt, runs: endpoint.runs.size },
-    });
-  }
-  endpoint.bornAt = bornAt;
-  endpoint.lastEndNumber = 0;
-  endpoint.committedEndNumber = 0;
-  endpoint.lastListingClock = 0;
-  endpoint.failuresInRow = 0;
-  endpoint.lastFailedJob = "";
-  endpoint.ejectedUntil = 0;
-  const lateAckUntil = endpoint.unansweredEndsAckAt + LATE_ORDER_MS;
-  endpoint.pausedUntil = Math.max(endpoint.pausedUntil, lateAckUntil);
-  noteNewLifetime(endpoint, times.now);
-  stopPreventedRuns(state, endpoint, times);
-  for (const run of [...endpoint.runs.values()]) {
-    if (!run.isLifetimeKnown) {
-      run.isStopAcknowledged = false;
-      continue;
-    }
-    releaseRun(state, run, {
-      now: times.now,
-      hasFailed: false,
-      reason: "the endpoint restarted",
-    });
-  }
-}
-
-/** Stops, in a new lifetime, the runs whose late starts it may still carry out. */
-function stopPreventedRuns(
-  state: CellState,
-  endpoint: Endpoint,
-  { now }: { now: number },
-): void {
-  for (const run of endpoint.preventedRuns) {
-    const canRun = mayStartLater(run, now) &&
-      !endpoint.runs.has(run.task);
-    if (!canRun) continue;
-    run.isStopAcknowledged = false;
-    addRun(state, run);
-    state.stoppingRuns.add(run);
-    sendStop(state, run);
-  }
-  endpoint.preventedRuns.clear();
-}
-
 function recordEndpoint(state: CellState, endpoint: Endpoint): void {
   if (endpoint.isRecorded || endpoint.isRecording) return;
   endpoint.isRecording = true;
--- a/packages/cell/order_effects_test.ts
+++ b/packages/cell/order_effects_test.ts
@@ -2,6 +2,7 @@
 import { makeZeroDemand } from "../jobs/mod.ts";
 import { CLOCK_DRIFT, MAX_LEASE_MS } from "./constants.ts";
 import { makeEndpoint, updateEndpoints } from "./endpoints.ts";
+import { applyListing } from "./listing.ts";
 import { noteLeaseSent } from "./order_effects.ts";
 import { Cell } from "./cell.ts";
 import type { EndpointInfo } from "./types.ts";
@@ -53,3 +54,17 @@
   updateEndpoints(state, [makeInfo({ bornAt: 9 })]);
   t.false(endpoint.hasAcceptedFence);
 });
+
+// Guards against tasks that wait longer than their leases after a take-over, because
+// the first listing of an endpoint counted as a restart.
+test("the first listing of an endpoint extends no lease", (t) => {
+  const { state } = new Cell({ term: 1, retentionMs: 1, leaseMs: LEASE_MS });
+  updateEndpoints(state, [makeInfo()]);
+  const endpoint = state.endpoints.get("e0")!;
+  const listing = { clockMs: 1, running: [], ended: [] };
+  const times = { now: 9_000, wallNow: 9_000, askedAt: 8_990 };
+  applyListing(state, endpoint, { listing: { ...listing, bornAt: 5 }, times });
+  t.is(endpoint.leaseEndsAt, 0);
+  applyListing(state, endpoint, { listing: { ...listing, bornAt: 9 }, times });
+  t.true(endpoint.leaseEndsAt > times.now + MAX_LEASE_MS);
+});
