Stop a prevented start again although a later run of its task was on the endpoint

A task ran twice: its first start, unanswered and stopped, was carried out by the next lifetime of the endpoint on which its second run had been. Cause: the new lifetime stopped prevented runs before it released those of the former one, skipped this one because of the second run, and forgot it. Change: former runs are released first, and only runs that are stopped again are taken off the list.

--- a/packages/cell/lifetimes.ts
+++ b/packages/cell/lifetimes.ts
@@ -37,7 +37,6 @@
   const lateAckUntil = endpoint.unansweredEndsAckAt + LATE_ORDER_MS;
   endpoint.pausedUntil = Math.max(endpoint.pausedUntil, lateAckUntil);
   if (hasRestarted) noteNewLifetime(endpoint, times.now);
-  stopPreventedRuns(state, endpoint, times);
   for (const run of [...endpoint.runs.values()]) {
     if (!run.isLifetimeKnown) {
       run.isStopAcknowledged = false;
@@ -49,6 +48,8 @@
       reason: "the endpoint restarted",
     });
   }
+  // Last, as a later run of the same task may have been on the endpoint.
+  stopPreventedRuns(state, endpoint, times);
 }
 
 /** Stops, in a new lifetime, the runs whose late starts it may still carry out. */
@@ -65,6 +66,6 @@
     addRun(state, run);
     state.stoppingRuns.add(run);
     sendStop(state, run);
+    endpoint.preventedRuns.delete(run);
   }
-  endpoint.preventedRuns.clear();
 }
