Cover unanswered orders that are carried out in another lifetime than the known one

Tasks ran twice on endpoints that were cut off after a restart under their id. Cause: an unanswered renewal or start names a time on the former lifetime's clock; carried out late it grants the longest lease from its arrival, also where the start is refused as old. The owner extended the known end of leases only at the listing that found the lifetime, not for orders still in flight then or sent to a lifetime that was not listed yet, and it forgot them with an endpoint that it dropped. Change: each order keeps the lifetime that was known when it was sent; endpoints with unanswered orders are not dropped before these can't arrive. The stand-in takes leases from starts refused as old, as the platform does, and its record of a restart raises the store's revision, so that watches see it.

--- a/packages/cell/endpoints.ts
+++ b/packages/cell/endpoints.ts
@@ -1,6 +1,6 @@
 import { RecordKind } from "../journal/mod.ts";
 import { makeZeroDemand } from "../jobs/mod.ts";
-import { FULL_PACE, REPLACED_PAUSE_MS } from "./constants.ts";
+import { FULL_PACE, LATE_ORDER_MS, REPLACED_PAUSE_MS } from "./constants.ts";
 import { dropSettledRuns, findRunEnd } from "./order_effects.ts";
 import { type CurrentTime, releaseRun } from "./task_ends.ts";
 import { addDecision, type CellState } from "./state.ts";
@@ -84,6 +84,11 @@
     const isSafeToDrop = time.now >= state.unlocatedUntil ||
       endpoint.hasAcceptedFence ||
       endpoint.isReplaced;
+    const unansweredAt = Math.max(
+      endpoint.unansweredLeaseAt,
+      endpoint.unansweredEndsAckAt,
+    );
+    if (time.now < unansweredAt + LATE_ORDER_MS) continue;
     const isUnused = !endpoint.isListed && endpoint.runs.size === 0 &&
       endpoint.preventedRuns.size === 0;
     if (isUnused && isSafeToDrop) dropEndpoint(state, endpoint);
--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -179,6 +179,7 @@
     isStopAcknowledged: false,
     isStopOrderInFlight: false,
     isLifetimeKnown: true,
+    sentToBornAt: 0,
     startMayArriveUntil: 0,
     hasTicket: false,
     percent: listedRun.percent,
--- a/packages/cell/order_effects.ts
+++ b/packages/cell/order_effects.ts
@@ -4,7 +4,7 @@
   LEASE_MARGIN_MS,
   MAX_LEASE_MS,
 } from "./constants.ts";
-import type { Endpoint, Run } from "./types.ts";
+import { type Endpoint, type Run, RunPhase } from "./types.ts";
 
 /**
  * Longest time for which a run goes on after an order with any lease was carried
@@ -37,15 +37,30 @@
 ): void {
   const { now, ticketEndsAt } = options;
   noteLeaseSent(run.endpoint, options);
+  run.sentToBornAt = run.endpoint.bornAt;
   run.startMayArriveUntil = Math.min(
     now + LATE_ORDER_MS,
     ticketEndsAt + LEASE_MARGIN_MS,
   );
 }
 
-/** Notes that an order with a lease got no answer. */
-export function noteLeaseUnanswered(endpoint: Endpoint, now: number): void {
+/**
+ * Notes that an order with a lease got no answer. `bornAt`: the endpoint's lifetime
+ * when the order was sent. Any other lifetime grants the longest lease from the late
+ * arrival: one found meanwhile, or one that is not listed yet and has runs.
+ */
+export function noteLeaseUnanswered(
+  endpoint: Endpoint,
+  { bornAt, now }: { bornAt: number; now: number },
+): void {
   endpoint.unansweredLeaseAt = Math.max(endpoint.unansweredLeaseAt, now);
+  const isOtherLifetime = bornAt !== endpoint.bornAt ||
+    [...endpoint.runs.values()].some((run) =>
+      !run.isLifetimeKnown && run.startMayArriveUntil === 0 &&
+      run.phase !== RunPhase.Starting
+    );
+  if (!isOtherLifetime) return;
+  raiseLeaseEnd(endpoint, now + LATE_ORDER_MS + MAX_GRANTED_LEASE_MS);
 }
 
 /**
--- a/packages/cell/order_results.ts
+++ b/packages/cell/order_results.ts
@@ -35,6 +35,9 @@
 ): void {
   const { result, clockMs } = options;
   const { now } = options.time;
+  if (result === StartResult.Unknown) {
+    noteLeaseUnanswered(run.endpoint, { bornAt: run.sentToBornAt, now });
+  }
   if (run.endpoint.runs.get(run.task) !== run) return;
   run.lastChangedAt = now;
   if (result === StartResult.Started) {
@@ -46,7 +49,6 @@
     return;
   }
   if (result === StartResult.Unknown) {
-    noteLeaseUnanswered(run.endpoint, now);
     if (run.phase === RunPhase.Starting) run.phase = RunPhase.Unacknowledged;
     return;
   }
--- a/packages/cell/start_task.ts
+++ b/packages/cell/start_task.ts
@@ -45,6 +45,7 @@
     isStopAcknowledged: false,
     isStopOrderInFlight: false,
     isLifetimeKnown: false,
+    sentToBornAt: 0,
     startMayArriveUntil: 0,
     hasTicket: stage.job.spec.queue.advice !== undefined,
     percent: 0,
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -60,6 +60,8 @@
    */
   lastChangedAt: number;
   startedAt: number;
+  /** Lifetime of the endpoint that was known when the start was sent; 0: not sent. */
+  sentToBornAt: number;
   /**
    * The endpoint acknowledged a stop in its current lifetime: a run that is then
    * not listed has ended or can no longer start in this lifetime.
--- a/packages/scheduler/endpoint_session.ts
+++ b/packages/scheduler/endpoint_session.ts
@@ -190,7 +190,9 @@
     } catch (error) {
       this.#isUnresponsive = true;
       if (request.acknowledgedEnd > 0) endpoint.unansweredEndsAckAt = now;
-      if (request.leaseUntil !== undefined) noteLeaseUnanswered(endpoint, now);
+      if (request.leaseUntil !== undefined) {
+        noteLeaseUnanswered(endpoint, { bornAt, now });
+      }
       const elapsedMs = this.#clock.now() - now;
       if (!this.#isStopped) {
         this.#host.handlePollFailure(endpoint, { error, elapsedMs });
--- a/tests/cell/fake_endpoint.ts
+++ b/tests/cell/fake_endpoint.ts
@@ -39,6 +39,8 @@
   highestEndedRuns = new Map<string, number>();
   /** Orders and polls do not reach the endpoint. */
   isUnreachable = false;
+  /** Speed of its clock, as a fraction of the true one. */
+  clockRate = 1;
   /** Returns how long a stop takes, in milliseconds. */
   getStopMs: () => number = () => 0;
   /** Its runs report no progress. */
@@ -67,7 +69,7 @@
 
   /** Returns the endpoint clock: milliseconds since the lifetime started. */
   readClock(now: number): number {
-    return Math.round(now - this.bornAt);
+    return Math.round((now - this.bornAt) * this.clockRate);
   }
 
   start(
@@ -80,6 +82,8 @@
     this.fence = order.fence;
     if (order.leaseUntil <= this.readClock(now)) return StartResult.LateOrder;
     if (run.run <= (this.highestEndedRuns.get(run.task) ?? 0)) {
+      // The lease is also taken from a start that is refused as old.
+      this.#renewLease(order.leaseUntil, now);
       return StartResult.OldRun;
     }
     const currentRun = this.runs.get(run.task);
@@ -148,11 +152,11 @@
   /** Ends the runs that are finished and those whose lease has expired. */
   advance(now: number): void {
     this.#now = now;
-    if (this.leaseEndsAt > 0 && this.bornAt + this.leaseEndsAt <= now) {
+    const leaseExpiresAt = this.bornAt + this.leaseEndsAt / this.clockRate;
+    if (this.leaseEndsAt > 0 && leaseExpiresAt <= now) {
       for (const { task } of this.unacknowledgedEnds) this.onEndDiscarded(task);
     }
     for (const run of [...this.runs.values()]) {
-      const leaseExpiresAt = this.bornAt + this.leaseEndsAt;
       if (leaseExpiresAt <= Math.min(now, run.endsAt)) {
         this.#end(run, EndKind.LeaseExpired);
       } else if (run.stopsAt !== undefined && run.stopsAt <= now) {
--- a/tests/cell/late_order_test.ts
+++ b/tests/cell/late_order_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
+import { noteLeaseSent, noteLeaseUnanswered } from "../../packages/cell/mod.ts";
 import { JobState } from "../../packages/jobs/mod.ts";
-import { CellSite, makeJob, makeStep } from "./cell_site.ts";
+import { CellSite, LEASE_MS, makeJob, makeStep } from "./cell_site.ts";
 
 const ALL_ORDERS_SETTLED_MS = 30_000;
 const TASK = "a.0.0.0";
@@ -51,3 +52,81 @@
   t.is(site.cell.state.endpoints.get("e0")?.used.milliCores, 0);
   t.is(site.cell.state.stoppingRuns.size, 0);
 });
+
+// Guards against a second run of a task that a lifetime unknown to the owner started
+// and whose lease a late, unanswered renewal extended from its arrival.
+test("a run of an unlisted lifetime is kept while an unanswered renewal may extend its lease", (t) => {
+  const site = new CellSite({ endpoints: 2, afterMs: 25_000 });
+  site.advance(20_000);
+  site.pollIntervalMs = 3_000;
+  site.advance(3_000);
+  for (const fake of site.endpoints.values()) fake.restart(site.now);
+  site.submit(makeJob("a", [makeStep()]));
+  site.advance(60);
+  t.is(site.checker.starts, 1);
+  const target = site.findPlacement(TASK);
+  const endpoint = site.cell.state.endpoints.get(target.id);
+  if (!endpoint) return t.fail();
+  // A renewal is sent and gets no answer, as the endpoint is cut off.
+  noteLeaseSent(endpoint, { now: site.now, leaseMs: LEASE_MS });
+  const leaseUntil = site.now + endpoint.clockOffset + LEASE_MS;
+  target.isUnreachable = true;
+  site.advance(500);
+  noteLeaseUnanswered(endpoint, { bornAt: endpoint.bornAt, now: site.now });
+  site.advance(4_500);
+  target.hold({ fence: site.fence, acknowledgedEnd: 0, leaseUntil }, site.now);
+  site.advance(ALL_ORDERS_SETTLED_MS);
+  t.deepEqual(site.checker.violations, []);
+});
+
+// Guards against a second run of a task whose lease was extended by a late order that
+// was in flight, with a time on the former lifetime's clock, when the restart was found.
+test("an order in flight at a restart may extend the leases of the new lifetime", (t) => {
+  const site = new CellSite({ endpoints: 2, afterMs: 25_000 });
+  site.draining.add("e1");
+  site.applyEndpointList();
+  site.advance(30_000);
+  const target = site.endpoints.get("e0");
+  if (!target) return t.fail();
+  site.pollIntervalMs = 3_000;
+  site.advance(3_000);
+  target.restart(site.now);
+  site.delayStarts({ byMs: 8_000 });
+  site.submit(makeJob("b", [makeStep()]));
+  site.advance(60);
+  site.delayStarts(undefined);
+  // The restart is found while the start of b is still in flight.
+  site.applyEndpointList();
+  site.pollIntervalMs = 100;
+  site.advance(200);
+  site.submit(makeJob("a", [makeStep()]));
+  site.advance(2_500);
+  t.true(target.runs.has(TASK));
+  target.isUnreachable = true;
+  site.draining.delete("e1");
+  site.draining.add("e0");
+  site.applyEndpointList();
+  site.advance(ALL_ORDERS_SETTLED_MS);
+  t.deepEqual(site.checker.violations, []);
+});
+
+// Guards against a late renewal that extends the leases of an endpoint which was
+// dropped and is back, after a restart, under its id.
+test("an endpoint is not dropped while unanswered orders may still reach it", (t) => {
+  const site = new CellSite({ endpoints: 1 });
+  site.advance(200);
+  site.submit(makeJob("a", [makeStep()]));
+  site.advance(2_000);
+  t.is(site.find("a"), JobState.Completed);
+  const endpoint = site.cell.state.endpoints.get("e0");
+  if (!endpoint) return t.fail();
+  noteLeaseSent(endpoint, { now: site.now, leaseMs: LEASE_MS });
+  noteLeaseUnanswered(endpoint, { bornAt: endpoint.bornAt, now: site.now });
+  endpoint.unansweredEndsAckAt = site.now;
+  site.endpoints.clear();
+  site.applyEndpointList();
+  site.advance(8_000);
+  t.true(site.cell.state.endpoints.has("e0"));
+  site.advance(20_000);
+  t.false(site.cell.state.endpoints.has("e0"));
+});
--- a/tests/virtual/owner_site.ts
+++ b/tests/virtual/owner_site.ts
@@ -339,6 +339,7 @@
   }
 
   #registerEndpoint({ id, bornAt }: FakeEndpoint): void {
+    this.state.revision++;
     this.state.put(`endpoints/${id}`, String(bornAt), 0);
   }
 
