Ignore the answer of another endpoint at a former address

Runs of an endpoint that had moved were released as gone, and started again, when a poll of its former address was answered by another endpoint. Change: such an answer counts only if the endpoint is still listed at that address.

--- a/packages/scheduler/endpoint_session.ts
+++ b/packages/scheduler/endpoint_session.ts
@@ -12,7 +12,12 @@
   POLL_TIMEOUT_MARGIN_MS,
   POLL_WAIT_MS,
 } from "./constants.ts";
-import type { EndpointControl, PollAnswer, PollRequest } from "./ports.ts";
+import {
+  type EndpointControl,
+  type PollAnswer,
+  type PollRequest,
+  PollResult,
+} from "./ports.ts";
 
 /** Receives the results of an `EndpointSession`. */
 export abstract class SessionHost {
@@ -180,6 +185,9 @@
       const timeoutMs = request.waitMs + POLL_TIMEOUT_MARGIN_MS;
       const answer = await this.#control.poll(target, request, { timeoutMs });
       if (this.#isStopped) return true;
+      // An endpoint that has moved: its former address says nothing about it.
+      const isFormerAddress = address !== endpoint.info.address;
+      if (answer.kind === PollResult.Replaced && isFormerAddress) return true;
       this.#isUnresponsive = false;
       if (request.acknowledgedEnd > 0) {
         this.#acknowledgedEnd = request.acknowledgedEnd;
