Take a call as not sent only if the connection attempt itself failed

A start could be repeated elsewhere although it was sent: an open connection can fail with EHOSTUNREACH or ENETUNREACH, which counted as 'nothing was sent'. Found by a reader. Change: errors of other system calls than connect leave the effect unknown.

--- a/packages/platform/http_json.ts
+++ b/packages/platform/http_json.ts
@@ -185,8 +185,13 @@
 
 /** Returns whether a call failed before anything was sent to the server. */
 export function isNotSent(error: unknown): boolean {
-  const code = (error as { code?: string } | null)?.code ?? "";
-  return NOT_SENT_ERROR_CODES.has(code);
+  const { code = "", syscall } = (error ?? {}) as {
+    code?: string;
+    syscall?: string;
+  };
+  // An open connection can fail with the same code, after something was sent.
+  const isOfOpenConnection = syscall !== undefined && syscall !== "connect";
+  return NOT_SENT_ERROR_CODES.has(code) && !isOfOpenConnection;
 }
 
 function parseJson(text: string): unknown {
