Give each endpoint of the ejection test one lifetime after the merge

Both sides of the merge had added the lifetime of the endpoints to the same list, in different places, so that the field stood there twice and the test did not compile. One is left; the test compiles and its three cases pass.

--- a/tests/cell/ejection_test.ts
+++ b/tests/cell/ejection_test.ts
@@ -29,7 +29,6 @@
       capacity,
       bornAt,
       isDraining: false,
-      bornAt: 0,
     })),
   );
   site.advance(300);
