Test that a job taken in during an outage of the store is never refused as not run

Callers saw: no fault; the whole-path test failed after repeated submissions were no longer refused as "not run" once their effect was unknown.

Cause: the test sent one job again and again while the store was down, until 503. Its first attempt is answered 504, as the owner has taken the job in and stores it when the store is back; a 503 for the same job afterwards was the very promise that may not hold.

Change: the test expects 504 for that job, now and when it is sent again, with `may_have_run`; other jobs must be refused with 503 and `not_run` as before, and the entries must be not ready in the same time.

--- a/tests/e2e/job_path_test.ts
+++ b/tests/e2e/job_path_test.ts
@@ -185,14 +185,21 @@
 
 test.serial("entries are not ready while the store is down and refuse jobs as not run", async (t) => {
   site.store.isDown = true;
-  const path = "/filings/00000000000000c1";
+  const submit = (number: number) => {
+    const id = `c${number.toString().padStart(15, "0")}`;
+    return site.send(0, `/filings/${id}`, { method: "POST", body: JOB });
+  };
   const sentAt = Date.now();
-  await site.waitFor(async () => {
-    const { status } = await site.send(0, path, { method: "POST", body: JOB });
-    return status === 503;
-  });
-  const refused = await site.send(0, path, { method: "POST", body: JOB });
+  // The owner has taken this job in, so it may run once the store is back.
+  t.is((await submit(0)).status, 504);
+  let jobCount = 1;
+  await site.waitFor(async () => (await submit(jobCount++)).status === 503);
+  const refused = await submit(jobCount);
+  t.is(refused.status, 503);
   t.is(refused.body.verdict, "not_run");
+  const repeated = await submit(0);
+  t.is(repeated.status, 504);
+  t.is(repeated.body.verdict, "may_have_run");
   // An entry whose configuration is too old to check keys refuses every
   // request, so it reports itself to the load balancer as not ready.
   await site.waitFor(() => site.entries.every(({ node }) => !node.isReady()));
