Soak: addresses that no other soak on the machine uses

Change: a run reserves a network by listening on a port of its own, and takes the next one if that is in use.

--- a/tests/soak/run_soak.ts
+++ b/tests/soak/run_soak.ts
@@ -1,4 +1,5 @@
 import { appendFileSync, mkdirSync, rmSync, writeFileSync } from "node:fs";
+import { createServer, type Server } from "node:net";
 import { join } from "node:path";
 import { request } from "undici";
 import { sleep } from "../standins/http_server.ts";
@@ -49,6 +50,7 @@
 const PRESS_MS = 1_000 + STOP_GRACE_MS;
 const FIRST_NETWORK = 60;
 const NETWORKS = 120;
+const RESERVATION_PORT = 7_109;
 
 /** What to run: the size of the site, the seed and the time of the faults. */
 export interface SoakOptions {
@@ -84,14 +86,34 @@
 
 /** Runs the entries under the faults of a seed and checks their promises. */
 export async function runSoak(options: SoakOptions): Promise<SoakReport> {
-  const run = new SoakRun(options);
+  const { network, reservation } = await reserveNetwork(options.seed);
+  const run = new SoakRun(options, network);
   try {
     return await run.run();
   } finally {
     await run.close();
+    reservation.close();
   }
 }
 
+/** Reserves addresses that no other soak on this machine uses. */
+async function reserveNetwork(
+  seed: number,
+): Promise<{ network: string; reservation: Server }> {
+  for (let n = 0; n < NETWORKS; n++) {
+    const network = `127.${FIRST_NETWORK + (seed + n) % NETWORKS}`;
+    const reservation = createServer();
+    const isFree = await new Promise<boolean>((resolve) => {
+      reservation.once("error", () => resolve(false));
+      reservation.listen(RESERVATION_PORT, `${network}.0.1`, () => {
+        resolve(true);
+      });
+    });
+    if (isFree) return { network, reservation };
+  }
+  throw new Error("Other soaks use all addresses");
+}
+
 class SoakRun {
   readonly #options: SoakOptions;
   readonly #directory: string;
@@ -109,13 +131,13 @@
   #pendingEvents: SoakEvent[] = [];
   #reportedCount = 0;
 
-  constructor(options: SoakOptions) {
+  constructor(options: SoakOptions, network: string) {
     this.#options = options;
     const { seed, entries } = options;
     this.#directory = join("run", `soak-${seed}-${entries}-${Date.now()}`);
     mkdirSync(this.#directory, { recursive: true });
     this.#site = new SoakSite({
-      network: `127.${FIRST_NETWORK + seed % NETWORKS}`,
+      network,
       directory: this.#directory,
       bundle: options.bundle ?? BUNDLE,
     });
