Wait for the closing of links in their tests instead of a fixed time

Two tests of links failed in full runs on a loaded machine: they slept 50 and 300 ms and then expected the link to be closed. Traced: beside 24 busy processes 'a link whose first heartbeat fails is closed' failed in one of three runs. The expected outcomes are the same.

--- a/packages/links/link_test.ts
+++ b/packages/links/link_test.ts
@@ -36,6 +36,19 @@
   return { server, link, replies };
 }
 
+/** Longest wait for an event that must come, on a machine under load, in ms. */
+const MAX_WAIT_MS = 10_000;
+
+/** Waits until a condition holds, at most `maxMs`; returns whether it holds. */
+async function waitUntil(
+  condition: () => boolean,
+  maxMs = MAX_WAIT_MS,
+): Promise<boolean> {
+  const giveUpAt = Date.now() + maxMs;
+  while (!condition() && Date.now() < giveUpAt) await sleep(10);
+  return condition();
+}
+
 test("an owner counts the speed of linked entries that can claim the cell", async (t) => {
   const heartbeat = { cores: 1.35 };
   const reply = { largestCores: 2, isReady: false };
@@ -123,8 +136,7 @@
     }),
     { instanceOf: UnknownEffectError },
   );
-  await sleep(50);
-  t.is(server.links.size, 0);
+  t.true(await waitUntil(() => server.links.size === 0));
 });
 
 // Guards against a link that is closed because several short lines arrive at once,
@@ -137,18 +149,21 @@
     const start = '{"jsonrpc":"2.0","method":"owner.ready","params":"';
     return `${start.padEnd(length - 2, "x")}"}\n`;
   };
-  const isClosedAfter = async (lineLengths: number[]) => {
+  const isClosedAfter = async (lineLengths: number[], waitMs: number) => {
     const socket = connectSocket({ host: HOST, port });
+    // The server may reset the connection, which then closes as well.
     socket.on("error", () => {});
     let isClosed = false;
     socket.on("close", () => isClosed = true);
     socket.write(lineLengths.map(makeLine).join(""));
-    await sleep(300);
+    await waitUntil(() => isClosed, waitMs);
     socket.destroy();
     return isClosed;
   };
-  t.false(await isClosedAfter([MAX_LINE_LENGTH, 1_000, 1_000]));
-  t.true(await isClosedAfter([MAX_LINE_LENGTH + 1]));
-  t.true(await isClosedAfter([1_000, MAX_LINE_LENGTH + 1, 1_000]));
+  t.false(await isClosedAfter([MAX_LINE_LENGTH, 1_000, 1_000], 300));
+  t.true(await isClosedAfter([MAX_LINE_LENGTH + 1], MAX_WAIT_MS));
+  t.true(
+    await isClosedAfter([1_000, MAX_LINE_LENGTH + 1, 1_000], MAX_WAIT_MS),
+  );
   site.link.close("test");
 });
