--- a/packages/cell/endpoints.ts
+++ b/packages/cell/endpoints.ts
@@ -1,7 +1,7 @@
 import { RecordKind } from "../journal/mod.ts";
 import { makeZeroDemand } from "../jobs/mod.ts";
 import { FULL_PACE, LATE_ORDER_MS, REPLACED_PAUSE_MS } from "./constants.ts";
-import { dropSettledRuns, findRunEnd } from "./order_effects.ts";
+import { describeAge, dropSettledRuns, findRunEnd } from "./order_effects.ts";
 import { type CurrentTime, releaseRun } from "./task_ends.ts";
 import { addDecision, type CellState } from "./state.ts";
 import { mayHideRuns, settleRemnants } from "./remnants.ts";
@@ -159,6 +159,7 @@
       runs: endedRuns.length,
       unsettledRuns: endpoint.runs.size - endedRuns.length,
       leaseEndedMsAgo: Math.round(now - endpoint.leaseEndsAt),
+      unansweredMsAgo: describeAge(endpoint.unansweredLeaseAt, now),
     },
   });
   for (const run of endedRuns) {
--- a/packages/cell/lifetimes.ts
+++ b/packages/cell/lifetimes.ts
@@ -1,5 +1,9 @@
 import { LATE_ORDER_MS } from "./constants.ts";
-import { mayStartLater, noteNewLifetime } from "./order_effects.ts";
+import {
+  describeAge,
+  mayStartLater,
+  noteNewLifetime,
+} from "./order_effects.ts";
 import { addDecision, addRun, type CellState } from "./state.ts";
 import { sendStop } from "./stop_run.ts";
 import { type CurrentTime, releaseRun } from "./task_ends.ts";
@@ -24,7 +28,16 @@
     addDecision(state, {
       kind: DecisionKind.EndpointReborn,
       subject: endpoint.info.id,
-      inputs: { was: endpoint.bornAt, is: bornAt, runs: endpoint.runs.size },
+      inputs: {
+        was: endpoint.bornAt,
+        is: bornAt,
+        runs: endpoint.runs.size,
+        unansweredMsAgo: describeAge(endpoint.unansweredLeaseAt, times.now),
+        unansweredAckMsAgo: describeAge(
+          endpoint.unansweredEndsAckAt,
+          times.now,
+        ),
+      },
     });
   }
   endpoint.bornAt = bornAt;
--- a/packages/cell/order_effects.ts
+++ b/packages/cell/order_effects.ts
@@ -106,6 +106,11 @@
   return Math.max(leaseEndsAt, run.startMayArriveUntil + MAX_GRANTED_LEASE_MS);
 }
 
+/** Describes how long ago an order was sent, in ms, for the log; undefined: never. */
+export function describeAge(sentAt: number, now: number): number | undefined {
+  return Number.isFinite(sentAt) ? Math.round(now - sentAt) : undefined;
+}
+
 /** Forgets the prevented runs of an endpoint that can no longer be started. */
 export function dropSettledRuns(endpoint: Endpoint, now: number): void {
   for (const run of endpoint.preventedRuns) {
