Check the room of an endpoint again before a stored start is sent

Cause: a placement is decided on the room at the plan, and its start order is sent once the store has committed it. While the commit takes long, the room can shrink. `Cell.listStarts` checked the phase of the run and its ticket only.

Evidence: tests/cell/room_that_shrinks_test.ts.

Change: packages/cell/unsent_starts.ts checks each order again, the least urgent ones first, and requeues the tasks that no longer fit. The start was never sent, so that a whole gang is requeued without stop orders. By reading, without a test of its own, the same now holds for a gang of which one ticket has expired, whose other starts were sent.

--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -13,7 +13,7 @@
   noteReplacement,
   updateEndpoints,
 } from "./endpoints.ts";
-import { type CurrentTime, endJob, releaseRun } from "./task_ends.ts";
+import { type CurrentTime, endJob } from "./task_ends.ts";
 import { applyListing, type ListingTimes } from "./listing.ts";
 import { planStarts } from "./plan.ts";
 import {
@@ -32,6 +32,7 @@
 import { buildJob, findTask, openStages } from "./stages.ts";
 import { type CellOutput, type CellState, makeOutput } from "./state.ts";
 import { sendStop, stopRun } from "./stop_run.ts";
+import { listUnsentStarts } from "./unsent_starts.ts";
 import {
   Admission,
   type AdmissionOutcome,
@@ -39,12 +40,9 @@
   type Endpoint,
   type EndpointInfo,
   type EndpointListing,
-  type Order,
-  OrderKind,
   type OrganisationRules,
   type PaceResult,
   type Run,
-  RunPhase,
   type Stage,
   type StartOrder,
   type StartResult,
@@ -252,23 +250,13 @@
   }
 
   /**
-   * Lists the start orders of a committed output whose runs have been neither
-   * stopped nor released since. Requeues tasks whose ticket has expired.
+   * Lists the start orders of a committed output that may be sent; requeues the
+   * tasks of the others.
    */
   listStarts(output: CellOutput, time: CurrentTime): StartOrder[] {
-    const isWanted = (order: Order): order is StartOrder =>
-      order.kind === OrderKind.Start &&
-      order.run.phase === RunPhase.Starting &&
-      order.run.endpoint.runs.get(order.run.task) === order.run;
-    const wanted = output.orders.filter(isWanted);
-    return wanted.filter((order) => {
-      if (time.now < order.ticketEndsAt) return true;
-      releaseRun(this.state, order.run, {
-        now: time.now,
-        hasFailed: false,
-        reason: "the ticket expired before the placement was committed",
-      });
-      return false;
+    return listUnsentStarts(this.state, {
+      orders: output.orders,
+      now: time.now,
     });
   }
 
--- a/packages/cell/task_ends.ts
+++ b/packages/cell/task_ends.ts
@@ -101,7 +101,13 @@
 export function releaseRun(
   state: CellState,
   run: Run,
-  options: { now: number; hasFailed: boolean; reason: string },
+  options: {
+    now: number;
+    hasFailed: boolean;
+    reason: string;
+    /** The start order was not sent, nor were those of the rest of a gang. */
+    isUnsent?: boolean;
+  },
 ): void {
   removeRun(state, run);
   const taskRef = findTask(state, run.task);
@@ -132,7 +138,9 @@
       reason: options.reason,
     },
   });
-  if (getStep(stage).gang) stopGang(state, stage, options);
+  if (getStep(stage).gang && !options.isUnsent) {
+    stopGang(state, stage, options);
+  }
 }
 
 /** Stops the remaining runs of a gang. */
--- /dev/null
+++ b/packages/cell/unsent_starts.ts
@@ -0,0 +1,75 @@
+import { isOverRoom } from "./room.ts";
+import { findTask, getStep } from "./stages.ts";
+import type { CellState } from "./state.ts";
+import { releaseRun } from "./task_ends.ts";
+import {
+  type Order,
+  OrderKind,
+  type Run,
+  RunPhase,
+  type StartOrder,
+} from "./types.ts";
+
+/**
+ * Lists the start orders whose placement has been committed and that may be sent.
+ * Load: the commit takes long, and what the placement relied on changes meanwhile.
+ * Tasks that may not be started any more are requeued; for one task of a gang, so
+ * are the others.
+ */
+export function listUnsentStarts(
+  state: CellState,
+  { orders, now }: { orders: readonly Order[]; now: number },
+): StartOrder[] {
+  const starts = orders.filter(isUnsentStart);
+  // The last ones are cancelled first: the cell's order puts the most urgent first.
+  for (const start of starts.toReversed()) {
+    if (!isUnsentStart(start)) continue;
+    const reason = explainObstacle(start, now);
+    if (reason) cancelStart(state, start.run, { starts, now, reason });
+  }
+  return starts.filter(isUnsentStart);
+}
+
+function isUnsentStart(order: Order): order is StartOrder {
+  if (order.kind !== OrderKind.Start) return false;
+  const { run } = order;
+  return run.phase === RunPhase.Starting &&
+    run.endpoint.runs.get(run.task) === run;
+}
+
+/** Explains why a start may not be sent any more; empty: it may. */
+function explainObstacle(
+  { run, ticketEndsAt }: StartOrder,
+  now: number,
+): string {
+  if (now >= ticketEndsAt) {
+    return "the ticket expired before the placement was committed";
+  }
+  if (isOverRoom(run.endpoint)) {
+    return "the endpoint's room shrank before the placement was committed";
+  }
+  return "";
+}
+
+/** Requeues the task of a start that was not sent, and those of its whole gang. */
+function cancelStart(
+  state: CellState,
+  run: Run,
+  options: { starts: readonly StartOrder[]; now: number; reason: string },
+): void {
+  const { starts, now, reason } = options;
+  const stage = findTask(state, run.task)?.stage;
+  const isGang = stage && getStep(stage).gang;
+  const runs = isGang
+    ? starts.filter(isUnsentStart).map((start) => start.run)
+      .filter(({ task }) => findTask(state, task)?.stage === stage)
+    : [run];
+  for (const unsentRun of runs) {
+    releaseRun(state, unsentRun, {
+      now,
+      hasFailed: false,
+      isUnsent: true,
+      reason,
+    });
+  }
+}
--- a/tests/cell/fake_endpoint.ts
+++ b/tests/cell/fake_endpoint.ts
@@ -26,7 +26,7 @@
 /** In-memory endpoint with fencing, lifetimes, leases and a list of ends. */
 export class FakeEndpoint {
   readonly id: string;
-  readonly capacity: Demand;
+  capacity: Demand;
   /** Start of the current lifetime. */
   bornAt: number;
   /** Highest fencing token received in this lifetime. */
