Let no older record of an endpoint replace a newer one

Cause: the pages of a list are read at different revisions, and the watch continues from that of the first one. It repeats changes that a later page already held. If the store returns them in more than one answer, an older record is in force until the next answer, which is asked for 0.3 s later.

Evidence: tests/virtual/endpoint_feed_test.ts "an older room never replaces a newer one" (60 endpoints on two pages, watches that return one change each) failed before: room 2000 was followed by 6000. That the platform's store splits its answers was not seen.

Change: a change is ignored if the list held a later revision of its key.

--- a/packages/scheduler/endpoint_feed.ts
+++ b/packages/scheduler/endpoint_feed.ts
@@ -1,7 +1,7 @@
 import type { Clock } from "../base/mod.ts";
 import type { EndpointInfo } from "../cell/mod.ts";
 import { EventCode, type EventLog } from "../events/mod.ts";
-import type { KeyValueStore, StoredItem } from "../storage/mod.ts";
+import type { KeyValueStore, StoreChange, StoredItem } from "../storage/mod.ts";
 import {
   ENDPOINT_WATCH_INTERVAL_MS,
   ENDPOINT_WATCH_WAIT_MS,
@@ -17,6 +17,8 @@
   readonly #log: EventLog;
   readonly #onChanged: (endpoints: EndpointInfo[]) => void;
   readonly #endpoints = new Map<string, EndpointInfo>();
+  /** Revision of the listed record of each endpoint, by key. */
+  readonly #revisions = new Map<string, number>();
   #isStopped = false;
 
   constructor(options: {
@@ -69,12 +71,15 @@
       firstRevision ??= page.revision;
       if (page.hasMore && page.items.length > 0) continue;
       this.#endpoints.clear();
-      for (const { key, value } of items) this.#setEndpoint(key, value);
+      this.#revisions.clear();
+      for (const { key, value, revision } of items) {
+        this.#setEndpoint(key, value);
+        this.#revisions.set(key, revision);
+      }
       this.#callOnChanged();
       // The pages are read at different revisions. The watch continues from that
       // of the first, so that no change to an earlier page is missed: an
-      // endpoint that left meanwhile would count as listed. Changes that a later
-      // page already holds are applied again, in order.
+      // endpoint that left meanwhile would count as listed.
       return firstRevision;
     }
   }
@@ -84,14 +89,19 @@
       this.#records.endpointPrefix,
       { after, waitMs: ENDPOINT_WATCH_WAIT_MS },
     );
-    for (const { key, value } of changes) {
-      if (value === undefined) this.#endpoints.delete(key);
-      else this.#setEndpoint(key, value);
-    }
+    for (const change of changes) this.#applyChange(change);
     if (changes.length > 0) this.#callOnChanged();
     return revision;
   }
 
+  /** Applies a change unless the list already held a later record of the key. */
+  #applyChange({ key, value, revision }: StoreChange): void {
+    if (revision <= (this.#revisions.get(key) ?? 0)) return;
+    this.#revisions.delete(key);
+    if (value === undefined) this.#endpoints.delete(key);
+    else this.#setEndpoint(key, value);
+  }
+
   #setEndpoint(key: string, value: string): void {
     const info = this.#records.decodeEndpoint(key, value);
     if (info) this.#endpoints.set(key, info);
--- a/tests/virtual/endpoint_feed_test.ts
+++ b/tests/virtual/endpoint_feed_test.ts
@@ -42,3 +42,64 @@
   t.true(listed.some(({ id }) => id === "w1200"));
   t.is(listed.length, 1_200);
 });
+
+/** Site records in which the value of an endpoint's key is its room. */
+class RoomRecords extends EndpointIdRecords {
+  override decodeEndpoint(key: string, text: string): EndpointInfo {
+    const info = super.decodeEndpoint(key, "0");
+    return {
+      ...info,
+      capacity: { ...info.capacity, milliCores: Number(text) },
+    };
+  }
+}
+
+// Guards against starts on a room that has shrunk: changes that a later page of the
+// list already holds are repeated by the watch, in several answers.
+test("an older room never replaces a newer one", async (t) => {
+  const time = new VirtualTime();
+  const state = new MemoryStoreState();
+  const clock = new ProcessClock(time, "a");
+  const store = new MemoryStore(state, clock);
+  const setRoom = (key: string, room: number) => {
+    state.revision++;
+    state.put(key, String(room), 0);
+  };
+  for (let n = 0; n < 60; n++) {
+    setRoom(`endpoints/w${String(n).padStart(4, "0")}`, 8_000);
+  }
+  const last = "endpoints/w0059";
+  const { list, watch } = store;
+  let pageCount = 0;
+  store.list = async (prefix, options) => {
+    const page = await list.call(store, prefix, options);
+    if (++pageCount === 1) {
+      setRoom(last, 6_000);
+      setRoom(last, 2_000);
+    }
+    return page;
+  };
+  store.watch = async (prefix, options) => {
+    const result = await watch.call(store, prefix, options);
+    const [change] = result.changes;
+    return change ? { changes: [change], revision: change.revision } : result;
+  };
+  const rooms: number[] = [];
+  const feed = new EndpointFeed({
+    store,
+    records: new RoomRecords(),
+    clock,
+    log: new SilentEventLog(),
+    onChanged: (endpoints) => {
+      const info = endpoints.find(({ id }) => id === "w0059");
+      rooms.push(info?.capacity.milliCores ?? -1);
+    },
+  });
+  void feed.run();
+  await time.advance(3_000);
+  t.is(pageCount, 2);
+  t.deepEqual([...new Set(rooms)], [2_000]);
+  setRoom(last, 7_000);
+  await time.advance(1_000);
+  t.is(rooms.at(-1), 7_000);
+});
