Start tasks only on records of endpoints that were read in time

Cause: nothing measured how old the owner's view of the endpoints' records is. A lost answer to a watch cost 3.2 s and a list, and while the store accepted commits and refused these reads, starts went on for as long as that lasted.

The test of a suspended VM in endpoint_feed_test.ts is new with this code.

Change: the feed knows when the last answer was asked for, on the steady and the wall clock. Tasks are planned, and stored starts are sent, only while that is at most `endpoint_records_ms` (the platform's contact time, 3 s) less the longest transit of an order ago. Stored starts that may not be sent are requeued. A watch waits 0.8 s instead of 1.5 s and times out 0.7 s later, so that the age stays below the bound on a calm site, and one lost answer is mended before it is reached. 5022 and 5023 say when starts stop and go on.

--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -251,12 +251,17 @@
 
   /**
    * Lists the start orders of a committed output that may be sent; requeues the
-   * tasks of the others.
+   * tasks of the others. `mayStart`: whether the list of endpoints is current.
    */
-  listStarts(output: CellOutput, time: CurrentTime): StartOrder[] {
+  listStarts(
+    output: CellOutput,
+    time: CurrentTime,
+    options: { mayStart: boolean },
+  ): StartOrder[] {
     return listUnsentStarts(this.state, {
       orders: output.orders,
       now: time.now,
+      ...options,
     });
   }
 
--- a/packages/cell/unsent_starts.ts
+++ b/packages/cell/unsent_starts.ts
@@ -18,13 +18,21 @@
  */
 export function listUnsentStarts(
   state: CellState,
-  { orders, now }: { orders: readonly Order[]; now: number },
+  options: {
+    orders: readonly Order[];
+    now: number;
+    /** The list of endpoints is recent enough to start tasks. */
+    mayStart: boolean;
+  },
 ): StartOrder[] {
+  const { orders, now, mayStart } = options;
   const starts = orders.filter(isUnsentStart);
   // The last ones are cancelled first: the cell's order puts the most urgent first.
   for (const start of starts.toReversed()) {
     if (!isUnsentStart(start)) continue;
-    const reason = explainObstacle(start, now);
+    const reason = mayStart
+      ? explainObstacle(start, now)
+      : "the endpoints' records were too old when the placement was committed";
     if (reason) cancelStart(state, start.run, { starts, now, reason });
   }
   return starts.filter(isUnsentStart);
--- a/packages/events/catalogue.ts
+++ b/packages/events/catalogue.ts
@@ -36,6 +36,8 @@
   EndpointReborn = 5007,
   EndpointLapsed = 5008,
   EndpointThrottled = 5009,
+  EndpointRecordsStale = 5022,
+  EndpointRecordsCurrent = 5023,
   RequestRefused = 6001,
   AnswerDropped = 6002,
   AttemptLost = 6003,
@@ -384,6 +386,16 @@
     message: "the owner did not settle a caller's request; it is sent again",
     remedy: "None; check the owner if it repeats without a change of owner.",
   },
+  [EventCode.EndpointRecordsStale]: {
+    severity: Severity.Warn,
+    message: "the endpoints' records are too old; no tasks are started",
+    remedy: "Check the store and the network to it if it lasts.",
+  },
+  [EventCode.EndpointRecordsCurrent]: {
+    severity: Severity.Info,
+    message: "the endpoints' records are current; tasks are started",
+    remedy: "None.",
+  },
   [EventCode.RequestRefused]: {
     severity: Severity.Info,
     message: "request refused",
--- a/packages/scheduler/constants.ts
+++ b/packages/scheduler/constants.ts
@@ -69,10 +69,18 @@
 export const JOURNAL_PAGE_TIMEOUT_MS = 6_000;
 
 /**
- * Longest time that one watch of the endpoint records waits, in milliseconds. A
- * dead connection is detected after this time at the latest.
+ * Longest time that one watch of the endpoint records waits, in milliseconds: two
+ * waits and the pause between them are under the age of records on which tasks are
+ * started.
  */
-export const ENDPOINT_WATCH_WAIT_MS = 1_500;
+export const ENDPOINT_WATCH_WAIT_MS = 800;
+
+/**
+ * Time added to the wait of a watch of the endpoint records to get its timeout, in
+ * milliseconds. After one lost answer, the records are listed again before they are
+ * too old to start tasks on them.
+ */
+export const ENDPOINT_WATCH_MARGIN_MS = 700;
 
 /**
  * Pause after each watch of the endpoint records, in milliseconds: a fifth of
--- a/packages/scheduler/endpoint_feed.ts
+++ b/packages/scheduler/endpoint_feed.ts
@@ -1,13 +1,15 @@
 import type { Clock } from "../base/mod.ts";
-import type { EndpointInfo } from "../cell/mod.ts";
+import type { CurrentTime, EndpointInfo } from "../cell/mod.ts";
 import { EventCode, type EventLog } from "../events/mod.ts";
 import type { KeyValueStore, StoreChange, StoredItem } from "../storage/mod.ts";
 import {
   ENDPOINT_WATCH_INTERVAL_MS,
+  ENDPOINT_WATCH_MARGIN_MS,
   ENDPOINT_WATCH_WAIT_MS,
   STORE_RETRY_MS,
 } from "./constants.ts";
 import type { SiteRecords } from "./ports.ts";
+import { measureElapsed } from "./suspension_guard.ts";
 
 /** Watches the endpoints' records in the store. */
 export class EndpointFeed {
@@ -19,6 +21,10 @@
   readonly #endpoints = new Map<string, EndpointInfo>();
   /** Revision of the listed record of each endpoint, by key. */
   readonly #revisions = new Map<string, number>();
+  readonly #maxAgeMs: number;
+  /** When the last answer of the store was asked for; undefined: none yet. */
+  #heardAt: CurrentTime | undefined;
+  #isCurrent = false;
   #isStopped = false;
 
   constructor(options: {
@@ -26,6 +32,8 @@
     records: SiteRecords;
     clock: Clock;
     log: EventLog;
+    /** Age from which the records are too old to start tasks, in milliseconds. */
+    maxAgeMs: number;
     /** Called with all usable endpoints after each list and each change. */
     onChanged: (endpoints: EndpointInfo[]) => void;
   }) {
@@ -33,6 +41,7 @@
     this.#records = options.records;
     this.#clock = options.clock;
     this.#log = options.log;
+    this.#maxAgeMs = options.maxAgeMs;
     this.#onChanged = options.onChanged;
   }
 
@@ -54,6 +63,26 @@
     }
   }
 
+  /**
+   * Returns whether the records are recent enough to start tasks: what an endpoint
+   * wrote before that is known. Logs when this changes.
+   */
+  checkAge(time: CurrentTime): boolean {
+    if (!this.#heardAt) return false;
+    const ageMs = measureElapsed(this.#heardAt, time);
+    const isCurrent = ageMs <= this.#maxAgeMs;
+    if (isCurrent !== this.#isCurrent) {
+      this.#isCurrent = isCurrent;
+      this.#log.record(
+        isCurrent
+          ? EventCode.EndpointRecordsCurrent
+          : EventCode.EndpointRecordsStale,
+        { ageMs: Math.round(ageMs), endpoints: this.#endpoints.size },
+      );
+    }
+    return isCurrent;
+  }
+
   /** Stops watching. */
   stop(): void {
     this.#isStopped = true;
@@ -61,6 +90,7 @@
 
   async #list(): Promise<number> {
     const items: StoredItem[] = [];
+    const sentAt = this.#getCurrentTime();
     let firstRevision: number | undefined;
     for (;;) {
       const prefix = this.#records.endpointPrefix;
@@ -70,6 +100,7 @@
       items.push(...page.items);
       firstRevision ??= page.revision;
       if (page.hasMore && page.items.length > 0) continue;
+      this.#heardAt = sentAt;
       this.#endpoints.clear();
       this.#revisions.clear();
       for (const { key, value, revision } of items) {
@@ -85,10 +116,16 @@
   }
 
   async #watch(after: number): Promise<number> {
+    const sentAt = this.#getCurrentTime();
     const { changes, revision } = await this.#store.watch(
       this.#records.endpointPrefix,
-      { after, waitMs: ENDPOINT_WATCH_WAIT_MS },
+      {
+        after,
+        waitMs: ENDPOINT_WATCH_WAIT_MS,
+        timeoutMs: ENDPOINT_WATCH_WAIT_MS + ENDPOINT_WATCH_MARGIN_MS,
+      },
     );
+    this.#heardAt = sentAt;
     for (const change of changes) this.#applyChange(change);
     if (changes.length > 0) this.#callOnChanged();
     return revision;
@@ -102,6 +139,10 @@
     else this.#setEndpoint(key, value);
   }
 
+  #getCurrentTime(): CurrentTime {
+    return { now: this.#clock.now(), wallNow: this.#clock.readWallTime() };
+  }
+
   #setEndpoint(key: string, value: string): void {
     const info = this.#records.decodeEndpoint(key, value);
     if (info) this.#endpoints.set(key, info);
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -22,6 +22,7 @@
   JOURNAL_PAGE_TIMEOUT_MS,
   MAX_DRAIN_MS,
   NO_OWNER_RETRY_MS,
+  ORDER_TIMEOUT_MS,
   OWNER_GRACE_MS,
   OWNER_KEY,
   PLAN_INTERVAL_MS,
@@ -62,6 +63,11 @@
   policies: PolicyNames;
   /** Duration of a task's lease, in milliseconds. */
   leaseMs: number;
+  /**
+   * Time after which every start has to respect what an endpoint's record shows, in
+   * milliseconds.
+   */
+  endpointRecordsMs: number;
   /** How long the result of an ended job is kept, in milliseconds. */
   retentionMs: number;
   /** Lists the open links to other entries. */
@@ -123,6 +129,8 @@
       records,
       clock,
       log,
+      // A start that is sent in time also has to arrive in time.
+      maxAgeMs: parts.endpointRecordsMs - ORDER_TIMEOUT_MS,
       onChanged: (endpoints) => this.#updateEndpoints(endpoints),
     });
     this.#sessions = new SessionPool({
@@ -166,6 +174,7 @@
       log,
       metrics: parts.metrics,
       mayOrder: (now) => this.mayOrder(now),
+      hasCurrentRecords: (time) => this.#endpointFeed.checkAge(time),
     });
   }
 
--- a/packages/scheduler/plan_loop.ts
+++ b/packages/scheduler/plan_loop.ts
@@ -30,6 +30,8 @@
   metrics: Metrics;
   /** Returns whether this owner may send orders now. */
   mayOrder: (now: number) => boolean;
+  /** Returns whether the endpoints' records are recent enough to start tasks. */
+  hasCurrentRecords: (time: CurrentTime) => boolean;
 }
 
 /**
@@ -96,10 +98,11 @@
   planNow(): void {
     const { advice, cell, clock, metrics, mayOrder, sessions } = this.#parts;
     const startedAt = clock.now();
+    const hasCurrentRecords = this.#hasCurrentRecords();
     if (mayOrder(startedAt)) {
       // While the store stalls, placements could not be committed and would
       // only reserve capacity.
-      const mayStart = !this.isStoreStalled(startedAt);
+      const mayStart = hasCurrentRecords && !this.isStoreStalled(startedAt);
       cell.setAdviceBacklogs(advice.listBacklogs());
       cell.plan(this.#getCurrentTime(), { mayStart });
     }
@@ -136,6 +139,14 @@
     return { now: this.#parts.clock.now(), wallNow: Date.now() };
   }
 
+  #hasCurrentRecords(): boolean {
+    const { clock, hasCurrentRecords } = this.#parts;
+    return hasCurrentRecords({
+      now: clock.now(),
+      wallNow: clock.readWallTime(),
+    });
+  }
+
   /** Logs and commits the cell's decisions, and sends all orders but starts. */
   #sendOutput(onCommitted?: () => void): void {
     const { cell, log, orderSender } = this.#parts;
@@ -156,9 +167,10 @@
     this.#journal?.add(output.records, () => {
       if (this.#isStopped) return;
       cell.noteCommitted(output, Date.now());
-      for (const order of cell.listStarts(output, this.#getCurrentTime())) {
-        orderSender.send(order);
-      }
+      const starts = cell.listStarts(output, this.#getCurrentTime(), {
+        mayStart: this.#hasCurrentRecords(),
+      });
+      for (const order of starts) orderSender.send(order);
       onCommitted?.();
       if (!isEmpty) this.schedulePlan();
     });
--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -198,6 +198,7 @@
       ...parts,
       leaseMs: Math.min(TASK_LEASE_MS, settings.bounds.task_lease_ms),
       retentionMs: settings.bounds.ended_jobs_ms,
+      endpointRecordsMs: settings.bounds.endpoint_records_ms,
       policies: settings.scheduling,
       takeOverPauseMs: settings.vms.take_over_pause_ms,
       listLinks: () => this.#linkServer.listIdentified(),
--- a/packages/settings/scheduler_settings.ts
+++ b/packages/settings/scheduler_settings.ts
@@ -49,6 +49,7 @@
     task_lease_ms: makeIntegerSchema(1_000, 600_000),
     key_revocation_ms: makeIntegerSchema(1_000, 600_000),
     ended_jobs_ms: makeIntegerSchema(1_000, 86_400_000),
+    endpoint_records_ms: makeIntegerSchema(1_000, 600_000).default(3_000),
   }),
   log: z.strictObject({
     level: z.enum(["debug", "info", "warn", "error"]).default("info"),
--- a/tests/cell/cell_site.ts
+++ b/tests/cell/cell_site.ts
@@ -289,7 +289,9 @@
       this.journal.push(...structuredClone(commit.output.records));
       commit.owner.noteCommitted(commit.output, this.now);
       for (
-        const start of commit.owner.listStarts(commit.output, this.time)
+        const start of commit.owner.listStarts(commit.output, this.time, {
+          mayStart: true,
+        })
       ) {
         this.#sendOrder(commit.owner, start);
       }
--- a/tests/harness/job_site.ts
+++ b/tests/harness/job_site.ts
@@ -198,6 +198,7 @@
           task_lease_ms: 6_000,
           key_revocation_ms: 5_000,
           ended_jobs_ms: 120_000,
+          endpoint_records_ms: 3_000,
         },
         log: { level: "info" },
       },
--- a/tests/virtual/endpoint_feed_test.ts
+++ b/tests/virtual/endpoint_feed_test.ts
@@ -3,14 +3,32 @@
 import { SilentEventLog } from "../../packages/events/mod.ts";
 import { EndpointFeed } from "../../packages/scheduler/mod.ts";
 import { EndpointIdRecords } from "./endpoint_id_records.ts";
-import { MemoryStore, MemoryStoreState } from "./memory_store.ts";
+import { MemoryStore, MemoryStoreState, StoreFault } from "./memory_store.ts";
 import { ProcessClock, VirtualTime } from "./virtual_time.ts";
 
-test("hundreds of endpoints: one that leaves while the pages are read is not listed", async (t) => {
+/** Makes a store on virtual time, and feeds that read it. */
+function makeSite() {
   const time = new VirtualTime();
   const state = new MemoryStoreState();
   const clock = new ProcessClock(time, "a");
   const store = new MemoryStore(state, clock);
+  const makeFeed = (
+    options: Partial<ConstructorParameters<typeof EndpointFeed>[0]>,
+  ) =>
+    new EndpointFeed({
+      store,
+      records: new EndpointIdRecords(),
+      clock,
+      log: new SilentEventLog(),
+      maxAgeMs: 2_500,
+      onChanged: () => {},
+      ...options,
+    });
+  return { time, state, clock, store, makeFeed };
+}
+
+test("hundreds of endpoints: one that leaves while the pages are read is not listed", async (t) => {
+  const { time, state, store, makeFeed } = makeSite();
   for (let n = 0; n < 1_200; n++) {
     state.revision++;
     state.put(`endpoints/w${String(n).padStart(4, "0")}`, "", 0);
@@ -28,13 +46,7 @@
     return page;
   };
   let listed: EndpointInfo[] = [];
-  const feed = new EndpointFeed({
-    store,
-    records: new EndpointIdRecords(),
-    clock,
-    log: new SilentEventLog(),
-    onChanged: (endpoints) => listed = endpoints,
-  });
+  const feed = makeFeed({ onChanged: (endpoints) => listed = endpoints });
   void feed.run();
   await time.advance(3_000);
   t.true(pageCount > 1);
@@ -57,10 +69,7 @@
 // Guards against starts on a room that has shrunk: changes that a later page of the
 // list already holds are repeated by the watch, in several answers.
 test("an older room never replaces a newer one", async (t) => {
-  const time = new VirtualTime();
-  const state = new MemoryStoreState();
-  const clock = new ProcessClock(time, "a");
-  const store = new MemoryStore(state, clock);
+  const { time, state, store, makeFeed } = makeSite();
   const setRoom = (key: string, room: number) => {
     state.revision++;
     state.put(key, String(room), 0);
@@ -85,11 +94,8 @@
     return change ? { changes: [change], revision: change.revision } : result;
   };
   const rooms: number[] = [];
-  const feed = new EndpointFeed({
-    store,
+  const feed = makeFeed({
     records: new RoomRecords(),
-    clock,
-    log: new SilentEventLog(),
     onChanged: (endpoints) => {
       const info = endpoints.find(({ id }) => id === "w0059");
       rooms.push(info?.capacity.milliCores ?? -1);
@@ -103,3 +109,22 @@
   await time.advance(1_000);
   t.is(rooms.at(-1), 7_000);
 });
+
+// Guards against starts on the records from before a suspension of the VM, during which
+// the steady clock stands still.
+test("records that were read before a suspension are too old to start tasks", async (t) => {
+  const { time, clock, store, makeFeed } = makeSite();
+  const feed = makeFeed({});
+  const checkAge = () =>
+    feed.checkAge({ now: clock.now(), wallNow: clock.readWallTime() });
+  t.false(checkAge());
+  void feed.run();
+  await time.advance(1_000);
+  t.true(checkAge());
+  store.fault = StoreFault.Timeout;
+  await time.suspend("a", 10_000);
+  t.false(checkAge());
+  store.fault = StoreFault.None;
+  await time.advance(5_000);
+  t.true(checkAge());
+});
--- a/tests/virtual/owner_site.ts
+++ b/tests/virtual/owner_site.ts
@@ -209,6 +209,7 @@
       log: new SilentEventLog(),
       metrics: new Metrics(),
       leaseMs: LEASE_MS,
+      endpointRecordsMs: 3_000,
       retentionMs: 1e9,
       takeOverPauseMs: 0,
       policies: DEFAULT_POLICIES,
