Accept jobs that fit once the room of the endpoints has grown again

What callers would see: 429 with "no endpoint can hold a task of step 0" for a job that the service runs at any other moment, while the room of its endpoints is small.

Cause: admission compared each step with the present room, which may shrink and grow while an endpoint runs. That a task does not fit now does not show that it never will.

Evidence: tests/cell/room_that_shrinks_test.ts "a job is accepted although the endpoints have too little room for it at present" failed before: the job was unknown after its submission.

Change: `fullRoom` keeps the most room that an endpoint's lifetime has shown to this owner, and admission uses it. The predicted wait still counts the present room. A new owner that has only seen the small room refuses the job for as long as it lasts, with a delay for the retry.

--- a/packages/cell/admission.ts
+++ b/packages/cell/admission.ts
@@ -115,7 +115,8 @@
 
 /**
  * Finds the first step whose tasks fit no listed endpoint; `undefined` if all
- * steps fit, or if no endpoint of the service is listed yet.
+ * steps fit, or if no endpoint of the service is listed yet. Load: the room of
+ * endpoints is small for a while, and the job fits once it has grown again.
  */
 function findUnplaceableStep(
   state: CellState,
@@ -126,8 +127,8 @@
   );
   if (listed.length === 0) return undefined;
   const index = spec.steps.findIndex((step) =>
-    !listed.some(({ info }) =>
-      fitsInto(getCapacityDemand(step), info.capacity, makeZeroDemand()) &&
+    !listed.some(({ info, fullRoom }) =>
+      fitsInto(getCapacityDemand(step), fullRoom, makeZeroDemand()) &&
       (step.requiredLabel === "" || info.labels.includes(step.requiredLabel))
     )
   );
--- a/packages/cell/endpoints.ts
+++ b/packages/cell/endpoints.ts
@@ -5,6 +5,7 @@
 import { type CurrentTime, releaseRun } from "./task_ends.ts";
 import { addDecision, type CellState } from "./state.ts";
 import { mayHideRuns, settleRemnants } from "./remnants.ts";
+import { noteRoom } from "./room.ts";
 import { removeUnlocated } from "./stages.ts";
 import { DecisionKind, type Endpoint, type EndpointInfo } from "./types.ts";
 
@@ -12,6 +13,7 @@
 export function makeEndpoint(info: EndpointInfo): Endpoint {
   return {
     info,
+    fullRoom: info.capacity,
     isListed: true,
     isRecorded: false,
     isRecording: false,
@@ -51,6 +53,7 @@
     if (!endpoint) state.endpoints.set(info.id, makeEndpoint(info));
     else {
       if (endpoint.info.address !== info.address) endpoint.isReplaced = false;
+      noteRoom(endpoint, info);
       endpoint.info = info;
       endpoint.isListed = true;
       // A restarted endpoint has forgotten the fencing token. Contact with it keeps
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -108,6 +108,11 @@
 /** An endpoint in the view of the cell's owner. */
 export interface Endpoint {
   info: EndpointInfo;
+  /**
+   * Most room of each resource that this lifetime of the endpoint has shown to this
+   * owner; the room may shrink and grow again while the endpoint runs.
+   */
+  fullRoom: Demand;
   /** The platform's current list contains the endpoint. */
   isListed: boolean;
   /** The journal holds a committed record that tasks may run there. */
--- a/tests/cell/room_that_shrinks_test.ts
+++ b/tests/cell/room_that_shrinks_test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import type { Demand } from "../../packages/jobs/mod.ts";
+import { type Demand, JobState } from "../../packages/jobs/mod.ts";
 import { CellSite, makeJob, makeStep } from "./cell_site.ts";
 
 const LONG_RUN_MS = 60_000;
@@ -139,3 +139,18 @@
   t.is(site.checker.starts, 4);
   t.deepEqual(site.checker.violations, []);
 });
+
+// Guards against refusals of jobs that fit again once the room grows.
+test("a job is accepted although the endpoints have too little room for it at present", (t) => {
+  const site = new CellSite({ endpoints: 2 });
+  site.advance(200);
+  for (const id of site.endpoints.keys()) setRoom(site, id, SMALL_ROOM);
+  const demand = { milliCores: 6_000, memoryMb: 100, accelerators: 0 };
+  site.submit(makeJob("a", [makeStep({ demand })]));
+  site.advance(1_000);
+  t.is(site.find("a"), JobState.Pending);
+  setRoom(site, "e0", FULL_ROOM);
+  site.advance(2_000);
+  t.is(site.find("a"), JobState.Completed);
+  t.deepEqual(site.checker.violations, []);
+});
