Log and count each change of an endpoint's room

When starts stop on an endpoint although it is listed and healthy, nothing told that its room had shrunk: 6201 gave the room of the last start only.

Result: "each change of an endpoint's room is a decision with what runs there" in tests/cell/room_that_shrinks_test.ts, the catalogue's tests and the house style pass. The test is new with the decision; there was nothing to fail before.

--- a/packages/cell/endpoints.ts
+++ b/packages/cell/endpoints.ts
@@ -53,7 +53,7 @@
     if (!endpoint) state.endpoints.set(info.id, makeEndpoint(info));
     else {
       if (endpoint.info.address !== info.address) endpoint.isReplaced = false;
-      noteRoom(endpoint, info);
+      noteRoom(state, endpoint, info);
       endpoint.info = info;
       endpoint.isListed = true;
       // A restarted endpoint has forgotten the fencing token. Contact with it keeps
--- a/packages/cell/state.ts
+++ b/packages/cell/state.ts
@@ -163,7 +163,8 @@
   };
 }
 
-function listAmounts(demand: Demand): number[] {
+/** Lists the amounts of a demand, for the log. */
+export function listAmounts(demand: Demand): number[] {
   return [demand.milliCores, demand.memoryMb, demand.accelerators];
 }
 
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -463,6 +463,10 @@
   Throttled = "throttled",
   LeaseExpired = "lease_lapsed",
   Adopted = "adopted",
+  /** An endpoint's record shows less room of some resource than before. */
+  RoomShrunk = "room_shrunk",
+  /** An endpoint's record shows more room, and less of no resource. */
+  RoomGrown = "room_grown",
 }
 
 /** One decision with the inputs that led to it. */
--- a/packages/events/catalogue.ts
+++ b/packages/events/catalogue.ts
@@ -36,6 +36,8 @@
   EndpointReborn = 5007,
   EndpointLapsed = 5008,
   EndpointThrottled = 5009,
+  EndpointRoomShrunk = 5020,
+  EndpointRoomGrown = 5021,
   EndpointRecordsStale = 5022,
   EndpointRecordsCurrent = 5023,
   RequestRefused = 6001,
@@ -386,6 +388,16 @@
     message: "the owner did not settle a caller's request; it is sent again",
     remedy: "None; check the owner if it repeats without a change of owner.",
   },
+  [EventCode.EndpointRoomShrunk]: {
+    severity: Severity.Info,
+    message: "an endpoint has less room; it gets no task until its runs fit",
+    remedy: "None.",
+  },
+  [EventCode.EndpointRoomGrown]: {
+    severity: Severity.Info,
+    message: "an endpoint has more room",
+    remedy: "None.",
+  },
   [EventCode.EndpointRecordsStale]: {
     severity: Severity.Warn,
     message: "the endpoints' records are too old; no tasks are started",
--- a/tests/cell/room_that_shrinks_test.ts
+++ b/tests/cell/room_that_shrinks_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { DecisionKind } from "../../packages/cell/mod.ts";
 import { type Demand, JobState } from "../../packages/jobs/mod.ts";
 import { CellSite, makeJob, makeStep } from "./cell_site.ts";
 
@@ -154,3 +155,31 @@
   t.is(site.find("a"), JobState.Completed);
   t.deepEqual(site.checker.violations, []);
 });
+
+test("each change of an endpoint's room is a decision with what runs there", (t) => {
+  const site = new CellSite({ endpoints: 1, afterMs: LONG_RUN_MS });
+  site.submit(makeJob("a", [makeStep({ tasks: 6 })]));
+  site.advance(300);
+  site.cell.collectOutput();
+  const rooms = [
+    SMALL_ROOM,
+    { ...SMALL_ROOM },
+    FULL_ROOM,
+    { milliCores: 9_000, memoryMb: 4_000, accelerators: 0 },
+  ];
+  const decisions = rooms.flatMap((room) => {
+    setRoom(site, "e0", room);
+    return site.cell.collectOutput().decisions;
+  });
+  t.deepEqual(decisions.map(({ kind }) => kind), [
+    DecisionKind.RoomShrunk,
+    DecisionKind.RoomGrown,
+    DecisionKind.RoomShrunk,
+  ]);
+  const { from, to, taken } = decisions[0].inputs;
+  t.deepEqual({ from, to, taken }, {
+    from: [8_000, 8_000, 0],
+    to: [4_000, 8_000, 0],
+    taken: [6_000, 600, 0],
+  });
+});
