Send no stored start to an endpoint that takes none any more

What callers would see: a task that starts on an endpoint that drains or leaves, and is lost with it, or a start without an answer on one that was already known not to answer.

Evidence: tests/cell/unsent_starts_test.ts; its four cases failed before (starts on e0, none on e1).

Change: a stored start is sent only if its endpoint could still be chosen for it; its task is requeued otherwise.

Result: tests/cell, packages/cell and owner_overlap_test pass.

--- a/packages/cell/unsent_starts.ts
+++ b/packages/cell/unsent_starts.ts
@@ -1,3 +1,4 @@
+import { canAcceptStarts, isEligible } from "./placement.ts";
 import { isOverRoom } from "./room.ts";
 import { findTask, getStep } from "./stages.ts";
 import type { CellState } from "./state.ts";
@@ -31,7 +32,7 @@
   for (const start of starts.toReversed()) {
     if (!isUnsentStart(start)) continue;
     const reason = mayStart
-      ? explainObstacle(start, now)
+      ? explainObstacle(start, { state, now })
       : "the endpoints' records were too old when the placement was committed";
     if (reason) cancelStart(state, start.run, { starts, now, reason });
   }
@@ -48,14 +49,20 @@
 /** Explains why a start may not be sent any more; empty: it may. */
 function explainObstacle(
   { run, ticketEndsAt }: StartOrder,
-  now: number,
+  { state, now }: { state: CellState; now: number },
 ): string {
+  const stage = findTask(state, run.task)?.stage;
   if (now >= ticketEndsAt) {
     return "the ticket expired before the placement was committed";
   }
   if (isOverRoom(run.endpoint)) {
     return "the endpoint's room shrank before the placement was committed";
   }
+  const isUsable = canAcceptStarts(run.endpoint, now) && stage &&
+    isEligible(run.endpoint, stage);
+  if (!isUsable) {
+    return "the endpoint took no more starts before the placement was committed";
+  }
   return "";
 }
 
