Reserve room for a waiting gang where the gang may run

Cause: the reservation took the endpoints with the most free cores, as many tasks on each as fit there. It ignored `rackLocal` and `maxPerEndpoint`, so that it kept room which the gang could not use and left the room that it needed to others.

Evidence: tests/cell/gang_test.ts, two new tests with small jobs that always wait. Both failed before: "capacity is kept on as many endpoints as the limit of a waiting gang on one asks for" and "capacity is kept in one rack for a waiting gang that needs one" (the gang was pending after 5 s). The first one passed before when ends were listed every 100 ms, as several cores were then freed at once; the test lists them every 10 ms.

Change: room is reserved in the rack with the most free cores among those that can hold the gang, for at most the permitted number of tasks on each endpoint; none if idle endpoints could not hold the gang either, since it then keeps others waiting for nothing.

--- a/packages/cell/plan_gang.ts
+++ b/packages/cell/plan_gang.ts
@@ -3,6 +3,7 @@
   countFits,
   getCapacityDemand,
   makeZeroDemand,
+  type StepSpec,
 } from "../jobs/mod.ts";
 import { askAboutUnaskedEndpoints, askAdvice } from "./ask_advice.ts";
 import { MAX_GANG_RESERVATIONS } from "./constants.ts";
@@ -120,7 +121,8 @@
 
 /**
  * Reserves capacity for a gang that does not fit yet, on the endpoints with the
- * most free cores, so that later stages of this pass do not take it.
+ * most free cores, so that later stages of this pass do not take it. Reserves none
+ * if the gang would not fit on idle endpoints either.
  */
 function reserveForGang(
   pass: PlacementPass,
@@ -128,25 +130,50 @@
   usable: Endpoint[],
 ): void {
   if (pass.reservedGangs >= MAX_GANG_RESERVATIONS) return;
+  const step = getStep(stage);
+  const groups = step.rackLocal ? splitByRack(usable) : [usable];
+  const [group] = groups
+    .filter((endpoints) =>
+      sumOver(endpoints, (endpoint) => countSlots(endpoint, step)) >=
+        stage.tasks.length
+    )
+    .sort((a, b) =>
+      sumOver(b, measureFreeCores) - sumOver(a, measureFreeCores)
+    );
+  if (!group) return;
   pass.reservedGangs++;
-  const demand = getCapacityDemand(getStep(stage));
-  const byFreeCores = [...usable].sort((a, b) =>
+  const byFreeCores = [...group].sort((a, b) =>
     measureFreeCores(b) - measureFreeCores(a)
   );
+  const demand = getCapacityDemand(step);
   let unreservedTasks = stage.tasks.length;
   for (const endpoint of byFreeCores) {
     if (unreservedTasks <= 0) return;
-    const maxTasks = countFits(
-      demand,
-      endpoint.info.capacity,
-      makeZeroDemand(),
-    );
-    const tasks = Math.min(unreservedTasks, maxTasks);
+    const tasks = Math.min(unreservedTasks, countSlots(endpoint, step));
     unreservedTasks -= tasks;
     reserveCapacity(pass, endpoint, { demand, tasks });
   }
 }
 
+function sumOver(
+  endpoints: Endpoint[],
+  measure: (endpoint: Endpoint) => number,
+): number {
+  return endpoints.reduce((sum, endpoint) => sum + measure(endpoint), 0);
+}
+
+/** Counts how many tasks of a step an idle endpoint may run at a time. */
+function countSlots({ info }: Endpoint, step: StepSpec): number {
+  const fitting = countFits(
+    getCapacityDemand(step),
+    info.capacity,
+    makeZeroDemand(),
+  );
+  return step.maxPerEndpoint > 0
+    ? Math.min(fitting, step.maxPerEndpoint)
+    : fitting;
+}
+
 function reserveCapacity(
   pass: PlacementPass,
   endpoint: Endpoint,
--- a/tests/cell/gang_test.ts
+++ b/tests/cell/gang_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
-import { EndKind, JobState } from "../../packages/jobs/mod.ts";
-import { CellSite, makeJob, makeStep } from "./cell_site.ts";
+import { EndKind, JobState, type StepSpec } from "../../packages/jobs/mod.ts";
+import { CellSite, makeJob, makeQueue, makeStep } from "./cell_site.ts";
 
 const wholeEndpointDemand = {
   milliCores: 8_000,
@@ -99,3 +99,60 @@
     t.is(site.find("gang"), JobState.Completed, JSON.stringify(need));
   }
 });
+
+/** Keeps the endpoints busy with small jobs while a gang waits; returns its state. */
+function submitGangAmongSmallJobs(
+  site: CellSite,
+  gang: StepSpec,
+): JobState | undefined {
+  site.endRule = (run, random) => ({
+    afterMs: run.task.startsWith("s") ? 400 + random.drawInt(400) : 100,
+    endKind: EndKind.Done,
+  });
+  site.pollIntervalMs = 10;
+  const queue = makeQueue({ targetLatencyMs: 60_000 });
+  const submitSmallJobs = (round: number) => {
+    for (let n = 0; n < 4; n++) {
+      site.submit(makeJob(`s${round}-${n}`, [makeStep()], { queue }));
+    }
+  };
+  for (let round = 0; round < 20; round++) {
+    submitSmallJobs(round);
+    site.advance(30);
+  }
+  site.submit(makeJob("gang", [gang]));
+  for (let round = 20; round < 120; round++) {
+    submitSmallJobs(round);
+    site.advance(50);
+  }
+  return site.find("gang");
+}
+
+// Guards against a gang that starves because capacity is reserved on one endpoint for
+// more of its tasks than may run there.
+test("capacity is kept on as many endpoints as the limit of a waiting gang on one asks for", (t) => {
+  const site = new CellSite({ endpoints: 2 });
+  const demand = { milliCores: 4_000, memoryMb: 100, accelerators: 0 };
+  const gang = makeStep({ tasks: 2, gang: true, demand, maxPerEndpoint: 1 });
+  t.is(submitGangAmongSmallJobs(site, gang), JobState.Completed);
+  t.deepEqual(site.checker.violations, []);
+});
+
+// Guards against a gang that starves because capacity is reserved for it on endpoints
+// of several racks.
+test("capacity is kept in one rack for a waiting gang that needs one", (t) => {
+  const site = new CellSite({ endpoints: 6 });
+  site.describeEndpoint = (id) => ({
+    labels: [],
+    rack: ["e0", "e2", "e4"].includes(id) ? "r0" : "r1",
+  });
+  site.applyEndpointList();
+  const gang = makeStep({
+    tasks: 3,
+    gang: true,
+    demand: wholeEndpointDemand,
+    rackLocal: true,
+  });
+  t.is(submitGangAmongSmallJobs(site, gang), JobState.Completed);
+  t.deepEqual(site.checker.violations, []);
+});
