--- a/tests/virtual/owner_random_test.ts
+++ b/tests/virtual/owner_random_test.ts
@@ -51,6 +51,22 @@
  * endpoint than the owner took them for.
  */
 const FORMER_HEAVY_FAILURES = [10, 46, 93];
+/**
+ * Heavy seeds in which late orders ran a task twice, or brought an endpoint over its
+ * room, on queues without tickets.
+ */
+const LATE_ORDER_FAILURES = [
+  214,
+  223,
+  234,
+  244,
+  286,
+  319,
+  381,
+  5020,
+  5035,
+  5036,
+];
 const STORE_FAULTS = [
   StoreFault.Timeout,
   StoreFault.Unavailable,
@@ -193,3 +209,10 @@
 test("a late start of a former owner reaches no restarted endpoint before the owner's first poll", async (t) => {
   t.deepEqual(await findHeavyViolations([1]), []);
 });
+
+// Guards against starts and acknowledgements without an answer that count as settled
+// although an endpoint can still carry them out.
+test("late orders run no task twice on the heavy seeds that failed before", async (t) => {
+  t.timeout(900_000);
+  t.deepEqual(await findHeavyViolations(LATE_ORDER_FAILURES), []);
+});
