Start a task again only once its earlier start can't be carried out any more

Callers saw a task run twice at the same time, or again after it had completed, on queues without tickets.

Cause: a start order without an answer can be carried out for 12 s by whichever lifetime of the endpoint is there then. The owner took it as settled by a stop, and a new owner by a listing without the run; both bind only the lifetime that gave them. An endpoint that restarts under its id knows neither and carries the order out.

Change: an unlisted run without a ticket keeps its place until its order can no longer arrive, instead of being stopped, forgotten and started elsewhere; so the set of prevented runs goes. A new owner waits likewise for unlisted tasks of former owners (their last orders plus 12.5 s, and the longest lease where it has no contact). Tickets are bound to one lifetime, so queues with advice wait no longer than before.

Tests: waiting, scheduling_order and one of take_over use tickets now, with the same bounds, since their subject is not this wait; take_over has a second test for queues without. late_order 'a prevented start is stopped again' demanded the second start that is the fault; it demands one start now. The hand-over test runs for 30 s instead of 8, with the same checks.

--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -1,5 +1,6 @@
 import { RecordKind } from "../journal/mod.ts";
 import { findJobError, type JobSpec, JobState } from "../jobs/mod.ts";
+import { LATE_ORDER_MS } from "./constants.ts";
 import { addBacklog, admitJob, measureBacklogs } from "./admission.ts";
 import {
   applyAdvice,
@@ -92,6 +93,7 @@
       unlocated: new Map(),
       remnants: new Map(),
       unlocatedUntil: 0,
+      formerStartsUntil: 0,
       stoppingRuns: new Set(),
       shareMeter: new ShareMeter(),
       policies: buildPolicies(options.policies ?? DEFAULT_POLICIES),
@@ -112,10 +114,13 @@
        * even on an endpoint that cannot be reached.
        */
       formerRunsEndAt: number;
+      /** From this time on (steady clock), a former owner sends no starts. */
+      formerStartsEndAt: number;
       time: CurrentTime;
     },
   ): void {
     this.state.unlocatedUntil = options.formerRunsEndAt;
+    this.state.formerStartsUntil = options.formerStartsEndAt + LATE_ORDER_MS;
     restoreCell(this.state, contents, options.time);
     this.state.output = makeOutput();
   }
--- a/packages/cell/endpoints.ts
+++ b/packages/cell/endpoints.ts
@@ -1,10 +1,14 @@
 import { RecordKind } from "../journal/mod.ts";
 import { makeZeroDemand } from "../jobs/mod.ts";
 import { FULL_PACE, LATE_ORDER_MS, REPLACED_PAUSE_MS } from "./constants.ts";
-import { describeAge, dropSettledRuns, findRunEnd } from "./order_effects.ts";
+import { describeAge, findRunEnd } from "./order_effects.ts";
 import { type CurrentTime, releaseRun } from "./task_ends.ts";
 import { addDecision, type CellState } from "./state.ts";
-import { mayHideRuns, settleRemnants } from "./remnants.ts";
+import {
+  mayFormerStartArrive,
+  mayHideRuns,
+  settleRemnants,
+} from "./remnants.ts";
 import { removeUnlocated } from "./stages.ts";
 import { DecisionKind, type Endpoint, type EndpointInfo } from "./types.ts";
 
@@ -24,7 +28,6 @@
     committedEndNumber: 0,
     unansweredEndsAckAt: Number.NEGATIVE_INFINITY,
     unansweredLeaseAt: Number.NEGATIVE_INFINITY,
-    preventedRuns: new Set(),
     lastListingAskedAt: 0,
     runs: new Map(),
     used: makeZeroDemand(),
@@ -78,7 +81,6 @@
       // again: contact is retried after the pause.
       endpoint.isReplaced = time.now < endpoint.pausedUntil;
     }
-    dropSettledRuns(endpoint, time.now);
     if (time.now < endpoint.leaseEndsAt) continue;
     if (endpoint.runs.size > 0) expireRuns(state, endpoint, time);
     const isSafeToDrop = time.now >= state.unlocatedUntil ||
@@ -89,8 +91,7 @@
       endpoint.unansweredEndsAckAt,
     );
     if (time.now < unansweredAt + LATE_ORDER_MS) continue;
-    const isUnused = !endpoint.isListed && endpoint.runs.size === 0 &&
-      endpoint.preventedRuns.size === 0;
+    const isUnused = !endpoint.isListed && endpoint.runs.size === 0;
     if (isUnused && isSafeToDrop) dropEndpoint(state, endpoint);
   }
   settleUnlocated(state, time.now);
@@ -105,6 +106,7 @@
   for (const taskRef of [...state.unlocated.values()]) {
     const endpointId = taskRef.task.placedOn;
     if (mayHideRuns(state, { endpointId, now })) continue;
+    if (mayFormerStartArrive(state, taskRef, now)) continue;
     removeUnlocated(state, taskRef);
   }
 }
--- a/packages/cell/lifetimes.ts
+++ b/packages/cell/lifetimes.ts
@@ -1,13 +1,9 @@
 import { LATE_ORDER_MS } from "./constants.ts";
-import {
-  describeAge,
-  mayStartLater,
-  noteNewLifetime,
-} from "./order_effects.ts";
-import { addDecision, addRun, type CellState } from "./state.ts";
+import { describeAge, noteNewLifetime } from "./order_effects.ts";
+import { addDecision, type CellState } from "./state.ts";
 import { sendStop } from "./stop_run.ts";
 import { type CurrentTime, releaseRun } from "./task_ends.ts";
-import { DecisionKind, type Endpoint } from "./types.ts";
+import { DecisionKind, type Endpoint, RunPhase } from "./types.ts";
 
 /**
  * Begins a new lifetime of an endpoint: all runs of the former one are gone. A run
@@ -53,6 +49,7 @@
   for (const run of [...endpoint.runs.values()]) {
     if (!run.isLifetimeKnown) {
       run.isStopAcknowledged = false;
+      if (run.phase === RunPhase.Stopping) sendStop(state, run);
       continue;
     }
     releaseRun(state, run, {
@@ -61,24 +58,4 @@
       reason: "the endpoint restarted",
     });
   }
-  // Last, as a later run of the same task may have been on the endpoint.
-  stopPreventedRuns(state, endpoint, times);
-}
-
-/** Stops, in a new lifetime, the runs whose late starts it may still carry out. */
-function stopPreventedRuns(
-  state: CellState,
-  endpoint: Endpoint,
-  { now }: { now: number },
-): void {
-  for (const run of endpoint.preventedRuns) {
-    const canRun = mayStartLater(run, now) &&
-      !endpoint.runs.has(run.task);
-    if (!canRun) continue;
-    run.isStopAcknowledged = false;
-    addRun(state, run);
-    state.stoppingRuns.add(run);
-    sendStop(state, run);
-    endpoint.preventedRuns.delete(run);
-  }
 }
--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -268,15 +268,14 @@
 ): void {
   if (times.askedAt <= run.lastChangedAt) return;
   if (run.phase === RunPhase.Starting) return;
-  if (run.phase === RunPhase.Stopping) {
-    if (!run.isStopAcknowledged) return sendStop(state, run);
-    if (mayStartLater(run, times.now)) run.endpoint.preventedRuns.add(run);
-    return releaseRun(state, run, {
-      now: times.now,
-      hasFailed: false,
-      reason: "stopped, or never started",
-    });
-  }
-  // A late start order could still start the run; a stop prevents that.
-  stopRun(state, run, times);
+  const isStopping = run.phase === RunPhase.Stopping;
+  if (isStopping && !run.isStopAcknowledged) return sendStop(state, run);
+  // A second start of the task must not be on its way beside this one.
+  if (mayStartLater(run, times.askedAt)) return;
+  if (!isStopping) return stopRun(state, run, times);
+  releaseRun(state, run, {
+    now: times.now,
+    hasFailed: false,
+    reason: "stopped, or never started",
+  });
 }
--- a/packages/cell/order_effects.ts
+++ b/packages/cell/order_effects.ts
@@ -111,16 +111,11 @@
   return Number.isFinite(sentAt) ? Math.round(now - sentAt) : undefined;
 }
 
-/** Forgets the prevented runs of an endpoint that can no longer be started. */
-export function dropSettledRuns(endpoint: Endpoint, now: number): void {
-  for (const run of endpoint.preventedRuns) {
-    if (!mayStartLater(run, now)) endpoint.preventedRuns.delete(run);
-  }
-}
-
 /**
- * Returns whether the start order of a run may still be carried out although the
- * endpoint has acknowledged a stop: by a later lifetime, which knows of no stop.
+ * Returns whether the start order of a run may still be carried out at `now`
+ * although the endpoint has answered since: later, or by a later lifetime, which
+ * knows of no stop and no fencing token. A ticket is bound to one lifetime, where a
+ * stop prevents the start.
  */
 export function mayStartLater(run: Run, now: number): boolean {
   return !run.hasTicket && now < run.startMayArriveUntil;
--- a/packages/cell/remnants.ts
+++ b/packages/cell/remnants.ts
@@ -1,5 +1,6 @@
 import { addDemand, getCapacityDemand, parseTaskName } from "../jobs/mod.ts";
 import { UNKNOWN_DEMAND } from "./constants.ts";
+import { MAX_GRANTED_LEASE_MS } from "./order_effects.ts";
 import { type CellState, getUsage } from "./state.ts";
 import { findTask, getStep, removeUnlocated } from "./stages.ts";
 import type { Remnant, Run, Stage, Task } from "./types.ts";
@@ -17,6 +18,23 @@
     !endpoint.isReplaced && now < state.unlocatedUntil;
 }
 
+/**
+ * Returns whether a former owner's start of a task may still take effect on the
+ * endpoint where it was placed: it may be on its way, and a lifetime that begins
+ * before it arrives knows of no fencing token. A ticket is bound to one lifetime.
+ */
+export function mayFormerStartArrive(
+  state: CellState,
+  { stage, task }: { stage: Stage; task: Task },
+  now: number,
+): boolean {
+  if (stage.job.spec.queue.advice) return false;
+  const endpoint = state.endpoints.get(task.placedOn);
+  if (!endpoint || endpoint.isReplaced) return false;
+  const leaseMs = endpoint.hasAcceptedFence ? 0 : MAX_GRANTED_LEASE_MS;
+  return now < state.formerStartsUntil + leaseMs;
+}
+
 /** Adds a remnant and charges it to the quota of its organisation. */
 export function addRemnant(state: CellState, remnant: Remnant): void {
   const key = formatKey(remnant);
--- a/packages/cell/state.ts
+++ b/packages/cell/state.ts
@@ -46,6 +46,8 @@
    * that this owner has no contact with.
    */
   unlocatedUntil: number;
+  /** From this time on no start order of a former owner can be carried out. */
+  formerStartsUntil: number;
   /** Runs that were ordered to stop and have not been released. */
   stoppingRuns: Set<Run>;
   shareMeter: ShareMeter;
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -144,11 +144,6 @@
   unansweredEndsAckAt: number;
   /** Time of the last order with a lease that got no answer. */
   unansweredLeaseAt: number;
-  /**
-   * Runs that were stopped before their unanswered start orders were carried out. A
-   * later lifetime of the endpoint knows of no stop and may still start them.
-   */
-  preventedRuns: Set<Run>;
   /** When the newest applied listing was requested; 0: none yet. */
   lastListingAskedAt: number;
   runs: Map<string, Run>;
--- a/packages/scheduler/endpoint_session.ts
+++ b/packages/scheduler/endpoint_session.ts
@@ -4,6 +4,7 @@
   noteLeaseSent,
   noteLeaseUnanswered,
   RunPhase,
+  START_CONFIRM_MS,
 } from "../cell/mod.ts";
 import {
   COLOCATED_POLL_WAIT_MS,
@@ -96,8 +97,8 @@
   }
 
   /**
-   * Checks at once whether a poll is due. If a start is unacknowledged, sends a
-   * poll that does not wait even while a long poll is in flight.
+   * Checks at once whether a poll is due. If a start was left unanswered a moment
+   * ago, sends a poll that does not wait even while a long poll is in flight.
    */
   checkNow(): void {
     if (this.#isIdle) {
@@ -105,8 +106,10 @@
       return;
     }
     if (this.#isExtraPollInFlight) return;
-    for (const { phase } of this.#endpoint.runs.values()) {
+    const now = this.#clock.now();
+    for (const { phase, lastChangedAt } of this.#endpoint.runs.values()) {
       if (phase !== RunPhase.Unacknowledged) continue;
+      if (now - lastChangedAt > START_CONFIRM_MS) continue;
       void this.#pollWithoutWait();
       return;
     }
@@ -130,9 +133,8 @@
   #isPollDue(): boolean {
     const { hasAcceptedFence, isReplaced, isListed, isRecorded } =
       this.#endpoint;
-    const { runs, preventedRuns } = this.#endpoint;
     if (isReplaced) return false;
-    if (runs.size > 0 || preventedRuns.size > 0) return true;
+    if (this.#endpoint.runs.size > 0) return true;
     return hasAcceptedFence
       ? this.#hasUnacknowledgedEnds()
       : isListed || isRecorded;
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -205,6 +205,7 @@
         if (this.#isStopped) return;
         this.cell.restore(contents, {
           formerRunsEndAt: startedAt + this.#computeTakeOverWait(),
+          formerStartsEndAt: startedAt + OWNER_GRACE_MS,
           time: this.#getCurrentTime(),
         });
         this.#journal = new Journal({
--- a/tests/cell/cell_site.ts
+++ b/tests/cell/cell_site.ts
@@ -37,6 +37,9 @@
  */
 const FORMER_LEASES_MS = 11_000;
 
+/** Advice of a queue whose starts carry tickets. */
+export const TICKETS = { decideMs: 10, perEndpointMs: 1, validMs: 1_500 };
+
 /** Makes a queue, by default without advice from the policy service. */
 export function makeQueue(overrides: Partial<QueueRules> = {}): QueueRules {
   return {
@@ -255,6 +258,7 @@
       { snapshot: this.snapshot, records: structuredClone(this.journal) },
       {
         formerRunsEndAt: this.now + FORMER_LEASES_MS,
+        formerStartsEndAt: this.now,
         time: this.time,
       },
     );
--- a/tests/cell/late_order_test.ts
+++ b/tests/cell/late_order_test.ts
@@ -1,14 +1,21 @@
 import test from "ava";
 import { noteLeaseSent, noteLeaseUnanswered } from "../../packages/cell/mod.ts";
 import { JobState } from "../../packages/jobs/mod.ts";
-import { CellSite, LEASE_MS, makeJob, makeStep } from "./cell_site.ts";
+import {
+  CellSite,
+  LEASE_MS,
+  makeJob,
+  makeQueue,
+  makeStep,
+  TICKETS,
+} from "./cell_site.ts";
 
 const ALL_ORDERS_SETTLED_MS = 30_000;
 const TASK = "a.0.0.0";
 
-// Guards against a late start that is forgotten because a later run of the task was
-// on the same endpoint when it restarted.
-test("a prevented start is stopped again although a later run was on the endpoint", (t) => {
+// Guards against a second run of a task beside a start order that was taken as settled
+// by a stop, and that the endpoint carries out after a restart.
+test("a task is not started again while its unanswered start may be carried out after a restart", (t) => {
   const site = new CellSite({ endpoints: 2, afterMs: 20_000 });
   site.draining.add("e1");
   site.applyEndpointList();
@@ -20,13 +27,52 @@
   const target = site.findPlacement(TASK);
   t.is(target.id, "e0");
   site.advance(3_000);
-  t.is(target.runs.get(TASK)?.run, 2);
+  t.is(site.checker.starts, 0);
   site.draining.delete("e1");
   site.draining.add("e0");
   target.restart(site.now);
   site.applyEndpointList();
   site.advance(ALL_ORDERS_SETTLED_MS);
   t.deepEqual(site.checker.violations, []);
+  t.is(site.checker.starts, 1);
+  t.is(site.find("a"), JobState.Completed);
+});
+
+// Guards against a start of a former owner that a restarted endpoint carries out after
+// the task was done elsewhere, because the new owner took an unlisted task as settled.
+test("an unlisted task without a ticket is not started while a former owner's start may be carried out", (t) => {
+  const site = new CellSite({ endpoints: 2 });
+  site.advance(200);
+  site.delayStarts({ byMs: 9_000 });
+  site.submit(makeJob("a", [makeStep()]));
+  site.advance(60);
+  site.delayStarts(undefined);
+  const target = site.findPlacement(TASK);
+  site.replaceOwner();
+  site.advance(4_000);
+  t.is(site.checker.starts, 0);
+  target.restart(site.now);
+  site.pollIntervalMs = 10_000;
+  site.advance(6_000);
+  site.pollIntervalMs = 100;
+  site.advance(ALL_ORDERS_SETTLED_MS);
+  t.deepEqual(site.checker.violations, []);
+  t.is(site.checker.starts, 1);
+  t.is(site.find("a"), JobState.Completed);
+});
+
+// Guards against a wait that only queues without tickets need.
+test("an unlisted task with a ticket is started at once by a new owner", (t) => {
+  const site = new CellSite({ endpoints: 2 });
+  const queue = makeQueue({ advice: TICKETS });
+  site.advance(200);
+  site.delayStarts({ byMs: 9_000 });
+  site.submit(makeJob("a", [makeStep()], { queue }));
+  site.advance(100);
+  site.delayStarts(undefined);
+  site.findPlacement(TASK);
+  site.replaceOwner();
+  site.advance(1_500);
   t.is(site.find("a"), JobState.Completed);
 });
 
--- a/tests/cell/scheduling_order_test.ts
+++ b/tests/cell/scheduling_order_test.ts
@@ -1,6 +1,12 @@
 import test from "ava";
 import { EndKind } from "../../packages/jobs/mod.ts";
-import { CellSite, makeJob, makeQueue, makeStep } from "./cell_site.ts";
+import {
+  CellSite,
+  makeJob,
+  makeQueue,
+  makeStep,
+  TICKETS,
+} from "./cell_site.ts";
 
 const shortQueue = makeQueue({
   priority: 0,
@@ -39,11 +45,12 @@
   site.advance(300);
   const [endpoint] = site.endpoints.values();
   endpoint.isUnreachable = true;
-  site.submit(makeJob("old", [step], { queue: shortQueue }));
+  const queue = { ...shortQueue, advice: TICKETS };
+  site.submit(makeJob("old", [step], { queue }));
   site.advance(4_000);
   endpoint.isUnreachable = false;
   for (let n = 0; n < 8; n++) {
-    site.submit(makeJob(`new${n}`, [step], { queue: shortQueue }));
+    site.submit(makeJob(`new${n}`, [step], { queue }));
   }
   site.advance(900);
   for (let n = 0; n < 8; n++) t.true(site.checker.done.has(`new${n}.0.0.0`));
@@ -51,9 +58,9 @@
 
 test("a start is not sent if its ticket expired during the commit", (t) => {
   const site = new CellSite({ endpoints: 2 });
-  const advice = { decideMs: 10, perEndpointMs: 1, validMs: 1_500 };
   site.advance(300);
-  site.submit(makeJob("a", [makeStep()], { queue: makeQueue({ advice }) }));
+  const queue = makeQueue({ advice: TICKETS });
+  site.submit(makeJob("a", [makeStep()], { queue }));
   site.advance(10);
   site.commitMs = 2_000;
   site.advance(2_100);
--- a/tests/cell/take_over_test.ts
+++ b/tests/cell/take_over_test.ts
@@ -1,6 +1,14 @@
 import test from "ava";
 import { EndKind, JobState } from "../../packages/jobs/mod.ts";
-import { CellSite, LEASE_MS, makeJob, makeStep } from "./cell_site.ts";
+import { LATE_ORDER_MS, MAX_LEASE_MS } from "../../packages/cell/mod.ts";
+import {
+  CellSite,
+  LEASE_MS,
+  makeJob,
+  makeQueue,
+  makeStep,
+  TICKETS,
+} from "./cell_site.ts";
 
 test("a new owner keeps the running tasks and starts none twice", (t) => {
   const site = new CellSite({ afterMs: 3_000 });
@@ -26,9 +34,10 @@
   t.true(endpoint.leaseEndsAt >= site.now + LEASE_MS / 2);
 });
 
-test("tasks wait while an unreachable endpoint may still run them", (t) => {
+test("tasks with tickets wait while an unreachable endpoint may still run them", (t) => {
   const site = new CellSite({ endpoints: 2, afterMs: 20_000 });
-  site.submit(makeJob("a", [makeStep({ tasks: 4 })]));
+  const queue = makeQueue({ advice: TICKETS });
+  site.submit(makeJob("a", [makeStep({ tasks: 4 })], { queue }));
   site.advance(300);
   for (const endpoint of site.endpoints.values()) {
     endpoint.isUnreachable = endpoint.runs.size > 0;
@@ -41,6 +50,23 @@
   t.deepEqual(site.checker.violations, []);
 });
 
+// Guards against a second run of a task that a late start of the former owner begins on
+// an endpoint which the new owner can't reach.
+test("tasks without tickets wait until no start of a former owner can be carried out", (t) => {
+  const site = new CellSite({ endpoints: 2, afterMs: 40_000 });
+  site.submit(makeJob("a", [makeStep({ tasks: 4 })]));
+  site.advance(300);
+  for (const endpoint of site.endpoints.values()) {
+    endpoint.isUnreachable = endpoint.runs.size > 0;
+  }
+  site.replaceOwner();
+  site.advance(LATE_ORDER_MS + MAX_LEASE_MS);
+  t.is(site.checker.starts, 4);
+  site.advance(2_000);
+  t.true(site.checker.starts > 4);
+  t.deepEqual(site.checker.violations, []);
+});
+
 test("an accepted job and its ended tasks survive changes of owner", (t) => {
   const site = new CellSite();
   const steps = [makeStep({ tasks: 2 }), makeStep({ after: [0], tasks: 3 })];
--- a/tests/cell/waiting_test.ts
+++ b/tests/cell/waiting_test.ts
@@ -1,6 +1,12 @@
 import test from "ava";
 import { JobState } from "../../packages/jobs/mod.ts";
-import { CellSite, makeJob, makeStep } from "./cell_site.ts";
+import {
+  CellSite,
+  makeJob,
+  makeQueue,
+  makeStep,
+  TICKETS,
+} from "./cell_site.ts";
 
 test("a job counts as waiting until an endpoint confirms a start", (t) => {
   // Regression: a start order counted as a start, so that jobs sent to
@@ -8,7 +14,8 @@
   const site = new CellSite({ endpoints: 2 });
   site.advance(200);
   for (const endpoint of site.endpoints.values()) endpoint.isUnreachable = true;
-  site.submit(makeJob("a", [makeStep()]));
+  const queue = makeQueue({ advice: TICKETS });
+  site.submit(makeJob("a", [makeStep()], { queue }));
   site.advance(900);
   t.is(site.cell.countWaiting("filings"), 1);
   t.is(site.find("a"), JobState.Pending);
--- a/tests/virtual/owner_hand_over_test.ts
+++ b/tests/virtual/owner_hand_over_test.ts
@@ -5,6 +5,9 @@
 import { makeJob, makeQueue, makeStep } from "../cell/cell_site.ts";
 import { OwnerSite } from "./owner_site.ts";
 
+/** Time by which no order can be carried out any more, in milliseconds. */
+const ALL_ORDERS_SETTLED_MS = 30_000;
+
 /** Delay of the late starts, in ms: after the next ownership, before 4 s. */
 const START_DELAY_MS = 3_500;
 
@@ -12,7 +15,7 @@
 // whose release was lost, and its former start orders had the same fencing token.
 test("late starts of an ownership whose release was lost are fenced off", async (t) => {
   const site = new OwnerSite(1, { entries: 1, endpoints: 2 });
-  site.drawRunTime = () => 20_000;
+  site.drawRunTime = () => 60_000;
   site.drawEndKind = () => EndKind.Done;
   const [entry] = site.entries;
   await site.time.advance(1_000);
@@ -41,7 +44,7 @@
   entry.handOver();
   await site.time.advance(100);
   control.start = start;
-  await site.time.advance(8_000);
+  await site.time.advance(ALL_ORDERS_SETTLED_MS);
   t.deepEqual(site.checker.violations, []);
   t.is(site.checker.starts, 2);
 });
--- a/tests/virtual/owner_overlap_test.ts
+++ b/tests/virtual/owner_overlap_test.ts
@@ -8,6 +8,11 @@
 /** First seed and number of seeds; the variables are for runs by hand. */
 const FIRST_SEED = Number(process.env.OWNER_FIRST_SEED ?? 1);
 const SEED_COUNT = Number(process.env.OWNER_SEEDS ?? 12);
+/**
+ * Seeds that failed before. 953: a start of a former owner was carried out by a
+ * restarted endpoint while nobody owned the cell, after the task was done.
+ */
+const FORMER_FAILURES = [953];
 const JOBS_PER_SEED = 40;
 /** Quota of every other seed; in the others, the endpoints' room binds. */
 const QUOTA = { milliCores: 16_000, memoryMb: 14_000, accelerators: 0 };
@@ -243,7 +248,8 @@
   const other: string[] = [];
   let accepted = 0;
   let cancelled = 0;
-  for (let seed = FIRST_SEED; seed < FIRST_SEED + SEED_COUNT; seed++) {
+  const seeds = Array.from({ length: SEED_COUNT }, (_, n) => FIRST_SEED + n);
+  for (const seed of [...seeds, ...FORMER_FAILURES]) {
     const scenario = new OverlapScenario(seed);
     await scenario.run();
     room.push(...scenario.listRoomProblems().map((it) => `${seed}: ${it}`));
