Acknowledge no ends while a start may have reached a later lifetime

Callers saw a task run again after it had completed.

Cause: the numbers of ends start over with each lifetime of an endpoint. A poll that acknowledged ends of the former lifetime reached the next one, which had carried out a start meanwhile, and erased its end unseen; the owner then took the run as never started. The check of the last answered poll did not see it, as that poll was still in flight.

Change: ends are acknowledged only if the lifetime of each run that was sent is known, by a listing or by the clock in the answer to its start. Ends are listed until then.

--- a/packages/cell/mod.ts
+++ b/packages/cell/mod.ts
@@ -3,6 +3,7 @@
 export * from "./constants.ts";
 export { makeEndpoint } from "./endpoints.ts";
 export {
+  hasStartInDoubt,
   noteLeaseSent,
   noteLeaseUnanswered,
   noteStartSent,
--- a/packages/cell/order_effects.ts
+++ b/packages/cell/order_effects.ts
@@ -106,6 +106,16 @@
   return Math.max(leaseEndsAt, run.startMayArriveUntil + MAX_GRANTED_LEASE_MS);
 }
 
+/**
+ * Returns whether a start that was sent may have reached a lifetime of the endpoint
+ * which has not been listed yet.
+ */
+export function hasStartInDoubt(endpoint: Endpoint): boolean {
+  return [...endpoint.runs.values()].some((run) =>
+    run.sentToBornAt > 0 && !run.isLifetimeKnown
+  );
+}
+
 /** Describes how long ago an order was sent, in ms, for the log; undefined: never. */
 export function describeAge(sentAt: number, now: number): number | undefined {
   return Number.isFinite(sentAt) ? Math.round(now - sentAt) : undefined;
--- a/packages/scheduler/endpoint_session.ts
+++ b/packages/scheduler/endpoint_session.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "../base/mod.ts";
 import {
   type Endpoint,
+  hasStartInDoubt,
   noteLeaseSent,
   noteLeaseUnanswered,
   RunPhase,
@@ -149,6 +150,16 @@
       (bornAt === this.#acknowledgedBornAt ? this.#acknowledgedEnd : 0);
   }
 
+  /**
+   * Returns whether to acknowledge ends. Their numbers start over with each lifetime:
+   * a later one would drop ends that nobody has seen. So the endpoint must have
+   * answered the last poll, and no start may have reached a later lifetime.
+   */
+  #mayAcknowledge(): boolean {
+    return !this.#isUnresponsive && this.#hasUnacknowledgedEnds() &&
+      !hasStartInDoubt(this.#endpoint);
+  }
+
   async #waitForWork(): Promise<void> {
     this.#isIdle = true;
     await new Promise<void>((resolve) => this.#resume = resolve);
@@ -166,11 +177,7 @@
     const hasRuns = endpoint.runs.size > 0;
     const request: PollRequest = {
       fence: this.#fence,
-      // The numbers of ends start over with each lifetime. Only an endpoint that
-      // answered the last poll is taken to be in the lifetime that listed them.
-      acknowledgedEnd: !this.#isUnresponsive && this.#hasUnacknowledgedEnds()
-        ? endpoint.committedEndNumber
-        : 0,
+      acknowledgedEnd: this.#mayAcknowledge() ? endpoint.committedEndNumber : 0,
       waitMs: endpoint.hasAcceptedFence && hasRuns ? options.waitMs : 0,
     };
     // Leases are not renewed while polls fail: each attempt would postpone the
--- a/tests/virtual/session_test.ts
+++ b/tests/virtual/session_test.ts
@@ -4,6 +4,7 @@
   type Endpoint,
   makeEndpoint,
   PaceResult,
+  type Run,
   RunPhase,
   StartResult,
   StopResult,
@@ -124,7 +125,7 @@
     fence: 1,
     leaseMs: LEASE_MS,
   });
-  const addRun = () => {
+  const addRun = (overrides: Partial<Run> = {}) => {
     endpoint.runs.set("a.0.0.0", {
       task: "a.0.0.0",
       number: 1,
@@ -146,6 +147,7 @@
       pace: 100,
       isPaceOrderInFlight: false,
       gauge: 0,
+      ...overrides,
     });
     session.checkNow();
   };
@@ -218,6 +220,22 @@
   t.true(before.every(({ acknowledgedEnd }) => acknowledgedEnd === 0));
 });
 
+// Guards against an end that a restarted endpoint drops unseen, after which its task
+// runs again: the acknowledgement was meant for the former lifetime.
+test("no ends are acknowledged while a start may have reached a later lifetime", async (t) => {
+  const { time, control, endpoint, addRun } = startSession();
+  await time.advance(200);
+  endpoint.committedEndNumber = 7;
+  addRun({ sentToBornAt: 1, isLifetimeKnown: false });
+  await time.advance(3_000);
+  t.true(control.polls.length > 2);
+  t.true(control.polls.every(({ acknowledgedEnd }) => acknowledgedEnd === 0));
+  addRun();
+  await time.advance(3_000);
+  t.is(control.polls.at(-1)?.acknowledgedEnd, 0);
+  t.true(control.polls.some(({ acknowledgedEnd }) => acknowledgedEnd === 7));
+});
+
 // Guards against runs that are released as gone although their endpoint has moved: the
 // answer "another endpoint" came from its former address.
 test("an answer from a former address does not say that the endpoint was replaced", async (t) => {
