Read the time of day of the cell's owner from its clock

The owner took the wall time of its plans, commits and ended jobs from the process instead of the clock that it is given, so that the due times of occurrences and the retention of ended jobs depended on the moment of the run, and could not be played in virtual time at all. Nothing changes in production: its clocks read the system time there.

--- a/packages/scheduler/order_sender.ts
+++ b/packages/scheduler/order_sender.ts
@@ -114,7 +114,7 @@
     cell.applyStartAnswer(run, {
       result,
       clockMs,
-      time: { now: answeredAt, wallNow: Date.now() },
+      time: { now: answeredAt, wallNow: clock.readWallTime() },
     });
     this.#parts.onAnswered();
   }
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -381,7 +381,8 @@
   }
 
   #getCurrentTime(): CurrentTime {
-    return { now: this.#parts.clock.now(), wallNow: Date.now() };
+    const { clock } = this.#parts;
+    return { now: clock.now(), wallNow: clock.readWallTime() };
   }
 
   #refuseNotReady(): SubmitReply {
@@ -429,7 +430,7 @@
       );
       this.#checkHandover(now);
       this.#planLoop.planIfIdle();
-      this.cell.dropEnded(Date.now());
+      this.cell.dropEnded(this.#parts.clock.readWallTime());
       this.#checkIsolation();
       this.#scheduleTick();
     }, PLAN_INTERVAL_MS);
--- a/packages/scheduler/plan_loop.ts
+++ b/packages/scheduler/plan_loop.ts
@@ -133,7 +133,8 @@
   }
 
   #getCurrentTime(): CurrentTime {
-    return { now: this.#parts.clock.now(), wallNow: Date.now() };
+    const { clock } = this.#parts;
+    return { now: clock.now(), wallNow: clock.readWallTime() };
   }
 
   /** Logs and commits the cell's decisions, and sends all orders but starts. */
@@ -148,14 +149,14 @@
   }
 
   #commit(output: CellOutput, onCommitted?: () => void): void {
-    const { cell, orderSender } = this.#parts;
+    const { cell, clock, orderSender } = this.#parts;
     const isEmpty = output.records.length === 0 &&
       output.committedEnds.size === 0 &&
       output.finished.size === 0;
     if (isEmpty && !onCommitted) return;
     this.#journal?.add(output.records, () => {
       if (this.#isStopped) return;
-      cell.noteCommitted(output, Date.now());
+      cell.noteCommitted(output, clock.readWallTime());
       for (const order of cell.listStarts(output, this.#getCurrentTime())) {
         orderSender.send(order);
       }
--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -70,7 +70,7 @@
       store,
       records,
       clock,
-      wallNow: Date.now,
+      wallNow: () => clock.readWallTime(),
       log,
     });
     this.config.onChanged = (config) => this.#ownerRole?.updateConfig(config);
--- a/packages/scheduler/upkeep_role.ts
+++ b/packages/scheduler/upkeep_role.ts
@@ -330,7 +330,8 @@
   }
 
   #getCurrentTime(): CurrentTime {
-    return { now: this.#parts.clock.now(), wallNow: Date.now() };
+    const { clock } = this.#parts;
+    return { now: clock.now(), wallNow: clock.readWallTime() };
   }
 }
 
