Pass the task and the time of a former start as options

The check of functions with more than two arguments failed on the fix of late starts (house_style_test, mayFormerStartArrive). No behaviour changes; the tests of late orders and take-overs pass.

--- a/packages/cell/endpoints.ts
+++ b/packages/cell/endpoints.ts
@@ -106,7 +106,7 @@
   for (const taskRef of [...state.unlocated.values()]) {
     const endpointId = taskRef.task.placedOn;
     if (mayHideRuns(state, { endpointId, now })) continue;
-    if (mayFormerStartArrive(state, taskRef, now)) continue;
+    if (mayFormerStartArrive(state, { taskRef, now })) continue;
     removeUnlocated(state, taskRef);
   }
 }
--- a/packages/cell/remnants.ts
+++ b/packages/cell/remnants.ts
@@ -25,14 +25,14 @@
  */
 export function mayFormerStartArrive(
   state: CellState,
-  { stage, task }: { stage: Stage; task: Task },
-  now: number,
+  options: { taskRef: { stage: Stage; task: Task }; now: number },
 ): boolean {
+  const { stage, task } = options.taskRef;
   if (stage.job.spec.queue.advice) return false;
   const endpoint = state.endpoints.get(task.placedOn);
   if (!endpoint || endpoint.isReplaced) return false;
   const leaseMs = endpoint.hasAcceptedFence ? 0 : MAX_GRANTED_LEASE_MS;
-  return now < state.formerStartsUntil + leaseMs;
+  return options.now < state.formerStartsUntil + leaseMs;
 }
 
 /** Adds a remnant and charges it to the quota of its organisation. */
