--- a/packages/cell/endpoints.ts
+++ b/packages/cell/endpoints.ts
@@ -9,6 +9,7 @@
   mayHideRuns,
   settleRemnants,
 } from "./remnants.ts";
+import { noteRoom } from "./room.ts";
 import { removeUnlocated } from "./stages.ts";
 import { DecisionKind, type Endpoint, type EndpointInfo } from "./types.ts";
 
@@ -16,6 +17,7 @@
 export function makeEndpoint(info: EndpointInfo): Endpoint {
   return {
     info,
+    fullRoom: info.capacity,
     isListed: true,
     isRecorded: false,
     isRecording: false,
@@ -54,6 +56,7 @@
     if (!endpoint) state.endpoints.set(info.id, makeEndpoint(info));
     else {
       if (endpoint.info.address !== info.address) endpoint.isReplaced = false;
+      noteRoom(state, endpoint, info);
       endpoint.info = info;
       endpoint.isListed = true;
       // A restarted endpoint has forgotten the fencing token. Contact with it keeps
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -108,6 +108,11 @@
 /** An endpoint in the view of the cell's owner. */
 export interface Endpoint {
   info: EndpointInfo;
+  /**
+   * Most room of each resource that this lifetime of the endpoint has shown to this
+   * owner; the room may shrink and grow again while the endpoint runs.
+   */
+  fullRoom: Demand;
   /** The platform's current list contains the endpoint. */
   isListed: boolean;
   /** The journal holds a committed record that tasks may run there. */
@@ -453,6 +458,10 @@
   Throttled = "throttled",
   LeaseExpired = "lease_lapsed",
   Adopted = "adopted",
+  /** An endpoint's record shows less room of some resource than before. */
+  RoomShrunk = "room_shrunk",
+  /** An endpoint's record shows more room, and less of no resource. */
+  RoomGrown = "room_grown",
 }
 
 /** One decision with the inputs that led to it. */
--- a/packages/scheduler/plan_loop.ts
+++ b/packages/scheduler/plan_loop.ts
@@ -15,7 +15,7 @@
   PLAN_PAUSE_FACTOR,
   STORE_STALL_MS,
 } from "./constants.ts";
-import { recordDecisions } from "./decision_log.ts";
+import { countDecisions, recordDecisions } from "./decision_log.ts";
 import type { OrderSender } from "./order_sender.ts";
 import type { SessionPool } from "./session_pool.ts";
 
@@ -30,6 +30,8 @@
   metrics: Metrics;
   /** Returns whether this owner may send orders now. */
   mayOrder: (now: number) => boolean;
+  /** Returns whether the endpoints' records are recent enough to start tasks. */
+  hasCurrentRecords: (time: CurrentTime) => boolean;
 }
 
 /**
@@ -96,10 +98,11 @@
   planNow(): void {
     const { advice, cell, clock, metrics, mayOrder, sessions } = this.#parts;
     const startedAt = clock.now();
+    const hasCurrentRecords = this.#hasCurrentRecords();
     if (mayOrder(startedAt)) {
       // While the store stalls, placements could not be committed and would
       // only reserve capacity.
-      const mayStart = !this.isStoreStalled(startedAt);
+      const mayStart = hasCurrentRecords && !this.isStoreStalled(startedAt);
       cell.setAdviceBacklogs(advice.listBacklogs());
       cell.plan(this.#getCurrentTime(), { mayStart });
     }
@@ -137,11 +140,16 @@
     return { now: clock.now(), wallNow: clock.readWallTime() };
   }
 
+  #hasCurrentRecords(): boolean {
+    return this.#parts.hasCurrentRecords(this.#getCurrentTime());
+  }
+
   /** Logs and commits the cell's decisions, and sends all orders but starts. */
   #sendOutput(onCommitted?: () => void): void {
-    const { cell, log, orderSender } = this.#parts;
+    const { cell, log, metrics, orderSender } = this.#parts;
     const output = cell.collectOutput();
     recordDecisions(log, output.decisions);
+    countDecisions(metrics, output.decisions);
     this.#commit(output, onCommitted);
     for (const order of output.orders) {
       if (order.kind !== OrderKind.Start) orderSender.send(order);
@@ -157,9 +165,10 @@
     this.#journal?.add(output.records, () => {
       if (this.#isStopped) return;
       cell.noteCommitted(output, clock.readWallTime());
-      for (const order of cell.listStarts(output, this.#getCurrentTime())) {
-        orderSender.send(order);
-      }
+      const starts = cell.listStarts(output, this.#getCurrentTime(), {
+        mayStart: this.#hasCurrentRecords(),
+      });
+      for (const order of starts) orderSender.send(order);
       onCommitted?.();
       if (!isEmpty) this.schedulePlan();
     });
