Count crashes of endpoints under a task, and end its job after two or three

Cause: nothing counted crashes. A run that ends with its endpoint was requeued without a failure, so the attempts of the queue did not bind.

Ruled out: that the count was lost at the change of owner, as there was no count to lose.

Change: the end of a lifetime that was not planned is a crash. A suspect is tried again alone, after a delay that grows, one at a time in each queue, on the endpoint with the fewest runs, which gets no other start until a listing shows that the run outlived its probation; this clears the count. A second crash that can be laid to the task, or a third one in any case, ends its job as failed. Crashes of several endpoints at the same moment are not laid to a task. Events 5010 and 6209 and two counters.

--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -32,6 +32,8 @@
 import { buildJob, findTask, openStages } from "./stages.ts";
 import { type CellOutput, type CellState, makeOutput } from "./state.ts";
 import { sendStop, stopRun } from "./stop_run.ts";
+import { noteContact, noteContactLost } from "./suspects.ts";
+import { settleTrials } from "./trials.ts";
 import {
   Admission,
   type AdmissionOutcome,
@@ -92,6 +94,10 @@
       unlocated: new Map(),
       remnants: new Map(),
       unlocatedUntil: 0,
+      restoredAt: 0,
+      plannedAt: 0,
+      suspects: new Map(),
+      recentCrashes: [],
       stoppingRuns: new Set(),
       shareMeter: new ShareMeter(),
       policies: buildPolicies(options.policies ?? DEFAULT_POLICIES),
@@ -116,6 +122,7 @@
     },
   ): void {
     this.state.unlocatedUntil = options.formerRunsEndAt;
+    this.state.restoredAt = options.time.wallNow;
     restoreCell(this.state, contents, options.time);
     this.state.output = makeOutput();
   }
@@ -130,7 +137,13 @@
     const { output } = this.state;
     this.state.output = makeOutput();
     for (const [endpoint, runs] of output.placements) {
-      output.records.push({ kind: RecordKind.Placed, endpoint, runs });
+      output.records.push({
+        kind: RecordKind.Placed,
+        endpoint,
+        bornAt: this.state.endpoints.get(endpoint)?.bornAt ?? 0,
+        at: this.state.plannedAt,
+        runs,
+      });
     }
     return output;
   }
@@ -249,6 +262,16 @@
     options: { listing: EndpointListing; times: ListingTimes },
   ): void {
     applyListing(this.state, endpoint, options);
+    const { listing, times } = options;
+    noteContact(endpoint, { listing, now: times.now });
+  }
+
+  /** Notes that a poll of an endpoint failed; see `noteContactLost`. */
+  noteContactLost(
+    endpoint: Endpoint,
+    options: { now: number; isBroken: boolean },
+  ): void {
+    noteContactLost(endpoint, options);
   }
 
   /**
@@ -366,7 +389,9 @@
    */
   plan(time: CurrentTime, options: { mayStart: boolean }): void {
     const { state } = this;
+    state.plannedAt = time.wallNow;
     expireEndpoints(state, time);
+    settleTrials(state);
     stopUnconfirmedRuns(state, time.now);
     for (const run of state.stoppingRuns) {
       const isDue = time.now - run.lastChangedAt >= STOP_RETRY_MS;
--- a/packages/cell/constants.ts
+++ b/packages/cell/constants.ts
@@ -136,3 +136,32 @@
 
 /** Fraction of the entries without a call that one stage may use at a time. */
 export const SPARE_ENTRY_FRACTION = 0.25;
+
+/**
+ * A run that was sent within this time before its endpoint's last sign of life is
+ * suspected of a crash, in milliseconds. Covers the time until an answer or a broken
+ * connection is noticed.
+ */
+export const SUSPECT_WINDOW_MS = 500;
+
+/**
+ * Time for which a suspect runs apart from other starts, in milliseconds. A run that
+ * is listed after it clears its task.
+ */
+export const PROBATION_MS = 1_000;
+
+/** Delay before a suspect's first trial, in ms; doubles with each crash. */
+export const SUSPECT_RETRY_MS = 500;
+
+/** Number of crashes under a task after which its job has failed. */
+export const MAX_TASK_CRASHES = 3;
+
+/** Endpoints lost within this time of each other were lost together, in ms. */
+export const SAME_MOMENT_MS = 500;
+
+/**
+ * A task that a former owner placed longer than this before the take-over is not
+ * suspected of a crash, in milliseconds. Also how long a crash is compared with
+ * later ones.
+ */
+export const FORMER_START_MS = 10_000;
--- a/packages/cell/endpoints.ts
+++ b/packages/cell/endpoints.ts
@@ -6,6 +6,8 @@
 import { addDecision, type CellState } from "./state.ts";
 import { mayHideRuns, settleRemnants } from "./remnants.ts";
 import { removeUnlocated } from "./stages.ts";
+import { describeCrash, noteCrash, noteFormerCrashes } from "./crashes.ts";
+import { makeContact } from "./suspects.ts";
 import { DecisionKind, type Endpoint, type EndpointInfo } from "./types.ts";
 
 /** Makes an endpoint that has not sent a listing yet. */
@@ -37,6 +39,7 @@
     throttle: { percent: FULL_PACE, changedAt: 0 },
     isColocated: false,
     isCordoned: false,
+    contact: makeContact(),
   };
 }
 
@@ -81,6 +84,7 @@
     dropSettledRuns(endpoint, time.now);
     if (time.now < endpoint.leaseEndsAt) continue;
     if (endpoint.runs.size > 0) expireRuns(state, endpoint, time);
+    noteMissing(state, endpoint, time);
     const isSafeToDrop = time.now >= state.unlocatedUntil ||
       endpoint.hasAcceptedFence ||
       endpoint.isReplaced;
@@ -93,20 +97,21 @@
       endpoint.preventedRuns.size === 0;
     if (isUnused && isSafeToDrop) dropEndpoint(state, endpoint);
   }
-  settleUnlocated(state, time.now);
+  settleUnlocated(state, time);
 }
 
 /**
  * Requeues the unlocated tasks that certainly do not run any more, and drops the
  * remnants of which that holds.
  */
-export function settleUnlocated(state: CellState, now: number): void {
+export function settleUnlocated(state: CellState, time: CurrentTime): void {
+  const { now } = time;
   settleRemnants(state, now);
-  for (const taskRef of [...state.unlocated.values()]) {
-    const endpointId = taskRef.task.placedOn;
-    if (mayHideRuns(state, { endpointId, now })) continue;
-    removeUnlocated(state, taskRef);
-  }
+  const settled = [...state.unlocated.values()].filter(({ task }) =>
+    !mayHideRuns(state, { endpointId: task.placedOn, now })
+  );
+  noteFormerCrashes(state, settled, time);
+  for (const taskRef of settled) removeUnlocated(state, taskRef);
 }
 
 /**
@@ -119,6 +124,7 @@
   endpoint: Endpoint,
   time: CurrentTime,
 ): void {
+  const crash = describeCrash(state, endpoint, { isCertain: true });
   endpoint.isReplaced = true;
   endpoint.hasAcceptedFence = false;
   endpoint.leaseEndsAt = 0;
@@ -135,7 +141,8 @@
       reason: "the endpoint was replaced",
     });
   }
-  settleUnlocated(state, time.now);
+  noteCrash(state, crash, time);
+  settleUnlocated(state, time);
 }
 
 /**
@@ -162,11 +169,26 @@
       unansweredMsAgo: describeAge(endpoint.unansweredLeaseAt, now),
     },
   });
+  endpoint.contact.lapsedRuns.push(...endedRuns);
   for (const run of endedRuns) {
     releaseRun(state, run, { now, hasFailed: true, reason: "lease lapsed" });
   }
 }
 
+/**
+ * Notes that an endpoint whose leases have expired is missing from the list. One
+ * that is still listed may only be cut off.
+ */
+function noteMissing(
+  state: CellState,
+  endpoint: Endpoint,
+  time: CurrentTime,
+): void {
+  if (endpoint.isListed || endpoint.contact.lapsedRuns.length === 0) return;
+  const crash = describeCrash(state, endpoint, { isCertain: false });
+  noteCrash(state, crash, time);
+}
+
 function dropEndpoint(state: CellState, endpoint: Endpoint): void {
   state.endpoints.delete(endpoint.info.id);
   // A record in flight is committed before this one.
--- a/packages/cell/lifetimes.ts
+++ b/packages/cell/lifetimes.ts
@@ -1,4 +1,5 @@
 import { LATE_ORDER_MS } from "./constants.ts";
+import { describeCrash, noteCrash } from "./crashes.ts";
 import {
   describeAge,
   mayStartLater,
@@ -40,6 +41,7 @@
       },
     });
   }
+  const crash = describeCrash(state, endpoint, { isCertain: true });
   endpoint.bornAt = bornAt;
   endpoint.lastEndNumber = 0;
   endpoint.committedEndNumber = 0;
@@ -61,6 +63,7 @@
       reason: "the endpoint restarted",
     });
   }
+  noteCrash(state, crash, times);
   // Last, as a later run of the same task may have been on the endpoint.
   stopPreventedRuns(state, endpoint, times);
 }
--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -81,7 +81,7 @@
   }
   endpoint.hasAcceptedFence = true;
   planPaces(state, endpoint, times);
-  settleUnlocated(state, times.now);
+  settleUnlocated(state, times);
 }
 
 function recordEndpoint(state: CellState, endpoint: Endpoint): void {
--- a/packages/cell/order_effects.ts
+++ b/packages/cell/order_effects.ts
@@ -38,6 +38,7 @@
   const { now, ticketEndsAt } = options;
   noteLeaseSent(run.endpoint, options);
   run.sentToBornAt = run.endpoint.bornAt;
+  run.sentAt = now;
   run.startMayArriveUntil = Math.min(
     now + LATE_ORDER_MS,
     ticketEndsAt + LEASE_MARGIN_MS,
--- a/packages/cell/placement_pass.ts
+++ b/packages/cell/placement_pass.ts
@@ -8,6 +8,7 @@
 } from "./placement.ts";
 import type { CellState } from "./state.ts";
 import { getStep } from "./stages.ts";
+import { collectTrials, type Trials } from "./trials.ts";
 import type { Endpoint, Stage } from "./types.ts";
 
 /** State of one planning pass over all ready stages. */
@@ -15,6 +16,8 @@
   services: Map<string, ServiceView>;
   /** Names of the tasks of which a run, current or not, is being stopped. */
   stoppingTasks: Set<string>;
+  /** Trials of suspects in progress, those of this pass included. */
+  trials: Trials;
   /** Number of gangs that do not fit yet but reserve capacity in this pass. */
   reservedGangs: number;
 }
@@ -25,7 +28,10 @@
   listed: Endpoint[];
   /** The listed endpoints that have a label, by label; filled when needed. */
   listedByLabel: Map<string, Endpoint[]>;
-  /** Listed endpoints that accept start orders now and are not ejected. */
+  /**
+   * Listed endpoints that accept start orders now, are not ejected and have no run
+   * on probation.
+   */
   accepting: Set<Endpoint>;
   /**
    * Largest amount of free cores and of free memory, each over all accepting
@@ -39,12 +45,14 @@
   state: CellState,
   now: number,
 ): PlacementPass {
+  const trials = collectTrials(state);
   return {
     state,
     now,
     reservations: new Map(),
     onTrial: listOnTrial(state, now),
-    services: collectServices(state, now),
+    services: collectServices(state, { trials, now }),
+    trials,
     stoppingTasks: new Set([...state.stoppingRuns].map(({ task }) => task)),
     reservedGangs: 0,
   };
@@ -103,7 +111,7 @@
 
 function collectServices(
   state: CellState,
-  now: number,
+  { trials, now }: { trials: Trials; now: number },
 ): Map<string, ServiceView> {
   const services = new Map<string, ServiceView>();
   const ejected = listEjected(state, now);
@@ -122,6 +130,7 @@
     }
     service.listed.push(endpoint);
     if (ejected.has(endpoint) || !canAcceptStarts(endpoint, now)) continue;
+    if (trials.endpoints.has(endpoint)) continue;
     service.accepting.add(endpoint);
     const { maxFree } = service;
     maxFree.milliCores = Math.max(
--- a/packages/cell/plan.ts
+++ b/packages/cell/plan.ts
@@ -15,6 +15,12 @@
   isColocationSensitive,
 } from "./colocation.ts";
 import { startTask } from "./start_task.ts";
+import {
+  beginTrial,
+  chooseTrialEndpoint,
+  isSuspect,
+  mayTry,
+} from "./trials.ts";
 import type { CellState } from "./state.ts";
 import { type Endpoint, type Stage, type Task, TaskPhase } from "./types.ts";
 
@@ -66,6 +72,7 @@
     if (allowance <= 0) break;
     if (task.phase !== TaskPhase.Waiting || pass.now < task.notBefore) continue;
     if (pass.stoppingTasks.has(task.name)) continue;
+    if (!mayTry(pass, stage, [task])) continue;
     const endpointsWithTicket = [...slots.keys()].filter((endpoint) =>
       hasTicket(pass, stage, endpoint)
     );
@@ -74,15 +81,14 @@
       break;
     }
     const preferred = selectPreferredRack(endpointsWithTicket, stage);
-    const endpoint = isColocationSensitive(stage)
-      ? chooseLeastInterference(preferred, { state: pass.state, task })
-      : chooseAvoidingFailed(preferred, {
-        choice: pass.state.policies.choice,
-        task,
-      });
+    const isTrial = isSuspect(task);
+    const endpoint = isTrial
+      ? chooseTrialEndpoint(pass, endpointsWithTicket)
+      : chooseEndpoint(pass, stage, { task, endpoints: preferred });
     startTask(pass, stage, { task, endpoint, run: task.lastRun + 1 });
+    if (isTrial) beginTrial(pass, stage, [endpoint]);
     allowance--;
-    const slotsLeft = (slots.get(endpoint) ?? 0) - 1;
+    const slotsLeft = isTrial ? 0 : (slots.get(endpoint) ?? 0) - 1;
     if (slotsLeft > 0) slots.set(endpoint, slotsLeft);
     else slots.delete(endpoint);
   }
@@ -91,6 +97,19 @@
   }
 }
 
+/** Chooses the endpoint of a task that is not suspected of crashes. */
+function chooseEndpoint(
+  { state }: PlacementPass,
+  stage: Stage,
+  { task, endpoints }: { task: Task; endpoints: Endpoint[] },
+): Endpoint {
+  if (isColocationSensitive(stage)) {
+    return chooseLeastInterference(endpoints, { state, task });
+  }
+  const { choice } = state.policies;
+  return chooseAvoidingFailed(endpoints, { choice, task });
+}
+
 /** Restricts endpoints to the preferred rack if any of them is in it. */
 function selectPreferredRack(endpoints: Endpoint[], stage: Stage): Endpoint[] {
   const { preferredRack } = getStep(stage);
--- a/packages/cell/plan_gang.ts
+++ b/packages/cell/plan_gang.ts
@@ -16,6 +16,7 @@
 import { measureFreeCores, type PlacementPass } from "./placement_pass.ts";
 import { getStep } from "./stages.ts";
 import { startTask } from "./start_task.ts";
+import { beginTrial, isSuspect, mayTry } from "./trials.ts";
 import { type Endpoint, type Run, type Stage, TaskPhase } from "./types.ts";
 
 /** Starts all tasks of a gang, or none. */
@@ -25,6 +26,7 @@
   usable: Endpoint[],
 ): void {
   if (!canPlaceGang(pass, stage)) return;
+  if (!mayTry(pass, stage, stage.tasks)) return;
   if (countWithinQuota(pass.state, stage) < stage.tasks.length) return;
   const avoided = new Set(stage.tasks.map((task) => task.avoidEndpoint));
   const endpointsWithoutFailures = usable.filter((
@@ -105,6 +107,7 @@
   for (const [index, task] of stage.tasks.entries()) {
     startTask(pass, stage, { task, endpoint: assignment[index], run });
   }
+  if (stage.tasks.some(isSuspect)) beginTrial(pass, stage, assignment);
 }
 
 function reserveAssignment(
--- a/packages/cell/snapshot.ts
+++ b/packages/cell/snapshot.ts
@@ -1,10 +1,12 @@
 import { type JournalRecord, RecordKind } from "../journal/mod.ts";
 import { type JobSpec, JobState } from "../jobs/mod.ts";
 import { applyEnd, type CurrentTime } from "./task_ends.ts";
+import { applyClearance, applyCrash } from "./crashes.ts";
 import { makeEndpoint } from "./endpoints.ts";
 import { addRemnant, addTaskRemnant, collectRemnants } from "./remnants.ts";
 import type { CellState } from "./state.ts";
 import { addUnlocated, buildJob, findTask, openStages } from "./stages.ts";
+import { isSuspect } from "./trials.ts";
 import {
   type EndedJob,
   type Endpoint,
@@ -12,6 +14,7 @@
   type Remnant,
   type Stage,
   type Task,
+  type TaskCrashes,
   TaskPhase,
 } from "./types.ts";
 
@@ -24,6 +27,10 @@
   saved: string;
   lastRun: number;
   placedOn: string;
+  /** These are missing in snapshots of earlier versions. */
+  placedBornAt?: number;
+  placedAt?: number;
+  crashes?: Pick<TaskCrashes, "counted" | "clearedRun">;
 }
 
 /** Stored state of a job. Times: Unix milliseconds. */
@@ -134,6 +141,9 @@
       saved: task.checkpoint,
       lastRun: task.lastRun,
       placedOn: task.placedOn,
+      placedBornAt: task.placedBornAt,
+      placedAt: task.placedAt,
+      crashes: describeCrashes(task),
     }));
   return {
     spec: job.spec,
@@ -144,6 +154,13 @@
   };
 }
 
+/** Describes the crashes under a task; `undefined`: none. */
+function describeCrashes({ crashes }: Task): TaskSnapshot["crashes"] {
+  const { counted, clearedRun } = crashes;
+  if (counted.length === 0 && clearedRun === 0) return undefined;
+  return { counted, clearedRun };
+}
+
 function restoreJob(
   state: CellState,
   snapshot: JobSnapshot,
@@ -159,7 +176,9 @@
     stage.gangFailures = snapshot.gangFailures[index] ?? 0;
     for (const task of stage.tasks) {
       const stored = byName.get(task.name);
-      if (stored) restoreTask(stage, task, stored);
+      if (!stored) continue;
+      restoreTask(stage, task, stored);
+      if (isSuspect(task)) state.suspects.set(task.name, { stage, task });
     }
     if (stage.remaining === 0) job.remaining--;
   }
@@ -170,6 +189,9 @@
   task.lastRun = Math.max(task.lastRun, stored.lastRun);
   task.placedOn = stored.placedOn;
   task.failures = stored.failures;
+  task.placedBornAt = stored.placedBornAt ?? 0;
+  task.placedAt = stored.placedAt ?? 0;
+  if (stored.crashes) task.crashes = { ...stored.crashes, retryAt: 0 };
   task.checkpoint = stored.saved;
   if (!stored.isDone) return;
   task.phase = TaskPhase.Done;
@@ -225,11 +247,22 @@
     case RecordKind.EndpointDropped:
       state.endpoints.delete(record.endpoint);
       return;
+    case RecordKind.Crashed: {
+      const { endpoint, isAttributable } = record;
+      for (const [task, run] of record.runs) {
+        applyCrash(state, { task, run, endpoint, isAttributable }, time);
+      }
+      return;
+    }
+    case RecordKind.Cleared:
+      return applyClearance(state, record);
     case RecordKind.Placed:
       for (const [name, run] of record.runs) {
         const taskRef = findTask(state, name);
         if (!taskRef || run <= taskRef.task.lastEndedRun) continue;
         taskRef.task.placedOn = record.endpoint;
+        taskRef.task.placedBornAt = record.bornAt ?? 0;
+        taskRef.task.placedAt = record.at ?? 0;
         taskRef.task.lastRun = Math.max(taskRef.task.lastRun, run);
       }
   }
--- a/packages/cell/stages.ts
+++ b/packages/cell/stages.ts
@@ -185,6 +185,9 @@
     retryDelayMs: 0,
     avoidEndpoint: "",
     placedOn: "",
+    placedBornAt: 0,
+    placedAt: 0,
+    crashes: { counted: [], clearedRun: 0, retryAt: 0 },
   }));
   return {
     name,
--- a/packages/cell/start_task.ts
+++ b/packages/cell/start_task.ts
@@ -58,6 +58,8 @@
   addPlacement(state, run);
   noteLeaseSent(endpoint, { now, leaseMs: state.leaseMs });
   task.placedOn = endpoint.info.id;
+  task.placedBornAt = endpoint.bornAt;
+  task.placedAt = state.plannedAt;
   task.phase = TaskPhase.Placed;
   task.run = run;
   task.lastRun = options.run;
--- a/packages/cell/state.ts
+++ b/packages/cell/state.ts
@@ -2,6 +2,7 @@
 import { addDemand, type Demand, makeZeroDemand } from "../jobs/mod.ts";
 import type { AdviceCounts } from "./advice_choice.ts";
 import type { Backlog } from "./admission.ts";
+import type { Crash } from "./crashes.ts";
 import type { CellPolicies } from "./policies.ts";
 import type { ShareMeter } from "./share_meter.ts";
 import type {
@@ -46,6 +47,14 @@
    * that this owner has no contact with.
    */
   unlocatedUntil: number;
+  /** When this owner restored the cell, in Unix milliseconds. */
+  restoredAt: number;
+  /** When the newest plan was made, in Unix milliseconds. */
+  plannedAt: number;
+  /** Tasks under which endpoints have crashed and that no run cleared, by name. */
+  suspects: Map<string, { stage: Stage; task: Task }>;
+  /** Crashes of the last seconds. */
+  recentCrashes: Crash[];
   /** Runs that were ordered to stop and have not been released. */
   stoppingRuns: Set<Run>;
   shareMeter: ShareMeter;
--- /dev/null
+++ b/packages/cell/suspects.ts
@@ -0,0 +1,83 @@
+import { PROBATION_MS, SUSPECT_WINDOW_MS } from "./constants.ts";
+import type { CellState } from "./state.ts";
+import {
+  type Endpoint,
+  type EndpointContact,
+  type EndpointListing,
+  type Run,
+  RunPhase,
+} from "./types.ts";
+
+/** Makes the contact of an endpoint that has not answered yet. */
+export function makeContact(): EndpointContact {
+  return { lastSignAt: 0, lostAt: 0, lapsedRuns: [], endedBornAt: 0 };
+}
+
+/** Notes that an endpoint answered with this listing, unless it is outdated. */
+export function noteContact(
+  endpoint: Endpoint,
+  { listing, now }: { listing: EndpointListing; now: number },
+): void {
+  const isApplied = listing.bornAt === endpoint.bornAt &&
+    listing.clockMs === endpoint.lastListingClock;
+  if (!isApplied) return;
+  const { contact } = endpoint;
+  contact.lastSignAt = now;
+  contact.lostAt = 0;
+  contact.lapsedRuns = [];
+}
+
+/**
+ * Notes that a poll failed. `isBroken`: a connection on which the endpoint was
+ * waiting broke, so that the endpoint was alive until now; otherwise it may have
+ * been gone since its last answer.
+ */
+export function noteContactLost(
+  endpoint: Endpoint,
+  { now, isBroken }: { now: number; isBroken: boolean },
+): void {
+  const { contact } = endpoint;
+  if (contact.lostAt > 0) return;
+  contact.lostAt = now;
+  if (isBroken) contact.lastSignAt = now;
+}
+
+/**
+ * Returns whether an endpoint was about to leave or to go down for upkeep: the end
+ * of its lifetime is then no crash.
+ */
+export function isLeaving({ info, isCordoned }: Endpoint): boolean {
+  return info.isDraining || isCordoned;
+}
+
+/**
+ * Lists the runs that may have crashed an endpoint: those that were sent shortly
+ * before its last sign of life, or later. A run on probation stays a suspect until
+ * the probation ends. The load is any: of many runs on an endpoint, few have just
+ * started.
+ */
+export function listSuspectRuns(state: CellState, endpoint: Endpoint): Run[] {
+  const runs = [...endpoint.runs.values(), ...endpoint.contact.lapsedRuns];
+  const lastSignAt = findLastSign(endpoint, runs);
+  return runs.filter(({ task, sentAt, sentToBornAt }) => {
+    if (sentAt === undefined || sentToBornAt !== endpoint.bornAt) return false;
+    const windowMs = state.suspects.has(task)
+      ? PROBATION_MS
+      : SUSPECT_WINDOW_MS;
+    return sentAt >= lastSignAt - windowMs;
+  });
+}
+
+/** Finds when an endpoint was last known to be alive; 0: never. */
+export function findLastSign(
+  { contact }: Endpoint,
+  runs: Iterable<Run>,
+): number {
+  let lastSignAt = contact.lastSignAt;
+  for (const { phase, lastChangedAt } of runs) {
+    // The endpoint answered the start, or listed the run.
+    if (phase !== RunPhase.Running) continue;
+    lastSignAt = Math.max(lastSignAt, lastChangedAt);
+  }
+  return lastSignAt;
+}
--- /dev/null
+++ b/packages/cell/trials.ts
@@ -0,0 +1,117 @@
+import { PROBATION_MS, SUSPECT_WINDOW_MS } from "./constants.ts";
+import { clearCrashes } from "./crashes.ts";
+import type { PlacementPass } from "./placement_pass.ts";
+import type { CellState } from "./state.ts";
+import { getStep } from "./stages.ts";
+import {
+  type Endpoint,
+  type Run,
+  RunPhase,
+  type Stage,
+  type Task,
+  TaskPhase,
+} from "./types.ts";
+
+/** Trials of suspects that are in progress. */
+export interface Trials {
+  /** Queues one of whose suspects runs or may run; the others wait. */
+  queues: Set<string>;
+  /** Endpoints with a run on probation, which get no other work. */
+  endpoints: Set<Endpoint>;
+}
+
+/**
+ * Clears the suspects whose runs have outlived the probation, and forgets those
+ * that need no further run.
+ */
+export function settleTrials(state: CellState): void {
+  for (const taskRef of [...state.suspects.values()]) {
+    const { stage, task } = taskRef;
+    if (stage.job.outcome || task.phase === TaskPhase.Done) {
+      state.suspects.delete(task.name);
+    } else if (task.run && hasOutlivedProbation(task.run)) {
+      clearCrashes(state, taskRef, task.run);
+    }
+  }
+}
+
+/** Collects the trials in progress. */
+export function collectTrials(state: CellState): Trials {
+  const trials: Trials = { queues: new Set(), endpoints: new Set() };
+  for (const { stage, task } of state.suspects.values()) {
+    const isTried = task.run !== undefined ||
+      task.phase === TaskPhase.Unlocated;
+    if (!isTried) continue;
+    trials.queues.add(stage.job.spec.queue.name);
+    const tasks = getStep(stage).gang ? stage.tasks : [task];
+    for (const { run } of tasks) {
+      if (run) trials.endpoints.add(run.endpoint);
+    }
+  }
+  return trials;
+}
+
+/** Returns whether endpoints have crashed under a task and no run cleared it. */
+export function isSuspect(task: Task): boolean {
+  return task.crashes.counted.length > 0;
+}
+
+/**
+ * Returns whether these tasks may be started now as far as crashes go: suspects
+ * after their delay, and one at a time in each queue, so that a class of tasks that
+ * crash endpoints takes down one endpoint at a time.
+ */
+export function mayTry(
+  pass: PlacementPass,
+  stage: Stage,
+  tasks: readonly Task[],
+): boolean {
+  const suspects = tasks.filter(isSuspect);
+  if (suspects.length === 0) return true;
+  if (pass.trials.queues.has(stage.job.spec.queue.name)) return false;
+  return suspects.every(({ crashes }) => pass.now >= crashes.retryAt);
+}
+
+/**
+ * Chooses the endpoint where a crash under a suspect harms the fewest runs; one
+ * where a run has just started, which would be suspected as well, comes last.
+ */
+export function chooseTrialEndpoint(
+  pass: PlacementPass,
+  endpoints: readonly Endpoint[],
+): Endpoint {
+  const rank = (endpoint: Endpoint) =>
+    hasRecentStart(endpoint, pass.now) ? Number.MAX_SAFE_INTEGER : 0;
+  const compare = (a: Endpoint, b: Endpoint) =>
+    rank(a) - rank(b) || a.runs.size - b.runs.size;
+  return endpoints.reduce((best, endpoint) =>
+    compare(endpoint, best) < 0 ? endpoint : best
+  );
+}
+
+/** Begins the trial of a stage: its endpoints get no other work in this pass. */
+export function beginTrial(
+  pass: PlacementPass,
+  stage: Stage,
+  endpoints: readonly Endpoint[],
+): void {
+  const { queue } = stage.job.spec;
+  pass.trials.queues.add(queue.name);
+  for (const endpoint of endpoints) {
+    pass.trials.endpoints.add(endpoint);
+    pass.services.get(queue.service)?.accepting.delete(endpoint);
+  }
+}
+
+/** Returns whether the endpoint has listed the run after its probation. */
+function hasOutlivedProbation(run: Run): boolean {
+  const startedAt = run.sentAt ?? run.startedAt;
+  return run.phase === RunPhase.Running && run.isLifetimeKnown &&
+    run.endpoint.lastListingAskedAt >= startedAt + PROBATION_MS;
+}
+
+function hasRecentStart({ runs }: Endpoint, now: number): boolean {
+  return [...runs.values()].some(({ startedAt }) =>
+    now - startedAt < SUSPECT_WINDOW_MS
+  );
+}
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -62,6 +62,8 @@
   startedAt: number;
   /** Lifetime of the endpoint that was known when the start was sent; 0: not sent. */
   sentToBornAt: number;
+  /** When this owner sent the start order; undefined: it has not. */
+  sentAt?: number;
   /**
    * The endpoint acknowledged a stop in its current lifetime: a run that is then
    * not listed has ended or can no longer start in this lifetime.
@@ -105,6 +107,17 @@
   changedAt: number;
 }
 
+/** Signs of life of an endpoint. Times: the owner's steady clock, in ms; 0: none. */
+export interface EndpointContact {
+  lastSignAt: number;
+  /** When a poll failed for the first time since the last answer. */
+  lostAt: number;
+  /** Runs whose leases have expired since the last answer. */
+  lapsedRuns: Run[];
+  /** The lifetime, by its start, whose end has been noted last. */
+  endedBornAt: number;
+}
+
 /** An endpoint in the view of the cell's owner. */
 export interface Endpoint {
   info: EndpointInfo;
@@ -181,6 +194,7 @@
   isColocated: boolean;
   /** No new work: the endpoint is about to go down for maintenance. */
   isCordoned: boolean;
+  contact: EndpointContact;
 }
 
 /** Phase of a task in the view of the cell's owner. */
@@ -192,6 +206,16 @@
   Done = "done",
 }
 
+/** Crashes of endpoints that a task is suspected of. */
+export interface TaskCrashes {
+  /** The suspected runs, one for each lifetime that ended under the task. */
+  counted: { run: number; endpoint: string }[];
+  /** Highest run number that outlived its probation; 0: none. */
+  clearedRun: number;
+  /** Earliest time of the next start. */
+  retryAt: number;
+}
+
 /** One task of a stage. */
 export interface Task {
   name: string;
@@ -212,6 +236,11 @@
   avoidEndpoint: string;
   /** Id of the endpoint on which the journal places the task; empty: none. */
   placedOn: string;
+  /** Lifetime of that endpoint at the placement, by its start; 0: not known. */
+  placedBornAt: number;
+  /** Time of the placement, in Unix milliseconds; 0: not known. */
+  placedAt: number;
+  crashes: TaskCrashes;
 }
 
 /**
@@ -458,6 +487,9 @@
   Throttled = "throttled",
   LeaseExpired = "lease_lapsed",
   Adopted = "adopted",
+  EndpointCrashed = "endpoint_crashed",
+  /** Too many endpoints have crashed under a task; its job has failed. */
+  TaskGivenUp = "task_given_up",
 }
 
 /** One decision with the inputs that led to it. */
--- a/packages/events/catalogue.ts
+++ b/packages/events/catalogue.ts
@@ -36,6 +36,7 @@
   EndpointReborn = 5007,
   EndpointLapsed = 5008,
   EndpointThrottled = 5009,
+  EndpointCrashed = 5010,
   RequestRefused = 6001,
   AnswerDropped = 6002,
   AttemptLost = 6003,
@@ -51,6 +52,7 @@
   StartRefused = 6206,
   StopUnanswered = 6207,
   PaceUnanswered = 6208,
+  TaskGivenUp = 6209,
   AdviceAnswered = 6301,
   AdviceFailed = 6302,
   WaveBegan = 6401,
@@ -239,6 +241,18 @@
     remedy:
       "None; if the pace stays low, the services there need more capacity.",
   },
+  [EventCode.EndpointCrashed]: {
+    severity: Severity.Warn,
+    message: "endpoint crashed; `suspects` had just been started there",
+    remedy:
+      "Check the endpoint if there are no suspects, or the tasks if one of them is named again.",
+  },
+  [EventCode.TaskGivenUp]: {
+    severity: Severity.Warn,
+    message: "too many endpoints crashed under a task; its job has failed",
+    remedy:
+      "Correct the task before it is submitted again; `endpoints` names those that crashed.",
+  },
   [EventCode.EndpointLapsed]: {
     severity: Severity.Warn,
     message: "endpoint was unreachable until its leases expired",
--- a/packages/journal/types.ts
+++ b/packages/journal/types.ts
@@ -14,6 +14,10 @@
   Placed = "placed",
   /** The endpoint is no longer listed and has no runs. */
   EndpointDropped = "endpoint_dropped",
+  /** An endpoint crashed, and these runs may be the cause. */
+  Crashed = "crashed",
+  /** A run showed that its task is not the cause of crashes. */
+  Cleared = "cleared",
 }
 
 /** One durable state change. Times: Unix milliseconds. */
@@ -39,9 +43,24 @@
   | {
     kind: RecordKind.Placed;
     endpoint: string;
+    /** Lifetime of the endpoint; missing in records of earlier versions. */
+    bornAt?: number;
+    /** Missing in records of earlier versions. */
+    at?: number;
     /** Pairs of task name and run number. */
     runs: [string, number][];
-  };
+  }
+  | {
+    kind: RecordKind.Crashed;
+    endpoint: string;
+    /** Lifetime that ended. */
+    bornAt: number;
+    /** Pairs of task name and run number. */
+    runs: [string, number][];
+    /** The crash can be laid to these runs: they are one task, or one gang. */
+    isAttributable: boolean;
+  }
+  | { kind: RecordKind.Cleared; task: string; run: number };
 
 /**
  * Key and revision of the owner's record in the store. Every commit requires
--- a/packages/scheduler/decision_log.ts
+++ b/packages/scheduler/decision_log.ts
@@ -1,5 +1,6 @@
 import { type Decision, DecisionKind } from "../cell/mod.ts";
 import { EventCode, type EventLog } from "../events/mod.ts";
+import type { Metrics } from "../metrics/mod.ts";
 
 const EVENT_BY_DECISION: Record<DecisionKind, EventCode> = {
   [DecisionKind.Started]: EventCode.TaskStarted,
@@ -13,6 +14,14 @@
   [DecisionKind.Throttled]: EventCode.EndpointThrottled,
   [DecisionKind.LeaseExpired]: EventCode.EndpointLapsed,
   [DecisionKind.Adopted]: EventCode.TaskAdopted,
+  [DecisionKind.EndpointCrashed]: EventCode.EndpointCrashed,
+  [DecisionKind.TaskGivenUp]: EventCode.TaskGivenUp,
+};
+
+/** Counters of decisions, by kind. */
+const COUNTER_BY_DECISION: Partial<Record<DecisionKind, string>> = {
+  [DecisionKind.EndpointCrashed]: "endpoint_crashes",
+  [DecisionKind.TaskGivenUp]: "tasks_given_up",
 };
 
 /** Records one event for each decision of the cell. */
@@ -24,3 +33,14 @@
     log.record(EVENT_BY_DECISION[kind], { subject, ...inputs });
   }
 }
+
+/** Counts the crashes of endpoints and the tasks that were given up. */
+export function countDecisions(
+  metrics: Metrics,
+  decisions: readonly Decision[],
+): void {
+  for (const { kind } of decisions) {
+    const counter = COUNTER_BY_DECISION[kind];
+    if (counter) metrics.countEvent(counter);
+  }
+}
--- a/packages/scheduler/endpoint_session.ts
+++ b/packages/scheduler/endpoint_session.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "../base/mod.ts";
+import { type Clock, NotSentError } from "../base/mod.ts";
 import {
   type Endpoint,
   noteLeaseSent,
@@ -19,6 +19,14 @@
   PollResult,
 } from "./ports.ts";
 
+/** A poll without an answer. */
+export interface PollFailure {
+  error: unknown;
+  elapsedMs: number;
+  /** The poll was sent, and its connection broke before the timeout. */
+  isBroken: boolean;
+}
+
 /** Receives the results of an `EndpointSession`. */
 export abstract class SessionHost {
   /** Returns whether the owner may renew leases now. */
@@ -31,10 +39,7 @@
   ): void;
 
   /** Called when a poll has failed. */
-  abstract handlePollFailure(
-    endpoint: Endpoint,
-    failure: { error: unknown; elapsedMs: number },
-  ): void;
+  abstract handlePollFailure(endpoint: Endpoint, failure: PollFailure): void;
 }
 
 /**
@@ -181,8 +186,8 @@
     }
     const { bornAt } = endpoint;
     const target = { id, address, bornAt: 0 };
+    const timeoutMs = request.waitMs + POLL_TIMEOUT_MARGIN_MS;
     try {
-      const timeoutMs = request.waitMs + POLL_TIMEOUT_MARGIN_MS;
       const answer = await this.#control.poll(target, request, { timeoutMs });
       if (this.#isStopped) return true;
       // An endpoint that has moved: its former address says nothing about it.
@@ -202,8 +207,11 @@
         noteLeaseUnanswered(endpoint, { bornAt, now });
       }
       const elapsedMs = this.#clock.now() - now;
+      const isBroken = !(error instanceof NotSentError) &&
+        elapsedMs < timeoutMs;
       if (!this.#isStopped) {
-        this.#host.handlePollFailure(endpoint, { error, elapsedMs });
+        const failure = { error, elapsedMs, isBroken };
+        this.#host.handlePollFailure(endpoint, failure);
       }
       return false;
     }
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -31,7 +31,7 @@
 } from "./constants.ts";
 import type { Ownership } from "./election.ts";
 import { EndpointFeed } from "./endpoint_feed.ts";
-import type { SessionHost } from "./endpoint_session.ts";
+import type { PollFailure, SessionHost } from "./endpoint_session.ts";
 import { LoopMonitor } from "./loop_monitor.ts";
 import { OrderSender } from "./order_sender.ts";
 import { PlanLoop } from "./plan_loop.ts";
@@ -341,9 +341,10 @@
    */
   handlePollFailure(
     endpoint: Endpoint,
-    { error, elapsedMs }: { error: unknown; elapsedMs: number },
+    { error, elapsedMs, isBroken }: PollFailure,
   ): void {
     const { clock, log } = this.#parts;
+    this.cell.noteContactLost(endpoint, { now: clock.now(), isBroken });
     if (elapsedMs > UNRESPONSIVE_AFTER_MS) {
       endpoint.unresponsiveUntil = clock.now() + UNRESPONSIVE_PAUSE_MS;
     }
--- a/packages/scheduler/plan_loop.ts
+++ b/packages/scheduler/plan_loop.ts
@@ -15,7 +15,7 @@
   PLAN_PAUSE_FACTOR,
   STORE_STALL_MS,
 } from "./constants.ts";
-import { recordDecisions } from "./decision_log.ts";
+import { countDecisions, recordDecisions } from "./decision_log.ts";
 import type { OrderSender } from "./order_sender.ts";
 import type { SessionPool } from "./session_pool.ts";
 
@@ -138,9 +138,10 @@
 
   /** Logs and commits the cell's decisions, and sends all orders but starts. */
   #sendOutput(onCommitted?: () => void): void {
-    const { cell, log, orderSender } = this.#parts;
+    const { cell, log, metrics, orderSender } = this.#parts;
     const output = cell.collectOutput();
     recordDecisions(log, output.decisions);
+    countDecisions(metrics, output.decisions);
     this.#commit(output, onCommitted);
     for (const order of output.orders) {
       if (order.kind !== OrderKind.Start) orderSender.send(order);
--- a/tests/cell/cell_site.ts
+++ b/tests/cell/cell_site.ts
@@ -305,7 +305,10 @@
       if (!isDue) continue;
       this.#polledAt.set(endpoint, this.now);
       const fake = this.endpoints.get(endpoint.info.id);
-      if (!fake || fake.isUnreachable) continue;
+      if (!fake || fake.isUnreachable) {
+        this.cell.noteContactLost(endpoint, { now: this.now, isBroken: false });
+        continue;
+      }
       this.calls.polls++;
       const hasLease = endpoint.hasAcceptedFence && endpoint.runs.size > 0;
       if (hasLease) {
