Tell crashes of many endpoints from crashes under one task

Cause: a task on trial when its endpoint crashed beside others counted like one whose endpoint crashed alone, and starts sent to an endpoint long after it was lost were suspects as well.

Change: a second crash is laid to a task only if it was certain, came within 250 ms of the start and was the only one of the service at that moment. If many endpoints are lost together, crashes after a task's first one only count to a higher limit: a task is given up after three crashes, or five of any kind, so that at most two starts follow a third crash. Suspects were sent at most 500 ms after contact was lost. An endpoint that was missing and returns with the same lifetime can be found to crash again.

--- a/packages/cell/constants.ts
+++ b/packages/cell/constants.ts
@@ -144,6 +144,12 @@
  */
 export const SUSPECT_WINDOW_MS = 500;
 
+/**
+ * A crash is laid to a task only if its endpoint showed no sign of life later than
+ * this after the start, in milliseconds.
+ */
+export const MAX_CRASH_DELAY_MS = 250;
+
 /**
  * Time for which a suspect runs apart from other starts, in milliseconds. A run that
  * is listed after it clears its task.
@@ -153,9 +159,25 @@
 /** Delay before a suspect's first trial, in ms; doubles with each crash. */
 export const SUSPECT_RETRY_MS = 500;
 
-/** Number of crashes under a task after which its job has failed. */
+/**
+ * Number of crashes under a task after which its job has failed; widespread crashes
+ * after the first one do not count.
+ */
 export const MAX_TASK_CRASHES = 3;
 
+/** Number of crashes under a task, of any kind, after which its job has failed. */
+export const MAX_ALL_CRASHES = 5;
+
+/**
+ * Fewest other endpoints of a service, as a number and as a fraction, whose loss at
+ * the same moment makes a crash widespread. Load: a rack crashes, or a seventh of the
+ * endpoints.
+ */
+export const WIDESPREAD_MIN = 3;
+
+/** See `WIDESPREAD_MIN`. */
+export const WIDESPREAD_FRACTION = 0.1;
+
 /** Endpoints lost within this time of each other were lost together, in ms. */
 export const SAME_MOMENT_MS = 500;
 
--- a/packages/cell/crashes.ts
+++ b/packages/cell/crashes.ts
@@ -1,13 +1,15 @@
 import { RecordKind } from "../journal/mod.ts";
 import { JobState } from "../jobs/mod.ts";
+import { classifyCrash, type Crash, type CrashVerdict } from "./blame.ts";
 import {
   FORMER_START_MS,
+  MAX_ALL_CRASHES,
+  MAX_CRASH_DELAY_MS,
   MAX_TASK_CRASHES,
-  SAME_MOMENT_MS,
   SUSPECT_RETRY_MS,
   SUSPECT_WINDOW_MS,
 } from "./constants.ts";
-import { findTask, getStep } from "./stages.ts";
+import { findTask } from "./stages.ts";
 import { addDecision, type CellState } from "./state.ts";
 import { findLastSign, isLeaving, listSuspectRuns } from "./suspects.ts";
 import { type CurrentTime, endJob } from "./task_ends.ts";
@@ -21,22 +23,6 @@
   TaskPhase,
 } from "./types.ts";
 
-/** The end of an endpoint's lifetime without notice. */
-export interface Crash {
-  endpoint: string;
-  service: string;
-  /** Start of the lifetime that ended. */
-  bornAt: number;
-  /** When contact was lost, or the last sign of life; steady clock, in ms. */
-  lostAt: number;
-  /** Pairs of task and run number that may have caused it. */
-  suspects: [string, number][];
-  /** Number of runs that were lost, suspects included. */
-  runs: number;
-  /** Another lifetime has been seen; an endpoint that is only missing may return. */
-  isCertain: boolean;
-}
-
 /**
  * Describes the end of an endpoint's known lifetime; `undefined` if that lifetime
  * was not known, is counted already, or ended as planned. Called before the runs of
@@ -51,14 +37,18 @@
   if (bornAt === 0 || contact.endedBornAt === bornAt) return undefined;
   contact.endedBornAt = bornAt;
   const suspects = listSuspectRuns(state, endpoint);
+  const lastSignAt = findLastSign(endpoint, [...runs.values(), ...suspects]);
   contact.lapsedRuns = [];
   if (isLeaving(endpoint)) return undefined;
   return {
     endpoint: info.id,
     service: info.service,
     bornAt,
-    lostAt: contact.lostAt || findLastSign(endpoint, runs.values()),
+    lostAt: contact.lostAt || lastSignAt,
     suspects: suspects.map(({ task, number }) => [task, number]),
+    isImmediate: suspects.some(({ sentAt }) =>
+      lastSignAt <= (sentAt ?? 0) + MAX_CRASH_DELAY_MS
+    ),
     runs: runs.size,
     isCertain,
   };
@@ -75,7 +65,7 @@
 ): void {
   if (!crash) return;
   const { endpoint, bornAt, suspects } = crash;
-  const isAttributable = canAttribute(state, crash);
+  const verdict = classifyCrash(state, crash);
   state.recentCrashes = state.recentCrashes.filter(({ lostAt }) =>
     time.now - lostAt < FORMER_START_MS
   );
@@ -87,7 +77,7 @@
       bornAt,
       runs: crash.runs,
       suspects: suspects.map(([task]) => task),
-      isAttributable,
+      ...verdict,
       isCertain: crash.isCertain,
       lostMsAgo: Math.round(time.now - crash.lostAt),
     },
@@ -98,26 +88,20 @@
     endpoint,
     bornAt,
     runs: suspects,
-    isAttributable,
+    ...verdict,
   });
   for (const [task, run] of suspects) {
-    applyCrash(state, { task, run, endpoint, isAttributable }, time);
+    applyCrash(state, { task, run, endpoint, ...verdict }, time);
   }
 }
 
 /**
- * Counts a crash for a suspected run, once. Ends the job of a task under which a
- * second endpoint has crashed if that can be laid to the task, and in any case
- * after `MAX_TASK_CRASHES`. Idempotent, for journal replay.
+ * Counts a crash for a suspected run, once, and ends the job if too many endpoints
+ * have crashed under the task. Idempotent, for journal replay.
  */
 export function applyCrash(
   state: CellState,
-  crash: {
-    task: string;
-    run: number;
-    endpoint: string;
-    isAttributable: boolean;
-  },
+  crash: { task: string; run: number; endpoint: string } & CrashVerdict,
   time: CurrentTime,
 ): void {
   const taskRef = findTask(state, crash.task);
@@ -125,13 +109,12 @@
   const { task } = taskRef;
   const { crashes } = task;
   if (task.phase === TaskPhase.Done || hasCounted(crashes, crash.run)) return;
-  crashes.counted.push({ run: crash.run, endpoint: crash.endpoint });
+  const { run, endpoint, isWidespread } = crash;
+  crashes.counted.push({ run, endpoint, isWidespread });
   const count = crashes.counted.length;
   crashes.retryAt = time.now + SUSPECT_RETRY_MS * 2 ** (count - 1);
   state.suspects.set(task.name, taskRef);
-  const isGivenUp = count >= MAX_TASK_CRASHES ||
-    count > 1 && crash.isAttributable;
-  if (isGivenUp) endSuspectJob(state, taskRef, time);
+  if (isGivenUp(crashes, crash)) endSuspectJob(state, taskRef, time);
 }
 
 /** Clears the crash count of a task whose run has outlived its probation. */
@@ -198,6 +181,7 @@
       lostAt: time.now,
       suspects: suspects.map(({ name, lastRun }) => [name, lastRun]),
       runs: tasks.length,
+      isImmediate: false,
       isCertain: false,
     }, time);
   }
@@ -216,34 +200,19 @@
 }
 
 /**
- * Returns whether a crash can be laid to its suspect: a single task, or the members
- * of one gang, and no endpoint of the service was lost at the same moment that did
- * not run the same step. Load: a rack or many endpoints crash at once.
+ * Returns whether a task is given up: a second crash can be laid to it, or there were
+ * too many. Widespread crashes after the first one count only to a higher limit.
  */
-function canAttribute(state: CellState, crash: Crash): boolean {
-  const stages = new Set<Stage>();
-  for (const [task] of crash.suspects) {
-    const taskRef = findTask(state, task);
-    if (taskRef) stages.add(taskRef.stage);
-  }
-  if (!crash.isCertain || stages.size !== 1) return false;
-  const [stage] = stages;
-  if (crash.suspects.length > 1 && !getStep(stage).gang) return false;
-  const isOfStage = (task: string) => findTask(state, task)?.stage === stage;
-  const isSameMoment = (lostAt: number) =>
-    Math.abs(lostAt - crash.lostAt) <= SAME_MOMENT_MS;
-  const hasOtherCrash = state.recentCrashes.some((other) =>
-    other.service === crash.service && isSameMoment(other.lostAt) &&
-    !other.suspects.some(([task]) => isOfStage(task))
-  );
-  if (hasOtherCrash) return false;
-  for (const { info, contact, runs } of state.endpoints.values()) {
-    const isOther = info.id !== crash.endpoint &&
-      info.service === crash.service && contact.lostAt > 0;
-    if (!isOther || !isSameMoment(contact.lostAt)) continue;
-    if (![...runs.keys()].some(isOfStage)) return false;
-  }
-  return true;
+function isGivenUp(
+  { counted }: TaskCrashes,
+  { isAttributable }: { isAttributable: boolean },
+): boolean {
+  const single = counted.filter((crash) => !crash.isWidespread);
+  const suspicious = counted[0].isWidespread
+    ? single.length + 1
+    : single.length;
+  return isAttributable && single.length > 1 ||
+    suspicious >= MAX_TASK_CRASHES || counted.length >= MAX_ALL_CRASHES;
 }
 
 function endSuspectJob(
--- a/packages/cell/snapshot.ts
+++ b/packages/cell/snapshot.ts
@@ -248,9 +248,8 @@
       state.endpoints.delete(record.endpoint);
       return;
     case RecordKind.Crashed: {
-      const { endpoint, isAttributable } = record;
       for (const [task, run] of record.runs) {
-        applyCrash(state, { task, run, endpoint, isAttributable }, time);
+        applyCrash(state, { ...record, task, run }, time);
       }
       return;
     }
--- a/packages/cell/state.ts
+++ b/packages/cell/state.ts
@@ -2,7 +2,7 @@
 import { addDemand, type Demand, makeZeroDemand } from "../jobs/mod.ts";
 import type { AdviceCounts } from "./advice_choice.ts";
 import type { Backlog } from "./admission.ts";
-import type { Crash } from "./crashes.ts";
+import type { Crash } from "./blame.ts";
 import type { CellPolicies } from "./policies.ts";
 import type { ShareMeter } from "./share_meter.ts";
 import type {
--- a/packages/cell/suspects.ts
+++ b/packages/cell/suspects.ts
@@ -25,6 +25,7 @@
   contact.lastSignAt = now;
   contact.lostAt = 0;
   contact.lapsedRuns = [];
+  contact.endedBornAt = 0;
 }
 
 /**
@@ -51,20 +52,24 @@
 }
 
 /**
- * Lists the runs that may have crashed an endpoint: those that were sent shortly
- * before its last sign of life, or later. A run on probation stays a suspect until
- * the probation ends. The load is any: of many runs on an endpoint, few have just
- * started.
+ * Lists the runs that may have crashed an endpoint: those that were sent between
+ * shortly before its last sign of life and shortly after contact was lost. A run on
+ * probation stays a suspect until the probation ends. Load: of the many runs on an
+ * endpoint, few have just started.
  */
 export function listSuspectRuns(state: CellState, endpoint: Endpoint): Run[] {
   const runs = [...endpoint.runs.values(), ...endpoint.contact.lapsedRuns];
   const lastSignAt = findLastSign(endpoint, runs);
+  const { lostAt } = endpoint.contact;
+  const lastAt = lostAt > 0
+    ? lostAt + SUSPECT_WINDOW_MS
+    : Number.POSITIVE_INFINITY;
   return runs.filter(({ task, sentAt, sentToBornAt }) => {
     if (sentAt === undefined || sentToBornAt !== endpoint.bornAt) return false;
     const windowMs = state.suspects.has(task)
       ? PROBATION_MS
       : SUSPECT_WINDOW_MS;
-    return sentAt >= lastSignAt - windowMs;
+    return sentAt >= lastSignAt - windowMs && sentAt <= lastAt;
   });
 }
 
--- a/packages/cell/trials.ts
+++ b/packages/cell/trials.ts
@@ -103,11 +103,12 @@
   }
 }
 
-/** Returns whether the endpoint has listed the run after its probation. */
+/** Returns whether the endpoint has answered and run the task after its probation. */
 function hasOutlivedProbation(run: Run): boolean {
+  const { contact } = run.endpoint;
   const startedAt = run.sentAt ?? run.startedAt;
   return run.phase === RunPhase.Running && run.isLifetimeKnown &&
-    run.endpoint.lastListingAskedAt >= startedAt + PROBATION_MS;
+    contact.lostAt === 0 && contact.lastSignAt >= startedAt + PROBATION_MS;
 }
 
 function hasRecentStart({ runs }: Endpoint, now: number): boolean {
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -209,7 +209,7 @@
 /** Crashes of endpoints that a task is suspected of. */
 export interface TaskCrashes {
   /** The suspected runs, one for each lifetime that ended under the task. */
-  counted: { run: number; endpoint: string }[];
+  counted: { run: number; endpoint: string; isWidespread: boolean }[];
   /** Highest run number that outlived its probation; 0: none. */
   clearedRun: number;
   /** Earliest time of the next start. */
--- a/packages/journal/types.ts
+++ b/packages/journal/types.ts
@@ -59,6 +59,8 @@
     runs: [string, number][];
     /** The crash can be laid to these runs: they are one task, or one gang. */
     isAttributable: boolean;
+    /** Many endpoints were lost at the same moment. */
+    isWidespread: boolean;
   }
   | { kind: RecordKind.Cleared; task: string; run: number };
 
--- a/tests/cell/crash_site.ts
+++ b/tests/cell/crash_site.ts
@@ -1,5 +1,5 @@
 import type { Demand } from "../../packages/jobs/mod.ts";
-import { CellSite } from "./cell_site.ts";
+import { CellSite, makeJob, makeStep } from "./cell_site.ts";
 import type { FakeRun } from "./fake_endpoint.ts";
 
 /** Time from the start of a deadly task to the crash, in milliseconds. */
@@ -115,3 +115,17 @@
     if (endpoint) this.cell.noteReplacement(endpoint, this.time);
   }
 }
+
+/** Makes a site whose job `bad` has one task, which crashes each endpoint. */
+export function makeBadSite(
+  options: { returnsAs: Return; backAfterMs?: number },
+): CrashSite {
+  const site = new CrashSite({ endpoints: 12, afterMs: 400 });
+  site.returnsAs = options.returnsAs;
+  site.backAfterMs = options.backAfterMs ?? site.backAfterMs;
+  site.isDeadly = (task) => task === "bad.0.0.0";
+  site.watchStarts();
+  site.advance(300);
+  site.submit(makeJob("bad", [makeStep()]));
+  return site;
+}
