Prove the blame of crashes against single mistakes in it

Four mistakes put into the built code by hand went unnoticed by the tests of crashes: all runs of an endpoint are suspects, planned departures count, a trial takes the fullest endpoint, endpoints that are only cut off count. The tests now watch the suspects at every step instead of at the end, and the runs lost with the second crash; each of the four makes one of them fail. Five other mistakes failed before (no serial trials, no probation, no records, no blame at a take-over, no idempotence). A former owner's crash without suspects is no longer noted again by the next owner.

--- a/packages/cell/crashes.ts
+++ b/packages/cell/crashes.ts
@@ -174,6 +174,7 @@
     const suspects = tasks.filter(({ placedAt, crashes, lastRun }) =>
       placedAt >= since && !hasCounted(crashes, lastRun)
     );
+    if (suspects.length === 0) continue;
     noteCrash(state, {
       endpoint: endpoint.info.id,
       service: endpoint.info.service,
--- a/tests/cell/crash_blame_test.ts
+++ b/tests/cell/crash_blame_test.ts
@@ -10,7 +10,7 @@
 
 // Guards against long-running neighbours that are given up for the crashes that a
 // task beside them causes.
-test("a bad task beside long-running neighbours: they are no suspects and run on elsewhere", (t) => {
+test("a bad task beside long-running neighbours: they are no suspects, and the second crash takes none of them", (t) => {
   const site = new CrashSite({ endpoints: 6, afterMs: 400 });
   site.isDeadly = (task) => task.startsWith("bad.");
   site.watchStarts();
@@ -32,7 +32,9 @@
     ...runs.keys(),
   ]);
   t.is(running.filter((task) => task.startsWith("service.")).length, 12);
-  t.is(site.cell.state.suspects.size, 0);
+  t.deepEqual([...site.suspected], ["bad.0.0.0"]);
+  const [, second] = site.crashes;
+  t.deepEqual(second.lost, ["bad.0.0.0"]);
   t.deepEqual(site.checker.violations, []);
 });
 
@@ -135,7 +137,7 @@
     site.advance(cutMs);
     fake.isUnreachable = false;
     site.advance(10_000);
-    t.is(site.cell.state.suspects.size, 0);
+    t.is(site.suspected.size, 0);
     t.is(site.find("a"), JobState.Completed);
   });
 }
@@ -151,7 +153,7 @@
   site.applyEndpointList();
   site.crash(id);
   site.advance(SETTLED_MS);
-  t.is(site.cell.state.suspects.size, 0);
+  t.is(site.suspected.size, 0);
   t.is(site.find("a"), JobState.Completed);
 });
 
--- a/tests/cell/crash_site.ts
+++ b/tests/cell/crash_site.ts
@@ -33,6 +33,8 @@
   readonly crashes: Crash[] = [];
   /** Starts on endpoints, in order. */
   readonly startedRuns: { task: string; endpoint: string; at: number }[] = [];
+  /** Tasks that an owner has suspected of a crash. */
+  readonly suspected = new Set<string>();
   #pendingCrashes: { at: number; run: FakeRun }[] = [];
   #pendingReturns: { at: number; id: string; capacity: Demand }[] = [];
   #lastId = 0;
@@ -58,6 +60,9 @@
     while (this.now < until) {
       super.advance(10);
       this.#crashAndReturn();
+      for (const task of this.cell.state.suspects.keys()) {
+        this.suspected.add(task);
+      }
     }
   }
 
