Lay a crash to a task only within 100 ms of its start

Cause: a crash within 250 ms of the start was laid to the task.

Change: the bound is 100 ms. Tests: a broken connection narrows the suspects; both counters.

--- a/packages/cell/constants.ts
+++ b/packages/cell/constants.ts
@@ -148,7 +148,7 @@
  * A crash is laid to a task only if its endpoint showed no sign of life later than
  * this after the start, in milliseconds.
  */
-export const MAX_CRASH_DELAY_MS = 250;
+export const MAX_CRASH_DELAY_MS = 100;
 
 /**
  * Time for which a suspect runs apart from other starts, in milliseconds. A run that
--- a/tests/cell/crash_blame_test.ts
+++ b/tests/cell/crash_blame_test.ts
@@ -177,3 +177,25 @@
     Array(3).fill(JobState.Failed),
   );
 });
+
+// Guards against suspects from the whole time since the last poll when the connection
+// shows when the endpoint crashed.
+for (const isBroken of [true, false]) {
+  test(`a crash between two polls, the connection broke at once: ${isBroken}: only a break tells the earlier start from the later one`, (t) => {
+    const site = new CrashSite({ endpoints: 1, afterMs: 5_000 });
+    site.advance(300);
+    site.pollIntervalMs = 4_000;
+    site.submit(makeJob("early", [makeStep()]));
+    site.advance(900);
+    site.submit(makeJob("late", [makeStep()]));
+    site.advance(30);
+    const [endpoint] = site.cell.state.endpoints.values();
+    site.crash(endpoint.info.id);
+    if (isBroken) {
+      site.cell.noteContactLost(endpoint, { now: site.now, isBroken });
+    }
+    site.advance(4_000);
+    const expected = isBroken ? ["late.0.0.0"] : ["early.0.0.0", "late.0.0.0"];
+    t.deepEqual([...site.suspected], expected);
+  });
+}
