Merge the counting of crashes under a task

Beside the merge: a suspect whose start has no answer holds up the endpoint and its queue for the probation only.

--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -34,6 +34,8 @@
 import { type CellOutput, type CellState, makeOutput } from "./state.ts";
 import { sendStop, stopRun } from "./stop_run.ts";
 import { listUnsentStarts } from "./unsent_starts.ts";
+import { noteContact, noteContactLost } from "./suspects.ts";
+import { settleTrials } from "./trials.ts";
 import {
   Admission,
   type AdmissionOutcome,
@@ -92,6 +94,10 @@
       remnants: new Map(),
       unlocatedUntil: 0,
       formerStartsUntil: 0,
+      restoredAt: 0,
+      plannedAt: 0,
+      suspects: new Map(),
+      recentCrashes: [],
       stoppingRuns: new Set(),
       shareMeter: new ShareMeter(),
       policies: buildPolicies(options.policies ?? DEFAULT_POLICIES),
@@ -119,6 +125,7 @@
   ): void {
     this.state.unlocatedUntil = options.formerRunsEndAt;
     this.state.formerStartsUntil = options.formerStartsEndAt + LATE_ORDER_MS;
+    this.state.restoredAt = options.time.wallNow;
     restoreCell(this.state, contents, options.time);
     this.state.output = makeOutput();
   }
@@ -133,7 +140,13 @@
     const { output } = this.state;
     this.state.output = makeOutput();
     for (const [endpoint, runs] of output.placements) {
-      output.records.push({ kind: RecordKind.Placed, endpoint, runs });
+      output.records.push({
+        kind: RecordKind.Placed,
+        endpoint,
+        bornAt: this.state.endpoints.get(endpoint)?.bornAt ?? 0,
+        at: this.state.plannedAt,
+        runs,
+      });
     }
     return output;
   }
@@ -252,6 +265,16 @@
     options: { listing: EndpointListing; times: ListingTimes },
   ): void {
     applyListing(this.state, endpoint, options);
+    const { listing, times } = options;
+    noteContact(endpoint, { listing, now: times.now });
+  }
+
+  /** Notes that a poll of an endpoint failed; see `noteContactLost`. */
+  noteContactLost(
+    endpoint: Endpoint,
+    options: { now: number; isBroken: boolean },
+  ): void {
+    noteContactLost(endpoint, options);
   }
 
   /**
@@ -364,7 +387,9 @@
    */
   plan(time: CurrentTime, options: { mayStart: boolean }): void {
     const { state } = this;
+    state.plannedAt = time.wallNow;
     expireEndpoints(state, time);
+    settleTrials(state);
     stopUnconfirmedRuns(state, time.now);
     for (const run of state.stoppingRuns) {
       const isDue = time.now - run.lastChangedAt >= STOP_RETRY_MS;
--- a/packages/cell/lifetimes.ts
+++ b/packages/cell/lifetimes.ts
@@ -1,4 +1,5 @@
 import { LATE_ORDER_MS } from "./constants.ts";
+import { describeCrash, noteCrash } from "./crashes.ts";
 import { describeAge, noteNewLifetime } from "./order_effects.ts";
 import { addDecision, type CellState } from "./state.ts";
 import { sendStop } from "./stop_run.ts";
@@ -36,6 +37,7 @@
       },
     });
   }
+  const crash = describeCrash(state, endpoint, { isCertain: true });
   endpoint.bornAt = bornAt;
   endpoint.lastEndNumber = 0;
   endpoint.committedEndNumber = 0;
@@ -58,4 +60,5 @@
       reason: "the endpoint restarted",
     });
   }
+  noteCrash(state, crash, times);
 }
--- a/packages/scheduler/decision_log.ts
+++ b/packages/scheduler/decision_log.ts
@@ -16,12 +16,16 @@
   [DecisionKind.Adopted]: EventCode.TaskAdopted,
   [DecisionKind.RoomShrunk]: EventCode.EndpointRoomShrunk,
   [DecisionKind.RoomGrown]: EventCode.EndpointRoomGrown,
+  [DecisionKind.EndpointCrashed]: EventCode.EndpointCrashed,
+  [DecisionKind.TaskGivenUp]: EventCode.TaskGivenUp,
 };
 
 /** Counters of decisions, by kind. */
 const COUNTER_BY_DECISION: Partial<Record<DecisionKind, string>> = {
   [DecisionKind.RoomShrunk]: "rooms_shrunk",
   [DecisionKind.RoomGrown]: "rooms_grown",
+  [DecisionKind.EndpointCrashed]: "endpoint_crashes",
+  [DecisionKind.TaskGivenUp]: "tasks_given_up",
 };
 
 /** Records one event for each decision of the cell. */
