Check the quota again before a stored start is sent

What callers would see: an organisation that runs more than its quota after operators lowered it, on starts that were decided before and stored seconds later.

Cause: as with the room of an endpoint, the quota was looked at in the plan only.

Evidence: tests/cell/unsent_starts_test.ts "stored starts beyond a quota that was lowered meanwhile are not sent" failed before: 8 starts, 3 permitted.

Change: a stored start is given back while its organisation uses more than its quota, the least urgent ones first.

--- a/packages/cell/placement.ts
+++ b/packages/cell/placement.ts
@@ -139,15 +139,27 @@
 export function countWithinQuota(state: CellState, stage: Stage): number {
   const { organisation } = stage.job.spec;
   if (!state.organisations) return 0;
-  const cap = state.organisations.get(organisation)?.cap;
-  if (!cap) return Number.MAX_SAFE_INTEGER;
-  const capacity = {
+  const quota = findQuota(state, organisation);
+  if (!quota) return Number.MAX_SAFE_INTEGER;
+  const used = state.usage.get(organisation) ?? NO_DEMAND;
+  return countFits(getStep(stage).demand, quota, used);
+}
+
+/** Returns whether an organisation uses more than its quota, which may be lowered. */
+export function isOverQuota(state: CellState, organisation: string): boolean {
+  const quota = findQuota(state, organisation);
+  const used = state.usage.get(organisation) ?? NO_DEMAND;
+  return quota !== undefined && !fitsInto(NO_DEMAND, quota, used);
+}
+
+/** Finds the quota of an organisation, with unlimited resources as the largest number. */
+function findQuota(state: CellState, organisation: string): Demand | undefined {
+  const cap = state.organisations?.get(organisation)?.cap;
+  return cap && {
     milliCores: cap.milliCores || Number.MAX_SAFE_INTEGER,
     memoryMb: cap.memoryMb || Number.MAX_SAFE_INTEGER,
     accelerators: cap.accelerators || Number.MAX_SAFE_INTEGER,
   };
-  const used = state.usage.get(organisation) ?? NO_DEMAND;
-  return countFits(getStep(stage).demand, capacity, used);
 }
 
 /** Groups endpoints by rack. */
--- a/packages/cell/unsent_starts.ts
+++ b/packages/cell/unsent_starts.ts
@@ -1,4 +1,4 @@
-import { canAcceptStarts, isEligible } from "./placement.ts";
+import { canAcceptStarts, isEligible, isOverQuota } from "./placement.ts";
 import { isOverRoom } from "./room.ts";
 import { findTask, getStep } from "./stages.ts";
 import type { CellState } from "./state.ts";
@@ -58,6 +58,9 @@
   if (isOverRoom(run.endpoint)) {
     return "the endpoint's room shrank before the placement was committed";
   }
+  if (isOverQuota(state, run.organisation)) {
+    return "the quota was lowered before the placement was committed";
+  }
   const isUsable = canAcceptStarts(run.endpoint, now) && stage &&
     isEligible(run.endpoint, stage);
   if (!isUsable) {
--- a/tests/cell/unsent_starts_test.ts
+++ b/tests/cell/unsent_starts_test.ts
@@ -55,6 +55,28 @@
   });
 }
 
+// Guards against starts beyond a quota that was lowered while their placement was being
+// stored.
+test("stored starts beyond a quota that was lowered meanwhile are not sent", (t) => {
+  const site = new CellSite({ endpoints: 1, afterMs: LONG_RUN_MS });
+  const setQuota = (milliCores: number) => {
+    const cap = { milliCores, memoryMb: 0, accelerators: 0 };
+    site.cell.updateOrganisations([{ name: "norte", weight: 9, cap }]);
+  };
+  setQuota(8_000);
+  site.advance(200);
+  site.commitMs = 500;
+  site.submit(makeJob("a", [makeStep({ tasks: 8 })]));
+  site.advance(600);
+  t.is(site.cell.state.endpoints.get("e0")?.runs.size, 8);
+  setQuota(3_000);
+  site.advance(3_000);
+  t.is(site.checker.starts, 3);
+  setQuota(0);
+  site.advance(3_000);
+  t.is(site.checker.starts, 8);
+});
+
 // Guards against a gang of which some tasks start while the ticket of another has
 // expired: they would wait for it and end.
 test("no task of a gang is started if a ticket expired while its placement was stored", (t) => {
