Start nothing on records of endpoints from before an outage of the store

Cause, by reading: an endpoint can't record a change of its room during an outage. The owner's first list after it shows the former room, up to a heartbeat before the endpoint writes, and counted as current since it was read just now.

Change: records that were not written since the last answer of the store are outdated once that answer is too old, until they are written, or for 2 s at most. A new owner distrusts all records if a call of its entry failed in the 2 s before its first list. Endpoints with outdated records get no starts.

--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -236,9 +236,15 @@
     return waiting;
   }
 
-  /** Updates the endpoints from the platform's complete current list. */
-  updateEndpoints(infos: readonly EndpointInfo[]): void {
-    updateEndpoints(this.state, infos);
+  /**
+   * Updates the endpoints from the platform's complete current list. `unconfirmed`:
+   * ids of those whose records may be out of date; nothing starts there.
+   */
+  updateEndpoints(
+    infos: readonly EndpointInfo[],
+    options: { unconfirmed?: ReadonlySet<string> } = {},
+  ): void {
+    updateEndpoints(this.state, infos, options);
   }
 
   /** Replaces the rules of all organisations; nothing starts before that. */
--- a/packages/cell/endpoints.ts
+++ b/packages/cell/endpoints.ts
@@ -19,6 +19,7 @@
     info,
     fullRoom: info.capacity,
     isListed: true,
+    isRecordOutdated: false,
     isRecorded: false,
     isRecording: false,
     bornAt: 0,
@@ -49,6 +50,7 @@
 export function updateEndpoints(
   state: CellState,
   infos: readonly EndpointInfo[],
+  { unconfirmed }: { unconfirmed?: ReadonlySet<string> } = {},
 ): void {
   const listed = new Set(infos.map(({ id }) => id));
   for (const info of infos) {
@@ -65,7 +67,9 @@
     }
   }
   for (const endpoint of state.endpoints.values()) {
-    if (!listed.has(endpoint.info.id)) endpoint.isListed = false;
+    const { id } = endpoint.info;
+    if (!listed.has(id)) endpoint.isListed = false;
+    endpoint.isRecordOutdated = unconfirmed?.has(id) ?? false;
   }
 }
 
--- a/packages/cell/placement.ts
+++ b/packages/cell/placement.ts
@@ -45,7 +45,7 @@
 /** Returns whether an endpoint accepts start orders now. */
 export function canAcceptStarts(endpoint: Endpoint, now: number): boolean {
   return endpoint.hasAcceptedFence && endpoint.isRecorded &&
-    !endpoint.isCordoned &&
+    !endpoint.isCordoned && !endpoint.isRecordOutdated &&
     now >= endpoint.pausedUntil && now >= endpoint.unresponsiveUntil;
 }
 
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -115,6 +115,11 @@
   fullRoom: Demand;
   /** The platform's current list contains the endpoint. */
   isListed: boolean;
+  /**
+   * The record of the endpoint has not been written since an outage of the store: its
+   * room may have shrunk.
+   */
+  isRecordOutdated: boolean;
   /** The journal holds a committed record that tasks may run there. */
   isRecorded: boolean;
   /**
--- a/packages/scheduler/constants.ts
+++ b/packages/scheduler/constants.ts
@@ -88,6 +88,12 @@
  */
 export const ENDPOINT_WATCH_INTERVAL_MS = 300;
 
+/**
+ * Time after an outage of the store by which the endpoints that reach it have written
+ * their records again, in milliseconds: the platform says about two seconds.
+ */
+export const ENDPOINT_RECORDS_RETURN_MS = 2_000;
+
 /**
  * Longest time that one watch of the owner's key waits, in milliseconds. A
  * broken link to the owner ends the wait sooner.
--- a/packages/scheduler/endpoint_feed.ts
+++ b/packages/scheduler/endpoint_feed.ts
@@ -3,6 +3,7 @@
 import { EventCode, type EventLog } from "../events/mod.ts";
 import type { KeyValueStore, StoreChange, StoredItem } from "../storage/mod.ts";
 import {
+  ENDPOINT_RECORDS_RETURN_MS,
   ENDPOINT_WATCH_INTERVAL_MS,
   ENDPOINT_WATCH_MARGIN_MS,
   ENDPOINT_WATCH_WAIT_MS,
@@ -10,6 +11,7 @@
 } from "./constants.ts";
 import type { SiteRecords } from "./ports.ts";
 import { measureElapsed } from "./suspension_guard.ts";
+import { UnconfirmedRecords } from "./unconfirmed_records.ts";
 
 /** Watches the endpoints' records in the store. */
 export class EndpointFeed {
@@ -17,13 +19,20 @@
   readonly #records: SiteRecords;
   readonly #clock: Clock;
   readonly #log: EventLog;
-  readonly #onChanged: (endpoints: EndpointInfo[]) => void;
+  readonly #onChanged: (
+    endpoints: EndpointInfo[],
+    unconfirmed: ReadonlySet<string>,
+  ) => void;
+  readonly #getStoreFailedAt: () => number;
   readonly #endpoints = new Map<string, EndpointInfo>();
   /** Revision of the listed record of each endpoint, by key. */
   readonly #revisions = new Map<string, number>();
   readonly #maxAgeMs: number;
   /** When the last answer of the store was asked for; undefined: none yet. */
   #heardAt: CurrentTime | undefined;
+  /** Revision of the store in that answer. */
+  #heardRevision = 0;
+  readonly #unconfirmed = new UnconfirmedRecords();
   #isCurrent = false;
   #isStopped = false;
 
@@ -34,8 +43,16 @@
     log: EventLog;
     /** Age from which the records are too old to start tasks, in milliseconds. */
     maxAgeMs: number;
-    /** Called with all usable endpoints after each list and each change. */
-    onChanged: (endpoints: EndpointInfo[]) => void;
+    /** Returns when this entry's last failed call to the store ended, in ms. */
+    getStoreFailedAt: () => number;
+    /**
+     * Called with all usable endpoints after each list and each change.
+     * `unconfirmed`: ids of those whose records are too old to start tasks there.
+     */
+    onChanged: (
+      endpoints: EndpointInfo[],
+      unconfirmed: ReadonlySet<string>,
+    ) => void;
   }) {
     this.#store = options.store;
     this.#records = options.records;
@@ -43,6 +60,7 @@
     this.#log = options.log;
     this.#maxAgeMs = options.maxAgeMs;
     this.#onChanged = options.onChanged;
+    this.#getStoreFailedAt = options.getStoreFailedAt;
   }
 
   /** Lists the endpoints, then watches them; lists again if the watch fails. */
@@ -100,7 +118,9 @@
       items.push(...page.items);
       firstRevision ??= page.revision;
       if (page.hasMore && page.items.length > 0) continue;
+      this.#noteUnconfirmed(items, sentAt);
       this.#heardAt = sentAt;
+      this.#heardRevision = firstRevision;
       this.#endpoints.clear();
       this.#revisions.clear();
       for (const { key, value, revision } of items) {
@@ -126,6 +146,7 @@
       },
     );
     this.#heardAt = sentAt;
+    this.#heardRevision = revision;
     for (const change of changes) this.#applyChange(change);
     if (changes.length > 0) this.#callOnChanged();
     return revision;
@@ -135,10 +156,35 @@
   #applyChange({ key, value, revision }: StoreChange): void {
     if (revision <= (this.#revisions.get(key) ?? 0)) return;
     this.#revisions.delete(key);
+    this.#unconfirmed.confirm(key);
     if (value === undefined) this.#endpoints.delete(key);
     else this.#setEndpoint(key, value);
   }
 
+  /**
+   * Notes which of the listed records were not written since the last answer of the
+   * store. A first list that follows a failed call to the store trusts none.
+   */
+  #noteUnconfirmed(items: readonly StoredItem[], sentAt: CurrentTime): void {
+    const { now } = sentAt;
+    const until = now + ENDPOINT_RECORDS_RETURN_MS;
+    if (!this.#heardAt) {
+      const failedMsAgo = now - this.#getStoreFailedAt();
+      if (failedMsAgo >= ENDPOINT_RECORDS_RETURN_MS) return;
+    }
+    const from = this.#heardAt
+      ? now + this.#maxAgeMs - measureElapsed(this.#heardAt, sentAt)
+      : now;
+    if (from >= until) return;
+    const unwritten = items.filter(({ revision }) =>
+      !this.#heardAt || revision <= this.#heardRevision
+    );
+    this.#unconfirmed.begin(unwritten.map(({ key }) => key), { from, until });
+    for (const at of [from, until]) {
+      this.#clock.schedule(() => this.#callOnChanged(), at - now);
+    }
+  }
+
   #getCurrentTime(): CurrentTime {
     return { now: this.#clock.now(), wallNow: this.#clock.readWallTime() };
   }
@@ -150,6 +196,11 @@
   }
 
   #callOnChanged(): void {
-    if (!this.#isStopped) this.#onChanged([...this.#endpoints.values()]);
+    if (this.#isStopped) return;
+    const now = this.#clock.now();
+    const unconfirmed = [...this.#endpoints]
+      .filter(([key]) => this.#unconfirmed.has(key, now))
+      .map(([, { id }]) => id);
+    this.#onChanged([...this.#endpoints.values()], new Set(unconfirmed));
   }
 }
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -68,6 +68,8 @@
    * milliseconds.
    */
   endpointRecordsMs: number;
+  /** Returns when a call to the store failed last, by the steady clock in ms. */
+  getStoreFailedAt: () => number;
   /** How long the result of an ended job is kept, in milliseconds. */
   retentionMs: number;
   /** Lists the open links to other entries. */
@@ -131,7 +133,9 @@
       log,
       // A start that is sent in time also has to arrive in time.
       maxAgeMs: parts.endpointRecordsMs - ORDER_TIMEOUT_MS,
-      onChanged: (endpoints) => this.#updateEndpoints(endpoints),
+      getStoreFailedAt: parts.getStoreFailedAt,
+      onChanged: (endpoints, unconfirmed) =>
+        this.#updateEndpoints(endpoints, unconfirmed),
     });
     this.#sessions = new SessionPool({
       control: parts.control,
@@ -403,8 +407,11 @@
     };
   }
 
-  #updateEndpoints(infos: EndpointInfo[]): void {
-    this.cell.updateEndpoints(infos);
+  #updateEndpoints(
+    infos: EndpointInfo[],
+    unconfirmed: ReadonlySet<string>,
+  ): void {
+    this.cell.updateEndpoints(infos, { unconfirmed });
     this.#planLoop.schedulePlan();
   }
 
--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -34,6 +34,8 @@
 export interface SchedulerParts {
   settings: SchedulerSettings;
   store: KeyValueStore;
+  /** Returns when a call to the store failed last, by the steady clock in ms. */
+  getStoreFailedAt: () => number;
   records: SiteRecords;
   control: EndpointControl;
   advice: AdviceService;
--- a/packages/scheduler/wiring.ts
+++ b/packages/scheduler/wiring.ts
@@ -33,12 +33,14 @@
   const log = new PinoEventLog(settings.log.level, baseFields, target);
   const random = new SeededRandom(options.seed);
   const metrics = new Metrics();
+  const store = new MeteredStore(adapters.store, {
+    metrics,
+    now: () => clock.now(),
+  });
   return new SchedulerNode({
     ...adapters,
-    store: new MeteredStore(adapters.store, {
-      metrics,
-      now: () => clock.now(),
-    }),
+    store,
+    getStoreFailedAt: () => store.failedAt,
     settings,
     clock,
     random,
--- a/packages/storage/metered_store.ts
+++ b/packages/storage/metered_store.ts
@@ -15,6 +15,8 @@
   readonly #store: KeyValueStore;
   readonly #metrics: Metrics;
   readonly #now: () => number;
+  /** When a call failed last, in milliseconds; negative infinity: never. */
+  failedAt = Number.NEGATIVE_INFINITY;
 
   constructor(
     store: KeyValueStore,
@@ -68,6 +70,9 @@
       const result = await run();
       outcome = "answered";
       return result;
+    } catch (error) {
+      this.failedAt = this.#now();
+      throw error;
     } finally {
       const labels = { call, outcome };
       this.#metrics.countEvent("store_calls", labels);
--- a/tests/cell/room_that_shrinks_test.ts
+++ b/tests/cell/room_that_shrinks_test.ts
@@ -183,3 +183,16 @@
     taken: [6_000, 600, 0],
   });
 });
+
+// Guards against starts on the room from before an outage of the store.
+test("nothing starts on an endpoint whose record is outdated", (t) => {
+  const site = new CellSite({ endpoints: 1 });
+  const infos = [...site.cell.state.endpoints.values()].map(({ info }) => info);
+  site.cell.updateEndpoints(infos, { unconfirmed: new Set(["e0"]) });
+  site.submit(makeJob("a", [makeStep()]));
+  site.advance(1_000);
+  t.is(site.checker.starts, 0);
+  site.cell.updateEndpoints(infos);
+  site.advance(1_000);
+  t.is(site.checker.starts, 1);
+});
--- a/tests/harness/job_site.ts
+++ b/tests/harness/job_site.ts
@@ -176,6 +176,7 @@
   async #addEntry(n: number): Promise<void> {
     const host = `${this.#network}.${1 + n}`;
     const node = new SchedulerNode({
+      getStoreFailedAt: () => Number.NEGATIVE_INFINITY,
       settings: {
         vm: {
           name: `entry-${n}`,
--- a/tests/virtual/endpoint_feed_test.ts
+++ b/tests/virtual/endpoint_feed_test.ts
@@ -21,6 +21,7 @@
       clock,
       log: new SilentEventLog(),
       maxAgeMs: 2_500,
+      getStoreFailedAt: () => Number.NEGATIVE_INFINITY,
       onChanged: () => {},
       ...options,
     });
@@ -128,3 +129,82 @@
   await time.advance(5_000);
   t.true(checkAge());
 });
+
+/** Makes a feed of two endpoints; `listOutdated` tells which records it distrusts. */
+function makeOutageSite() {
+  const site = makeSite();
+  let outdated: ReadonlySet<string> = new Set();
+  const writeRecord = (id: string) => {
+    site.state.revision++;
+    site.state.put(`endpoints/${id}`, "", 0);
+  };
+  const makeFeed = (options: { getStoreFailedAt?: () => number } = {}) =>
+    site.makeFeed({
+      ...options,
+      onChanged: (_endpoints, unconfirmed) => outdated = unconfirmed,
+    });
+  for (const id of ["w0", "w1"]) writeRecord(id);
+  const listOutdated = () => [...outdated].sort();
+  return { ...site, makeFeed, writeRecord, listOutdated };
+}
+
+// Guards against starts on the room from before an outage of the store, in which the
+// endpoint could not record that it shrank.
+test("a record that was not written since an outage is outdated until it is written or its time has passed", async (t) => {
+  const { time, store, makeFeed, writeRecord, listOutdated } = makeOutageSite();
+  void makeFeed().run();
+  await time.advance(2_000);
+  store.fault = StoreFault.Timeout;
+  await time.advance(5_000);
+  store.fault = StoreFault.None;
+  await time.advance(1_750);
+  t.deepEqual(listOutdated(), ["w0", "w1"]);
+  writeRecord("w1");
+  await time.advance(400);
+  t.deepEqual(listOutdated(), ["w0"]);
+  await time.advance(2_000);
+  t.deepEqual(listOutdated(), []);
+});
+
+test("a record that was written during a failure of this entry's reads is trusted", async (t) => {
+  const { time, store, makeFeed, writeRecord, listOutdated } = makeOutageSite();
+  void makeFeed().run();
+  await time.advance(2_000);
+  store.fault = StoreFault.Timeout;
+  await time.advance(2_000);
+  writeRecord("w0");
+  await time.advance(3_000);
+  store.fault = StoreFault.None;
+  await time.advance(1_750);
+  t.deepEqual(listOutdated(), ["w1"]);
+});
+
+test("a short failure of reads makes no record outdated that is written with each heartbeat", async (t) => {
+  const { time, store, makeFeed, writeRecord, listOutdated } = makeOutageSite();
+  void makeFeed().run();
+  for (let n = 0; n < 120; n++) {
+    store.fault = n % 20 === 7 || n % 20 === 8
+      ? StoreFault.Unavailable
+      : StoreFault.None;
+    if (n % 15 === 0) writeRecord("w0");
+    if (n % 15 === 10) writeRecord("w1");
+    await time.advance(100);
+    t.deepEqual(listOutdated(), [], String(n));
+  }
+});
+
+for (const failedMsAgo of [500, 4_000]) {
+  // As above, for an owner that takes over when the store is back.
+  test(`a new owner ${failedMsAgo === 500 ? "distrusts" : "trusts"} the records if the store failed ${failedMsAgo} ms before`, async (t) => {
+    const { time, clock, makeFeed, writeRecord, listOutdated } =
+      makeOutageSite();
+    const failedAt = clock.now() - failedMsAgo;
+    void makeFeed({ getStoreFailedAt: () => failedAt }).run();
+    await time.advance(100);
+    t.deepEqual(listOutdated(), failedMsAgo === 500 ? ["w0", "w1"] : []);
+    writeRecord("w0");
+    writeRecord("w1");
+    await time.advance(400);
+    t.deepEqual(listOutdated(), []);
+  });
+}
--- a/tests/virtual/endpoint_records_age_test.ts
+++ b/tests/virtual/endpoint_records_age_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { RefusedError } from "../../packages/base/mod.ts";
 import { EndKind, JobState } from "../../packages/jobs/mod.ts";
+import { ENDPOINT_RECORDS_RETURN_MS } from "../../packages/scheduler/mod.ts";
 import { makeJob, makeStep } from "../cell/cell_site.ts";
 import type { MemoryStore } from "./memory_store.ts";
 import { type OwnerEntry, OwnerSite } from "./owner_site.ts";
@@ -115,7 +116,10 @@
   await site.time.advance(500);
   t.is(site.checker.starts, 0);
   mend();
-  await site.time.advance(4_000);
+  // The endpoints of the site never write their records again.
+  await site.time.advance(ENDPOINT_RECORDS_RETURN_MS - 100);
+  t.is(site.checker.starts, 0);
+  await site.time.advance(5_000);
   t.true(isCompleted(owner, "a"));
   t.deepEqual(site.checker.violations, []);
 });
--- a/tests/virtual/owner_site.ts
+++ b/tests/virtual/owner_site.ts
@@ -93,6 +93,7 @@
       metrics: new Metrics(),
       leaseMs: LEASE_MS,
       endpointRecordsMs: 3_000,
+      getStoreFailedAt: () => Number.NEGATIVE_INFINITY,
       retentionMs: 1e9,
       takeOverPauseMs: 0,
       policies: DEFAULT_POLICIES,
