Stand-in for the store: read only the newer changes for a watch

Each waiting watch filtered all changes since the start, every 10 ms. With 100 entries or more, each with three watches, the stand-in's processor time would bound what the soak can show. It now walks back from the newest change. Answers are the same.

--- a/tests/standins/job_platform.ts
+++ b/tests/standins/job_platform.ts
@@ -166,8 +166,8 @@
     const deadline = Date.now() + Number(query.get("wait_ms"));
     for (;;) {
       this.#expireLeases();
-      const events = this.#events.filter(({ key, rev }) =>
-        rev > after && key.startsWith(prefix)
+      const events = this.#listEvents(after).filter(({ key }) =>
+        key.startsWith(prefix)
       );
       if (events.length > 0 || Date.now() >= deadline) {
         return { events, as_of: this.#revision };
@@ -176,6 +176,13 @@
     }
   }
 
+  /** Lists the changes after a revision, the oldest first. */
+  #listEvents(after: number): StoreEvent[] {
+    let first = this.#events.length;
+    while (first > 0 && this.#events[first - 1].rev > after) first--;
+    return this.#events.slice(first);
+  }
+
   #commit(body: TransactionBody): { status?: number; value?: unknown } {
     const hasExpectedRevisions = (body.expected_rev ?? []).every((
       { key, rev },
