Soak: tasks that crash endpoints, rooms that change, signals that overlap

Faults: a job whose payload makes each endpoint that starts a task of it crash within 10 ms, before or after the answer; the endpoint is back after 1 to 4 s at the same address, under its id or a new one. A room that shrinks to a quarter or more and grows again; its record follows within a heartbeat. Series of signals at one entry or two: a reload before and after SIGTERM while a configuration changes, two stops at once, a kill or a pause during a stop. Callers around a stop pause for up to 700 ms, so that idle connections are used until the process is gone.

Checks: a task that crashes endpoints is started at most twice more after three crashes; a job is shown as failed only if a task of it crashed two endpoints; a shrunk room counts CONTACT_MS and a heartbeat later; planned stops excuse no answer that is lost around another planned stop, which they did before. The soak reports its own stalls.

Changed tests: checker_test takes capacities from events, which can change; its cases and verdicts are as before.

--- a/tests/soak/caller.ts
+++ b/tests/soak/caller.ts
@@ -1,6 +1,7 @@
 import { Client } from "undici";
 import type { Random } from "../../packages/base/mod.ts";
 import { sleep } from "../standins/http_server.ts";
+import { formatTaskCrash, type TaskCrash } from "../standins/task_crash.ts";
 import { MAX_RUN_MS, MAX_STEPS } from "./constants.ts";
 import {
   CallKind,
@@ -21,8 +22,11 @@
 const MAX_RETRY_MS = 2_000;
 /** Pause between two actions of a caller, in milliseconds. */
 const ACTION_PAUSE_MS = 900;
-/** Pause between two calls around a planned stop, in milliseconds. */
-const PRESS_PAUSE_MS = 20;
+/**
+ * Pauses between two calls around a planned stop, in milliseconds, by the number
+ * of the caller: also connections that are idle for a while are used on.
+ */
+const PRESS_PAUSES_MS = [20, 20, 200, 700];
 /** Shares of a caller's actions; the others ask for the state of a job. */
 const SUBMIT_RATIO = 0.4;
 const CANCEL_RATIO = 0.03;
@@ -37,9 +41,12 @@
   after: [],
   runMs: 50,
 };
+/** Largest number of tasks of a job that crashes endpoints. */
+const MAX_CRASHING_TASKS = 2;
 const LONG_TASK_RATIO = 0.25;
 const SHORT_TASK_MS = 800;
 
+const END_STATES = new Set(["completed", "failed", "cancelled"]);
 const STATES = new Set([
   "pending",
   "running",
@@ -104,11 +111,11 @@
    */
   async pressEntry(entry: number, forMs: number): Promise<void> {
     const deadline = Date.now() + forMs;
-    const { view } = this.#parts;
+    const { view, number } = this.#parts;
     while (Date.now() < deadline && !this.#isStopped) {
       if (!this.#clients.has(entry) && !view.rotation.includes(entry)) return;
       await this.submitTo(entry, { isSmall: true });
-      await sleep(PRESS_PAUSE_MS);
+      await sleep(PRESS_PAUSES_MS[number % PRESS_PAUSES_MS.length]);
     }
   }
 
@@ -139,6 +146,16 @@
     return false;
   }
 
+  /** Submits a job whose tasks crash each endpoint that starts them. */
+  async submitCrashingJob(crash: TaskCrash): Promise<boolean> {
+    const job = this.#drawJob();
+    const [step] = job.steps;
+    const tasks = Math.min(step.tasks, MAX_CRASHING_TASKS);
+    job.payload += `; ${formatTaskCrash(crash)}`;
+    job.steps = [{ ...step, tasks, runMs: MAX_RUN_MS }];
+    return await this.submitJob(job);
+  }
+
   /** Submits a job once to this entry; returns the status of the answer. */
   async submitTo(
     entry: number,
@@ -155,7 +172,7 @@
   /** Asks for the state of a job; returns it, or "" without one. */
   async findJob(id: string): Promise<string> {
     const { call } = await this.#call(CallKind.Find, { id });
-    const isOver = call.state === "completed" || call.state === "cancelled";
+    const isOver = END_STATES.has(call.state);
     const index = this.#openJobs.findIndex((job) => job.id === id);
     if (isOver && index >= 0) this.#openJobs.splice(index, 1);
     if (call.status !== 200) this.#chooseOtherEntry();
--- a/tests/soak/checker.ts
+++ b/tests/soak/checker.ts
@@ -1,4 +1,5 @@
 import { match } from "ts-pattern";
+import { parseTaskCrash } from "../standins/task_crash.ts";
 import {
   type EndpointEvent,
   EndpointEventKind,
@@ -7,12 +8,16 @@
   CANCEL_MS,
   CONFIG_MS,
   CONTACT_MS,
+  GIVE_UP_CRASHES,
   LOSS_SLACK_MS,
+  MAX_STARTS_AFTER_CRASHES,
   RECOVER_MS,
   REVOKE_MS,
   STOP_GRACE_MS,
   VISIBLE_MS,
 } from "./constants.ts";
+import { KeyHistory } from "./key_history.ts";
+import { RoomHistory } from "./room_history.ts";
 import { findStep, listTasks, TaskHistory } from "./task_history.ts";
 import {
   CallKind,
@@ -48,21 +53,13 @@
   readonly violations: Violation[] = [];
   /** Number of events by kind. */
   readonly counts: Record<string, number> = {};
-  readonly #capacities: Map<string, { milliCores: number; memoryMb: number }>;
+  readonly #rooms = new RoomHistory();
   readonly #jobs = new Map<string, JobRecord>();
   readonly #tasks = new TaskHistory();
   readonly #faults: SoakFaultEvent[] = [];
-  /** Time from which each key is in force or withdrawn. */
-  readonly #keys = new Map<string, { at: number; isValid: boolean }>();
+  readonly #keys = new KeyHistory();
   #healedAt: number | undefined;
 
-  /** `capacities`: capacity of each endpoint by its id. */
-  constructor(
-    capacities: Map<string, { milliCores: number; memoryMb: number }>,
-  ) {
-    this.#capacities = capacities;
-  }
-
   observe(event: SoakEvent): void {
     this.counts[event.kind] = (this.counts[event.kind] ?? 0) + 1;
     match(event)
@@ -70,8 +67,9 @@
       .with({ kind: SoakEventKind.Call }, (call) => this.#observeCall(call))
       .with(
         { kind: SoakEventKind.Config },
-        (config) => this.#adoptConfig(config),
+        (config) => this.#keys.addConfig(config),
       )
+      .with({ kind: SoakEventKind.Room }, (room) => this.#rooms.addRoom(room))
       .with({ kind: SoakEventKind.Fault }, (fault) => this.#faults.push(fault))
       .with({ kind: SoakEventKind.Healed }, ({ at }) => this.#healedAt = at)
       .with(
@@ -90,11 +88,15 @@
       .exhaustive();
   }
 
-  /** Lists the accepted jobs that are not shown as completed. */
+  /**
+   * Lists the accepted jobs that are not shown as completed although they can be:
+   * their tasks crash no endpoints.
+   */
   listUnfinishedJobs(): string[] {
     return [...this.#jobs.values()]
-      .filter(({ acceptedAt, isCompleted, cancelSentAt }) =>
-        acceptedAt !== undefined && !isCompleted && cancelSentAt === undefined
+      .filter(({ job, acceptedAt, isCompleted, cancelSentAt }) =>
+        acceptedAt !== undefined && !isCompleted &&
+        cancelSentAt === undefined && !parseTaskCrash(job.payload)
       ).map(({ job }) => job.id);
   }
 
@@ -132,19 +134,6 @@
     });
   }
 
-  #adoptConfig({ at, keys }: { at: number; keys: string[] }): void {
-    for (const [key, state] of this.#keys) {
-      if (state.isValid && !keys.includes(key)) {
-        this.#keys.set(key, { at, isValid: false });
-      }
-    }
-    for (const key of keys) {
-      if (!this.#keys.get(key)?.isValid) {
-        this.#keys.set(key, { at, isValid: true });
-      }
-    }
-  }
-
   #observeCall(call: SoakCall): void {
     const record = this.#jobs.get(call.job);
     if (!record) return;
@@ -165,7 +154,7 @@
   }
 
   #checkKey(call: SoakCall): void {
-    const key = this.#keys.get(call.key);
+    const key = this.#keys.getState(call.key);
     const isSuccess = call.status >= 200 && call.status < 300;
     const ageMs = key ? call.sentAt - key.at : Infinity;
     const report = (detail: string) =>
@@ -192,7 +181,7 @@
       stoppedEntry === call.entry && call.at >= at &&
       call.sentAt <= at + STOP_GRACE_MS + 1_000
     );
-    if (!stop || !this.#isCalm(call, stop)) return;
+    if (!stop || !this.#isCalm(call, { allowsStops: true })) return;
     this.#report(Rule.PlannedStop, {
       at: call.at,
       subject,
@@ -223,11 +212,21 @@
     }
     const isCancelled = call.state === "cancelled" &&
       cancelSentAt === undefined;
-    if (call.state === "failed" || isCancelled) {
+    const isFailed = call.state === "failed" &&
+      !this.#mayGiveUp(job, call.at);
+    if (isFailed || isCancelled) {
       report(Rule.State, `${call.state} without cause`);
     }
   }
 
+  /** Returns whether a task of the job has crashed enough endpoints by then. */
+  #mayGiveUp(job: SoakJob, by: number): boolean {
+    if (!parseTaskCrash(job.payload)) return false;
+    return listTasks(job).some(({ name }) =>
+      this.#tasks.listCrashes(name, by).length >= GIVE_UP_CRASHES
+    );
+  }
+
   #observeStart(start: EndpointEvent): void {
     const task = this.#tasks.getTask(start.task);
     const report = (rule: Rule, detail: string) =>
@@ -248,7 +247,13 @@
       report(Rule.Unasked, start.detail);
       return;
     }
-    this.#checkCapacity(start, (detail) => report(Rule.Capacity, detail));
+    this.#checkRoom(start, (detail) => report(Rule.Capacity, detail));
+    const startsAfterCrashes = parseTaskCrash(start.detail)
+      ? this.#tasks.countStartsAfterCrashes(start)
+      : 0;
+    if (startsAfterCrashes > MAX_STARTS_AFTER_CRASHES) {
+      report(Rule.Crashes, `${startsAfterCrashes} starts after three crashes`);
+    }
     const earlier = listTasks(record.job).find(({ name, step: number }) =>
       step.after.includes(number) && !this.#tasks.hasDone(name, start.at)
     );
@@ -262,11 +267,7 @@
     }
   }
 
-  #checkCapacity(
-    start: EndpointEvent,
-    report: (detail: string) => void,
-  ): void {
-    const capacity = this.#capacities.get(start.endpoint);
+  #checkRoom(start: EndpointEvent, report: (detail: string) => void): void {
     const used = { milliCores: 0, memoryMb: 0 };
     for (const { task } of this.#tasks.listRuns(start.endpoint)) {
       const record = this.#findJob(task);
@@ -274,9 +275,8 @@
       used.milliCores += step?.milliCores ?? 0;
       used.memoryMb += step?.memoryMb ?? 0;
     }
-    const isExceeded = !capacity || used.milliCores > capacity.milliCores ||
-      used.memoryMb > capacity.memoryMb;
-    if (isExceeded) report(`${used.milliCores} mC, ${used.memoryMb} MB`);
+    if (this.#rooms.fits(used, start)) return;
+    report(`${used.milliCores} mC, ${used.memoryMb} MB`);
   }
 
   #observeAcknowledged(event: EndpointEvent): void {
@@ -304,15 +304,15 @@
   }
 
   /**
-   * Returns whether there was no fault, apart from `exception`, from
-   * `CONTACT_MS` before the time span until its end.
+   * Returns whether there was no fault from `CONTACT_MS` before the time span
+   * until its end; with `allowsStops`, no fault apart from planned stops.
    */
   #isCalm(
     { sentAt, at }: { sentAt: number; at: number },
-    exception?: SoakFaultEvent,
+    { allowsStops = false }: { allowsStops?: boolean } = {},
   ): boolean {
     return !this.#faults.some((fault) =>
-      fault !== exception && fault.at <= at &&
+      !(allowsStops && fault.stoppedEntry >= 0) && fault.at <= at &&
       fault.endsAt >= sentAt - CONTACT_MS
     );
   }
--- a/tests/soak/checker_test.ts
+++ b/tests/soak/checker_test.ts
@@ -3,13 +3,16 @@
   type EndpointEvent,
   EndpointEventKind,
 } from "../standins/endpoint_lifetime.ts";
+import { formatTaskCrash } from "../standins/task_crash.ts";
 import { SoakChecker } from "./checker.ts";
+import { CONTACT_MS, HEARTBEAT_MS, MAX_LATE_MS } from "./constants.ts";
 import {
   CallKind,
   Rule,
   type SoakCall,
   type SoakEvent,
   SoakEventKind,
+  type SoakRoom,
 } from "./types.ts";
 
 const ID = "00000000000000a1";
@@ -25,6 +28,7 @@
     steps: [{ ...STEP, after: [] }, { ...STEP, after: [0] }],
   },
 };
+const ROOMS = ["w0", "w1"].map((endpoint) => makeRoom({ endpoint }));
 const CONFIG: SoakEvent = { kind: SoakEventKind.Config, at: 0, keys: ["k1"] };
 const PLANNED_STOP: SoakEvent = {
   kind: SoakEventKind.Fault,
@@ -39,6 +43,17 @@
   keys: ["k2"],
 };
 
+function makeRoom(event: Partial<SoakRoom>): SoakRoom {
+  return {
+    kind: SoakEventKind.Room,
+    at: 0,
+    endpoint: "w0",
+    milliCores: 4_000,
+    memoryMb: 8_000,
+    ...event,
+  };
+}
+
 function makeRun(event: Partial<EndpointEvent>): EndpointEvent {
   return {
     kind: EndpointEventKind.Started,
@@ -87,11 +102,10 @@
 }
 
 function findBrokenRules(events: SoakEvent[]): Rule[] {
-  const capacity = { milliCores: 4_000, memoryMb: 8_000 };
-  const checker = new SoakChecker(
-    new Map([["w0", capacity], ["w1", capacity]]),
-  );
-  for (const event of [CONFIG, JOB, ...events]) checker.observe(event);
+  const checker = new SoakChecker();
+  for (const event of [CONFIG, ...ROOMS, JOB, ...events]) {
+    checker.observe(event);
+  }
   checker.finish(events.at(-1)!.at);
   return [...new Set(checker.violations.map(({ rule }) => rule))];
 }
@@ -172,6 +186,92 @@
   ]);
 });
 
+const SHRUNK = makeRoom({ at: 1_000, milliCores: 2_000 });
+
+test("a start beyond a room that has shrunk is found a while later", (t) => {
+  const startAt = (at: number, isLate = false) => [
+    SHRUNK,
+    ACCEPTED,
+    makeRun({ at, isLate }),
+    makeEnd({ at: at + 100 }),
+    makeRun({ at: at + 200, task: SECOND_TASK, endpoint: "w1" }),
+    makeEnd({ at: at + 300, task: SECOND_TASK, endpoint: "w1" }),
+    makeCall({ at: at + 400, call: CallKind.Find, state: "completed" }),
+  ];
+  const countedFrom = SHRUNK.at + CONTACT_MS + HEARTBEAT_MS;
+  checkRule(t, Rule.Capacity, startAt(countedFrom));
+  t.deepEqual(findBrokenRules(startAt(countedFrom - 1)), []);
+  t.deepEqual(findBrokenRules(startAt(countedFrom, true)), []);
+  checkRule(t, Rule.Capacity, startAt(countedFrom + MAX_LATE_MS, true));
+});
+
+test("a room that shrinks and grows again counts as grown", (t) => {
+  const grown = makeRoom({ at: 7_000 });
+  t.deepEqual(
+    findBrokenRules([
+      SHRUNK,
+      grown,
+      ACCEPTED,
+      makeRun({ at: 7_100 }),
+      makeEnd({ at: 7_200 }),
+      makeRun({ at: 7_300, task: SECOND_TASK }),
+      makeEnd({ at: 7_400, task: SECOND_TASK }),
+      makeCall({ at: 7_500, call: CallKind.Find, state: "completed" }),
+    ]),
+    [],
+  );
+});
+
+const CRASHING_ID = "00000000000000c1";
+const CRASHING_TASK = `${CRASHING_ID}.0.0.0`;
+const PAYLOAD = formatTaskCrash({ isAnswered: true, afterMs: 5 });
+const CRASHING_JOB: SoakEvent = {
+  kind: SoakEventKind.Job,
+  at: 0,
+  job: {
+    id: CRASHING_ID,
+    payload: PAYLOAD,
+    steps: [{ ...STEP, after: [] }],
+  },
+};
+
+/** Lists starts of the crashing task, each with the crash of its endpoint. */
+function listCrashingRuns(count: number): SoakEvent[] {
+  return Array.from({ length: count }, (_, n) => {
+    const run = { task: CRASHING_TASK, run: n + 1, born: n };
+    const at = 1_000 * (n + 1);
+    return [
+      makeRun({ ...run, at, detail: PAYLOAD }),
+      makeEnd({ ...run, at: at + 5, detail: "crashed" }),
+    ];
+  }).flat();
+}
+
+test("a task that is started too often after it crashed endpoints is found", (t) => {
+  const accepted = makeCall({ job: CRASHING_ID });
+  const start = [CRASHING_JOB, accepted, ...WHOLE_JOB];
+  checkRule(t, Rule.Crashes, [...start, ...listCrashingRuns(6)]);
+  t.deepEqual(findBrokenRules([...start, ...listCrashingRuns(5)]), []);
+});
+
+test("a job is given up only after its own tasks crashed two endpoints", (t) => {
+  const start = [CRASHING_JOB, makeCall({ job: CRASHING_ID }), ...WHOLE_JOB];
+  const findFailed = (at: number) =>
+    makeCall({ at, job: CRASHING_ID, call: CallKind.Find, state: "failed" });
+  const runs = listCrashingRuns(2);
+  t.deepEqual(findBrokenRules([...start, ...runs, findFailed(3_000)]), []);
+  checkRule(t, Rule.State, [...start, ...runs.slice(0, 2), findFailed(1_500)]);
+});
+
+test("a job whose tasks only ran on crashed endpoints is not given up", (t) => {
+  const runs = [1, 2].flatMap((run) => [
+    makeRun({ run, at: 1_000 * run }),
+    makeEnd({ run, at: 1_000 * run + 5, detail: "crashed" }),
+  ]);
+  const failed = makeCall({ at: 3_000, call: CallKind.Find, state: "failed" });
+  t.true(findBrokenRules([ACCEPTED, ...runs, failed]).includes(Rule.State));
+});
+
 test("a start before an earlier step is done is found", (t) => {
   checkRule(t, Rule.Order, [
     ACCEPTED,
@@ -238,6 +338,13 @@
 test("an answer that is lost around a planned stop is found, unless other faults are near", (t) => {
   const call = makeCall({ sentAt: 20_500, at: 21_000, status: 0 });
   checkRule(t, Rule.PlannedStop, [...WHOLE_JOB, PLANNED_STOP, call]);
+  const otherStop = { ...PLANNED_STOP, at: 20_200, stoppedEntry: 2 };
+  checkRule(t, Rule.PlannedStop, [
+    ...WHOLE_JOB,
+    PLANNED_STOP,
+    otherStop,
+    call,
+  ]);
   const fault: SoakEvent = { ...PLANNED_STOP, at: 15_000, endsAt: 18_000 };
   const other: SoakEvent = { ...fault, stoppedEntry: -1 };
   t.deepEqual(
--- a/tests/soak/constants.ts
+++ b/tests/soak/constants.ts
@@ -1,6 +1,21 @@
 /** A calm machine was without a fault for this time, in ms; the users' rules. */
 export const CONTACT_MS = 3_000;
 
+/** Interval at which endpoints write their records, in milliseconds. */
+export const HEARTBEAT_MS = 1_500;
+
+/** Longest time by which an endpoint carries out an order late, in ms. */
+export const MAX_LATE_MS = 12_000;
+
+/** Crashes under a task from which its starts are counted; the users' rules. */
+export const COUNTED_CRASHES = 3;
+
+/** Largest number of starts of such a task after them; the users' rules. */
+export const MAX_STARTS_AFTER_CRASHES = 2;
+
+/** Fewest crashes under a task whose job may be shown as failed. */
+export const GIVE_UP_CRASHES = 2;
+
 /** Time until a cancelled job starts nothing, in ms; the users' rules. */
 export const CANCEL_MS = 3_000;
 
--- a/tests/soak/inject_faults.ts
+++ b/tests/soak/inject_faults.ts
@@ -1,8 +1,16 @@
 import { match } from "ts-pattern";
 import { sleep } from "../standins/http_server.ts";
 import type { LinkRule } from "../standins/relay.ts";
-import { STOP_GRACE_MS } from "./constants.ts";
-import { LinkPair, OWNER, type SoakFault, SoakFaultKind } from "./schedule.ts";
+import type { TaskCrash } from "../standins/task_crash.ts";
+import { HEARTBEAT_MS, STOP_GRACE_MS } from "./constants.ts";
+import {
+  LinkPair,
+  MAX_DELAY_MS,
+  OWNER,
+  PRESS_LEAD_MS,
+  type SoakFault,
+  SoakFaultKind,
+} from "./schedule.ts";
 import type { SoakSite } from "./soak_site.ts";
 import { type SoakEvent, SoakEventKind } from "./types.ts";
 
@@ -11,10 +19,15 @@
   SoakFaultKind.Reload,
   SoakFaultKind.ChangeConfig,
   SoakFaultKind.WithdrawKey,
+  SoakFaultKind.CrashingJob,
+  SoakFaultKind.RoomChange,
 ]);
-
-/** Time for callers to open connections before a planned stop, in ms. */
-const PRESS_LEAD_MS = 500;
+/** Latest time of a crash after the start of the task that causes it, in ms. */
+const MAX_CRASH_AFTER_MS = 10;
+/** Smallest room of an endpoint, as a fraction of its usual one. */
+const LEAST_ROOM = 0.25;
+/** Largest room of an endpoint that has shrunk. */
+const MOST_SHRUNK_ROOM = 0.75;
 
 /** What the injector needs of a run. */
 export interface InjectorParts {
@@ -22,6 +35,8 @@
   onEvent: (event: SoakEvent) => void;
   /** Writes a configuration; with `isNewKey`, with a new key only. */
   applyConfig: (options: { isNewKey: boolean }) => void;
+  /** Lets a caller submit a job whose tasks crash endpoints. */
+  submitCrashingJob: (crash: TaskCrash) => Promise<void>;
 }
 
 /** Injects one fault; resolves when it has ended. */
@@ -30,6 +45,7 @@
   fault: SoakFault,
 ): Promise<void> {
   const { site, onEvent } = parts;
+  const { leadMs = 0 } = fault;
   const entryNumber = fault.entry === OWNER ? site.findOwner() : fault.entry;
   if (!HARMLESS_KINDS.has(fault.kind)) {
     const isStop = fault.kind === SoakFaultKind.PlannedStop;
@@ -37,17 +53,18 @@
     onEvent({
       kind: SoakEventKind.Fault,
       at,
-      endsAt: at + fault.lastsMs + fault.delayMs +
+      endsAt: at + leadMs + fault.lastsMs + fault.delayMs +
         (isStop ? PRESS_LEAD_MS + STOP_GRACE_MS : 0),
       fault: fault.kind,
       stoppedEntry: isStop ? entryNumber : -1,
     });
   }
+  await sleep(leadMs);
   await carryOut(parts, fault, { entryNumber });
 }
 
 async function carryOut(
-  { site, applyConfig }: InjectorParts,
+  { site, applyConfig, submitCrashingJob }: InjectorParts,
   fault: SoakFault,
   { entryNumber }: { entryNumber: number },
 ): Promise<void> {
@@ -136,6 +153,19 @@
       await sleep(lastsMs);
       endpoint.isStalled = false;
     })
+    .with(SoakFaultKind.CrashingJob, () =>
+      submitCrashingJob({
+        isAnswered: delayMs % 2 === 0,
+        afterMs: delayMs % MAX_CRASH_AFTER_MS,
+      }))
+    .with(SoakFaultKind.RoomChange, async () => {
+      const range = MOST_SHRUNK_ROOM - LEAST_ROOM;
+      const fraction = LEAST_ROOM + range * delayMs / MAX_DELAY_MS;
+      const recordDelayMs = delayMs % HEARTBEAT_MS;
+      await site.changeRoom(endpoint, { fraction, recordDelayMs });
+      await sleep(lastsMs);
+      await site.changeRoom(endpoint, { fraction: 1, recordDelayMs });
+    })
     .with(SoakFaultKind.ChangeConfig, () => applyConfig({ isNewKey: false }))
     .with(SoakFaultKind.WithdrawKey, () => applyConfig({ isNewKey: true }))
     .exhaustive();
--- a/tests/soak/run_soak.ts
+++ b/tests/soak/run_soak.ts
@@ -1,7 +1,10 @@
 import { appendFileSync, mkdirSync, rmSync, writeFileSync } from "node:fs";
-import { createServer, type Server } from "node:net";
 import { join } from "node:path";
-import { request } from "undici";
+import process from "node:process";
+import {
+  type LoopStall,
+  StallDetector,
+} from "../../packages/scheduler/loop_monitor.ts";
 import { sleep } from "../standins/http_server.ts";
 import { SoakCaller } from "./caller.ts";
 import { SoakChecker } from "./checker.ts";
@@ -13,6 +16,7 @@
   RECOVER_MS,
   STOP_GRACE_MS,
 } from "./constants.ts";
+import { fetchReadiness, reserveNetwork } from "./network.ts";
 import { injectFault } from "./inject_faults.ts";
 import {
   createRandom,
@@ -20,7 +24,7 @@
   drawFaults,
   type SoakFault,
 } from "./schedule.ts";
-import { CAPACITY, SoakSite } from "./soak_site.ts";
+import { SoakSite } from "./soak_site.ts";
 import { findStep } from "./task_history.ts";
 import {
   type SoakEvent,
@@ -48,9 +52,6 @@
 const FIRST_PROBE = 1 + CALLERS + PRESSING_CALLERS;
 /** Time for which callers press a stopping entry, in milliseconds. */
 const PRESS_MS = 1_000 + STOP_GRACE_MS;
-const FIRST_NETWORK = 60;
-const NETWORKS = 120;
-const RESERVATION_PORT = 7_109;
 
 /** What to run: the size of the site, the seed and the time of the faults. */
 export interface SoakOptions {
@@ -82,6 +83,8 @@
   directory: string;
   /** Unix milliseconds of the start of the load. */
   startedAt: number;
+  /** Times in which the soak itself did nothing, so that its clock is doubtful. */
+  stalls: (LoopStall & { at: number })[];
 }
 
 /** Runs the entries under the faults of a seed and checks their promises. */
@@ -96,24 +99,6 @@
   }
 }
 
-/** Reserves addresses that no other soak on this machine uses. */
-async function reserveNetwork(
-  seed: number,
-): Promise<{ network: string; reservation: Server }> {
-  for (let n = 0; n < NETWORKS; n++) {
-    const network = `127.${FIRST_NETWORK + (seed + n) % NETWORKS}`;
-    const reservation = createServer();
-    const isFree = await new Promise<boolean>((resolve) => {
-      reservation.once("error", () => resolve(false));
-      reservation.listen(RESERVATION_PORT, `${network}.0.1`, () => {
-        resolve(true);
-      });
-    });
-    if (isFree) return { network, reservation };
-  }
-  throw new Error("Other soaks use all addresses");
-}
-
 class SoakRun {
   readonly #options: SoakOptions;
   readonly #directory: string;
@@ -130,6 +115,8 @@
   readonly #timers: NodeJS.Timeout[] = [];
   #pendingEvents: SoakEvent[] = [];
   #reportedCount = 0;
+  readonly #stallDetector = new StallDetector();
+  readonly #stalls: SoakReport["stalls"] = [];
 
   constructor(options: SoakOptions, network: string) {
     this.#options = options;
@@ -142,11 +129,7 @@
       bundle: options.bundle ?? BUNDLE,
     });
     this.#misses = Array.from({ length: entries }, () => MAX_MISSES);
-    const capacities = Array.from(
-      { length: options.endpoints },
-      (_, n): [string, typeof CAPACITY] => [`w${n}`, CAPACITY],
-    );
-    this.#checker = new SoakChecker(new Map(capacities));
+    this.#checker = new SoakChecker();
     const record = (event: SoakEvent) => this.#record(event);
     const callerCount = FIRST_PROBE + entries;
     for (let number = 0; number < callerCount; number++) {
@@ -190,6 +173,9 @@
           if (event.kind === SoakEventKind.Fault) this.#pressStopping(event);
         },
         applyConfig: (change) => this.#applyConfig(change),
+        submitCrashingJob: async (crash) => {
+          await callers[fault.other % CALLERS].submitCrashingJob(crash);
+        },
       }, fault);
     });
     await Promise.all([sleep(durationMs), ...injected]);
@@ -262,6 +248,7 @@
 
   /** Lets the checker observe the events up to this time. */
   #check(until: number): void {
+    this.#noteTick(Date.now());
     this.#site.endDueRuns(Date.now());
     const events = this.#pendingEvents.filter(({ at }) => at <= until);
     if (events.length === 0) return;
@@ -273,6 +260,13 @@
     this.#reportViolations();
   }
 
+  #noteTick(now: number): void {
+    const { user, system } = process.cpuUsage();
+    const cpuMs = (user + system) / 1_000;
+    const stall = this.#stallDetector.noteTick({ now, cpuMs });
+    if (stall) this.#stalls.push({ at: now, ...stall });
+  }
+
   #reportViolations(): void {
     const { violations } = this.#checker;
     for (const violation of violations.slice(this.#reportedCount)) {
@@ -283,7 +277,10 @@
 
   async #checkReadiness(): Promise<void> {
     await Promise.all(this.#misses.map(async (_, entry) => {
-      const isReady = await fetchReadiness(this.#site.getReadinessUrl(entry));
+      const isReady = await fetchReadiness(
+        this.#site.getReadinessUrl(entry),
+        READINESS_INTERVAL_MS,
+      );
       this.#misses[entry] = isReady ? 0 : this.#misses[entry] + 1;
     }));
     const entries = this.#misses.map((_, entry) => entry);
@@ -336,18 +333,7 @@
       timeLine,
       directory: this.#directory,
       startedAt,
+      stalls: this.#stalls,
     };
   }
 }
-
-async function fetchReadiness(url: string): Promise<boolean> {
-  try {
-    const answer = await request(url, {
-      signal: AbortSignal.timeout(READINESS_INTERVAL_MS),
-    });
-    await answer.body.dump();
-    return answer.statusCode === 200;
-  } catch {
-    return false;
-  }
-}
--- a/tests/soak/schedule.ts
+++ b/tests/soak/schedule.ts
@@ -19,6 +19,10 @@
   EndpointStall = "endpoint_stall",
   ChangeConfig = "change_config",
   WithdrawKey = "withdraw_key",
+  /** A caller submits a job whose tasks crash each endpoint that starts them. */
+  CrashingJob = "crashing_job",
+  /** The room of an endpoint shrinks, and grows again. */
+  RoomChange = "room_change",
 }
 
 /** Pairs of programs whose connections can fail. */
@@ -43,6 +47,8 @@
   link: LinkFault;
   /** Delay, in milliseconds, of faults that delay something. */
   delayMs: number;
+  /** Time from the choice of the entry to the fault, in ms; 0 if omitted. */
+  leadMs?: number;
 }
 
 /** Size of the site and time in which faults begin, in milliseconds. */
@@ -52,6 +58,12 @@
   durationMs: number;
 }
 
+/** Time for callers to open connections before a planned stop, in ms. */
+export const PRESS_LEAD_MS = 500;
+
+/** Longest delay of faults other than late orders, in milliseconds. */
+export const MAX_DELAY_MS = 1_550;
+
 /** Stands for the entry that owns the cell when the fault begins. */
 export const OWNER = -1;
 
@@ -66,7 +78,6 @@
 const MAX_FAULT_MS = 8_000;
 const WARM_UP_DRAWS = 50;
 const MIN_DELAY_MS = 50;
-const MAX_DELAY_MS = 1_550;
 /**
  * The platform carries out late orders after 2 to 12 s; the delay of a link may
  * come on top.
@@ -74,11 +85,17 @@
 const LATE_ORDER_RANGE_MS = [2_000, 12_000 - MAX_DELAY_MS];
 /** Share of the faults of entries that apply to the owner. */
 const OWNER_RATIO = 0.4;
+/** Share of the series that are signals to entries which overlap. */
+const SIGNALS_RATIO = 0.25;
+/** Time in which the signals of such a series are sent, in milliseconds. */
+const SIGNALS_MS = 3_500;
 /** Share of the seeds that begin with a planned stop and nothing beside it. */
 const CALM_STOP_RATIO = 0.5;
 
 const KINDS = [
   ...Object.values(SoakFaultKind),
+  SoakFaultKind.CrashingJob,
+  SoakFaultKind.RoomChange,
   // Each kind of fault of a link is as likely as another fault.
   ...Object.values(LinkFault).map(() => SoakFaultKind.Link),
 ];
@@ -101,6 +118,9 @@
     atMs += MAX_PAUSE_MS;
   }
   while (atMs < site.durationMs) {
+    const isSignals = random.drawFloat() < SIGNALS_RATIO;
+    const signals = isSignals ? drawSignals(random, site, atMs) : [];
+    faults.push(...signals);
     const count = 1 + random.drawInt(MAX_SERIES);
     for (let n = 0; n < count && atMs < site.durationMs; n++) {
       faults.push(drawFault(random, site, atMs));
@@ -108,7 +128,42 @@
     }
     atMs += random.drawInt(MAX_PAUSE_MS);
   }
-  return faults;
+  return faults.sort((a, b) => a.atMs - b.atMs);
+}
+
+/** Draws signals that reach an entry, or two, while others are being handled. */
+function drawSignals(
+  random: Random,
+  site: ScheduleSite,
+  atMs: number,
+): SoakFault[] {
+  const fault = drawFault(random, site, atMs);
+  const stop = { ...fault, kind: SoakFaultKind.PlannedStop, lastsMs: 0 };
+  const drawAt = () =>
+    Math.min(site.durationMs, atMs + random.drawInt(SIGNALS_MS / 2));
+  const drawLead = () => PRESS_LEAD_MS + random.drawInt(SIGNALS_MS);
+  const reload = { ...stop, kind: SoakFaultKind.Reload };
+  const series: SoakFault[][] = [
+    // A reload before and after SIGTERM, while a configuration changes.
+    [
+      { ...stop, kind: SoakFaultKind.ChangeConfig, atMs: drawAt() },
+      { ...reload, leadMs: random.drawInt(PRESS_LEAD_MS) },
+      { ...reload, leadMs: drawLead() },
+      stop,
+    ],
+    // Two stops at once.
+    [stop, { ...stop, entry: random.drawInt(site.entries), atMs: drawAt() }],
+    // A kill during a planned stop.
+    [stop, { ...stop, kind: SoakFaultKind.Kill, leadMs: drawLead() }],
+    // A pause during a planned stop, or SIGTERM during a pause.
+    [stop, {
+      ...fault,
+      kind: SoakFaultKind.Pause,
+      lastsMs: Math.min(fault.lastsMs, SIGNALS_MS),
+      leadMs: random.drawInt(SIGNALS_MS),
+    }],
+  ];
+  return series[random.drawInt(series.length)];
 }
 
 function drawFault(
--- a/tests/soak/schedule_test.ts
+++ b/tests/soak/schedule_test.ts
@@ -33,6 +33,35 @@
   t.true(overlaps.length > 45);
 });
 
+test("fifty seeds hold stops during reloads, kills, pauses and other stops", (t) => {
+  const schedules = SEEDS.map((seed) => drawFaults(seed, SITE));
+  for (
+    const kind of [
+      SoakFaultKind.Reload,
+      SoakFaultKind.Kill,
+      SoakFaultKind.Pause,
+    ]
+  ) {
+    t.true(
+      schedules.some((faults) =>
+        faults.some((fault) =>
+          fault.kind === kind && fault.leadMs !== undefined &&
+          faults.some((stop) =>
+            stop.kind === SoakFaultKind.PlannedStop &&
+            stop.atMs === fault.atMs && stop.entry === fault.entry
+          )
+        )
+      ),
+    );
+  }
+  t.true(schedules.some((faults) => {
+    const stops = faults.filter(({ kind }) =>
+      kind === SoakFaultKind.PlannedStop
+    );
+    return stops.some(({ atMs }, n) => stops[n + 1]?.atMs - atMs < 2_000);
+  }));
+});
+
 test("every fault ends with the time of the faults", (t) => {
   for (const fault of SEEDS.flatMap((seed) => drawFaults(seed, SITE))) {
     t.true(fault.atMs + fault.lastsMs <= SITE.durationMs);
--- a/tests/soak/soak_site.ts
+++ b/tests/soak/soak_site.ts
@@ -1,14 +1,15 @@
 import type { Random } from "../../packages/base/mod.ts";
 import { EndpointStandIn } from "../standins/endpoint.ts";
-import type { EndpointEvent } from "../standins/endpoint_lifetime.ts";
 import {
   PolicyServiceStandIn,
   StoreStandIn,
   VmServiceStandIn,
 } from "../standins/job_platform.ts";
+import { sleep } from "../standins/http_server.ts";
 import { type LinkRule, Relay } from "../standins/relay.ts";
-import { createRandom } from "./schedule.ts";
 import { EntryPort, EntryProcess } from "./entry_process.ts";
+import { createRandom } from "./schedule.ts";
+import { type SoakEvent, SoakEventKind } from "./types.ts";
 
 /** Added to a server's port to get the port of its relay. */
 const RELAY_PORT_OFFSET = 1_000;
@@ -24,9 +25,12 @@
 /** Durations of a transaction, in milliseconds: a near and a distant store. */
 const TRANSACTION_MS = [0, 50, 200];
 const OWNER_KEY = "baobabhead/cell/owner";
-
-/** Capacity of each endpoint. */
-export const CAPACITY = { milliCores: 4_000, memoryMb: 8_000 };
+/** Time until an endpoint is back that a task has crashed, in milliseconds. */
+const CRASH_RANGE_MS = [1_000, 4_000];
+/** Share of these endpoints that come back under another id. */
+const NEW_ID_RATIO = 0.5;
+/** Capacity of each endpoint unless a fault has changed it. */
+const CAPACITY = { milliCores: 4_000, memoryMb: 8_000 };
 
 /** Size of a site of the soak. */
 export interface SiteSize {
@@ -49,10 +53,14 @@
   readonly #directory: string;
   readonly #bundle: string;
   readonly #downEndpoints = new Set<EndpointStandIn>();
+  /** Capacity of each endpoint as a fraction of `CAPACITY`; 1 if not set. */
+  readonly #roomFractions = new Map<EndpointStandIn, number>();
+  #random = createRandom(0);
+  #isStopped = false;
   readonly #rules = new Set<LinkRule>();
   #configVersion = 0;
-  /** Called with each event of a run. */
-  onEvent: (event: EndpointEvent) => void = () => {};
+  /** Called with each event of a run, and with each change of a capacity. */
+  onEvent: (event: SoakEvent) => void = () => {};
   /** Returns the duration of a task, in milliseconds. */
   measureDuration: (task: string) => number = () => 0;
 
@@ -77,6 +85,7 @@
 
   async start(size: SiteSize, seed: number): Promise<void> {
     const random = createRandom(seed);
+    this.#random = createRandom(seed + 1);
     const host = this.platformHost;
     this.store.transactionMs =
       TRANSACTION_MS[random.drawInt(TRANSACTION_MS.length)];
@@ -109,6 +118,7 @@
 
   /** Ends every process and server that this site started. */
   async stop(): Promise<void> {
+    this.#isStopped = true;
     await Promise.all(this.entries.map((entry) => entry.kill()));
     for (const endpoint of this.endpoints) endpoint.stop();
     this.relay.stop();
@@ -180,19 +190,36 @@
     if (this.#downEndpoints.has(endpoint)) return;
     this.#downEndpoints.add(endpoint);
     endpoint.crash();
+    const { id } = endpoint;
     setTimeout(() => {
-      if (!this.#downEndpoints.has(endpoint)) return;
-      this.store.remove(`servers/${endpoint.id}`);
+      const isBack = !this.#downEndpoints.has(endpoint) && endpoint.id === id;
+      if (!isBack) this.store.remove(`servers/${id}`);
     }, RECORD_LIFETIME_MS);
   }
 
-  /** Starts an endpoint again under the same id and at the same address. */
-  async restartEndpoint(endpoint: EndpointStandIn): Promise<void> {
-    if (!this.#downEndpoints.delete(endpoint)) return;
-    await endpoint.restart();
+  /** Starts an endpoint again at the same address, by default as this id. */
+  async restartEndpoint(endpoint: EndpointStandIn, id?: string): Promise<void> {
+    if (this.#isStopped || !this.#downEndpoints.delete(endpoint)) return;
+    await endpoint.restart(id);
+    this.#vms.add(`m${this.endpoints.indexOf(endpoint)}`, endpoint.id);
+    this.#recordRoom(endpoint);
     this.#putRecord(endpoint);
   }
 
+  /**
+   * Changes an endpoint's capacity to a fraction of the usual one; its record
+   * follows after `recordDelayMs`.
+   */
+  async changeRoom(
+    endpoint: EndpointStandIn,
+    options: { fraction: number; recordDelayMs: number },
+  ): Promise<void> {
+    this.#roomFractions.set(endpoint, options.fraction);
+    this.#recordRoom(endpoint);
+    await sleep(options.recordDelayMs);
+    if (!this.#downEndpoints.has(endpoint)) this.#putRecord(endpoint);
+  }
+
   /** Records the ends of runs up to this time. */
   endDueRuns(now: number): void {
     for (const endpoint of this.endpoints) endpoint.endDueRuns(now);
@@ -205,22 +232,55 @@
     endpoint.stopMs = STOP_MS;
     endpoint.measureDuration = (task) => this.measureDuration(task);
     endpoint.onEvent = (event) => this.onEvent(event);
+    endpoint.onTaskCrash = () => void this.#crashByTask(endpoint);
     await endpoint.start(address);
     await this.#addRelay(address);
     this.endpoints.push(endpoint);
     this.#vms.add(`m${n}`, endpoint.id);
+    this.#recordRoom(endpoint);
     this.#putRecord(endpoint);
   }
 
+  /** Crashes an endpoint, which comes back seconds later. */
+  async #crashByTask(endpoint: EndpointStandIn): Promise<void> {
+    const [leastMs, mostMs] = CRASH_RANGE_MS;
+    const downMs = leastMs + this.#random.drawInt(mostMs - leastMs);
+    const hasNewId = this.#random.drawFloat() < NEW_ID_RATIO;
+    this.crashEndpoint(endpoint);
+    await sleep(downMs);
+    await this.restartEndpoint(
+      endpoint,
+      hasNewId ? `${endpoint.id}n` : undefined,
+    );
+  }
+
+  #getRoom(endpoint: EndpointStandIn): typeof CAPACITY {
+    const fraction = this.#roomFractions.get(endpoint) ?? 1;
+    return {
+      milliCores: Math.floor(CAPACITY.milliCores * fraction),
+      memoryMb: Math.floor(CAPACITY.memoryMb * fraction),
+    };
+  }
+
+  #recordRoom(endpoint: EndpointStandIn): void {
+    this.onEvent({
+      kind: SoakEventKind.Room,
+      at: Date.now(),
+      endpoint: endpoint.id,
+      ...this.#getRoom(endpoint),
+    });
+  }
+
   #putRecord(endpoint: EndpointStandIn): void {
     const n = this.endpoints.indexOf(endpoint);
     const host = this.getEndpointHost(n);
+    const room = this.#getRoom(endpoint);
     this.store.put(`servers/${endpoint.id}`, {
       service: "desk",
       addr: `${host}:${ENDPOINT_PORT + RELAY_PORT_OFFSET}`,
       zone: "a",
       state: "ready",
-      room: { cpu: CAPACITY.milliCores, mem_mb: CAPACITY.memoryMb },
+      room: { cpu: room.milliCores, mem_mb: room.memoryMb },
       labels: ["a", `r${n % 3}`],
       born: endpoint.born,
       seq: 1,
--- a/tests/soak/task_history.ts
+++ b/tests/soak/task_history.ts
@@ -1,4 +1,5 @@
 import type { EndpointEvent } from "../standins/endpoint_lifetime.ts";
+import { COUNTED_CRASHES } from "./constants.ts";
 import type { SoakJob, SoakStep } from "./types.ts";
 
 /** What endpoints recorded of a task. */
@@ -35,6 +36,25 @@
     );
   }
 
+  /** Lists the crashes of endpoints under the task by this time. */
+  listCrashes(name: string, by: number): EndpointEvent[] {
+    return this.getTask(name).ends.filter(({ detail, at }) =>
+      detail === "crashed" && at <= by
+    );
+  }
+
+  /**
+   * Counts the starts of the task up to this one, since `COUNTED_CRASHES`
+   * endpoints had crashed under it; none that was carried out late.
+   */
+  countStartsAfterCrashes(start: EndpointEvent): number {
+    const crash = this.listCrashes(start.task, start.at)[COUNTED_CRASHES - 1];
+    if (!crash || start.isLate) return 0;
+    return this.getTask(start.task).starts.filter(({ at, isLate }) =>
+      at >= crash.at && !isLate
+    ).length;
+  }
+
   addStart(start: EndpointEvent): void {
     const task = this.getTask(start.task);
     task.starts.push(start);
--- a/tests/soak/types.ts
+++ b/tests/soak/types.ts
@@ -8,6 +8,8 @@
   Call = "call",
   /** The store acknowledged a configuration. */
   Config = "config",
+  /** An endpoint's capacity is another from now on. */
+  Room = "room",
   /** A fault begins; `endsAt` is its end. */
   Fault = "fault",
   /** The last fault has ended. */
@@ -74,11 +76,21 @@
   stoppedEntry: number;
 }
 
+/** The capacity of an endpoint from `at` on. */
+export interface SoakRoom {
+  kind: SoakEventKind.Room;
+  at: number;
+  endpoint: string;
+  milliCores: number;
+  memoryMb: number;
+}
+
 /** One event of the history that the checker reads. Times: Unix milliseconds. */
 export type SoakEvent =
   | EndpointEvent
   | SoakCall
   | SoakFaultEvent
+  | SoakRoom
   | { kind: SoakEventKind.Job; at: number; job: SoakJob }
   | { kind: SoakEventKind.Config; at: number; keys: string[] }
   | { kind: SoakEventKind.Healed; at: number }
@@ -89,6 +101,7 @@
   AtOnce = "two runs of a task at once",
   AfterEnd = "a start after an acknowledged end",
   Capacity = "more than an endpoint's capacity",
+  Crashes = "a task that crashes endpoints is started too often",
   Order = "a start before an earlier step is done",
   Unasked = "a start that no caller asked for",
   Cancelled = "a start after the job was cancelled",
--- a/tests/standins/endpoint.ts
+++ b/tests/standins/endpoint.ts
@@ -6,13 +6,14 @@
   type OrderBody,
 } from "./endpoint_lifetime.ts";
 import { listen, sendJson, sleep } from "./http_server.ts";
+import { parseTaskCrash } from "./task_crash.ts";
 
 /** Interval at which ends of runs are recorded, in milliseconds. */
 const TICK_MS = 20;
 
 /** Stand-in for one of the platform's endpoints. */
 export class EndpointStandIn {
-  readonly id: string;
+  id: string;
   /** Task of each run that was started, in order. */
   readonly starts: string[] = [];
   readonly #clockRate: number;
@@ -37,6 +38,8 @@
   lateMs = 0;
   /** Carries out and answers calls of this lifetime once this is false again. */
   isStalled = false;
+  /** Called when a task whose payload says so crashes the endpoint. */
+  onTaskCrash: () => void = () => this.crash();
   /** Called with each event of a run. */
   onEvent: (event: EndpointEvent) => void = () => {};
 
@@ -79,8 +82,9 @@
     this.#lifetime = this.#createLifetime();
   }
 
-  /** Starts the next lifetime, under the same id and at the same address. */
-  async restart(): Promise<void> {
+  /** Starts the next lifetime, at the same address and by default as this id. */
+  async restart(id = this.id): Promise<void> {
+    this.id = id;
     this.#lifetime = this.#createLifetime();
     await this.start(this.#address);
   }
@@ -133,6 +137,8 @@
     if (reason) {
       return sendJson(response, { clock_ms, reason }, { status: 409 });
     }
+    const crash = parseTaskCrash(body.task_spec ?? "");
+    if (crash && !crash.isAnswered) return;
     if (call !== "hold") return sendJson(response, { clock_ms });
     await this.#waitForRunEnd(lifetime, body.wait_ms ?? 0);
     if (lifetime !== this.#lifetime) return;
@@ -153,7 +159,9 @@
     if (call === "run-start") {
       if (this.needsTicket && body.ticket !== `t-${this.id}`) return "ticket";
       const durationMs = this.measureDuration(body.task);
-      return lifetime.startRun(body, { now, durationMs, isLate });
+      const reason = lifetime.startRun(body, { now, durationMs, isLate });
+      if (!reason) this.#scheduleCrash(lifetime, body.task_spec ?? "");
+      return reason;
     }
     if (call === "run-stop") lifetime.stopRun(body, now + this.stopMs);
     if (call === "pace") lifetime.setPace(body);
@@ -165,6 +173,14 @@
     return undefined;
   }
 
+  #scheduleCrash(lifetime: EndpointLifetime, payload: string): void {
+    const crash = parseTaskCrash(payload);
+    if (!crash) return;
+    setTimeout(() => {
+      if (lifetime === this.#lifetime) this.onTaskCrash();
+    }, crash.afterMs);
+  }
+
   /** Waits until a run ends or `waitMs` passes. */
   async #waitForRunEnd(
     lifetime: EndpointLifetime,
--- a/tools/soak.ts
+++ b/tools/soak.ts
@@ -63,6 +63,13 @@
   const { seed, violations, counts, faults, timeLine, directory } = report;
   const verdict = violations.length > 0 ? "FAILED" : "passed";
   print(`seed ${seed} ${verdict}: ${JSON.stringify({ counts, faults })}`);
+  for (const { at, stalledMs, cpuMs } of report.stalls) {
+    const seconds = ((at - report.startedAt) / 1_000).toFixed(2);
+    print(
+      `  the soak itself stood still for ${stalledMs} ms until ${seconds} s,` +
+        ` of which it computed ${Math.round(cpuMs)} ms`,
+    );
+  }
   if (violations.length === 0) return;
   for (const line of timeLine) print(`  ${line}`);
   for (const violation of violations) {
