--- a/tools/soak.ts
+++ b/tools/soak.ts
@@ -60,9 +60,12 @@
 process.exit(failedSeeds.length > 0 ? 1 : 0);
 
 function printReport(report: SoakReport): void {
-  const { seed, violations, counts, faults, timeLine, directory } = report;
+  const { seed, violations, timeLine, directory } = report;
+  const { counts, faults, memoryMb } = report;
   const verdict = violations.length > 0 ? "FAILED" : "passed";
-  print(`seed ${seed} ${verdict}: ${JSON.stringify({ counts, faults })}`);
+  print(
+    `seed ${seed} ${verdict}: ${JSON.stringify({ counts, faults, memoryMb })}`,
+  );
   for (const { at, stalledMs, cpuMs } of report.stalls) {
     const seconds = ((at - report.startedAt) / 1_000).toFixed(2);
     print(
