--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -205,6 +205,7 @@
         if (this.#isStopped) return;
         this.cell.restore(contents, {
           formerRunsEndAt: startedAt + this.#computeTakeOverWait(),
+          formerStartsEndAt: startedAt + OWNER_GRACE_MS,
           time: this.#getCurrentTime(),
         });
         this.#journal = new Journal({
@@ -381,7 +382,8 @@
   }
 
   #getCurrentTime(): CurrentTime {
-    return { now: this.#parts.clock.now(), wallNow: Date.now() };
+    const { clock } = this.#parts;
+    return { now: clock.now(), wallNow: clock.readWallTime() };
   }
 
   #refuseNotReady(): SubmitReply {
@@ -429,7 +431,7 @@
       );
       this.#checkHandover(now);
       this.#planLoop.planIfIdle();
-      this.cell.dropEnded(Date.now());
+      this.cell.dropEnded(this.#parts.clock.readWallTime());
       this.#checkIsolation();
       this.#scheduleTick();
     }, PLAN_INTERVAL_MS);
