Soak: find jobs that wait long after the load, and a case of two take-overs

The soak asked only whether all jobs end within 22 s of the recovery, though the users' rule is that 14 s after the load no job waits for 3 s while there is room. The checker now reports a job of which nothing runs from 14 s to 17 s after the last entry has recovered, while more than half of all cores are free. Its test breaks the check, and does not with full endpoints or a job that ends in time.

Starts of a first owner stay without an answer, it is killed, and so is the next owner 8.8 s later. Each new owner waits 18.5 s anew for starts that may still arrive, on queues without advice: the second take-over is at 15.1 s, the load ends at 16.1 s, the tasks start at 33.8 s.

--- a/tests/e2e/soak_test.ts
+++ b/tests/e2e/soak_test.ts
@@ -4,7 +4,7 @@
 import { runSoak } from "../soak/run_soak.ts";
 
 const SITE = { entries: 3, endpoints: 4 };
-const SHORT_SEEDS = [201, 202];
+const SHORT_SEEDS = [201, 202, 210];
 const SECONDS = 12;
 const TEST_TIMEOUT_MS = 90_000;
 
--- a/tests/soak/checker.ts
+++ b/tests/soak/checker.ts
@@ -8,7 +8,9 @@
   CANCEL_MS,
   CONFIG_MS,
   CONTACT_MS,
+  FINISH_MS,
   GIVE_UP_CRASHES,
+  IDLE_MS,
   LOSS_SLACK_MS,
   MAX_STARTS_AFTER_CRASHES,
   RECOVER_MS,
@@ -16,6 +18,7 @@
   STOP_GRACE_MS,
   VISIBLE_MS,
 } from "./constants.ts";
+import { findWaitingJobs } from "./find_waiting.ts";
 import { KeyHistory } from "./key_history.ts";
 import { RoomHistory } from "./room_history.ts";
 import { findStep, listTasks, TaskHistory } from "./task_history.ts";
@@ -59,6 +62,8 @@
   readonly #faults: SoakFaultEvent[] = [];
   readonly #keys = new KeyHistory();
   #healedAt: number | undefined;
+  /** Time at which the last entry had recovered, which ends the load. */
+  #recoveredAt: number | undefined;
 
   observe(event: SoakEvent): void {
     this.counts[event.kind] = (this.counts[event.kind] ?? 0) + 1;
@@ -94,10 +99,8 @@
    */
   listUnfinishedJobs(): string[] {
     return [...this.#jobs.values()]
-      .filter(({ job, acceptedAt, isCompleted, cancelSentAt }) =>
-        acceptedAt !== undefined && !isCompleted &&
-        cancelSentAt === undefined && !parseTaskCrash(job.payload)
-      ).map(({ job }) => job.id);
+      .filter((record) => !record.isCompleted && this.#canFinish(record))
+      .map(({ job }) => job.id);
   }
 
   /** Checks what is known only at the end of the soak. */
@@ -110,6 +113,7 @@
         detail: `last shown as ${lastState || "nothing"}`,
       });
     }
+    this.#checkWaiting(now);
     for (const { job, isRefused, acceptedAt } of this.#jobs.values()) {
       if (!isRefused || acceptedAt !== undefined) continue;
       const start = listTasks(job).flatMap(({ name }) =>
@@ -122,6 +126,32 @@
     }
   }
 
+  #checkWaiting(now: number): void {
+    const loadEndedAt = this.#recoveredAt;
+    if (loadEndedAt === undefined) return;
+    const isOver = now >= loadEndedAt + FINISH_MS + IDLE_MS;
+    if (!isOver) return;
+    const jobs = new Map(
+      [...this.#jobs.values()].filter((record) => this.#canFinish(record))
+        .map(({ job }) => [job.id, job]),
+    );
+    const milliCores = this.#rooms.sumMilliCores();
+    const waiting = findWaitingJobs(this.#tasks, {
+      jobs,
+      milliCores,
+      loadEndedAt,
+    });
+    for (const { id } of waiting) {
+      const detail = `nothing of it runs ${FINISH_MS} ms after the load`;
+      this.#report(Rule.Waiting, { at: now, subject: id, detail });
+    }
+  }
+
+  #canFinish({ job, acceptedAt, cancelSentAt }: JobRecord): boolean {
+    return acceptedAt !== undefined && cancelSentAt === undefined &&
+      !parseTaskCrash(job.payload);
+  }
+
   #addJob(job: SoakJob): void {
     this.#jobs.set(job.id, {
       job,
@@ -294,6 +324,7 @@
   }
 
   #checkRecovery(at: number, entry: number): void {
+    this.#recoveredAt = at;
     const recoveryMs = at - (this.#healedAt ?? at);
     if (recoveryMs <= RECOVER_MS) return;
     this.#report(Rule.Recovery, {
--- a/tests/soak/checker_test.ts
+++ b/tests/soak/checker_test.ts
@@ -330,6 +330,55 @@
   checkRule(t, Rule.Unfinished, [ACCEPTED, makeRun({}), call]);
 });
 
+test("a job of which nothing runs long after the load is found, unless endpoints are full", (t) => {
+  const recovered = { kind: SoakEventKind.Recovered, at: 1_000, entry: 1 };
+  const lateEnd = [
+    makeRun({ at: 19_000, task: SECOND_TASK }),
+    makeEnd({ at: 19_500, task: SECOND_TASK }),
+    makeCall({ at: 19_600, call: CallKind.Find, state: "completed" }),
+  ];
+  const events: SoakEvent[] = [
+    ACCEPTED,
+    makeRun({}),
+    makeEnd({}),
+    recovered as SoakEvent,
+  ];
+  checkRule(t, Rule.Waiting, [...events, ...lateEnd]);
+
+  const other = "00000000000000a2";
+  const busy: SoakEvent[] = [0, 1].flatMap((n) => {
+    const task = `${other}.0.0.${n}`;
+    const endpoint = `w${n}`;
+    return [
+      makeRun({ at: 14_000, task, endpoint }),
+      makeEnd({ at: 18_500, task, endpoint }),
+    ];
+  });
+  const otherJob: SoakEvent = {
+    ...JOB,
+    job: { ...JOB.job, id: other, steps: [{ ...STEP, tasks: 2, after: [] }] },
+  };
+  const otherCalls = [
+    makeCall({ job: other }),
+    makeCall({
+      at: 18_600,
+      job: other,
+      call: CallKind.Find,
+      state: "completed",
+    }),
+  ];
+  t.deepEqual(
+    findBrokenRules(
+      [...events, otherJob, ...busy, ...otherCalls, ...lateEnd].sort((a, b) =>
+        a.at - b.at
+      ),
+    ),
+    [],
+  );
+  const inTime = lateEnd.map((event) => ({ ...event, at: event.at - 10_000 }));
+  t.deepEqual(findBrokenRules([...events, ...inTime]), []);
+});
+
 test("an answer that is not whole is found", (t) => {
   const call = makeCall({ at: 600, call: CallKind.Find, isWhole: false });
   checkRule(t, Rule.Answer, [...WHOLE_JOB, call]);
--- a/tests/soak/constants.ts
+++ b/tests/soak/constants.ts
@@ -46,6 +46,9 @@
  */
 export const FINISH_MS = 14_000;
 
+/** Time for which a job waits in vain before that counts, in ms; as above. */
+export const IDLE_MS = 3_000;
+
 /** Longest duration of a task, in milliseconds. */
 export const MAX_RUN_MS = 4_000;
 
--- a/tests/soak/regression_cases.ts
+++ b/tests/soak/regression_cases.ts
@@ -1,5 +1,5 @@
 import { LinkFault } from "../standins/relay.ts";
-import { LinkPair, type SoakFault, SoakFaultKind } from "./schedule.ts";
+import { LinkPair, OWNER, type SoakFault, SoakFaultKind } from "./schedule.ts";
 
 /** Faults that made the soak fail once, with what it takes to play them again. */
 export interface RegressionCase {
@@ -25,6 +25,17 @@
   };
 }
 
+const OWNER_FAULT: SoakFault = {
+  kind: SoakFaultKind.Kill,
+  atMs: 0,
+  lastsMs: 0,
+  entry: OWNER,
+  other: 0,
+  pair: LinkPair.EntryEndpoint,
+  link: LinkFault.HoldRequests,
+  delayMs: 500,
+};
+
 /**
  * Cases that failed once. They hold the faults themselves, so that a change of the
  * generator leaves them as they are.
@@ -44,4 +55,24 @@
       "with the former one, so the task ran elsewhere beside it (seeds 1, 3 " +
       "and 120 of the first generator).",
   },
+  {
+    name: "take_overs_with_unanswered_starts",
+    seed: 2_006,
+    seconds: 16,
+    faults: [
+      ...Array.from({ length: 4 }, (_, other): SoakFault => ({
+        ...OWNER_FAULT,
+        kind: SoakFaultKind.Link,
+        atMs: 4_000,
+        lastsMs: 2_500,
+        other,
+      })),
+      { ...OWNER_FAULT, atMs: 5_200 },
+      { ...OWNER_FAULT, atMs: 14_000 },
+    ],
+    cause:
+      "Every new owner waits anew for the end of the starts that a former " +
+      "owner sent without an answer, so that their jobs wait for longer than " +
+      "they may after the load (seed 2006).",
+  },
 ];
--- a/tests/soak/room_history.ts
+++ b/tests/soak/room_history.ts
@@ -16,6 +16,14 @@
     this.#rooms.set(room.endpoint, [...rooms, room]);
   }
 
+  /** Sums the latest capacities of all endpoints, in thousandths of a core. */
+  sumMilliCores(): number {
+    return [...this.#rooms.values()].reduce(
+      (sum, rooms) => sum + rooms[rooms.length - 1].milliCores,
+      0,
+    );
+  }
+
   /**
    * Returns whether runs fit an endpoint at a start. A room that has shrunk
    * counts `CONTACT_MS` and one heartbeat later; for a start that was carried out
--- a/tests/soak/run_soak.ts
+++ b/tests/soak/run_soak.ts
@@ -122,6 +122,7 @@
   readonly #stallDetector = new StallDetector();
   readonly #stalls: SoakReport["stalls"] = [];
   #memoryMb = 0;
+  #isFinished = false;
 
   constructor(options: SoakOptions, network: string) {
     this.#options = options;
@@ -197,6 +198,7 @@
     await this.#waitForJobs(finder);
     this.#check(Infinity);
     this.#checker.finish(Date.now());
+    this.#isFinished = true;
     this.#reportViolations();
     return this.#createReport({ timeLine, startedAt, faults });
   }
@@ -205,7 +207,7 @@
     for (const timer of this.#timers) clearInterval(timer);
     await Promise.all(this.#callers.map((caller) => caller.close()));
     await this.#site.stop();
-    if (this.#checker.violations.length > 0) return;
+    if (!this.#isFinished || this.#checker.violations.length > 0) return;
     rmSync(this.#directory, { recursive: true });
   }
 
@@ -226,7 +228,12 @@
     const deadline = Date.now() + START_TIMEOUT_MS +
       this.#options.entries * START_TIMEOUT_PER_ENTRY_MS;
     while (this.#misses.some((misses) => misses > 0)) {
-      if (Date.now() > deadline) throw new Error("Entries do not get ready");
+      if (Date.now() > deadline) {
+        const waiting = this.#misses.filter((misses) => misses > 0).length;
+        throw new Error(
+          `${waiting} entries do not get ready; logs: ${this.#directory}`,
+        );
+      }
       await sleep(POLL_MS);
     }
     this.#timers.push(
--- a/tests/soak/soak_site.ts
+++ b/tests/soak/soak_site.ts
@@ -8,6 +8,7 @@
 import { sleep } from "../standins/http_server.ts";
 import { type LinkRule, Relay } from "../standins/relay.ts";
 import { EntryPort, EntryProcess } from "./entry_process.ts";
+import type { Room } from "./room_history.ts";
 import { createRandom } from "./schedule.ts";
 import { type SoakEvent, SoakEventKind } from "./types.ts";
 
@@ -200,6 +201,7 @@
   /** Starts an endpoint again at the same address, by default as this id. */
   async restartEndpoint(endpoint: EndpointStandIn, id?: string): Promise<void> {
     if (this.#isStopped || !this.#downEndpoints.delete(endpoint)) return;
+    if (id) this.#recordRoom(endpoint, { milliCores: 0, memoryMb: 0 });
     await endpoint.restart(id);
     this.#vms.add(`m${this.endpoints.indexOf(endpoint)}`, endpoint.id);
     this.#recordRoom(endpoint);
@@ -254,7 +256,7 @@
     );
   }
 
-  #getRoom(endpoint: EndpointStandIn): typeof CAPACITY {
+  #getRoom(endpoint: EndpointStandIn): Room {
     const fraction = this.#roomFractions.get(endpoint) ?? 1;
     return {
       milliCores: Math.floor(CAPACITY.milliCores * fraction),
@@ -262,12 +264,15 @@
     };
   }
 
-  #recordRoom(endpoint: EndpointStandIn): void {
+  #recordRoom(
+    endpoint: EndpointStandIn,
+    room: Room = this.#getRoom(endpoint),
+  ): void {
     this.onEvent({
       kind: SoakEventKind.Room,
       at: Date.now(),
       endpoint: endpoint.id,
-      ...this.#getRoom(endpoint),
+      ...room,
     });
   }
 
--- a/tests/soak/task_history.ts
+++ b/tests/soak/task_history.ts
@@ -55,6 +55,16 @@
     ).length;
   }
 
+  /** Lists the tasks that were running at this time, once for each run. */
+  listRunning(at: number): string[] {
+    return [...this.#tasks].flatMap(([name, { starts, ends }]) =>
+      starts.filter((start) =>
+        start.at <= at &&
+        !ends.some((end) => isSameRun(start, end) && end.at <= at)
+      ).map(() => name)
+    );
+  }
+
   addStart(start: EndpointEvent): void {
     const task = this.getTask(start.task);
     task.starts.push(start);
--- a/tests/soak/types.ts
+++ b/tests/soak/types.ts
@@ -108,6 +108,7 @@
   NotRun = "a refused job has started",
   Unknown = "an accepted job is unknown",
   State = "a job's state is wrong",
+  Waiting = "a job waits although there is room",
   Unfinished = "an accepted job is unfinished",
   Answer = "an answer is not whole",
   PlannedStop = "an answer was lost around a planned stop",
