--- a/tools/soak.ts
+++ b/tools/soak.ts
@@ -7,7 +7,7 @@
  * [--entries E] [--endpoints W] [--without KIND]...
  * [--bundle FILE] [--case NAME]
  * `--without` leaves a kind of fault out of the schedule, `--case` plays the
- * faults of a regression case.
+ * faults of a regression case, with its seed and time unless others are given.
  */
 import process from "node:process";
 import { parseArgs } from "node:util";
@@ -18,8 +18,8 @@
 const { values } = parseArgs({
   options: {
     seeds: { type: "string", default: "1" },
-    seed: { type: "string", default: "1" },
-    seconds: { type: "string", default: "30" },
+    seed: { type: "string" },
+    seconds: { type: "string" },
     entries: { type: "string", default: "4" },
     endpoints: { type: "string", default: "5" },
     case: { type: "string" },
@@ -31,16 +31,18 @@
 for (const signal of ["SIGINT", "SIGTERM"]) {
   process.on(signal, () => process.exit(1));
 }
-const firstSeed = Number(values.seed);
 const regressionCase = REGRESSION_CASES.find(({ name }) =>
   name === values.case
 );
+if (values.case && !regressionCase) throw new Error(`No case ${values.case}`);
+const firstSeed = Number(values.seed ?? regressionCase?.seed ?? 1);
+const seconds = Number(values.seconds ?? regressionCase?.seconds ?? 30);
 const failedSeeds: number[] = [];
 
 for (let seed = firstSeed; seed < firstSeed + Number(values.seeds); seed++) {
   const report = await runSoak({
     seed,
-    seconds: Number(values.seconds),
+    seconds,
     entries: Number(values.entries),
     endpoints: Number(values.endpoints),
     without: values.without,
