Bound the wait for starts of former owners by the age of their placements

Cause: a former owner may send orders for 6 s after its last renewal. A start needs a placement that was committed before the take-over, though, so only the time from the plan to the send counts, and nothing bounded that.

Change: a start is sent within 1 s of its plan, on the steady and the wall clock, or its task waits again; so a new owner waits for 1 s and the longest delay of an order.

--- a/packages/cell/unsent_starts.ts
+++ b/packages/cell/unsent_starts.ts
@@ -33,7 +33,7 @@
     if (!isUnsentStart(start)) continue;
     const reason = mayStart
       ? explainObstacle(start, { state, now })
-      : "the endpoints' records were too old when the placement was committed";
+      : "the plan or the endpoints' records were too old when it was committed";
     if (reason) cancelStart(state, start.run, { starts, now, reason });
   }
   return starts.filter(isUnsentStart);
--- a/packages/scheduler/constants.ts
+++ b/packages/scheduler/constants.ts
@@ -26,6 +26,13 @@
  */
 export const OWNER_GRACE_MS = 6_000;
 
+/**
+ * Time from the plan of a start to its send, in milliseconds: longer than a commit
+ * takes unless the store stalls. A new owner knows by it when the last start of a
+ * former one was sent.
+ */
+export const MAX_PLACEMENT_AGE_MS = 1_000;
+
 /** Time for which an entry that stepped down makes no claim, in ms. */
 export const STEP_DOWN_PAUSE_MS = 2_000;
 
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -21,6 +21,7 @@
 import {
   JOURNAL_PAGE_TIMEOUT_MS,
   MAX_DRAIN_MS,
+  MAX_PLACEMENT_AGE_MS,
   NO_OWNER_RETRY_MS,
   ORDER_TIMEOUT_MS,
   OWNER_GRACE_MS,
@@ -218,7 +219,7 @@
         if (this.#isStopped) return;
         this.cell.restore(contents, {
           formerRunsEndAt: startedAt + this.#computeTakeOverWait(),
-          formerStartsEndAt: startedAt + OWNER_GRACE_MS,
+          formerStartsEndAt: startedAt + MAX_PLACEMENT_AGE_MS,
           time: this.#getCurrentTime(),
         });
         this.#journal = new Journal({
--- a/packages/scheduler/plan_loop.ts
+++ b/packages/scheduler/plan_loop.ts
@@ -10,6 +10,7 @@
 import type { Metrics } from "../metrics/mod.ts";
 import type { AdvicePool } from "./advice_pool.ts";
 import {
+  MAX_PLACEMENT_AGE_MS,
   MIN_PLAN_DELAY_MS,
   PLAN_INTERVAL_MS,
   PLAN_PAUSE_FACTOR,
@@ -18,6 +19,7 @@
 import { countDecisions, recordDecisions } from "./decision_log.ts";
 import type { OrderSender } from "./order_sender.ts";
 import type { SessionPool } from "./session_pool.ts";
+import { measureElapsed } from "./suspension_guard.ts";
 
 /** The dependencies of a `PlanLoop`. */
 export interface PlanLoopParts {
@@ -162,11 +164,14 @@
       output.committedEnds.size === 0 &&
       output.finished.size === 0;
     if (isEmpty && !onCommitted) return;
+    const plannedAt = this.#getCurrentTime();
     this.#journal?.add(output.records, () => {
       if (this.#isStopped) return;
       cell.noteCommitted(output, clock.readWallTime());
-      const starts = cell.listStarts(output, this.#getCurrentTime(), {
-        mayStart: this.#hasCurrentRecords(),
+      const time = this.#getCurrentTime();
+      const isInTime = measureElapsed(plannedAt, time) <= MAX_PLACEMENT_AGE_MS;
+      const starts = cell.listStarts(output, time, {
+        mayStart: isInTime && this.#hasCurrentRecords(),
       });
       for (const order of starts) orderSender.send(order);
       onCommitted?.();
