--- a/tests/virtual/crash_record.ts
+++ b/tests/virtual/crash_record.ts
@@ -27,6 +27,11 @@
     return this.#crashes.get(task) ?? 0;
   }
 
+  /** Returns how many endpoints all tasks have crashed. */
+  countAllCrashes(): number {
+    return [...this.#crashes.values()].reduce((sum, count) => sum + count, 0);
+  }
+
   /** Lists the tasks that were started too often although they crash endpoints. */
   listViolations(): string[] {
     return [...this.#laterStarts]
