Grow the room of hostile endpoints again, and forbid steps one endpoint only

The room of an endpoint that was down when it should have grown stayed small for ever, and two addresses could share the bucket that a step's advice forbids, so that a gang of three had two endpoints left.

--- a/tests/virtual/fake_advice.ts
+++ b/tests/virtual/fake_advice.ts
@@ -20,8 +20,8 @@
   validMs: 2_500,
 };
 
-/** For each step, one of this many places of endpoints is not allowed. */
-const PLACES = 5;
+/** For each step, one of this many addresses of endpoints is not allowed. */
+const ADDRESSES = 5;
 
 /** Who may run a step, and whether a ticket proves it. */
 export class TicketOffice {
@@ -44,9 +44,8 @@
     { id, address, bornAt }: FakeEndpoint,
     now: number,
   ): string | undefined {
-    const isAllowed = computeBucket(stage, PLACES) !==
-      computeBucket(address, PLACES);
-    if (!isAllowed) return undefined;
+    const forbidden = `w${computeBucket(stage, ADDRESSES)}`;
+    if (address === forbidden) return undefined;
     return [stage, id, bornAt, now + ADVICE_RULES.validMs].join("|");
   }
 
--- a/tests/virtual/hostile_scenario.ts
+++ b/tests/virtual/hostile_scenario.ts
@@ -220,17 +220,17 @@
     }
   }
 
-  #shrinkRoom(endpoint: FakeEndpoint): void {
+  #shrinkRoom({ address }: FakeEndpoint): void {
     const { site } = this;
     const share = 0.3 + 0.5 * this.#random.drawFloat();
     const room = { ...ENDPOINT_CAPACITY };
     room.milliCores = Math.round(room.milliCores * share);
     room.memoryMb = Math.round(room.memoryMb * share);
-    site.setRoom(endpoint, room);
+    site.setRoom(address, room);
     this.#schedule(
       2_000,
       9_000,
-      () => site.setRoom(endpoint, ENDPOINT_CAPACITY),
+      () => site.setRoom(address, ENDPOINT_CAPACITY),
     );
   }
 
--- a/tests/virtual/hostile_site.ts
+++ b/tests/virtual/hostile_site.ts
@@ -142,11 +142,16 @@
     });
   }
 
-  /** Sets the room of an endpoint; its record shows it with the next heartbeat. */
-  setRoom(endpoint: FakeEndpoint, room: Demand): void {
-    if (!this.isUp(endpoint)) return;
+  /**
+   * Sets the room of the endpoint at an address; its record shows it with the next
+   * heartbeat, or when the endpoint is back.
+   */
+  setRoom(address: string, room: Demand): void {
+    const endpoint = this.findEndpoint({ address });
+    if (!endpoint) return;
     this.#note(`room ${endpoint.id} ${room.milliCores} ${room.memoryMb}`);
     endpoint.setRoom(room, this.time.now);
+    if (!this.isUp(endpoint)) return;
     const { bornAt } = endpoint;
     this.#schedule(this.random.drawInt(HEARTBEAT_MS), () => {
       const isSame = this.isUp(endpoint) && endpoint.bornAt === bornAt;
