Take the power from endpoints in the hostile scenarios while orders are late

The new series aims at this: most endpoints crash while 70% of orders have no answer, and the owner is disturbed around their return.

--- a/tests/virtual/hostile_scenario.ts
+++ b/tests/virtual/hostile_scenario.ts
@@ -29,6 +29,8 @@
 const MAX_USUAL_ORDER_FAULT_RATE = 0.2;
 /** Share of orders without an answer while orders are late, from 0 to 1. */
 const LATE_ORDER_RATE = 0.5;
+/** Share of orders without an answer before the power fails, from 0 to 1. */
+const POWER_ORDER_FAULT_RATE = 0.7;
 /** Quota of every other seed; in the others, the endpoints' room binds. */
 const QUOTA: Demand = {
   milliCores: 16_000,
@@ -202,6 +204,7 @@
         );
         this.#schedule(0, 6_000, () => this.#disturbOwner());
       },
+      () => this.#failPower(),
       () => this.#disturbEndpoints(1_000, (it) => this.#cutOff(it)),
       () => {
         site.tickets.failureRate = 0.5 + 0.5 * random.drawFloat();
@@ -243,6 +246,22 @@
     );
   }
 
+  /**
+   * Takes the power from most endpoints while orders to them are late, and
+   * disturbs the owner around their return.
+   */
+  #failPower(): void {
+    const { site } = this;
+    site.orderFaultRate = POWER_ORDER_FAULT_RATE;
+    this.#schedule(1_000, 2_000, () => {
+      site.orderFaultRate = this.#usualOrderFaultRate;
+      for (const endpoint of site.listUp().slice(1)) {
+        site.crashEndpoint(endpoint, Return.SameId);
+      }
+    });
+    this.#schedule(2_000, 5_000, () => this.#disturbOwner());
+  }
+
   /** Cuts an endpoint off from the owner or from all entries. */
   #cutOff({ address }: FakeEndpoint): void {
     const owner = this.findOwner();
