Known red: work waits long after many endpoints crash at once under many starts

The suspects of a queue are tried one at a time, and placement packs all starts of a moment on one endpoint.

Tried and not kept: a number of trials at a time that grows with each cleared task.

--- a/tests/cell/crash_waves_test.ts
+++ b/tests/cell/crash_waves_test.ts
@@ -107,3 +107,40 @@
     }
   });
 }
+
+/** Time in which all work must be going on again, in ms: the users' `finish_s`. */
+const FINISH_MS = 14_000;
+
+// Guards against work that waits for long after many endpoints have crashed at once,
+// because the suspects of a queue are tried one at a time.
+test("40% of the endpoints crash at once under many starts of long tasks: all of them run again in time", (t) => {
+  for (const seed of SEEDS) {
+    const site = new CrashSite({
+      endpoints: 33,
+      seed,
+      afterMs: 3_000,
+      capacity: { milliCores: 32_000, memoryMb: 32_000, accelerators: 0 },
+    });
+    const random = new SeededRandom(seed);
+    site.watchStarts();
+    site.advance(300);
+    const ids: string[] = [];
+    for (let n = 0; n < 60; n++) {
+      const id = `j${n}`;
+      ids.push(id);
+      site.submit(makeJob(id, [makeStep({ tasks: 5 })]));
+      site.advance(50);
+    }
+    for (const id of [...site.endpoints.keys()]) {
+      if (random.drawFloat() < 0.4) site.crash(id);
+    }
+    const crashedAt = site.now;
+    const isOpen = (id: string) => site.find(id) !== JobState.Completed;
+    while (ids.some(isOpen) && site.now < crashedAt + 90_000) {
+      site.advance(100);
+    }
+    const tookMs = site.now - crashedAt;
+    t.log({ seed, tookMs, suspected: site.suspected.size });
+    t.true(tookMs <= FINISH_MS);
+  }
+});
