Count the end of an endpoint's lifetime once for each task

Cause: a crash that a new owner finds was counted under the task's last run number, which rises with each term, so each take-over before the next start counted the same lifetime again (traced: terms 4, 6 and 8).

Change: counts are kept by endpoint and lifetime. Tasks that were placed in different lifetimes of one endpoint are told apart.

--- a/packages/cell/crashes.ts
+++ b/packages/cell/crashes.ts
@@ -14,6 +14,7 @@
 import { findLastSign, isLeaving, listSuspectRuns } from "./suspects.ts";
 import { type CurrentTime, endJob } from "./task_ends.ts";
 import {
+  type CountedCrash,
   DecisionKind,
   type Endpoint,
   type Run,
@@ -91,7 +92,7 @@
     ...verdict,
   });
   for (const [task, run] of suspects) {
-    applyCrash(state, { task, run, endpoint, ...verdict }, time);
+    applyCrash(state, { task, run, endpoint, bornAt, ...verdict }, time);
   }
 }
 
@@ -101,16 +102,16 @@
  */
 export function applyCrash(
   state: CellState,
-  crash: { task: string; run: number; endpoint: string } & CrashVerdict,
+  crash: Omit<CountedCrash, "isWidespread"> & { task: string } & CrashVerdict,
   time: CurrentTime,
 ): void {
   const taskRef = findTask(state, crash.task);
   if (!taskRef || taskRef.stage.job.outcome) return;
   const { task } = taskRef;
   const { crashes } = task;
-  if (task.phase === TaskPhase.Done || hasCounted(crashes, crash.run)) return;
-  const { run, endpoint, isWidespread } = crash;
-  crashes.counted.push({ run, endpoint, isWidespread });
+  if (task.phase === TaskPhase.Done || hasCounted(crashes, crash)) return;
+  const { run, endpoint, bornAt, isWidespread } = crash;
+  crashes.counted.push({ run, endpoint, bornAt, isWidespread });
   const count = crashes.counted.length;
   crashes.retryAt = time.now + SUSPECT_RETRY_MS * 2 ** (count - 1);
   state.suspects.set(task.name, taskRef);
@@ -157,28 +158,34 @@
   settled: Iterable<{ stage: Stage; task: Task }>,
   time: CurrentTime,
 ): void {
-  const tasksByEndpoint = new Map<Endpoint, Task[]>();
+  const lifetimes = new Map<string, { endpoint: Endpoint; tasks: Task[] }>();
   for (const { task } of settled) {
     const endpoint = state.endpoints.get(task.placedOn);
     if (!endpoint || !hasCrashedSince(endpoint, task)) continue;
-    const tasks = tasksByEndpoint.get(endpoint);
-    if (tasks) tasks.push(task);
-    else tasksByEndpoint.set(endpoint, [task]);
+    const key = `${endpoint.info.id}@${task.placedBornAt}`;
+    const lifetime = lifetimes.get(key);
+    if (lifetime) lifetime.tasks.push(task);
+    else lifetimes.set(key, { endpoint, tasks: [task] });
   }
-  for (const [endpoint, tasks] of tasksByEndpoint) {
+  for (const { endpoint, tasks } of lifetimes.values()) {
+    const bornAt = tasks[0].placedBornAt;
     const newestAt = Math.max(...tasks.map(({ placedAt }) => placedAt));
     const since = Math.max(
       state.restoredAt - FORMER_START_MS,
       newestAt - SUSPECT_WINDOW_MS,
     );
     const suspects = tasks.filter(({ placedAt, crashes, lastRun }) =>
-      placedAt >= since && !hasCounted(crashes, lastRun)
+      placedAt >= since && !hasCounted(crashes, {
+        run: lastRun,
+        endpoint: endpoint.info.id,
+        bornAt,
+      })
     );
     if (suspects.length === 0) continue;
     noteCrash(state, {
       endpoint: endpoint.info.id,
       service: endpoint.info.service,
-      bornAt: tasks[0].placedBornAt,
+      bornAt,
       lostAt: time.now,
       suspects: suspects.map(({ name, lastRun }) => [name, lastRun]),
       runs: tasks.length,
@@ -195,9 +202,14 @@
   return endpoint.isReplaced || endpoint.bornAt > task.placedBornAt;
 }
 
-function hasCounted(crashes: TaskCrashes, run: number): boolean {
-  return run <= crashes.clearedRun ||
-    crashes.counted.some((counted) => counted.run === run);
+function hasCounted(
+  { clearedRun, counted }: TaskCrashes,
+  crash: Omit<CountedCrash, "isWidespread">,
+): boolean {
+  return crash.run <= clearedRun ||
+    counted.some(({ endpoint, bornAt }) =>
+      endpoint === crash.endpoint && bornAt === crash.bornAt
+    );
 }
 
 /**
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -211,10 +211,20 @@
   Done = "done",
 }
 
+/** The end of one lifetime of an endpoint, counted for a task. */
+export interface CountedCrash {
+  /** Run that was suspected. */
+  run: number;
+  endpoint: string;
+  /** Start of the lifetime that ended, in Unix milliseconds. */
+  bornAt: number;
+  isWidespread: boolean;
+}
+
 /** Crashes of endpoints that a task is suspected of. */
 export interface TaskCrashes {
   /** The suspected runs, one for each lifetime that ended under the task. */
-  counted: { run: number; endpoint: string; isWidespread: boolean }[];
+  counted: CountedCrash[];
   /** Highest run number that outlived its probation; 0: none. */
   clearedRun: number;
   /** Earliest time of the next start. */
--- a/tests/cell/crash_restore_test.ts
+++ b/tests/cell/crash_restore_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { RecordKind } from "../../packages/journal/mod.ts";
 import { JobState } from "../../packages/jobs/mod.ts";
-import { makeJob, makeQueue, makeStep } from "./cell_site.ts";
+import { makeJob, makeQueue, makeStep, TICKETS } from "./cell_site.ts";
 import { CrashSite, makeBadSite, Return } from "./crash_site.ts";
 
 const RETURNS = [Return.SameId, Return.NewId];
@@ -57,6 +57,26 @@
   t.is(ref?.task.crashes.counted.length, 1);
 });
 
+// Guards against a healthy job that is given up because each new owner counts the end
+// of the same lifetime again.
+test("one crash under a healthy task counts once over four take-overs before its next start", (t) => {
+  const site = new CrashSite({ endpoints: 4, afterMs: 30_000 });
+  site.returnsAs = Return.SameId;
+  const queue = makeQueue({ advice: TICKETS });
+  site.advance(300);
+  site.submit(makeJob("a", [makeStep()], { queue }));
+  site.advance(200);
+  site.crash(site.findPlacement("a.0.0.0").id);
+  site.advance(site.backAfterMs);
+  for (let n = 0; n < 4; n++) {
+    site.replaceOwner();
+    site.advance(150);
+  }
+  const ref = site.cell.state.suspects.get("a.0.0.0");
+  t.is(ref?.task.crashes.counted.length, 1);
+  t.not(site.find("a"), JobState.Failed);
+});
+
 // Guards against a cleared count that returns with the journal.
 test("a count that a run cleared stays cleared after a take-over, compacted or not", (t) => {
   for (const isCompacted of [false, true]) {
