Suspect only the runs that started right before a crash when many endpoints crash

After many endpoints had crashed at once, tasks waited for up to 36.4 s: each run sent in the last 500 ms was a suspect, and the suspects of a queue are tried one by one.

--- a/packages/cell/blame.ts
+++ b/packages/cell/blame.ts
@@ -17,8 +17,8 @@
   lostAt: number;
   /** Pairs of task and run number that may have caused it. */
   suspects: [string, number][];
-  /** The last sign of life came right after the start of the last suspect. */
-  isImmediate: boolean;
+  /** Those of them that were sent right before the last sign of life. */
+  lastStarted: [string, number][];
   /** Number of runs that were lost, suspects included. */
   runs: number;
   /** Another lifetime has been seen; an endpoint that is only missing may return. */
@@ -46,11 +46,11 @@
 /** Returns whether a crash can be laid to a single task or to one gang. */
 function canAttribute(
   state: CellState,
-  { suspects, isCertain, isImmediate }: Crash,
+  { suspects, isCertain, lastStarted }: Crash,
 ): boolean {
   const stages = listStages(state, suspects);
   const [stage] = stages;
-  if (!isCertain || !isImmediate) return false;
+  if (!isCertain || lastStarted.length === 0) return false;
   if (!stage || stages.size > 1) return false;
   return suspects.length === 1 || getStep(stage).gang;
 }
--- a/packages/cell/crashes.ts
+++ b/packages/cell/crashes.ts
@@ -46,18 +46,25 @@
     service: info.service,
     bornAt,
     lostAt: contact.lostAt || lastSignAt,
-    suspects: suspects.map(({ task, number }) => [task, number]),
-    isImmediate: suspects.some(({ sentAt }) =>
-      lastSignAt <= (sentAt ?? 0) + MAX_CRASH_DELAY_MS
+    suspects: listRunNames(suspects),
+    lastStarted: listRunNames(
+      suspects.filter(({ sentAt }) =>
+        lastSignAt <= (sentAt ?? 0) + MAX_CRASH_DELAY_MS
+      ),
     ),
     runs: runs.size,
     isCertain,
   };
 }
 
+function listRunNames(runs: readonly Run[]): [string, number][] {
+  return runs.map(({ task, number }) => [task, number]);
+}
+
 /**
  * Notes a crash and counts it for its suspects. The count is written to the
- * journal, so that it outlives this owner.
+ * journal, so that it outlives this owner. Load: many endpoints crash at once; only
+ * the runs that started right before are suspected, so that few tasks wait for trials.
  */
 export function noteCrash(
   state: CellState,
@@ -65,8 +72,9 @@
   time: CurrentTime,
 ): void {
   if (!crash) return;
-  const { endpoint, bornAt, suspects } = crash;
+  const { endpoint, bornAt } = crash;
   const verdict = classifyCrash(state, crash);
+  const suspects = verdict.isWidespread ? crash.lastStarted : crash.suspects;
   state.recentCrashes = state.recentCrashes.filter(({ lostAt }) =>
     time.now - lostAt < FORMER_START_MS
   );
@@ -189,7 +197,7 @@
       lostAt: time.now,
       suspects: suspects.map(({ name, lastRun }) => [name, lastRun]),
       runs: tasks.length,
-      isImmediate: false,
+      lastStarted: [],
       isCertain: false,
     }, time);
   }
