Count the lease of an unanswered order from a late arrival

Callers would see two runs of a task at the same time, or one after it had completed, with tickets as well.

Cause: the platform may carry an order out seconds late and count its lease from the arrival. A renewal or start without an answer could thus extend the leases of an endpoint that is cut off beyond the time at which the owner starts its tasks elsewhere.

Evidence: the new test of late_order, and hostile with such leases ('j9.0.0.0 started again after it completed', traced), failed before.

Change: each order with a lease that got no answer extends the known end of the leases by one lease, and never beyond its latest arrival and the longest lease. A call that was not sent extends nothing. Weighed: the latest arrival for every cut endpoint, 17 s longer for all their tasks.

--- a/packages/cell/order_effects.ts
+++ b/packages/cell/order_effects.ts
@@ -22,12 +22,18 @@
   endpoint: Endpoint,
   options: { now: number; leaseMs: number },
 ): void {
-  const { now, leaseMs } = options;
-  const { lastListingAskedAt } = endpoint;
+  raiseLeaseEnd(endpoint, options.now + computeLongestLease(endpoint, options));
+}
+
+/** Computes how long the lease of an order sent now lasts at most, in milliseconds. */
+function computeLongestLease(
+  { lastListingAskedAt }: Endpoint,
+  { now, leaseMs }: { now: number; leaseMs: number },
+): number {
   const estimateAgeMs = lastListingAskedAt > 0 ? now - lastListingAskedAt : 0;
   const maxLeaseMs = (leaseMs + estimateAgeMs * CLOCK_DRIFT) *
       (1 + CLOCK_DRIFT) + LEASE_MARGIN_MS;
-  raiseLeaseEnd(endpoint, now + Math.min(maxLeaseMs, MAX_GRANTED_LEASE_MS));
+  return Math.min(maxLeaseMs, MAX_GRANTED_LEASE_MS);
 }
 
 /** Notes that a start order is sent now: the lease, and how late it may arrive. */
@@ -47,12 +53,13 @@
 
 /**
  * Notes that an order with a lease got no answer. `bornAt`: the endpoint's lifetime
- * when the order was sent. Any other lifetime grants the longest lease from the late
- * arrival: one found meanwhile, or one that is not listed yet and has runs.
+ * when the order was sent. It may be carried out late, and its lease count from the
+ * arrival: it extends leases that have not ended by then. Any other lifetime grants
+ * the longest lease: one found meanwhile, or one that is not listed yet and has runs.
  */
 export function noteLeaseUnanswered(
   endpoint: Endpoint,
-  { bornAt, now }: { bornAt: number; now: number },
+  { bornAt, now, leaseMs }: { bornAt: number; now: number; leaseMs: number },
 ): void {
   endpoint.unansweredLeaseAt = Math.max(endpoint.unansweredLeaseAt, now);
   const isOtherLifetime = bornAt !== endpoint.bornAt ||
@@ -60,8 +67,13 @@
       !run.isLifetimeKnown && run.startMayArriveUntil === 0 &&
       run.phase !== RunPhase.Starting
     );
-  if (!isOtherLifetime) return;
-  raiseLeaseEnd(endpoint, now + LATE_ORDER_MS + MAX_GRANTED_LEASE_MS);
+  const latestEndsAt = now + LATE_ORDER_MS + MAX_GRANTED_LEASE_MS;
+  const extendedEndsAt = endpoint.leaseEndsAt +
+    computeLongestLease(endpoint, { now, leaseMs });
+  raiseLeaseEnd(
+    endpoint,
+    isOtherLifetime ? latestEndsAt : Math.min(extendedEndsAt, latestEndsAt),
+  );
 }
 
 /**
--- a/packages/cell/order_results.ts
+++ b/packages/cell/order_results.ts
@@ -36,7 +36,12 @@
   const { result, clockMs } = options;
   const { now } = options.time;
   if (result === StartResult.Unknown) {
-    noteLeaseUnanswered(run.endpoint, { bornAt: run.sentToBornAt, now });
+    const { leaseMs } = state;
+    noteLeaseUnanswered(run.endpoint, {
+      bornAt: run.sentToBornAt,
+      now,
+      leaseMs,
+    });
   }
   if (run.endpoint.runs.get(run.task) !== run) return;
   run.lastChangedAt = now;
--- a/packages/scheduler/endpoint_session.ts
+++ b/packages/scheduler/endpoint_session.ts
@@ -212,8 +212,11 @@
     } catch (error) {
       this.#isUnresponsive = true;
       if (request.acknowledgedEnd > 0) endpoint.unansweredEndsAckAt = now;
-      if (request.leaseUntil !== undefined) {
-        noteLeaseUnanswered(endpoint, { bornAt, now });
+      if (
+        request.leaseUntil !== undefined && !(error instanceof NotSentError)
+      ) {
+        const leaseMs = this.#leaseMs;
+        noteLeaseUnanswered(endpoint, { bornAt, now, leaseMs });
       }
       const elapsedMs = this.#clock.now() - now;
       const isBroken = !(error instanceof NotSentError) &&
--- a/tests/cell/late_order_test.ts
+++ b/tests/cell/late_order_test.ts
@@ -118,13 +118,43 @@
   const leaseUntil = site.now + endpoint.clockOffset + LEASE_MS;
   target.isUnreachable = true;
   site.advance(500);
-  noteLeaseUnanswered(endpoint, { bornAt: endpoint.bornAt, now: site.now });
+  noteLeaseUnanswered(endpoint, {
+    bornAt: endpoint.bornAt,
+    now: site.now,
+    leaseMs: LEASE_MS,
+  });
   site.advance(4_500);
   target.hold({ fence: site.fence, acknowledgedEnd: 0, leaseUntil }, site.now);
   site.advance(ALL_ORDERS_SETTLED_MS);
   t.deepEqual(site.checker.violations, []);
 });
 
+// Guards against a second run of a task that goes on under a lease which a late renewal
+// granted from its arrival.
+test("a late renewal may extend the leases of an endpoint that is cut off", (t) => {
+  const site = new CellSite({ endpoints: 2, afterMs: 25_000 });
+  site.advance(200);
+  site.submit(makeJob("a", [makeStep()]));
+  site.advance(500);
+  const target = site.findPlacement(TASK);
+  const endpoint = site.cell.state.endpoints.get(target.id);
+  if (!endpoint) return t.fail();
+  const sentAt = site.now;
+  noteLeaseSent(endpoint, { now: sentAt, leaseMs: LEASE_MS });
+  target.isUnreachable = true;
+  site.advance(500);
+  const { bornAt } = endpoint;
+  noteLeaseUnanswered(endpoint, { bornAt, now: sentAt, leaseMs: LEASE_MS });
+  site.advance(3_000);
+  const leaseUntil = target.readClock(site.now) + LEASE_MS;
+  target.hold({ fence: site.fence, acknowledgedEnd: 0, leaseUntil }, site.now);
+  site.advance(4_000);
+  t.is(site.checker.starts, 1);
+  site.advance(LEASE_MS);
+  t.is(site.checker.starts, 2);
+  t.deepEqual(site.checker.violations, []);
+});
+
 // Guards against a second run of a task whose lease was extended by a late order that
 // was in flight, with a time on the former lifetime's clock, when the restart was found.
 test("an order in flight at a restart may extend the leases of the new lifetime", (t) => {
@@ -167,7 +197,11 @@
   const endpoint = site.cell.state.endpoints.get("e0");
   if (!endpoint) return t.fail();
   noteLeaseSent(endpoint, { now: site.now, leaseMs: LEASE_MS });
-  noteLeaseUnanswered(endpoint, { bornAt: endpoint.bornAt, now: site.now });
+  noteLeaseUnanswered(endpoint, {
+    bornAt: endpoint.bornAt,
+    now: site.now,
+    leaseMs: LEASE_MS,
+  });
   endpoint.unansweredEndsAckAt = site.now;
   site.endpoints.clear();
   site.applyEndpointList();
