Wait for starts of former owners although their endpoint was dropped

Callers of queues without tickets: a task runs twice after a take-over.

Cause: an endpoint that left the list was dropped at once after a take-over, and a task placed on an unknown endpoint counted as settled. The endpoint can be back under its id and carry the former owner's start out before the first poll.

Evidence: both cases of the new test failed before ('started again after it completed', 'runs on e1 and e0').

Change: the wait for former starts does not depend on whether the endpoint is known.

--- a/packages/cell/remnants.ts
+++ b/packages/cell/remnants.ts
@@ -21,7 +21,8 @@
 /**
  * Returns whether a former owner's start of a task may still take effect on the
  * endpoint where it was placed: it may be on its way, and a lifetime that begins
- * before it arrives knows of no fencing token. A ticket is bound to one lifetime.
+ * before it arrives knows of no fencing token. A ticket is bound to one lifetime. An
+ * endpoint that was dropped may be back under its id.
  */
 export function mayFormerStartArrive(
   state: CellState,
@@ -30,8 +31,8 @@
   const { stage, task } = options.taskRef;
   if (stage.job.spec.queue.advice) return false;
   const endpoint = state.endpoints.get(task.placedOn);
-  if (!endpoint || endpoint.isReplaced) return false;
-  const leaseMs = endpoint.hasAcceptedFence ? 0 : MAX_GRANTED_LEASE_MS;
+  if (task.placedOn === "" || endpoint?.isReplaced) return false;
+  const leaseMs = endpoint?.hasAcceptedFence ? 0 : MAX_GRANTED_LEASE_MS;
   return options.now < state.formerStartsUntil + leaseMs;
 }
 
--- a/tests/cell/late_order_test.ts
+++ b/tests/cell/late_order_test.ts
@@ -61,6 +61,35 @@
   t.is(site.find("a"), JobState.Completed);
 });
 
+for (const isReachable of [true, false]) {
+  // Guards against an endpoint that is dropped, and so settles a task, while a start of a
+  // former owner may still reach it: it can be back under its id.
+  test(`a task waits for a former owner's start although its endpoint was dropped, contact before: ${isReachable}`, (t) => {
+    const delayMs = isReachable ? 9_000 : 12_300;
+    const site = new CellSite({ endpoints: 2, afterMs: 2_000 });
+    site.advance(200);
+    site.delayStarts({ byMs: delayMs });
+    site.submit(makeJob("a", [makeStep()]));
+    site.advance(60);
+    site.delayStarts(undefined);
+    const target = site.findPlacement(TASK);
+    target.isUnreachable = !isReachable;
+    site.replaceOwner();
+    site.advance(1_000);
+    site.endpoints.delete(target.id);
+    site.applyEndpointList();
+    site.advance(delayMs - 1_180);
+    target.isUnreachable = false;
+    target.restart(site.now);
+    site.advance(150);
+    site.endpoints.set(target.id, target);
+    site.applyEndpointList();
+    site.advance(ALL_ORDERS_SETTLED_MS);
+    t.deepEqual(site.checker.violations, []);
+    t.is(site.find("a"), JobState.Completed);
+  });
+}
+
 // Guards against a wait that only queues without tickets need.
 test("an unlisted task with a ticket is started at once by a new owner", (t) => {
   const site = new CellSite({ endpoints: 2 });
