--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -155,7 +155,8 @@
 /**
  * Adopts a run that a former owner or a late order started; it takes the place
  * of an earlier run of the task on the endpoint. Stops the run unless its task
- * is unlocated, that is, may still run where a former owner placed it.
+ * is unlocated, that is, may still run where a former owner placed it, and was placed
+ * there.
  */
 function adoptRun(
   state: CellState,
@@ -197,7 +198,8 @@
   // A former owner may have granted a lease just now, with an old estimate of the
   // endpoint's clock.
   noteLeaseSent(endpoint, { now: times.now, leaseMs: MAX_LEASE_MS });
-  const isExpected = taskRef?.task.phase === TaskPhase.Unlocated;
+  const isExpected = taskRef?.task.phase === TaskPhase.Unlocated &&
+    taskRef.task.placedOn === endpoint.info.id;
   addDecision(state, {
     kind: DecisionKind.Adopted,
     subject: listedRun.task,
--- a/tests/cell/take_over_test.ts
+++ b/tests/cell/take_over_test.ts
@@ -67,6 +67,26 @@
   t.deepEqual(site.checker.violations, []);
 });
 
+// Guards against an older run that is adopted in place of the one that the journal has
+// placed on another endpoint, and that may still run there.
+test("a run on another endpoint than the placement is stopped, not adopted", (t) => {
+  const site = new CellSite({ endpoints: 2, afterMs: 20_000 });
+  site.advance(200);
+  site.submit(makeJob("a", [makeStep()]));
+  site.advance(300);
+  const placed = site.findPlacement("a.0.0.0");
+  const other = [...site.endpoints.values()].find((fake) => fake !== placed);
+  const run = placed.runs.get("a.0.0.0");
+  if (!other || !run) return t.fail();
+  placed.isUnreachable = true;
+  other.runs.set(run.task, { ...run, endpoint: other.id });
+  other.leaseEndsAt = other.readClock(site.now) + LEASE_MS;
+  site.replaceOwner();
+  site.advance(1_000);
+  t.false(other.runs.has(run.task));
+  t.true(site.cell.state.unlocated.has(run.task));
+});
+
 test("an accepted job and its ended tasks survive changes of owner", (t) => {
   const site = new CellSite();
   const steps = [makeStep({ tasks: 2 }), makeStep({ after: [0], tasks: 3 })];
