Drop the count of a crash when the same lifetime answers again

Callers: a healthy job was shown as failed after its endpoints had been cut off, and missing from the list, three times; none crashed.

Cause: an endpoint that is missing after its leases counts as crashed, and the count stayed when it answered again in the same lifetime.

Evidence: the new test failed before: the job had failed and was not started a fourth time.

Change: a listing of a counted lifetime drops the counts for it.

--- a/packages/cell/blame.ts
+++ b/packages/cell/blame.ts
@@ -23,6 +23,8 @@
   runs: number;
   /** Another lifetime has been seen; an endpoint that is only missing may return. */
   isCertain: boolean;
+  /** The endpoint is only missing from the list, and its lifetime may answer again. */
+  isMissing: boolean;
 }
 
 /** What a crash says of its suspects. */
--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -29,6 +29,7 @@
   finishJob,
   restoreCell,
 } from "./snapshot.ts";
+import { dropCrashCounts } from "./crashes.ts";
 import { canInterrupt } from "./colocation.ts";
 import { buildJob, findTask, openStages } from "./stages.ts";
 import { type CellOutput, type CellState, makeOutput } from "./state.ts";
@@ -273,6 +274,7 @@
     applyListing(this.state, endpoint, options);
     const { listing, times } = options;
     noteContact(endpoint, { listing, now: times.now });
+    dropCrashCounts(this.state, endpoint);
   }
 
   /** Notes that a poll of an endpoint failed; see `noteContactLost`. */
--- a/packages/cell/crashes.ts
+++ b/packages/cell/crashes.ts
@@ -32,7 +32,7 @@
 export function describeCrash(
   state: CellState,
   endpoint: Endpoint,
-  { isCertain }: { isCertain: boolean },
+  { isMissing }: { isMissing: boolean },
 ): Crash | undefined {
   const { bornAt, contact, info, runs } = endpoint;
   if (bornAt === 0 || contact.endedBornAt === bornAt) return undefined;
@@ -53,7 +53,8 @@
       ),
     ),
     runs: runs.size,
-    isCertain,
+    isCertain: !isMissing,
+    isMissing,
   };
 }
 
@@ -63,7 +64,7 @@
 
 /**
  * Notes a crash and counts it for its suspects. The count is written to the
- * journal, so that it outlives this owner. Load: many endpoints crash at once; only
+ * journal, so that it outlives this owner, unless it may be dropped again. Load: many endpoints crash at once; only
  * the runs that started right before are suspected, so that few tasks wait for trials.
  */
 export function noteCrash(
@@ -92,13 +93,15 @@
     },
   });
   if (suspects.length === 0) return;
-  state.output.records.push({
-    kind: RecordKind.Crashed,
-    endpoint,
-    bornAt,
-    runs: suspects,
-    ...verdict,
-  });
+  if (!crash.isMissing) {
+    state.output.records.push({
+      kind: RecordKind.Crashed,
+      endpoint,
+      bornAt,
+      runs: suspects,
+      ...verdict,
+    });
+  }
   for (const [task, run] of suspects) {
     applyCrash(state, { task, run, endpoint, bornAt, ...verdict }, time);
   }
@@ -126,6 +129,17 @@
   if (isGivenUp(crashes, crash)) endSuspectJob(state, taskRef, time);
 }
 
+/** Drops what was counted for a lifetime of an endpoint that answers again. */
+export function dropCrashCounts(state: CellState, endpoint: Endpoint): void {
+  for (const [name, { task }] of state.suspects) {
+    const { crashes } = task;
+    crashes.counted = crashes.counted.filter((crash) =>
+      crash.endpoint !== endpoint.info.id || crash.bornAt !== endpoint.bornAt
+    );
+    if (crashes.counted.length === 0) state.suspects.delete(name);
+  }
+}
+
 /** Clears the crash count of a task whose run has outlived its probation. */
 export function clearCrashes(
   state: CellState,
@@ -199,6 +213,7 @@
       runs: tasks.length,
       lastStarted: [],
       isCertain: false,
+      isMissing: false,
     }, time);
   }
 }
--- a/packages/cell/endpoints.ts
+++ b/packages/cell/endpoints.ts
@@ -133,7 +133,7 @@
   endpoint: Endpoint,
   time: CurrentTime,
 ): void {
-  const crash = describeCrash(state, endpoint, { isCertain: true });
+  const crash = describeCrash(state, endpoint, { isMissing: false });
   endpoint.isReplaced = true;
   endpoint.hasAcceptedFence = false;
   endpoint.leaseEndsAt = 0;
@@ -194,7 +194,7 @@
   time: CurrentTime,
 ): void {
   if (endpoint.isListed || endpoint.contact.lapsedRuns.length === 0) return;
-  const crash = describeCrash(state, endpoint, { isCertain: false });
+  const crash = describeCrash(state, endpoint, { isMissing: true });
   noteCrash(state, crash, time);
 }
 
--- a/packages/cell/lifetimes.ts
+++ b/packages/cell/lifetimes.ts
@@ -37,7 +37,7 @@
       },
     });
   }
-  const crash = describeCrash(state, endpoint, { isCertain: true });
+  const crash = describeCrash(state, endpoint, { isMissing: false });
   endpoint.bornAt = bornAt;
   endpoint.lastEndNumber = 0;
   endpoint.committedEndNumber = 0;
--- a/tests/cell/crash_blame_test.ts
+++ b/tests/cell/crash_blame_test.ts
@@ -8,6 +8,31 @@
 
 const BULK = makeQueue({ name: "bulk", priority: 2 });
 
+// Guards against a healthy job that is given up because its endpoints were cut off from
+// the platform and from the owner, and missing from the list, but never crashed.
+test("endpoints that are cut off and missing, three times: the job goes on", (t) => {
+  const site = new CrashSite({ endpoints: 6, afterMs: 60_000 });
+  site.advance(200);
+  site.submit(makeJob("a", [makeStep()]));
+  for (let cut = 1; cut <= 4; cut++) {
+    for (let n = 0; n < 4_000 && site.checker.starts < cut; n++) {
+      site.advance(10);
+    }
+    t.is(site.checker.starts, cut);
+    const fake = site.findPlacement("a.0.0.0");
+    site.advance(100);
+    fake.isUnreachable = true;
+    site.endpoints.delete(fake.id);
+    site.applyEndpointList();
+    site.advance(7_000);
+    fake.isUnreachable = false;
+    site.endpoints.set(fake.id, fake);
+    site.applyEndpointList();
+    site.advance(300);
+    t.not(site.find("a"), JobState.Failed);
+  }
+});
+
 // Guards against long-running neighbours that are given up for the crashes that a
 // task beside them causes.
 test("a bad task beside long-running neighbours: they are no suspects, and the second crash takes none of them", (t) => {
