Try three suspects of a queue at a time

Cause: the suspects of a queue were tried one after another.

Change: up to three are on trial at a time. The end of an endpoint on which a suspect is on trial does not count as lost together with another one, so that each trial can still be laid to its task.

--- a/packages/cell/blame.ts
+++ b/packages/cell/blame.ts
@@ -59,7 +59,7 @@
 
 /**
  * Lists the other endpoints of the service that were lost at the same moment, but
- * for those that ran the same step. Load: a rack or many endpoints crash at once.
+ * for those that ran the same step or a suspect on trial. Load: a rack or many endpoints crash at once.
  */
 function listLostTogether(state: CellState, crash: Crash): Set<string> {
   const stages = listStages(state, crash.suspects);
@@ -74,19 +74,29 @@
     if (other.service !== crash.service || !isSameMoment(other.lostAt)) {
       continue;
     }
-    if (!other.suspects.some(([task]) => isOfStages(task))) {
+    const isOther = !other.suspects.some(([task]) =>
+      isOfStages(task) || countCrashes(state, task) > 1
+    );
+    if (isOther) {
       lost.add(other.endpoint);
     }
   }
   for (const { info, contact, runs } of state.endpoints.values()) {
     if (info.service !== crash.service || contact.lostAt === 0) continue;
     if (!isSameMoment(contact.lostAt)) continue;
-    if (![...runs.keys()].some(isOfStages)) lost.add(info.id);
+    const isOther = ![...runs.keys()].some((task) =>
+      isOfStages(task) || countCrashes(state, task) > 0
+    );
+    if (isOther) lost.add(info.id);
   }
   lost.delete(crash.endpoint);
   return lost;
 }
 
+function countCrashes(state: CellState, task: string): number {
+  return state.suspects.get(task)?.task.crashes.counted.length ?? 0;
+}
+
 function listStages(
   state: CellState,
   suspects: readonly [string, number][],
--- a/packages/cell/constants.ts
+++ b/packages/cell/constants.ts
@@ -156,6 +156,13 @@
  */
 export const PROBATION_MS = 1_000;
 
+/**
+ * Largest number of suspects of one queue on trial at the same time: their crashes are
+ * too few to count as widespread. Fewer keep work waiting after many endpoints have
+ * crashed at once.
+ */
+export const MAX_TRIALS = 3;
+
 /** Delay before a suspect's first trial, in ms; doubles with each crash. */
 export const SUSPECT_RETRY_MS = 500;
 
--- a/packages/cell/trials.ts
+++ b/packages/cell/trials.ts
@@ -1,4 +1,4 @@
-import { PROBATION_MS, SUSPECT_WINDOW_MS } from "./constants.ts";
+import { MAX_TRIALS, PROBATION_MS, SUSPECT_WINDOW_MS } from "./constants.ts";
 import { clearCrashes } from "./crashes.ts";
 import type { PlacementPass } from "./placement_pass.ts";
 import type { CellState } from "./state.ts";
@@ -14,8 +14,8 @@
 
 /** Trials of suspects that are in progress. */
 export interface Trials {
-  /** Queues one of whose suspects runs or may run; the others wait. */
-  queues: Set<string>;
+  /** Number of suspects that run or may run, by queue. */
+  queues: Map<string, number>;
   /** Endpoints with a run on probation, which get no other work. */
   endpoints: Set<Endpoint>;
 }
@@ -37,12 +37,12 @@
 
 /** Collects the trials in progress. */
 export function collectTrials(state: CellState, now: number): Trials {
-  const trials: Trials = { queues: new Set(), endpoints: new Set() };
+  const trials: Trials = { queues: new Map(), endpoints: new Set() };
   for (const { stage, task } of state.suspects.values()) {
     const isTried = task.phase === TaskPhase.Unlocated ||
       task.run !== undefined && isOnTrial(task.run, now);
     if (!isTried) continue;
-    trials.queues.add(stage.job.spec.queue.name);
+    countTrial(trials, stage);
     const tasks = getStep(stage).gang ? stage.tasks : [task];
     for (const { run } of tasks) {
       if (run && isOnTrial(run, now)) trials.endpoints.add(run.endpoint);
@@ -67,8 +67,8 @@
 
 /**
  * Returns whether these tasks may be started now as far as crashes go: suspects
- * after their delay, and one at a time in each queue, so that a class of tasks that
- * crash endpoints takes down one endpoint at a time.
+ * after their delay, and a few at a time in each queue, so that a class of tasks that
+ * crash endpoints does not take down a service.
  */
 export function mayTry(
   pass: PlacementPass,
@@ -77,7 +77,8 @@
 ): boolean {
   const suspects = tasks.filter(isSuspect);
   if (suspects.length === 0) return true;
-  if (pass.trials.queues.has(stage.job.spec.queue.name)) return false;
+  const running = pass.trials.queues.get(stage.job.spec.queue.name) ?? 0;
+  if (running >= MAX_TRIALS) return false;
   return suspects.every(({ crashes }) => pass.now >= crashes.retryAt);
 }
 
@@ -105,13 +106,18 @@
   endpoints: readonly Endpoint[],
 ): void {
   const { queue } = stage.job.spec;
-  pass.trials.queues.add(queue.name);
+  countTrial(pass.trials, stage);
   for (const endpoint of endpoints) {
     pass.trials.endpoints.add(endpoint);
     pass.services.get(queue.service)?.accepting.delete(endpoint);
   }
 }
 
+function countTrial({ queues }: Trials, { job }: Stage): void {
+  const { name } = job.spec.queue;
+  queues.set(name, (queues.get(name) ?? 0) + 1);
+}
+
 /** Returns whether the endpoint has answered and run the task after its probation. */
 function hasOutlivedProbation(run: Run): boolean {
   const { contact } = run.endpoint;
