Log the clocks around an endpoint's restart, and listings that are not applied

The hypotheses differ in what an owner takes as proof of a run's lifetime: 5007 now has the clock of the last listing, its age, and the clock of the listing that shows the new lifetime; 6203 says whether the lifetime of the released run was known. A run released as of the former lifetime whose sinceStartMs is below lastListingMsAgo was known by a clock, not by a listing. 5011 tells of listings that are not applied. Restarts, replacements and such listings are counted. No logic is changed; the tests of events, the counters and restarted endpoints pass.

--- a/packages/cell/lifetimes.ts
+++ b/packages/cell/lifetimes.ts
@@ -17,9 +17,9 @@
 export function beginLifetime(
   state: CellState,
   endpoint: Endpoint,
-  options: { bornAt: number; times: CurrentTime },
+  options: { bornAt: number; clockMs: number; times: CurrentTime },
 ): void {
-  const { bornAt, times } = options;
+  const { bornAt, clockMs, times } = options;
   const hasRestarted = endpoint.bornAt > 0;
   if (hasRestarted) {
     addDecision(state, {
@@ -28,6 +28,9 @@
       inputs: {
         was: endpoint.bornAt,
         is: bornAt,
+        lastClockMs: endpoint.lastListingClock,
+        clockMs,
+        lastListingMsAgo: Math.round(times.now - endpoint.lastListingAskedAt),
         runs: endpoint.runs.size,
         unansweredMsAgo: describeAge(endpoint.unansweredLeaseAt, times.now),
         unansweredAckMsAgo: describeAge(
--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -52,10 +52,15 @@
   options: { listing: EndpointListing; times: ListingTimes },
 ): void {
   const { listing, times } = options;
-  if (listing.bornAt < endpoint.bornAt) return;
-  if (listing.bornAt > endpoint.bornAt) {
-    beginLifetime(state, endpoint, { bornAt: listing.bornAt, times });
-  } else if (listing.clockMs < endpoint.lastListingClock) return;
+  const { bornAt, clockMs } = listing;
+  if (bornAt < endpoint.bornAt) {
+    return noteListingIgnored(state, endpoint, options);
+  }
+  if (bornAt > endpoint.bornAt) {
+    beginLifetime(state, endpoint, { bornAt, clockMs, times });
+  } else if (clockMs < endpoint.lastListingClock) {
+    return noteListingIgnored(state, endpoint, options);
+  }
   endpoint.lastListingClock = listing.clockMs;
   endpoint.lastListingAskedAt = times.askedAt;
   endpoint.unresponsiveUntil = 0;
@@ -84,6 +89,24 @@
   settleUnlocated(state, times);
 }
 
+function noteListingIgnored(
+  state: CellState,
+  endpoint: Endpoint,
+  { listing, times }: { listing: EndpointListing; times: ListingTimes },
+): void {
+  addDecision(state, {
+    kind: DecisionKind.ListingIgnored,
+    subject: endpoint.info.id,
+    inputs: {
+      bornAt: endpoint.bornAt,
+      listedBornAt: listing.bornAt,
+      lastClockMs: endpoint.lastListingClock,
+      clockMs: listing.clockMs,
+      askedMsAgo: Math.round(times.now - times.askedAt),
+    },
+  });
+}
+
 function recordEndpoint(state: CellState, endpoint: Endpoint): void {
   if (endpoint.isRecorded || endpoint.isRecording) return;
   endpoint.isRecording = true;
--- a/packages/cell/task_ends.ts
+++ b/packages/cell/task_ends.ts
@@ -134,6 +134,7 @@
       endpoint: run.endpoint.info.id,
       bornAt: run.endpoint.bornAt,
       phase: run.phase,
+      isLifetimeKnown: run.isLifetimeKnown,
       sinceStartMs: Math.round(options.now - run.startedAt),
       reason: options.reason,
     },
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -498,6 +498,8 @@
   EndpointEjected = "endpoint_ejected",
   EndpointReborn = "endpoint_reborn",
   EndpointReplaced = "endpoint_replaced",
+  /** A listing of runs came too late to be applied. */
+  ListingIgnored = "listing_ignored",
   /** The throttle of an endpoint's best-effort runs changed. */
   Throttled = "throttled",
   LeaseExpired = "lease_lapsed",
--- a/packages/events/catalogue.ts
+++ b/packages/events/catalogue.ts
@@ -38,6 +38,7 @@
   EndpointLapsed = 5008,
   EndpointThrottled = 5009,
   EndpointCrashed = 5010,
+  EndpointListingIgnored = 5011,
   EndpointRoomShrunk = 5020,
   EndpointRoomGrown = 5021,
   EndpointRecordsStale = 5022,
@@ -258,6 +259,11 @@
     remedy:
       "Check the endpoint if there are no suspects, or the tasks if one of them is named again.",
   },
+  [EventCode.EndpointListingIgnored]: {
+    severity: Severity.Info,
+    message: "a listing of an endpoint came too late to be applied",
+    remedy: "Check the network to the endpoint if it repeats.",
+  },
   [EventCode.TaskGivenUp]: {
     severity: Severity.Warn,
     message: "too many endpoints crashed under a task; its job has failed",
--- a/packages/scheduler/decision_log.ts
+++ b/packages/scheduler/decision_log.ts
@@ -11,6 +11,7 @@
   [DecisionKind.EndpointEjected]: EventCode.EndpointEjected,
   [DecisionKind.EndpointReborn]: EventCode.EndpointReborn,
   [DecisionKind.EndpointReplaced]: EventCode.EndpointReborn,
+  [DecisionKind.ListingIgnored]: EventCode.EndpointListingIgnored,
   [DecisionKind.Throttled]: EventCode.EndpointThrottled,
   [DecisionKind.LeaseExpired]: EventCode.EndpointLapsed,
   [DecisionKind.Adopted]: EventCode.TaskAdopted,
@@ -22,6 +23,9 @@
 
 /** Counters of decisions, by kind. */
 const COUNTER_BY_DECISION: Partial<Record<DecisionKind, string>> = {
+  [DecisionKind.EndpointReborn]: "endpoint_restarts",
+  [DecisionKind.EndpointReplaced]: "endpoints_replaced",
+  [DecisionKind.ListingIgnored]: "listings_ignored",
   [DecisionKind.RoomShrunk]: "rooms_shrunk",
   [DecisionKind.RoomGrown]: "rooms_grown",
   [DecisionKind.EndpointCrashed]: "endpoint_crashes",
