Reproduce a task that runs twice after its endpoint restarted under its id

The clock of an endpoint begins at an arbitrary value, as raw answers of the platform show; the stand-ins began it at 0, which hid that a clock is taken as proof of a lifetime.

--- a/tests/cell/fake_endpoint.ts
+++ b/tests/cell/fake_endpoint.ts
@@ -6,6 +6,7 @@
   StopResult,
 } from "../../packages/cell/mod.ts";
 import { type Demand, EndKind } from "../../packages/jobs/mod.ts";
+import { CLOCK_AT_START_MS } from "../standins/endpoint_lifetime.ts";
 
 /**
  * Time for which a room that has shrunk still counts, in milliseconds: the
@@ -35,8 +36,10 @@
   /** Where it is reached; another endpoint may have been there before. */
   readonly address: string;
   capacity: Demand;
-  /** Start of the current lifetime. */
+  /** Start of the current lifetime, as the endpoint says. */
   bornAt: number;
+  /** True start of the current lifetime. */
+  #startedAt: number;
   /** Highest fencing token received in this lifetime. */
   fence = 0;
   /** End of the lease on the endpoint clock; 0: no lease. */
@@ -76,12 +79,14 @@
     this.id = options.id;
     this.address = options.address ?? options.id;
     this.bornAt = options.bornAt;
+    this.#startedAt = options.bornAt;
     this.capacity = options.capacity;
   }
 
-  /** Returns the endpoint clock: milliseconds since the lifetime started. */
+  /** Returns the endpoint clock, which starts anew with each lifetime. */
   readClock(now: number): number {
-    return Math.round((now - this.bornAt) * this.clockRate);
+    return CLOCK_AT_START_MS +
+      Math.round((now - this.#startedAt) * this.clockRate);
   }
 
   start(
@@ -164,7 +169,8 @@
   /** Ends the runs that are finished and those whose lease has expired. */
   advance(now: number): void {
     this.#now = now;
-    const leaseExpiresAt = this.bornAt + this.leaseEndsAt / this.clockRate;
+    const leaseExpiresAt = this.#startedAt +
+      (this.leaseEndsAt - CLOCK_AT_START_MS) / this.clockRate;
     if (this.leaseEndsAt > 0 && leaseExpiresAt <= now) {
       for (const { task } of this.unacknowledgedEnds) this.onEndDiscarded(task);
     }
@@ -204,14 +210,18 @@
     if (this.runs.get(run.task) === run) this.#end(run, EndKind.GangBroken);
   }
 
-  /** Restarts with the same id and loses all state of the former lifetime. */
-  restart(now: number): void {
+  /**
+   * Restarts with the same id and loses all state of the former lifetime. `bornAt`:
+   * the start that it says; the time of day may have been stepped.
+   */
+  restart(now: number, bornAt = now): void {
     this.advance(now);
     this.runs.clear();
     for (const { task } of this.unacknowledgedEnds) this.onEndDiscarded(task);
     this.unacknowledgedEnds = [];
     this.highestEndedRuns.clear();
-    this.bornAt = now;
+    this.bornAt = bornAt;
+    this.#startedAt = now;
     this.fence = 0;
     this.leaseEndsAt = 0;
     this.#lastEndNumber = 0;
--- a/tests/standins/endpoint_lifetime.ts
+++ b/tests/standins/endpoint_lifetime.ts
@@ -3,6 +3,12 @@
 /** Maximum number of ended runs in one answer. */
 const MAX_LISTED_ENDS = 500;
 
+/**
+ * What the clock of an endpoint shows when a lifetime begins, in milliseconds. The
+ * platform promises no value.
+ */
+export const CLOCK_AT_START_MS = 2_000_000;
+
 /** Body of a call to an endpoint; which fields are set depends on the call. */
 export interface OrderBody {
   task: string;
@@ -96,12 +102,14 @@
 
   /** Returns the time on the endpoint's clock. */
   measureClock(now: number): number {
-    return Math.floor((now - this.born) * this.#parts.clockRate);
+    return CLOCK_AT_START_MS +
+      Math.floor((now - this.born) * this.#parts.clockRate);
   }
 
   /** Ends the runs that are done, stopped or without a lease by this time. */
   endDueRuns(now: number): void {
-    const leaseEndsAt = this.born + this.#leaseUntil / this.#parts.clockRate;
+    const leaseEndsAt = this.born +
+      (this.#leaseUntil - CLOCK_AT_START_MS) / this.#parts.clockRate;
     if (leaseEndsAt <= now) this.#lapsedAt = leaseEndsAt;
     for (const run of [...this.runs.values()]) {
       const endsAt = Math.min(run.endsAt, leaseEndsAt);
--- a/tests/virtual/session_test.ts
+++ b/tests/virtual/session_test.ts
@@ -182,6 +182,24 @@
   t.true(endpoint.leaseEndsAt > time.now + LEASE_MS / 2);
 });
 
+// Guards against tasks of a crashed endpoint that wait although it is back: a poll waits
+// there for an end while the endpoint has lost all runs.
+test("the first poll after a failure does not wait for an end", async (t) => {
+  const { time, control, addRun } = startSession();
+  await time.advance(200);
+  addRun();
+  await time.advance(2_000);
+  t.true(control.polls.at(-1)!.waitMs > 0);
+  control.isReachable = false;
+  await time.advance(3_000);
+  control.isReachable = true;
+  const failedPolls = control.polls.length;
+  await time.advance(3_000);
+  const [, first, second] = control.polls.slice(failedPolls - 1);
+  t.is(first.waitMs, 0);
+  t.true(second.waitMs > 0);
+});
+
 test("an endpoint without runs is polled only once", async (t) => {
   const { time, control } = startSession();
   await time.advance(20_000);
