Take only a list of runs as proof of the lifetime that a run belongs to

Callers saw a task run twice after its endpoint had restarted under its id. kept the runs that a lifetime not listed yet had started, but took a start as one of the known lifetime if the clock in its answer was one that this lifetime could show. The clock of a new lifetime begins at an arbitrary value, so it can be in that range: the run was released as gone, its task was started elsewhere, and its end could be acknowledged unseen.

Change: answers to starts prove nothing about the lifetime. A run whose start was answered belongs to the first listing that was asked for after the answer: it is listed there, or it was lost with a former lifetime and is released at once. Until it is listed, its lease counts for itself as the longest one that another lifetime may have granted; the leases of the listed runs beside it no longer grow with it. Ends are acknowledged by a poll that is sent while no start is unlisted, as before.

--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -304,7 +304,7 @@
   /** Applies the result of a start order. */
   applyStartAnswer(
     run: Run,
-    options: { result: StartResult; clockMs?: number; time: CurrentTime },
+    options: { result: StartResult; time: CurrentTime },
   ): void {
     applyStartAnswer(this.state, run, options);
   }
--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -1,6 +1,6 @@
 import { RecordKind } from "../journal/mod.ts";
 import { EndKind, parseTaskName } from "../jobs/mod.ts";
-import { MAX_LEASE_MS, STALL_MS } from "./constants.ts";
+import { MAX_LEASE_MS, MAX_LISTED_ENDS, STALL_MS } from "./constants.ts";
 import {
   type CurrentTime,
   recordEnd,
@@ -82,7 +82,7 @@
     applyListedRun(state, endpoint, { listedRun, times });
   }
   for (const run of [...endpoint.runs.values()]) {
-    if (!listed.has(run.task)) settleUnlistedRun(state, run, times);
+    if (!listed.has(run.task)) settleUnlistedRun(state, run, options);
   }
   endpoint.hasAcceptedFence = true;
   planPaces(state, endpoint, times);
@@ -205,6 +205,7 @@
     isLifetimeKnown: true,
     sentToBornAt: 0,
     startMayArriveUntil: 0,
+    unlistedLeaseEndsAt: 0,
     hasTicket: false,
     percent: listedRun.percent,
     progressAt: times.now,
@@ -289,10 +290,17 @@
 function settleUnlistedRun(
   state: CellState,
   run: Run,
-  times: ListingTimes,
+  { listing, times }: { listing: EndpointListing; times: ListingTimes },
 ): void {
   if (times.askedAt <= run.lastChangedAt) return;
   if (run.phase === RunPhase.Starting) return;
+  if (hasBeenLost(run, listing)) {
+    return releaseRun(state, run, {
+      now: times.now,
+      hasFailed: false,
+      reason: "started by a former lifetime",
+    });
+  }
   const isStopping = run.phase === RunPhase.Stopping;
   if (isStopping && !run.isStopAcknowledged) return sendStop(state, run);
   // A second start of the task must not be on its way beside this one.
@@ -304,3 +312,12 @@
     reason: "stopped, or never started",
   });
 }
+
+/**
+ * Returns whether a run that was started before an endpoint was asked for this listing,
+ * and that no listing has shown, has been lost with a former lifetime.
+ */
+function hasBeenLost(run: Run, { ended }: EndpointListing): boolean {
+  const isStarted = run.phase === RunPhase.Running && !run.isLifetimeKnown;
+  return isStarted && ended.length < MAX_LISTED_ENDS;
+}
--- a/packages/cell/order_effects.ts
+++ b/packages/cell/order_effects.ts
@@ -4,7 +4,7 @@
   LEASE_MARGIN_MS,
   MAX_LEASE_MS,
 } from "./constants.ts";
-import { type Endpoint, type Run, RunPhase } from "./types.ts";
+import type { Endpoint, Run } from "./types.ts";
 
 /**
  * Longest time for which a run goes on after an order with any lease was carried
@@ -55,24 +55,26 @@
  * Notes that an order with a lease got no answer. `bornAt`: the endpoint's lifetime
  * when the order was sent. It may be carried out late, and its lease count from the
  * arrival: it extends leases that have not ended by then. Any other lifetime grants
- * the longest lease: one found meanwhile, or one that is not listed yet and has runs.
+ * the longest lease: one found meanwhile, or one that is not listed yet.
  */
 export function noteLeaseUnanswered(
   endpoint: Endpoint,
   { bornAt, now, leaseMs }: { bornAt: number; now: number; leaseMs: number },
 ): void {
   endpoint.unansweredLeaseAt = Math.max(endpoint.unansweredLeaseAt, now);
-  const isOtherLifetime = bornAt !== endpoint.bornAt ||
-    [...endpoint.runs.values()].some((run) =>
-      !run.isLifetimeKnown && run.startMayArriveUntil === 0 &&
-      run.phase !== RunPhase.Starting
-    );
   const latestEndsAt = now + LATE_ORDER_MS + MAX_GRANTED_LEASE_MS;
+  for (const run of endpoint.runs.values()) {
+    if (run.isLifetimeKnown || run.unlistedLeaseEndsAt === 0) continue;
+    const endsAt = run.unlistedLeaseEndsAt + MAX_GRANTED_LEASE_MS;
+    run.unlistedLeaseEndsAt = Math.min(endsAt, latestEndsAt);
+  }
   const extendedEndsAt = endpoint.leaseEndsAt +
     computeLongestLease(endpoint, { now, leaseMs });
   raiseLeaseEnd(
     endpoint,
-    isOtherLifetime ? latestEndsAt : Math.min(extendedEndsAt, latestEndsAt),
+    bornAt === endpoint.bornAt
+      ? Math.min(extendedEndsAt, latestEndsAt)
+      : latestEndsAt,
   );
 }
 
@@ -94,19 +96,12 @@
 }
 
 /**
- * Notes that a start order was carried out. `clockMs`: the endpoint's clock in its
- * answer. While the lifetime that carried it out is not known, its lease may be the
- * longest that the endpoint grants.
+ * Notes that a start order was carried out. The answer does not tell by which lifetime;
+ * one that has not been listed yet may have granted its longest lease.
  */
-export function noteStartCarriedOut(
-  run: Run,
-  options: { clockMs: number | undefined; now: number },
-): void {
+export function noteStartCarriedOut(run: Run, now: number): void {
   run.startMayArriveUntil = 0;
-  if (run.isLifetimeKnown) return;
-  run.isLifetimeKnown = matchesLifetime(run.endpoint, options);
-  if (run.isLifetimeKnown) return;
-  raiseLeaseEnd(run.endpoint, options.now + MAX_GRANTED_LEASE_MS);
+  run.unlistedLeaseEndsAt = now + MAX_GRANTED_LEASE_MS;
 }
 
 /**
@@ -114,9 +109,16 @@
  * on the owner's steady clock.
  */
 export function findRunEnd(run: Run): number {
-  const { leaseEndsAt } = run.endpoint;
-  if (run.startMayArriveUntil === 0) return leaseEndsAt;
-  return Math.max(leaseEndsAt, run.startMayArriveUntil + MAX_GRANTED_LEASE_MS);
+  const { endpoint, isLifetimeKnown, startMayArriveUntil } = run;
+  if (isLifetimeKnown) return endpoint.leaseEndsAt;
+  const lateStartEndsAt = startMayArriveUntil === 0
+    ? 0
+    : startMayArriveUntil + MAX_GRANTED_LEASE_MS;
+  return Math.max(
+    endpoint.leaseEndsAt,
+    run.unlistedLeaseEndsAt,
+    lateStartEndsAt,
+  );
 }
 
 /**
@@ -144,22 +146,6 @@
   return !run.hasTicket && now < run.startMayArriveUntil;
 }
 
-/**
- * Returns whether an answer comes from the lifetime of the newest listing. The clock
- * of a lifetime that began after the listing can't be ahead of the time since then;
- * that of the same lifetime has advanced by about this time.
- */
-function matchesLifetime(
-  endpoint: Endpoint,
-  { clockMs, now }: { clockMs: number | undefined; now: number },
-): boolean {
-  if (clockMs === undefined || endpoint.lastListingAskedAt === 0) return false;
-  const longestMs = (now - endpoint.lastListingAskedAt) * (1 + CLOCK_DRIFT) +
-    LEASE_MARGIN_MS;
-  return clockMs > longestMs && clockMs >= endpoint.lastListingClock &&
-    clockMs <= endpoint.lastListingClock + longestMs;
-}
-
 function raiseLeaseEnd(endpoint: Endpoint, endsAt: number): void {
   endpoint.leaseEndsAt = Math.max(endpoint.leaseEndsAt, endsAt);
 }
--- a/packages/cell/order_results.ts
+++ b/packages/cell/order_results.ts
@@ -28,12 +28,10 @@
   run: Run,
   options: {
     result: StartResult;
-    /** The endpoint's clock in its answer, in milliseconds. */
-    clockMs?: number;
     time: CurrentTime;
   },
 ): void {
-  const { result, clockMs } = options;
+  const { result } = options;
   const { now } = options.time;
   if (result === StartResult.Unknown) {
     const { leaseMs } = state;
@@ -47,7 +45,7 @@
   run.lastChangedAt = now;
   if (result === StartResult.Started) {
     if (run.phase === RunPhase.Starting) run.phase = RunPhase.Running;
-    noteStartCarriedOut(run, { clockMs, now });
+    noteStartCarriedOut(run, now);
     run.progressAt = now;
     const taskRef = findTask(state, run.task);
     if (taskRef) taskRef.stage.job.hasStarted = true;
--- a/packages/cell/start_task.ts
+++ b/packages/cell/start_task.ts
@@ -47,6 +47,7 @@
     isLifetimeKnown: false,
     sentToBornAt: 0,
     startMayArriveUntil: 0,
+    unlistedLeaseEndsAt: 0,
     hasTicket: stage.job.spec.queue.advice !== undefined,
     percent: 0,
     progressAt: now,
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -72,10 +72,14 @@
   isStopOrderInFlight: boolean;
   /**
    * The run is known to belong to the lifetime `endpoint.bornAt`: a listing showed
-   * it, or the clock in the answer to its start order. Any other run may belong to
-   * a lifetime that has not been listed yet.
+   * it. Any other run may belong to a lifetime that has not been listed yet.
    */
   isLifetimeKnown: boolean;
+  /**
+   * Time by which its lease has certainly ended if a lifetime that has not been listed
+   * yet carried out its start; 0: the start was not answered.
+   */
+  unlistedLeaseEndsAt: number;
   /**
    * Time until which the unanswered start order may still be carried out, by any
    * lifetime of the endpoint; 0: not sent, or carried out.
--- a/packages/scheduler/order_sender.ts
+++ b/packages/scheduler/order_sender.ts
@@ -73,10 +73,9 @@
     const now = clock.now();
     let result = StartResult.Unavailable;
     let detail = "order not sent: owner stopped or lease not confirmed";
-    let clockMs: number | undefined;
     if (this.#parts.mayOrder(now)) {
       noteStartSent(run, { now, leaseMs, ticketEndsAt: order.ticketEndsAt });
-      ({ result, detail, clockMs } = await control.start(
+      ({ result, detail } = await control.start(
         makeEndpointTarget(run),
         {
           task: run.task,
@@ -113,7 +112,6 @@
     }
     cell.applyStartAnswer(run, {
       result,
-      clockMs,
       time: { now: answeredAt, wallNow: clock.readWallTime() },
     });
     this.#parts.onAnswered();
--- a/packages/scheduler/ports.ts
+++ b/packages/scheduler/ports.ts
@@ -67,8 +67,6 @@
 export interface StartAnswer {
   result: StartResult;
   detail: string;
-  /** The endpoint's clock when it answered, in milliseconds, if it says so. */
-  clockMs?: number;
 }
 
 /** Outcome of a stop order; `detail` is the endpoint's or an error text. */
--- a/tests/cell/cell_site.ts
+++ b/tests/cell/cell_site.ts
@@ -418,11 +418,10 @@
       });
     }
     const result = isAnswerLost ? StartResult.Unknown : start(false);
-    const clockMs = fake?.readClock(this.now);
     const time = this.time;
     this.#scheduledCalls.push({
       at: this.now + (isAnswerLost ? 1_000 : 10),
-      run: () => owner.applyStartAnswer(run, { result, clockMs, time }),
+      run: () => owner.applyStartAnswer(run, { result, time }),
     });
   }
 
--- a/tests/virtual/fake_endpoint_control.ts
+++ b/tests/virtual/fake_endpoint_control.ts
@@ -56,12 +56,10 @@
       endKind: EndKind.Done,
       pace: 100,
     };
-    let clockMs: number | undefined;
     const result = await this.#send(target, {
       ...options,
       otherEndpoint: StartResult.OtherLifetime,
     }, (fakeEndpoint, { now, lateMs }) => {
-      clockMs = fakeEndpoint.readClock(now);
       if (!this.#site.canUseTicket(order, fakeEndpoint)) {
         return StartResult.TicketExpired;
       }
@@ -75,7 +73,7 @@
       }
       return started;
     }).catch(() => StartResult.Unknown);
-    return { result, detail: "", clockMs };
+    return { result, detail: "" };
   }
 
   override async stop(
--- a/tests/virtual/session_test.ts
+++ b/tests/virtual/session_test.ts
@@ -140,6 +140,7 @@
       isLifetimeKnown: true,
       sentToBornAt: 0,
       startMayArriveUntil: 0,
+      unlistedLeaseEndsAt: 0,
       hasTicket: false,
       isStopOrderInFlight: false,
       percent: 0,
