Order the lifetimes of an endpoint by when they were asked, not by the start they state

Callers would have seen a task of an endpoint that restarted under its id run twice, or never again. A listing with a lower start was ignored for good, and one with a higher start began a lifetime whenever it arrived. The start is a time of day, which may be stepped back between two lifetimes: then the new one was never noticed, its leases were renewed and its ends were lost; and a late answer of the former one released the runs.

Change: a listing of another lifetime applies if it was asked for after the newest applied one had arrived; any other is ignored, and the next poll settles it. A record that states a new start leads to contact although it lies before the known one. A crash is seen between two starts that differ.

--- a/packages/cell/crashes.ts
+++ b/packages/cell/crashes.ts
@@ -218,11 +218,12 @@
   }
 }
 
-/** Returns whether an endpoint is in a later lifetime than the task was placed in. */
+/** Returns whether an endpoint is in another lifetime than the task was placed in. */
 function hasCrashedSince(endpoint: Endpoint, task: Task): boolean {
   if (task.placedBornAt === 0) return false;
   if (endpoint.isListed && isLeaving(endpoint)) return false;
-  return endpoint.isReplaced || endpoint.bornAt > task.placedBornAt;
+  return endpoint.isReplaced ||
+    endpoint.bornAt !== 0 && endpoint.bornAt !== task.placedBornAt;
 }
 
 function hasCounted(
--- a/packages/cell/endpoints.ts
+++ b/packages/cell/endpoints.ts
@@ -34,6 +34,7 @@
     unansweredEndsAckAt: Number.NEGATIVE_INFINITY,
     unansweredLeaseAt: Number.NEGATIVE_INFINITY,
     lastListingAskedAt: 0,
+    lastListingAt: Number.NEGATIVE_INFINITY,
     runs: new Map(),
     used: makeZeroDemand(),
     pausedUntil: 0,
@@ -62,11 +63,11 @@
     else {
       if (endpoint.info.address !== info.address) endpoint.isReplaced = false;
       noteRoom(state, endpoint, info);
-      endpoint.info = info;
-      endpoint.isListed = true;
       // A restarted endpoint has forgotten the fencing token. Contact with it keeps
       // late orders of former owners from being carried out.
-      if (hasRestarted(endpoint)) endpoint.hasAcceptedFence = false;
+      if (hasRestarted(endpoint, info)) endpoint.hasAcceptedFence = false;
+      endpoint.info = info;
+      endpoint.isListed = true;
     }
   }
   for (const endpoint of state.endpoints.values()) {
@@ -76,9 +77,17 @@
   }
 }
 
-/** Returns whether the platform lists a later lifetime than the one in contact. */
-function hasRestarted({ info, bornAt }: Endpoint): boolean {
-  return bornAt > 0 && info.bornAt > bornAt;
+/**
+ * Returns whether an endpoint's record shows a later lifetime than the one in contact:
+ * a later start, or a new one although the time of day was stepped back.
+ */
+function hasRestarted(
+  { info, bornAt }: Endpoint,
+  record: EndpointInfo,
+): boolean {
+  if (bornAt === 0 || record.bornAt === 0) return false;
+  const isNew = record.bornAt !== info.bornAt && record.bornAt !== bornAt;
+  return record.bornAt > bornAt || isNew;
 }
 
 /**
--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -44,7 +44,9 @@
 
 /**
  * Applies an endpoint's listing of its current and ended runs. Listings that
- * arrive out of order are ignored.
+ * arrive out of order are ignored. A listing of another lifetime is in order if it was
+ * asked for after the newest one had arrived: the start that a lifetime states does not
+ * order them, as the time of day may be stepped.
  */
 export function applyListing(
   state: CellState,
@@ -53,14 +55,15 @@
 ): void {
   const { listing, times } = options;
   const { bornAt, clockMs } = listing;
-  if (bornAt < endpoint.bornAt) {
-    return noteListingIgnored(state, endpoint, options);
-  }
-  if (bornAt > endpoint.bornAt) {
+  const isOtherLifetime = bornAt !== endpoint.bornAt;
+  const isOutOfOrder = isOtherLifetime
+    ? times.askedAt < endpoint.lastListingAt
+    : clockMs < endpoint.lastListingClock;
+  if (isOutOfOrder) return noteListingIgnored(state, endpoint, options);
+  if (isOtherLifetime) {
     beginLifetime(state, endpoint, { bornAt, clockMs, times });
-  } else if (clockMs < endpoint.lastListingClock) {
-    return noteListingIgnored(state, endpoint, options);
   }
+  endpoint.lastListingAt = times.now;
   endpoint.lastListingClock = listing.clockMs;
   endpoint.lastListingAskedAt = times.askedAt;
   endpoint.unresponsiveUntil = 0;
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -173,6 +173,8 @@
   unansweredLeaseAt: number;
   /** When the newest applied listing was requested; 0: none yet. */
   lastListingAskedAt: number;
+  /** When the newest applied listing arrived. */
+  lastListingAt: number;
   runs: Map<string, Run>;
   used: Demand;
   /**
