Use the labels of an endpoint only from a record of its current lifetime

Callers' tasks that need a label could have run on an endpoint without it: after a restart under the same id behind a cut from the store, the store shows the record of the former lifetime, and the new one may be of another kind. Evidence: 'a restarted endpoint gets no task that needs a label ...' failed before.

Change: an endpoint whose record states another start than its list of runs gets no task that needs a label until the record is written again. Other tasks are not affected, since the room stays with the VM. Result: the test passes.

--- a/packages/cell/placement.ts
+++ b/packages/cell/placement.ts
@@ -38,10 +38,20 @@
   const { info } = endpoint;
   return endpoint.isListed && !endpoint.isReplaced && !info.isDraining &&
     info.service === stage.job.spec.queue.service &&
-    (step.requiredLabel === "" || info.labels.includes(step.requiredLabel)) &&
+    (step.requiredLabel === "" || hasLabel(endpoint, step.requiredLabel)) &&
     fitsInto(getCapacityDemand(step), info.capacity, NO_DEMAND);
 }
 
+/**
+ * Returns whether an endpoint has a label. Its next lifetime may be of another kind:
+ * while its record is of a former one, its labels are not known.
+ */
+function hasLabel({ info, bornAt }: Endpoint, label: string): boolean {
+  const isOutdated = info.bornAt !== 0 && bornAt !== 0 &&
+    info.bornAt !== bornAt;
+  return !isOutdated && info.labels.includes(label);
+}
+
 /** Returns whether an endpoint accepts start orders now. */
 export function canAcceptStarts(endpoint: Endpoint, now: number): boolean {
   return endpoint.hasAcceptedFence && endpoint.isRecorded &&
