Let the first poll after a failure not wait for an end

Callers' tasks waited up to 1 s longer after a restart: in the users' record the poll sent to the restarted endpoint at about 5.66 s is answered at 6.66 s, as it waits for an end of one of the runs that were lost. Evidence: 'the first poll after a failure does not wait for an end' failed before (waitMs 1000 instead of 0).

Change: a poll waits only if it renews leases, that is, if the last one was answered. Result: the test passes, as do the others of tests/virtual.

--- a/packages/scheduler/endpoint_session.ts
+++ b/packages/scheduler/endpoint_session.ts
@@ -180,15 +180,18 @@
     if (!this.#host.mayOrder(now)) return false;
     const { id, address } = endpoint.info;
     const hasRuns = endpoint.runs.size > 0;
+    // An endpoint that did not answer may have restarted: it has no run that could end.
+    const renewsLeases = endpoint.hasAcceptedFence && hasRuns &&
+      !this.#isUnresponsive;
     const request: PollRequest = {
       fence: this.#fence,
       acknowledgedEnd: this.#mayAcknowledge() ? endpoint.committedEndNumber : 0,
-      waitMs: endpoint.hasAcceptedFence && hasRuns ? options.waitMs : 0,
+      waitMs: renewsLeases ? options.waitMs : 0,
     };
     // Leases are not renewed while polls fail: each attempt would postpone the
     // time from which the leases are known to have expired, and the tasks could
     // never restart elsewhere.
-    if (endpoint.hasAcceptedFence && hasRuns && !this.#isUnresponsive) {
+    if (renewsLeases) {
       request.leaseUntil = Math.floor(now + endpoint.clockOffset) +
         this.#leaseMs;
       noteLeaseSent(endpoint, { now, leaseMs: this.#leaseMs });
