End the upkeep of a VM although its endpoint keeps its id

Operators' waves would not have ended, with the VM cordoned for good and its place under the limit taken: the end of an upkeep was seen by a new id, and an endpoint may start again under the id that it had. Evidence: 'an upkeep ends although the endpoint keeps its id' failed before ("Cannot complete the wave").

While it goes on the platform lists the VM as not up.

--- a/packages/upkeep/plan.ts
+++ b/packages/upkeep/plan.ts
@@ -138,17 +138,20 @@
 }
 
 /**
- * Finishes the upkeep of a VM that the platform no longer lists, or that is up
- * again with a new endpoint. A list of VMs that was requested before the last
- * change of phase is stale and is ignored.
+ * Finishes the upkeep of a VM that the platform no longer lists, or that is up again:
+ * with a new endpoint, or, as an endpoint may keep its id, after the time that an
+ * upkeep takes. A list of VMs that was requested before the last change of phase is
+ * stale and is ignored.
  */
 function finishIfDone(upkeep: VmUpkeep, view: WaveView): void {
   if (upkeep.phase === UpkeepPhase.Done || upkeep.isCallInFlight) return;
   if (view.listRequestedAt <= upkeep.phaseBeganAt) return;
   const vm = view.vms.get(upkeep.vm);
+  const listedAfterMs = view.listRequestedAt - upkeep.phaseBeganAt;
   const hasRestarted = upkeep.phase === UpkeepPhase.Begun &&
     vm?.isUp === true &&
-    vm.endpoint !== upkeep.formerEndpoint;
+    (vm.endpoint !== upkeep.formerEndpoint ||
+      listedAfterMs >= EXPECTED_UPKEEP_MS);
   if (!vm || hasRestarted) {
     setPhase(upkeep, { phase: UpkeepPhase.Done, now: view.now });
   }
--- a/packages/upkeep/plan_test.ts
+++ b/packages/upkeep/plan_test.ts
@@ -28,6 +28,8 @@
   /** Highest number of VMs that were down at the same time. */
   maxDown = 0;
   lossRate = 0;
+  /** Endpoints are back under the ids that they had. */
+  keepsIds = false;
   readonly random: SeededRandom;
 
   constructor(count: number, seed = 1) {
@@ -49,8 +51,9 @@
     for (const [vm, at] of this.restartsAt) {
       if (at > this.now) continue;
       this.restartsAt.delete(vm);
-      const { endpoint } = this.vms.get(vm)!;
-      this.vms.set(vm, { name: vm, isUp: true, endpoint: `${endpoint}'` });
+      const { endpoint: formerId } = this.vms.get(vm)!;
+      const endpoint = this.keepsIds ? formerId : `${formerId}'`;
+      this.vms.set(vm, { name: vm, isUp: true, endpoint });
     }
     const plan = planWave(wave, {
       now: this.now,
@@ -163,6 +166,18 @@
   t.is(fake.begun.size, 3);
 });
 
+// Guards against a wave that never ends, and endpoints that stay cordoned, because the
+// endpoint of a VM is back under its id after the upkeep.
+test("an upkeep ends although the endpoint keeps its id", (t) => {
+  const fake = new FakeVms(6);
+  fake.keepsIds = true;
+  const wave = makeTestWave(6, { maxDown: 2 });
+  t.true(runWave(fake, wave) <= 30_000);
+  t.is(fake.maxDown, 2);
+  while (!fake.step(wave).isOver) t.true(fake.now <= 60_000);
+  t.deepEqual(fake.step(wave).cordonedEndpoints, []);
+});
+
 test("a VM whose upkeep is in progress in another wave is not drained", (t) => {
   const wave = makeTestWave(1);
   const fake = new FakeVms(1);
--- a/packages/upkeep/types.ts
+++ b/packages/upkeep/types.ts
@@ -13,7 +13,7 @@
   name: string;
   /** The VM is up and runs its endpoint. */
   isUp: boolean;
-  /** Id of the VM's endpoint; each upkeep ends with a new id. */
+  /** Id of the VM's endpoint; after an upkeep it may be another one. */
   endpoint: string;
 }
 
