Give the first poll after a failure the time of any other poll

Since the poll after a failure does not wait for an end, it had 0.5 s instead of 1.5 s. On a path that loses packets an answer needs retransmissions: polls failed in a row, leases were not renewed, and runs were lost with them. The test of the first poll after a failure now demands the same timeout and fails without this change.

--- a/packages/scheduler/endpoint_session.ts
+++ b/packages/scheduler/endpoint_session.ts
@@ -180,12 +180,12 @@
     if (!this.#host.mayOrder(now)) return false;
     const { id, address } = endpoint.info;
     const hasRuns = endpoint.runs.size > 0;
-    // An endpoint that did not answer may have restarted: it has no run that could end.
-    const renewsLeases = endpoint.hasAcceptedFence && hasRuns &&
-      !this.#isUnresponsive;
+    const hasContact = endpoint.hasAcceptedFence && hasRuns;
+    const renewsLeases = hasContact && !this.#isUnresponsive;
     const request: PollRequest = {
       fence: this.#fence,
       acknowledgedEnd: this.#mayAcknowledge() ? endpoint.committedEndNumber : 0,
+      // An endpoint that did not answer may have restarted and have no run that could end.
       waitMs: renewsLeases ? options.waitMs : 0,
     };
     // Leases are not renewed while polls fail: each attempt would postpone the
@@ -198,7 +198,8 @@
     }
     const { bornAt } = endpoint;
     const target = { id, address, bornAt: 0 };
-    const timeoutMs = request.waitMs + POLL_TIMEOUT_MARGIN_MS;
+    const timeoutMs = (hasContact ? options.waitMs : 0) +
+      POLL_TIMEOUT_MARGIN_MS;
     try {
       const answer = await this.#control.poll(target, request, { timeoutMs });
       if (this.#isStopped) return true;
--- a/tests/virtual/session_test.ts
+++ b/tests/virtual/session_test.ts
@@ -31,6 +31,8 @@
   /** Answers to polls at this address come from another endpoint. */
   replacedAddress = "";
   readonly polls: PollRequest[] = [];
+  /** Timeout of each poll, in milliseconds. */
+  readonly timeouts: number[] = [];
   readonly #clock: Clock;
 
   constructor(clock: Clock) {
@@ -53,8 +55,10 @@
   override async poll(
     target: { address: string },
     request: PollRequest,
+    { timeoutMs }: { timeoutMs: number },
   ): Promise<PollAnswer> {
     this.polls.push(request);
+    this.timeouts.push(timeoutMs);
     await this.#clock.sleep(this.isReachable ? request.waitMs : 600);
     if (!this.isReachable) throw new NotSentError("Cannot connect");
     if (target.address === this.replacedAddress) {
@@ -198,6 +202,8 @@
   await time.advance(3_000);
   t.is(control.polls[firstAnswered].waitMs, 0);
   t.true(control.polls[firstAnswered + 1].waitMs > 0);
+  // On a path with losses an answer needs retransmissions.
+  t.is(control.timeouts[firstAnswered], control.timeouts[firstAnswered + 1]);
 });
 
 test("an endpoint without runs is polled only once", async (t) => {
