Acknowledge overdue ends right after a listing

Since a start counts as one of the known lifetime only once it is listed, ends wait for a poll that is sent while no start is unlisted. With 16 starts a second on one endpoint, one every 62 ms, some start was always unlisted after the pause of 100 ms: ends were never acknowledged (19.4 s in 20 s of load; the platform allows 4 s). Evidence: end_acknowledgement_test with 16 and 32 starts a second failed; with 4 and 8 a second the longest took 250 and 750 ms.

Change: once ends have waited for 1 s, polls do not wait for an end, and the one that follows a listing without unlisted starts is sent without a pause.

--- a/packages/scheduler/constants.ts
+++ b/packages/scheduler/constants.ts
@@ -184,6 +184,12 @@
 /** Pause after a failed poll, in milliseconds. */
 export const POLL_RETRY_PAUSE_MS = 150;
 
+/**
+ * Time for which acknowledgements of ends wait for a poll without unlisted starts, in
+ * milliseconds: a quarter of the time that the platform allows for them.
+ */
+export const MAX_WITHHELD_MS = 1_000;
+
 /**
  * Time without an answer to a call after which an endpoint counts as
  * unresponsive, in milliseconds.
--- a/packages/scheduler/endpoint_session.ts
+++ b/packages/scheduler/endpoint_session.ts
@@ -9,6 +9,7 @@
 } from "../cell/mod.ts";
 import {
   COLOCATED_POLL_WAIT_MS,
+  MAX_WITHHELD_MS,
   POLL_INTERVAL_MS,
   POLL_RETRY_PAUSE_MS,
   POLL_TIMEOUT_MARGIN_MS,
@@ -64,6 +65,8 @@
   #isUnresponsive = false;
   #acknowledgedEnd = 0;
   #acknowledgedBornAt = 0;
+  /** Since when ends could not be acknowledged because of starts; undefined: they can. */
+  #withheldSince: number | undefined;
 
   constructor(options: {
     endpoint: Endpoint;
@@ -96,7 +99,7 @@
       });
       const elapsedMs = this.#clock.now() - startedAt;
       const pauseMs = isAnswered
-        ? POLL_INTERVAL_MS - elapsedMs
+        ? this.#computePause(startedAt + elapsedMs, elapsedMs)
         : POLL_RETRY_PAUSE_MS;
       if (pauseMs > 0) await this.#clock.sleep(pauseMs);
     }
@@ -165,6 +168,29 @@
       !hasStartInDoubt(this.#endpoint);
   }
 
+  /** Notes whether a poll that is sent now leaves ends unacknowledged. */
+  #noteWithheld(now: number, acknowledgedEnd: number): void {
+    const isWithheld = acknowledgedEnd === 0 && this.#hasUnacknowledgedEnds();
+    this.#withheldSince = isWithheld ? this.#withheldSince ?? now : undefined;
+  }
+
+  /** Returns whether ends have waited for their acknowledgement for too long. */
+  #isAcknowledgementOverdue(now: number): boolean {
+    return this.#withheldSince !== undefined &&
+      now - this.#withheldSince >= MAX_WITHHELD_MS;
+  }
+
+  /**
+   * Computes the pause after an answered poll. Load: starts follow one another so fast
+   * that one is always unlisted after a pause; overdue ends are acknowledged right after
+   * a listing.
+   */
+  #computePause(now: number, elapsedMs: number): number {
+    const isDueNow = this.#isAcknowledgementOverdue(now) &&
+      this.#mayAcknowledge();
+    return isDueNow ? 0 : POLL_INTERVAL_MS - elapsedMs;
+  }
+
   async #waitForWork(): Promise<void> {
     this.#isIdle = true;
     await new Promise<void>((resolve) => this.#resume = resolve);
@@ -182,11 +208,16 @@
     const hasRuns = endpoint.runs.size > 0;
     const hasContact = endpoint.hasAcceptedFence && hasRuns;
     const renewsLeases = hasContact && !this.#isUnresponsive;
+    const acknowledgedEnd = this.#mayAcknowledge()
+      ? endpoint.committedEndNumber
+      : 0;
+    this.#noteWithheld(now, acknowledgedEnd);
+    const mayWait = renewsLeases && !this.#isAcknowledgementOverdue(now);
     const request: PollRequest = {
       fence: this.#fence,
-      acknowledgedEnd: this.#mayAcknowledge() ? endpoint.committedEndNumber : 0,
+      acknowledgedEnd,
       // An endpoint that did not answer may have restarted and have no run that could end.
-      waitMs: renewsLeases ? options.waitMs : 0,
+      waitMs: mayWait ? options.waitMs : 0,
     };
     // Leases are not renewed while polls fail: each attempt would postpone the
     // time from which the leases are known to have expired, and the tasks could
