Let restarted endpoints of the owners' randomised runs state stepped starts

A third of the restarts under the same id state a start up to 5 s before or after the true one, as after a step of the time of day. The steps are drawn apart, so that the seeds play as before otherwise.

--- a/tests/virtual/hostile_site.ts
+++ b/tests/virtual/hostile_site.ts
@@ -185,7 +185,7 @@
 
   #stopProcess(endpoint: FakeEndpoint): void {
     this.#note(`down ${endpoint.id}`);
-    endpoint.restart(this.time.now);
+    endpoint.restart(this.time.now, this.drawBornAt(endpoint));
     this.#down.add(endpoint);
     this.#draining.delete(endpoint);
   }
--- a/tests/virtual/owner_site.ts
+++ b/tests/virtual/owner_site.ts
@@ -26,6 +26,10 @@
 import { ProcessClock, VirtualTime } from "./virtual_time.ts";
 
 const LEASE_MS = 4_000;
+/** Fraction of restarts after which the endpoint states another start than the true one. */
+const STEPPED_FRACTION = 0.3;
+/** Largest step of an endpoint's time of day, in milliseconds. */
+const MAX_STEP_MS = 5_000;
 
 /** Wall time that the entries of a site read. */
 export enum WallTime {
@@ -154,6 +158,8 @@
   readonly checker = new InvariantChecker();
   readonly entries: OwnerEntry[] = [];
   readonly random: Random;
+  /** Draws steps of the time of day; apart, so that other draws do not depend on it. */
+  readonly #stepRandom: Random;
   readonly jobs = new Map<string, JobSpec>();
   readonly config: SiteConfig = new EndpointStateRecords().decodeConfig();
   /** Time after which a new owner knows the configuration, in milliseconds. */
@@ -171,6 +177,7 @@
     sizes: { entries: number; endpoints: number; wallTime?: WallTime },
   ) {
     this.random = new SeededRandom(seed);
+    this.#stepRandom = new SeededRandom(seed);
     this.wallTime = sizes.wallTime ?? WallTime.Virtual;
     for (let n = 0; n < sizes.endpoints; n++) {
       this.addEndpoint({ id: `w${n}`, capacity: ENDPOINT_CAPACITY });
@@ -196,10 +203,18 @@
 
   /** Restarts an endpoint under its id; it registers anew. */
   restartEndpoint(endpoint: FakeEndpoint): void {
-    endpoint.restart(this.time.now);
+    endpoint.restart(this.time.now, this.drawBornAt(endpoint));
     this.registerEndpoint(endpoint);
   }
 
+  /** Draws the start that a new lifetime states; the time of day may be stepped. */
+  drawBornAt({ bornAt }: FakeEndpoint): number {
+    if (this.#stepRandom.drawFloat() >= STEPPED_FRACTION) return this.time.now;
+    const stepMs = this.#stepRandom.drawInt(2 * MAX_STEP_MS) - MAX_STEP_MS;
+    const steppedAt = Math.max(1, this.time.now + stepMs);
+    return steppedAt === bornAt ? steppedAt + 1 : steppedAt;
+  }
+
   /** Finds the endpoint that an order reaches, which may be another one. */
   findEndpoint({ id }: EndpointTarget): FakeEndpoint | undefined {
     return this.endpoints.get(id);
