Let the lease of an unlisted run cover orders that were unanswered before its start

Found by reading again; not seen by a caller. An order with a lease that got no answer may arrive after a later start was answered by a lifetime that is not listed yet, and extend the lease of that run from its arrival. The bound of the run counted only what was unanswered after its start.

Change: the bound begins with the latest arrival of the last unanswered order, as it does when a new lifetime is found.

--- a/packages/cell/order_effects.ts
+++ b/packages/cell/order_effects.ts
@@ -80,19 +80,26 @@
 
 /**
  * Extends `leaseEndsAt` when a new lifetime of the endpoint is found. Orders that
- * name times on the former lifetime's clock, which was ahead, get the longest lease
- * that the endpoint grants: the poll that found the lifetime, and unanswered orders
- * that may still arrive.
+ * name times on the former lifetime's clock may get the longest lease that the endpoint
+ * grants: the poll that found the lifetime, and unanswered orders that may still arrive.
  */
 export function noteNewLifetime(
   endpoint: Endpoint,
   now: number,
 ): void {
-  const lastArrivalAt = Math.max(
-    now,
-    endpoint.unansweredLeaseAt + LATE_ORDER_MS,
-  );
-  raiseLeaseEnd(endpoint, lastArrivalAt + MAX_GRANTED_LEASE_MS);
+  raiseLeaseEnd(endpoint, computeLatestLeaseEnd(endpoint, now));
+}
+
+/**
+ * Computes by when every lease has ended that another lifetime than the listed one was
+ * given, or will be given by unanswered orders that may still arrive.
+ */
+function computeLatestLeaseEnd(
+  { unansweredLeaseAt }: Endpoint,
+  now: number,
+): number {
+  const lastArrivalAt = Math.max(now, unansweredLeaseAt + LATE_ORDER_MS);
+  return lastArrivalAt + MAX_GRANTED_LEASE_MS;
 }
 
 /**
@@ -101,7 +108,7 @@
  */
 export function noteStartCarriedOut(run: Run, now: number): void {
   run.startMayArriveUntil = 0;
-  run.unlistedLeaseEndsAt = now + MAX_GRANTED_LEASE_MS;
+  run.unlistedLeaseEndsAt = computeLatestLeaseEnd(run.endpoint, now);
 }
 
 /**
--- a/packages/cell/order_effects_test.ts
+++ b/packages/cell/order_effects_test.ts
@@ -1,11 +1,16 @@
 import test from "ava";
 import { makeZeroDemand } from "../jobs/mod.ts";
-import { CLOCK_DRIFT, MAX_LEASE_MS } from "./constants.ts";
+import { CLOCK_DRIFT, LATE_ORDER_MS, MAX_LEASE_MS } from "./constants.ts";
 import { makeEndpoint, updateEndpoints } from "./endpoints.ts";
 import { applyListing } from "./listing.ts";
-import { noteLeaseSent } from "./order_effects.ts";
+import {
+  findRunEnd,
+  noteLeaseSent,
+  noteLeaseUnanswered,
+  noteStartCarriedOut,
+} from "./order_effects.ts";
 import { Cell } from "./cell.ts";
-import type { EndpointInfo } from "./types.ts";
+import type { EndpointInfo, Run } from "./types.ts";
 
 const LEASE_MS = 4_000;
 
@@ -88,3 +93,21 @@
   });
   t.true(endpoint.leaseEndsAt > times.now + MAX_LEASE_MS);
 });
+
+// Guards against a second run of a task that an unlisted lifetime started: an order that
+// got no answer before that start arrives after it and extends the lease.
+test("the lease of an unlisted run covers orders that were unanswered before its start", (t) => {
+  const endpoint = makeEndpoint(makeInfo());
+  const unansweredAt = 1_000;
+  noteLeaseUnanswered(endpoint, {
+    bornAt: endpoint.bornAt,
+    now: unansweredAt,
+    leaseMs: LEASE_MS,
+  });
+  const run = { endpoint, isLifetimeKnown: false } as Run;
+  noteStartCarriedOut(run, unansweredAt + 2_000);
+  t.true(findRunEnd(run) >= unansweredAt + LATE_ORDER_MS + MAX_LEASE_MS);
+  const latestArrivalAt = unansweredAt + LATE_ORDER_MS;
+  noteStartCarriedOut(run, latestArrivalAt + 1_000);
+  t.true(findRunEnd(run) < latestArrivalAt + 1_000 + MAX_LEASE_MS * 1.1);
+});
