--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -14,8 +14,8 @@
   noteReplacement,
   updateEndpoints,
 } from "./endpoints.ts";
-import { type CurrentTime, endJob } from "./task_ends.ts";
-import { applyListing, type ListingTimes } from "./listing.ts";
+import { type CurrentTime, endJob, type ListingTimes } from "./task_ends.ts";
+import { applyListing } from "./listing.ts";
 import { planStarts } from "./plan.ts";
 import {
   buildPolicies,
--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -1,8 +1,8 @@
 import { RecordKind } from "../journal/mod.ts";
 import { EndKind, parseTaskName } from "../jobs/mod.ts";
-import { MAX_LEASE_MS, MAX_LISTED_ENDS, STALL_MS } from "./constants.ts";
+import { MAX_LEASE_MS, STALL_MS } from "./constants.ts";
 import {
-  type CurrentTime,
+  type ListingTimes,
   recordEnd,
   recordEndpointResult,
   releaseRun,
@@ -11,7 +11,7 @@
 } from "./task_ends.ts";
 import { settleUnlocated } from "./endpoints.ts";
 import { beginLifetime } from "./lifetimes.ts";
-import { mayStartLater, noteLeaseSent } from "./order_effects.ts";
+import { noteLeaseSent } from "./order_effects.ts";
 import {
   addDecision,
   addRun,
@@ -23,7 +23,8 @@
 import { computeRunCost } from "./remnants.ts";
 import { findTask, getStep, removeUnlocated } from "./stages.ts";
 import { planPaces } from "./colocation.ts";
-import { sendStop, stopRun } from "./stop_run.ts";
+import { stopRun } from "./stop_run.ts";
+import { settleUnlistedRun } from "./unlisted_runs.ts";
 import {
   DecisionKind,
   type Endpoint,
@@ -35,13 +36,6 @@
   TaskPhase,
 } from "./types.ts";
 
-/**
- * When a listing arrived and when it was requested (`askedAt`, steady clock).
- */
-export interface ListingTimes extends CurrentTime {
-  askedAt: number;
-}
-
 /**
  * Applies an endpoint's listing of its current and ended runs. Listings that
  * arrive out of order are ignored. A listing of another lifetime is in order if it was
@@ -288,39 +282,3 @@
   taskRef.task.avoidEndpoint = run.endpoint.info.id;
   if (getStep(taskRef.stage).gang) stopGang(state, taskRef.stage, times);
 }
-
-/** Releases or stops a run that is missing from the listing. */
-function settleUnlistedRun(
-  state: CellState,
-  run: Run,
-  { listing, times }: { listing: EndpointListing; times: ListingTimes },
-): void {
-  if (times.askedAt <= run.lastChangedAt) return;
-  if (run.phase === RunPhase.Starting) return;
-  if (hasBeenLost(run, listing)) {
-    return releaseRun(state, run, {
-      now: times.now,
-      hasFailed: false,
-      reason: "started by a former lifetime",
-    });
-  }
-  const isStopping = run.phase === RunPhase.Stopping;
-  if (isStopping && !run.isStopAcknowledged) return sendStop(state, run);
-  // A second start of the task must not be on its way beside this one.
-  if (mayStartLater(run, times.askedAt)) return;
-  if (!isStopping) return stopRun(state, run, times);
-  releaseRun(state, run, {
-    now: times.now,
-    hasFailed: false,
-    reason: "stopped, or never started",
-  });
-}
-
-/**
- * Returns whether a run that was started before an endpoint was asked for this listing,
- * and that no listing has shown, has been lost with a former lifetime.
- */
-function hasBeenLost(run: Run, { ended }: EndpointListing): boolean {
-  const isStarted = run.phase === RunPhase.Running && !run.isLifetimeKnown;
-  return isStarted && ended.length < MAX_LISTED_ENDS;
-}
--- a/packages/cell/task_ends.ts
+++ b/packages/cell/task_ends.ts
@@ -40,6 +40,13 @@
   wallNow: number;
 }
 
+/**
+ * When a listing arrived and when it was requested (`askedAt`, steady clock).
+ */
+export interface ListingTimes extends CurrentTime {
+  askedAt: number;
+}
+
 /**
  * Applies an end that an endpoint listed. Ends that must survive a change of
  * owner, those with a result or a checkpoint, are also written to the journal.
