Add the interface of run times and the settings of the new policies

Cause: several parts that are built side by side read predicted run times and need a setting each; without one interface and one list of settings they would define them twice.

Change: packages/runtimes with the abstract class RunTimes and the baseline that takes callers' estimates; enums and defaults of the new scheduling settings. The defaults are today's behaviour and nothing reads the new names yet.

--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -53,6 +53,7 @@
   type StopResult,
 } from "./types.ts";
 import type { JournalRecord } from "../journal/mod.ts";
+import { StatedRunTimes } from "../runtimes/mod.ts";
 
 /** Interval between retries of an unacknowledged stop order, in ms. */
 const STOP_RETRY_MS = 300;
@@ -102,6 +103,7 @@
       stoppingRuns: new Set(),
       shareMeter: new ShareMeter(),
       policies: buildPolicies(options.policies ?? DEFAULT_POLICIES),
+      runTimes: new StatedRunTimes(),
       adviceBacklogsMs: [0],
       adviceCounts: new Map(),
       adviceCursor: 0,
--- a/packages/cell/policies.ts
+++ b/packages/cell/policies.ts
@@ -9,6 +9,8 @@
   Due = "due",
   /** First come, first served; a baseline for comparison. */
   Arrival = "arrival",
+  /** As `Due`, with stages late whose predicted finish is past the deadline. */
+  Learned = "learned",
 }
 
 /** Choice among the endpoints on which a task fits. */
@@ -20,6 +22,8 @@
   Fullest = "fullest",
   /** The first endpoint; a baseline for comparison. */
   First = "first",
+  /** Urgent work and gangs on fast endpoints, other work on slow ones. */
+  Speed = "speed",
 }
 
 /** Admission policy for jobs. */
@@ -28,6 +32,8 @@
   Predicted = "predicted",
   /** Accepts every job that fits an endpoint; a baseline for comparison. */
   Open = "open",
+  /** Accepts jobs that can finish in time, by the room that becomes free. */
+  Room = "room",
 }
 
 /** Policy for ejecting endpoints; an ejected endpoint gets no new work. */
@@ -38,16 +44,82 @@
   None = "none",
 }
 
-/** The policies of a cell, by name. */
+/** Source of the predicted run times. */
+export enum RunTimesName {
+  /** The callers' estimates; a baseline for comparison. */
+  Stated = "stated",
+  /** What finished runs have shown. */
+  Learned = "learned",
+}
+
+/** How runs without progress are found. */
+export enum StallsName {
+  /** No progress for a fixed time; a baseline for comparison. */
+  Fixed = "fixed",
+  /** By the run's own pace and the progress of its gang. */
+  Progress = "progress",
+}
+
+/** What happens when the start of a gang's member gets no answer. */
+export enum GangStartsName {
+  /** The gang is stopped; a baseline for comparison. */
+  Once = "once",
+  /** The start is repeated at the same endpoint first. */
+  Repeat = "repeat",
+}
+
+/** What happens to the runs of an endpoint that is leaving. */
+export enum LeavingName {
+  /** They run until the endpoint leaves; a baseline for comparison. */
+  Ignore = "ignore",
+  /** Those that cannot end in time are saved and moved. */
+  Move = "move",
+}
+
+/** When organisations' shares decide who goes first. */
+export enum SharesName {
+  /** Once, at admission; a baseline for comparison. */
+  Admission = "admission",
+  /** At each plan, by the dominant share of what runs and waits. */
+  Dominant = "dominant",
+}
+
+/** Room that is kept free for urgent work. */
+export enum HeadroomName {
+  /** None; a baseline for comparison. */
+  None = "none",
+  /** By the recent demand of urgent work. */
+  Learned = "learned",
+}
+
+/** Runs that may be stopped for more urgent work. */
+export enum PreemptionName {
+  /** None; a baseline for comparison. */
+  None = "none",
+  /** Work of lower priority, for work of priority 0. */
+  Urgent = "urgent",
+}
+
+/** The policies of a cell, by the keys of their settings. */
 export interface PolicyNames {
   order: OrderName;
   choice: ChoiceName;
   admission: AdmissionName;
   ejection: EjectionName;
+  run_times: RunTimesName;
+  /** Ratio of speeds from which the endpoints of a service are uneven. */
+  uneven_ratio: number;
+  stalls: StallsName;
+  gang_starts: GangStartsName;
+  leaving: LeavingName;
+  shares: SharesName;
+  headroom: HeadroomName;
+  preemption: PreemptionName;
 }
 
 /** The policies selected by `PolicyNames`. */
 export interface CellPolicies {
+  names: Readonly<PolicyNames>;
   order: StageOrder;
   choice: EndpointChoice;
   /** Every job that fits an endpoint is accepted. */
@@ -62,6 +134,14 @@
   choice: ChoiceName.Fullest,
   admission: AdmissionName.Predicted,
   ejection: EjectionName.Failures,
+  run_times: RunTimesName.Stated,
+  uneven_ratio: 2,
+  stalls: StallsName.Fixed,
+  gang_starts: GangStartsName.Once,
+  leaving: LeavingName.Ignore,
+  shares: SharesName.Admission,
+  headroom: HeadroomName.None,
+  preemption: PreemptionName.None,
 };
 
 /** Sorts waiting stages into the order in which they are served. */
@@ -129,6 +209,7 @@
 /** Builds the policies with these names. */
 export function buildPolicies(names: PolicyNames): CellPolicies {
   return {
+    names,
     order: names.order === OrderName.Arrival
       ? new ArrivalOrder()
       : new DueOrder(),
--- /dev/null
+++ b/packages/cell/run_shape.ts
@@ -0,0 +1,19 @@
+import { getCapacityDemand } from "../jobs/mod.ts";
+import type { RunShape } from "../runtimes/mod.ts";
+import { getStep } from "./stages.ts";
+import type { Stage } from "./types.ts";
+
+/** Describes what the run time of a stage's tasks is predicted from. */
+export function describeShape(stage: Stage): RunShape {
+  const { queue, organisation } = stage.job.spec;
+  const step = getStep(stage);
+  return {
+    service: queue.service,
+    queue: queue.name,
+    organisation,
+    tasks: step.tasks,
+    milliCores: getCapacityDemand(step).milliCores,
+    isGang: step.gang,
+    estimateMs: step.estimateMs,
+  };
+}
--- /dev/null
+++ b/packages/runtimes/mod.ts
@@ -0,0 +1,4 @@
+/** Run times of tasks and speeds of endpoints. Pure, without I/O. */
+export * from "./run_times.ts";
+export * from "./stated_run_times.ts";
+export * from "./types.ts";
--- a/packages/settings/scheduler_settings.ts
+++ b/packages/settings/scheduler_settings.ts
@@ -5,7 +5,14 @@
   ChoiceName,
   DEFAULT_POLICIES,
   EjectionName,
+  GangStartsName,
+  HeadroomName,
+  LeavingName,
   OrderName,
+  PreemptionName,
+  RunTimesName,
+  SharesName,
+  StallsName,
 } from "../cell/mod.ts";
 import { makeIntegerSchema, nameSchema } from "../config/mod.ts";
 import { addressSchema, parseWithSchema } from "./settings.ts";
@@ -44,12 +51,23 @@
     choice: z.enum(ChoiceName).default(DEFAULT_POLICIES.choice),
     admission: z.enum(AdmissionName).default(DEFAULT_POLICIES.admission),
     ejection: z.enum(EjectionName).default(DEFAULT_POLICIES.ejection),
+    run_times: z.enum(RunTimesName).default(DEFAULT_POLICIES.run_times),
+    uneven_ratio: z.coerce.number().min(1).max(100)
+      .default(DEFAULT_POLICIES.uneven_ratio),
+    stalls: z.enum(StallsName).default(DEFAULT_POLICIES.stalls),
+    gang_starts: z.enum(GangStartsName).default(DEFAULT_POLICIES.gang_starts),
+    leaving: z.enum(LeavingName).default(DEFAULT_POLICIES.leaving),
+    shares: z.enum(SharesName).default(DEFAULT_POLICIES.shares),
+    headroom: z.enum(HeadroomName).default(DEFAULT_POLICIES.headroom),
+    preemption: z.enum(PreemptionName).default(DEFAULT_POLICIES.preemption),
   }).prefault({}),
   bounds: z.strictObject({
     task_lease_ms: makeIntegerSchema(1_000, 600_000),
     key_revocation_ms: makeIntegerSchema(1_000, 600_000),
     ended_jobs_ms: makeIntegerSchema(1_000, 86_400_000),
     endpoint_records_ms: makeIntegerSchema(1_000, 600_000).default(3_000),
+    /** Absent: the platform offers no evacuation of failure domains. */
+    evacuation_ms: makeIntegerSchema(1_000, 600_000).optional(),
   }),
   log: z.strictObject({
     level: z.enum(["debug", "info", "warn", "error"]).default("info"),
