Take a refused connection for the end of the owner only if the store answers

Ruled out: the owner (its link was open, term 3 undisturbed since 12 s) and its lease.

Change: a refusal counts as proof that the process has ended only if no call of the election to the store has failed for the length of the owner's lease, and if the owner is not linked again when the claim is about to be made. An owner that did end is replaced when its lease expires.

--- a/packages/scheduler/claim_rules.ts
+++ b/packages/scheduler/claim_rules.ts
@@ -2,6 +2,7 @@
   CAPABLE_FRACTION,
   HANDOVER_AFTER_MS,
   MIN_OWNERSHIP_MS,
+  OWNER_LEASE_MS,
   SMALL_VM_CLAIM_DELAY_MS,
 } from "./constants.ts";
 
@@ -35,6 +36,25 @@
   return isCapable(cores, largestCores) ? 0 : SMALL_VM_CLAIM_DELAY_MS;
 }
 
+/** What an entry knows when the owner's address has refused a connection. */
+export interface RefusalView {
+  /** When a call to the store failed last, in ms; negative infinity: never. */
+  storeFailedAt: number;
+  /** The owner is connected to this entry. */
+  isOwnerReachable: boolean;
+}
+
+/**
+ * Returns whether a refused connection shows that the owner's process has ended. Load:
+ * a failure domain is cut off by resets. Its entries are refused by the owner and by the
+ * store alike, and would claim the cell from a healthy owner once the cut ends. The
+ * lease of an owner that did end expires in the time for which the store is distrusted.
+ */
+export function isProofOfExit(view: RefusalView, now: number): boolean {
+  const { storeFailedAt, isOwnerReachable } = view;
+  return !isOwnerReachable && now - storeFailedAt > OWNER_LEASE_MS;
+}
+
 /**
  * Returns why the owner should hand the cell over to a capable entry that is
  * linked to it; `undefined` if it should keep the cell. A new owner keeps the
--- a/packages/scheduler/election.ts
+++ b/packages/scheduler/election.ts
@@ -18,6 +18,7 @@
   STORE_RETRY_MS,
   TERM_KEY,
 } from "./constants.ts";
+import { isProofOfExit } from "./claim_rules.ts";
 import { LeaseConfirmation } from "./lease_confirmation.ts";
 import type { OwnerRecord } from "./types.ts";
 
@@ -55,6 +56,9 @@
   readonly #self: Omit<OwnerRecord, "term" | "lease">;
   #ownership: Ownership | undefined;
   readonly #getClaimDelay: () => number;
+  readonly #isOwnerReachable: () => boolean;
+  /** When a call of the election to the store failed last, in ms. */
+  #storeFailedAt = Number.NEGATIVE_INFINITY;
   /** Revision of the last ownership that began in this process. */
   #lastRevision = 0;
   #isStopped = false;
@@ -78,6 +82,8 @@
      * milliseconds.
      */
     getClaimDelay?: () => number;
+    /** Returns whether the owner that this entry follows is connected to it. */
+    isOwnerReachable?: () => boolean;
   }) {
     this.#store = options.store;
     this.#clock = options.clock;
@@ -86,6 +92,7 @@
     this.#host = options.host;
     this.#self = options.self;
     this.#getClaimDelay = options.getClaimDelay ?? (() => 0);
+    this.#isOwnerReachable = options.isOwnerReachable ?? (() => false);
   }
 
   /**
@@ -98,7 +105,7 @@
         if (this.#ownership) await this.#renewOwnership(this.#ownership);
         else await this.#findOwner();
       } catch (error) {
-        this.#log.record(EventCode.ElectionFailed, { reason: String(error) });
+        this.#noteStoreFailure(error);
         await this.#clock.sleep(STORE_RETRY_MS);
       }
     }
@@ -140,17 +147,18 @@
   }
 
   /**
-   * Claims the cell from an owner whose process has ended, without waiting for
-   * its lease to expire.
+   * Claims the cell from an owner whose address refuses connections, without waiting
+   * for its lease to expire, unless this entry may be cut off itself.
    */
   claimFromDeadOwner(deadOwner: OwnerRecord): void {
     if (this.#ownership || this.#isTakingOver) return;
-    if (this.#clock.now() < this.#noClaimBefore) return;
+    const now = this.#clock.now();
+    if (now < this.#noClaimBefore) return;
+    const storeFailedAt = this.#storeFailedAt;
+    if (!isProofOfExit({ storeFailedAt, isOwnerReachable: false }, now)) return;
     this.#isTakingOver = true;
     this.#claimIfUnchanged(deadOwner)
-      .catch((error) =>
-        this.#log.record(EventCode.ElectionFailed, { reason: String(error) })
-      )
+      .catch((error) => this.#noteStoreFailure(error))
       .finally(() => this.#isTakingOver = false);
   }
 
@@ -225,10 +233,7 @@
       });
       return changes.length === 0 ? revision : undefined;
     } catch (error) {
-      if (!(error instanceof HistoryGoneError)) {
-        const reason = String(error);
-        this.#log.record(EventCode.ElectionFailed, { reason });
-      }
+      if (!(error instanceof HistoryGoneError)) this.#noteStoreFailure(error);
       await this.#clock.sleep(STORE_RETRY_MS);
       return undefined;
     }
@@ -267,6 +272,10 @@
       this.#getClaimDelay() + this.#random.drawInt(MAX_CLAIM_DELAY_MS),
     );
     const item = await this.#store.get(OWNER_KEY);
+    const isOwnerReachable = this.#isOwnerReachable();
+    const storeFailedAt = this.#storeFailedAt;
+    const now = this.#clock.now();
+    if (!isProofOfExit({ storeFailedAt, isOwnerReachable }, now)) return;
     if (!item) return;
     const currentOwner = JSON.parse(item.value) as OwnerRecord;
     // The claim is safe even if the owner still runs: the new owner has a
@@ -340,6 +349,11 @@
     await this.#clock.sleep(OWNER_RENEWAL_INTERVAL_MS);
   }
 
+  #noteStoreFailure(error: unknown): void {
+    this.#storeFailedAt = this.#clock.now();
+    this.#log.record(EventCode.ElectionFailed, { reason: String(error) });
+  }
+
   #getCurrentTime(): CurrentTime {
     return { now: this.#clock.now(), wallNow: this.#clock.readWallTime() };
   }
--- a/packages/scheduler/owner_gateway.ts
+++ b/packages/scheduler/owner_gateway.ts
@@ -60,6 +60,11 @@
     return this.#link?.isOpen === true && this.#isOwnerReady;
   }
 
+  /** True while the link to the owner is open, whether it serves callers or not. */
+  get isLinked(): boolean {
+    return this.#link?.isOpen === true;
+  }
+
   /** Notes whether the owner behind the link serves callers. */
   noteOwnerReady(isReady: boolean): void {
     this.#isOwnerReady = isReady;
--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -108,6 +108,7 @@
         ...settings.listen.advertise_peers ?? settings.listen.peers,
       },
       getClaimDelay: () => computeClaimDelay(this.#cores, this.#largestCores),
+      isOwnerReachable: () => this.gateway.isLinked,
     });
     this.gateway.onOwnerProcessGone = (owner) =>
       this.#election.claimFromDeadOwner(owner);
--- a/tests/virtual/election_test.ts
+++ b/tests/virtual/election_test.ts
@@ -20,6 +20,7 @@
   ownership: Ownership | undefined;
   terms: number[] = [];
   claimDelayMs = 0;
+  isOwnerReachable = false;
 
   constructor(time: VirtualTime, state: MemoryStoreState, name: string) {
     super();
@@ -34,6 +35,7 @@
       host: this,
       self: { entry: name, incarnation: `${name}/1`, host: name, port: 1 },
       getClaimDelay: () => this.claimDelayMs,
+      isOwnerReachable: () => this.isOwnerReachable,
     });
   }
 
@@ -99,6 +101,34 @@
   t.is(findOwners().length, 1);
 });
 
+test("an entry whose domain was cut off by resets does not depose a healthy owner", async (t) => {
+  const { time, entries, findOwners } = await startEntries(3);
+  const [owner] = findOwners();
+  const others = entries.filter((entry) => entry !== owner);
+  const record = others[0].owner;
+  for (const { store } of others) store.fault = StoreFault.Unavailable;
+  await time.advance(OWNER_LEASE_MS);
+  // The owner and the store refuse connections until the partition ends.
+  for (const { election } of others) election.claimFromDeadOwner(record!);
+  for (const { store } of others) store.fault = StoreFault.None;
+  await time.advance(OWNER_LEASE_MS);
+  t.deepEqual(findOwners(), [owner]);
+  t.deepEqual(owner.terms, [1]);
+});
+
+test("an entry that is linked again to an owner that refused it claims nothing", async (t) => {
+  const { time, entries, findOwners } = await startEntries(3);
+  const [owner] = findOwners();
+  const others = entries.filter((entry) => entry !== owner);
+  for (const other of others) {
+    other.claimDelayMs = 400;
+    other.election.claimFromDeadOwner(other.owner!);
+    other.isOwnerReachable = true;
+  }
+  await time.advance(OWNER_LEASE_MS);
+  t.deepEqual(findOwners(), [owner]);
+});
+
 test("the fencing token increases with every owner", async (t) => {
   const { time, findOwners } = await startEntries(3);
   let lastFence = 0;
