Find stalled runs by their own pace and their gang's progress

Cause: callers of gangs got half of what was due. A member that has done its part waits at its last percent for the slowest and shows no progress; after 2.5 s it counted as stalled, its gang was stopped and its endpoint charged with a failure.

A run is stalled if it makes no progress for 2.5 s and for 4 times its mean time per percent. A gang's member at 99% or more waits for the others. One below is stalled by itself if it is the only one there or if others have made progress meanwhile, and only its endpoint is charged. A gang is stalled as a whole if no member below 99% makes progress; an endpoint is charged only if all of these are on it. The decision moves from listing.ts to stalls.ts.

--- a/packages/cell/constants.ts
+++ b/packages/cell/constants.ts
@@ -66,6 +66,24 @@
 /** Time without progress after which a run is restarted elsewhere, in ms. */
 export const STALL_MS = 2_500;
 
+/**
+ * A run is stalled only after this multiple of its mean time per percent without
+ * progress. Load: tasks of minutes take seconds for one percent.
+ */
+export const STALL_FACTOR = 4;
+
+/**
+ * Progress from which the mean time per percent is measured alone, in percent. Below,
+ * one percent may have been seen too early, and the predicted run time counts as well.
+ */
+export const MIN_PACED_PERCENT = 5;
+
+/**
+ * Progress at which a member of a gang may have done its part and wait for the
+ * slowest, in percent: the members end together.
+ */
+export const GANG_WAIT_PERCENT = 99;
+
 /** Pace of a run that is not throttled, in percent. */
 export const FULL_PACE = 100;
 
--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -1,13 +1,12 @@
 import { RecordKind } from "../journal/mod.ts";
 import { EndKind, parseTaskName } from "../jobs/mod.ts";
-import { MAX_LEASE_MS, STALL_MS } from "./constants.ts";
+import { MAX_LEASE_MS } from "./constants.ts";
 import {
   type ListingTimes,
   recordEnd,
   recordEndpointResult,
   releaseRun,
   setCheckpoint,
-  stopGang,
 } from "./task_ends.ts";
 import { settleUnlocated } from "./endpoints.ts";
 import { beginLifetime } from "./lifetimes.ts";
@@ -21,7 +20,8 @@
   removeWaiting,
 } from "./state.ts";
 import { computeRunCost } from "./remnants.ts";
-import { findTask, getStep, removeUnlocated } from "./stages.ts";
+import { findTask, removeUnlocated } from "./stages.ts";
+import { checkProgress } from "./stalls.ts";
 import { planPaces } from "./colocation.ts";
 import { stopRun } from "./stop_run.ts";
 import { settleUnlistedRun } from "./unlisted_runs.ts";
@@ -169,7 +169,7 @@
     setCheckpoint(taskRef, listedRun.saved);
   }
   run.gauge = listedRun.gauge;
-  checkProgress(state, run, options);
+  checkProgress(state, run, { percent: listedRun.percent, now: times.now });
 }
 
 /**
@@ -250,35 +250,3 @@
   stage.job.hasStarted = true;
   return run;
 }
-
-/**
- * Updates the progress of a run. Stops a run without progress, so that its task
- * is restarted elsewhere.
- */
-function checkProgress(
-  state: CellState,
-  run: Run,
-  options: { listedRun: ListedRun; times: ListingTimes },
-): void {
-  const { listedRun, times } = options;
-  if (listedRun.percent !== run.percent) {
-    run.percent = listedRun.percent;
-    run.progressAt = times.now;
-    return;
-  }
-  if (run.phase !== RunPhase.Running) return;
-  if (times.now - run.progressAt < STALL_MS) return;
-  const taskRef = findTask(state, run.task);
-  if (!taskRef) return;
-  const { longRunning, isFilling } = getStep(taskRef.stage);
-  // Best-effort work makes no progress while there are no idle cores.
-  if (longRunning || isFilling) return;
-  recordEndpointResult(state, run.endpoint, {
-    job: taskRef.stage.job.spec.id,
-    isFailure: true,
-    now: times.now,
-  });
-  stopRun(state, run, times);
-  taskRef.task.avoidEndpoint = run.endpoint.info.id;
-  if (getStep(taskRef.stage).gang) stopGang(state, taskRef.stage, times);
-}
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -39,6 +39,14 @@
   Stopping = "stopping",
 }
 
+/** Progress of a run when a listing first showed it. */
+export interface FirstProgress {
+  percent: number;
+  /** Since when the run has worked, as far as known. */
+  workedSince: number;
+  listedAt: number;
+}
+
 /**
  * One run of a task on an endpoint. A run occupies its resources until it is
  * released: its end is listed, its lease has expired, or it cannot exist any
@@ -91,6 +99,8 @@
   percent: number;
   /** When the listed progress last changed. */
   progressAt: number;
+  /** Where the listed progress began; undefined: no listing has shown the run. */
+  firstProgress?: FirstProgress;
   /**
    * Pace of this run as last acknowledged, in percent of full speed;
    * `undefined` while unknown, since a former owner may have changed it.
