State the reason of every stop in event 6204

Cause: operators could not tell from the log why runs were stopped.

Change: every caller of stopRun passes a StopReason. Event 6204 has it as `reason`, with the phase, progress and age of the run and the inputs of the decision; `why` names the member or event that ended a gang. Counter baobabhead_runs_stopped_total by reason. No setting: which runs are stopped does not change.

--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -33,7 +33,7 @@
 import { canInterrupt } from "./colocation.ts";
 import { buildJob, findTask, openStages } from "./stages.ts";
 import { type CellOutput, type CellState, makeOutput } from "./state.ts";
-import { sendStop, stopRun } from "./stop_run.ts";
+import { sendStop, StopReason, stopRun } from "./stop_run.ts";
 import { listUnsentStarts } from "./unsent_starts.ts";
 import { noteContact, noteContactLost } from "./suspects.ts";
 import { settleTrials } from "./trials.ts";
@@ -350,13 +350,16 @@
     return (endpoints.get(id)?.runs.size ?? 0) === 0;
   }
 
-  /** Stops the runs on an endpoint, within the disruption budgets. */
+  /** Stops the runs on an endpoint for upkeep, within the disruption budgets. */
   stopRunsOn(id: string, time: CurrentTime): void {
     const endpoint = this.state.endpoints.get(id);
     for (const run of [...endpoint?.runs.values() ?? []]) {
       const taskRef = findTask(this.state, run.task);
       if (taskRef && !canInterrupt(taskRef.stage, taskRef.task)) continue;
-      stopRun(this.state, run, time);
+      stopRun(this.state, run, {
+        now: time.now,
+        reason: StopReason.Upkeep,
+      });
     }
   }
 
--- a/packages/cell/colocation.ts
+++ b/packages/cell/colocation.ts
@@ -11,7 +11,7 @@
 import { measureFreeCores } from "./placement_pass.ts";
 import { findTask, getStep } from "./stages.ts";
 import { addDecision, type CellState } from "./state.ts";
-import { stopRun } from "./stop_run.ts";
+import { StopReason, stopRun } from "./stop_run.ts";
 import {
   DecisionKind,
   type Endpoint,
@@ -219,7 +219,11 @@
       continue;
     }
     taskRef.task.avoidEndpoint = endpoint.info.id;
-    stopRun(state, run, { now });
+    stopRun(state, run, {
+      now,
+      reason: StopReason.Paused,
+      inputs: { pausedMs: Math.round(now - endpoint.throttle.changedAt) },
+    });
     // The next run is moved only if the endpoint stays paused as long again.
     endpoint.throttle.changedAt = now;
     return;
--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -23,7 +23,7 @@
 import { findTask, removeUnlocated } from "./stages.ts";
 import { checkProgress } from "./stalls.ts";
 import { planPaces } from "./colocation.ts";
-import { stopRun } from "./stop_run.ts";
+import { StopReason, stopRun } from "./stop_run.ts";
 import { settleUnlistedRun } from "./unlisted_runs.ts";
 import {
   DecisionKind,
@@ -237,7 +237,11 @@
     },
   });
   if (!taskRef || !isExpected) {
-    stopRun(state, run, times);
+    stopRun(state, run, {
+      now: times.now,
+      reason: StopReason.NoLongerNeeded,
+      inputs: { why: "listed, but placed elsewhere or not at all" },
+    });
     return run;
   }
   const { stage, task } = taskRef;
--- a/packages/cell/mod.ts
+++ b/packages/cell/mod.ts
@@ -12,4 +12,5 @@
 export type { CurrentTime } from "./task_ends.ts";
 export * from "./policies.ts";
 export * from "./snapshot.ts";
+export { StopReason } from "./stop_run.ts";
 export * from "./types.ts";
--- a/packages/cell/order_results.ts
+++ b/packages/cell/order_results.ts
@@ -11,7 +11,7 @@
 import { type CurrentTime, releaseRun, stopGang } from "./task_ends.ts";
 import type { CellState } from "./state.ts";
 import { findTask, getStep } from "./stages.ts";
-import { stopRun } from "./stop_run.ts";
+import { StopReason, stopRun } from "./stop_run.ts";
 import {
   type AdviceAnswer,
   PaceResult,
@@ -159,9 +159,11 @@
       if (run.phase !== RunPhase.Unacknowledged) continue;
       if (now - run.lastChangedAt < START_CONFIRM_MS) continue;
       const taskRef = findTask(state, run.task);
-      if (!taskRef || taskRef.task.run !== run) stopRun(state, run, { now });
-      else if (getStep(taskRef.stage).gang) {
-        stopGang(state, taskRef.stage, { now });
+      if (!taskRef || taskRef.task.run !== run) {
+        stopRun(state, run, { now, reason: StopReason.NoLongerNeeded });
+      } else if (getStep(taskRef.stage).gang) {
+        const why = `the start of ${run.task} got no answer`;
+        stopGang(state, taskRef.stage, { now, why });
       }
     }
   }
--- a/packages/cell/plan_gang.ts
+++ b/packages/cell/plan_gang.ts
@@ -62,7 +62,8 @@
   }
   if (stage.tasks.some(({ run }) => run)) {
     // These runs were adopted from a former owner or remain of a broken gang.
-    stopGang(pass.state, stage, pass);
+    const why = "an earlier placement of the gang is incomplete";
+    stopGang(pass.state, stage, { now: pass.now, why });
     return false;
   }
   return stage.tasks.every(({ name, notBefore }) =>
--- a/packages/cell/stalls.ts
+++ b/packages/cell/stalls.ts
@@ -8,7 +8,7 @@
 import { describeShape } from "./run_shape.ts";
 import { findTask, getStep } from "./stages.ts";
 import type { CellState } from "./state.ts";
-import { stopRun } from "./stop_run.ts";
+import { StopReason, stopRun } from "./stop_run.ts";
 import { recordEndpointResult, stopGang } from "./task_ends.ts";
 import {
   type Run,
@@ -66,14 +66,25 @@
       now,
     });
   }
-  stopRun(state, run, { now });
+  stopRun(state, run, {
+    now,
+    reason: StopReason.Stalled,
+    inputs: {
+      idleMs: Math.round(now - run.progressAt),
+      limitMs: Math.round(stall.limitMs),
+      isWholeGang: stall.isWholeGang,
+    },
+  });
   for (const stalledRun of stall.runs) {
     const stalledTask = findTask(state, stalledRun.task)?.task;
     if (stalledTask) {
       stalledTask.avoidEndpoint = stalledRun.endpoint.info.id;
     }
   }
-  if (gang) stopGang(state, stage, { now });
+  const why = stall.isWholeGang
+    ? "no member makes progress"
+    : `${run.task} makes no progress`;
+  if (gang) stopGang(state, stage, { now, why });
 }
 
 /**
--- a/packages/cell/task_ends.ts
+++ b/packages/cell/task_ends.ts
@@ -1,7 +1,7 @@
 import { RecordKind } from "../journal/mod.ts";
 import { EndKind, JobState } from "../jobs/mod.ts";
 import { EJECT_MS, MAX_RETRY_DELAY_MS, RETRY_DELAY_MS } from "./constants.ts";
-import { stopRun } from "./stop_run.ts";
+import { StopReason, stopRun } from "./stop_run.ts";
 import {
   addDecision,
   addWaiting,
@@ -147,19 +147,25 @@
     },
   });
   if (getStep(stage).gang && !options.isUnsent) {
-    stopGang(state, stage, options);
+    const why = `${run.task}: ${options.reason}`;
+    stopGang(state, stage, { now: options.now, why });
   }
 }
 
-/** Stops the remaining runs of a gang. */
+/** Stops the remaining runs of a gang. `why`: what ended the gang, for the log. */
 export function stopGang(
   state: CellState,
   stage: Stage,
-  options: { now: number },
+  { now, why, reason = StopReason.GangStopped }: {
+    now: number;
+    why: string;
+    reason?: StopReason;
+  },
 ): void {
   if (stage.remaining === 0) return;
   for (const { run } of stage.tasks) {
-    if (run && run.phase !== RunPhase.Stopping) stopRun(state, run, options);
+    if (!run || run.phase === RunPhase.Stopping) continue;
+    stopRun(state, run, { now, reason, inputs: { why } });
   }
 }
 
@@ -179,7 +185,13 @@
       releaseUnlocated(state, { stage, task });
       // The run of a done task ends by itself; its end is not listed yet.
       if (task.run && task.phase !== TaskPhase.Done) {
-        stopRun(state, task.run, options);
+        stopRun(state, task.run, {
+          now: options.now,
+          reason: options.outcome === JobState.Cancelled
+            ? StopReason.Cancelled
+            : StopReason.NoLongerNeeded,
+          inputs: { why: options.reason },
+        });
       }
     }
   }
@@ -237,7 +249,13 @@
     // Another run exists only if the lease of the finished one expired first.
     const isOtherRun = task.run &&
       task.run.number !== taskRef.task.lastEndedRun;
-    if (isOtherRun && task.run) stopRun(state, task.run, time);
+    if (isOtherRun && task.run) {
+      stopRun(state, task.run, {
+        now: time.now,
+        reason: StopReason.NoLongerNeeded,
+        inputs: { why: "the task is done by another run" },
+      });
+    }
   }
   if (stage.remaining > 0) return;
   const { job } = stage;
--- a/packages/cell/unlisted_runs.ts
+++ b/packages/cell/unlisted_runs.ts
@@ -1,7 +1,7 @@
 import { MAX_LISTED_ENDS } from "./constants.ts";
 import { mayStartLater } from "./order_effects.ts";
 import type { CellState } from "./state.ts";
-import { sendStop, stopRun } from "./stop_run.ts";
+import { sendStop, StopReason, stopRun } from "./stop_run.ts";
 import { type ListingTimes, releaseRun } from "./task_ends.ts";
 import { type EndpointListing, type Run, RunPhase } from "./types.ts";
 
@@ -24,7 +24,13 @@
   if (isStopping && !run.isStopAcknowledged) return sendStop(state, run);
   // A second start of the task must not be on its way beside this one.
   if (mayStartLater(run, times.askedAt)) return;
-  if (!isStopping) return stopRun(state, run, times);
+  if (!isStopping) {
+    return stopRun(state, run, {
+      now: times.now,
+      reason: StopReason.Unlisted,
+      inputs: { askedMsAgo: Math.round(times.now - times.askedAt) },
+    });
+  }
   releaseRun(state, run, {
     now: times.now,
     hasFailed: false,
--- a/packages/scheduler/decision_log.ts
+++ b/packages/scheduler/decision_log.ts
@@ -47,7 +47,10 @@
   metrics: Metrics,
   decisions: readonly Decision[],
 ): void {
-  for (const { kind } of decisions) {
+  for (const { kind, inputs } of decisions) {
+    if (kind === DecisionKind.Stopped) {
+      metrics.countEvent("runs_stopped", { reason: String(inputs.reason) });
+    }
     const counter = COUNTER_BY_DECISION[kind];
     if (counter) metrics.countEvent(counter);
   }
--- a/packages/scheduler/decision_log_test.ts
+++ b/packages/scheduler/decision_log_test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { DecisionKind } from "../cell/mod.ts";
+import { DecisionKind, StopReason } from "../cell/mod.ts";
 import { Metrics } from "../metrics/mod.ts";
 import { countDecisions } from "./decision_log.ts";
 
@@ -24,4 +24,24 @@
   t.regex(text, /baobabhead_endpoints_replaced_total 1/);
   t.regex(text, /baobabhead_listings_ignored_total 1/);
   t.notRegex(text, /started/);
+  t.notRegex(text, /runs_stopped/);
+});
+
+// Guards against stops whose causes show in no counter.
+test("stops of runs are counted by their reason", async (t) => {
+  const metrics = new Metrics();
+  const reasons = [
+    StopReason.Stalled,
+    StopReason.Cancelled,
+    StopReason.Stalled,
+  ];
+  const decisions = reasons.map((reason) => ({
+    kind: DecisionKind.Stopped,
+    subject: "a",
+    inputs: { reason },
+  }));
+  countDecisions(metrics, decisions);
+  const text = await metrics.renderText();
+  t.regex(text, /baobabhead_runs_stopped_total\{reason="stalled"\} 2/);
+  t.regex(text, /baobabhead_runs_stopped_total\{reason="cancelled"\} 1/);
 });
