Start nothing in a failure domain whose evacuation is requested

Cause: operators could not take a failure domain out of use. Tasks were started there until its endpoints drained one by one.

Change: with [bounds] evacuation_ms set, the owner lists and watches the requests of the platform and those of the product's own records. Starts are planned and sent only while the last confirmation of both is at most the bound less the longest transit of an order (500 ms) old; before the first list there is none. Endpoints of an evacuated domain count neither for placement, advice, gangs and ejection nor for the capacity in admission. A start is checked again before it is sent. A job that fits only there is refused with Retry-After, or waits if it was accepted. Without the setting nothing is read, watched or held back.

--- a/packages/cell/admission.ts
+++ b/packages/cell/admission.ts
@@ -4,6 +4,7 @@
   type JobSpec,
   makeZeroDemand,
 } from "../jobs/mod.ts";
+import { explainEvacuatedRoom, isEvacuated } from "./evacuated_domains.ts";
 import type { CellState } from "./state.ts";
 import { computeObjective, getStep } from "./stages.ts";
 import { Admission, type AdmissionOutcome } from "./types.ts";
@@ -28,7 +29,7 @@
 export interface Backlog {
   /**
    * Total capacity of the listed endpoints that have accepted this owner's
-   * fencing token, in thousandths of a core.
+   * fencing token and are in no evacuated domain, in thousandths of a core.
    */
   milliCores: number;
   /** Estimated work by priority, in thousandths of a core times ms. */
@@ -43,6 +44,7 @@
   const backlogs = new Map<string, Backlog>();
   for (const endpoint of state.endpoints.values()) {
     if (!endpoint.isListed || !endpoint.hasAcceptedFence) continue;
+    if (isEvacuated(state, endpoint)) continue;
     const { service, capacity } = endpoint.info;
     const backlog = backlogs.get(service) ?? { milliCores: 0, work: new Map() };
     backlog.milliCores += capacity.milliCores;
@@ -93,6 +95,14 @@
       retryAfterMs: MAX_RETRY_MS,
     };
   }
+  const evacuatedReason = explainEvacuatedRoom(state, spec);
+  if (evacuatedReason) {
+    return {
+      admission: Admission.Refused,
+      reason: evacuatedReason,
+      retryAfterMs: MAX_RETRY_MS,
+    };
+  }
   if (state.policies.admitsAll) {
     return { admission: Admission.Accepted, reason: "" };
   }
--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -53,6 +53,7 @@
   type StopResult,
 } from "./types.ts";
 import type { JournalRecord } from "../journal/mod.ts";
+import { makeEvacuationState } from "../evacuation/mod.ts";
 import { StatedRunTimes } from "../runtimes/mod.ts";
 
 /** Interval between retries of an unacknowledged stop order, in ms. */
@@ -104,6 +105,7 @@
       shareMeter: new ShareMeter(),
       policies: buildPolicies(options.policies ?? DEFAULT_POLICIES),
       runTimes: new StatedRunTimes(),
+      evacuation: makeEvacuationState(),
       adviceBacklogsMs: [0],
       adviceCounts: new Map(),
       adviceCursor: 0,
--- a/packages/cell/colocation.ts
+++ b/packages/cell/colocation.ts
@@ -7,6 +7,7 @@
   RECOVERY_RATIO,
   THROTTLE_RATIO,
 } from "./constants.ts";
+import { isEvacuated } from "./evacuated_domains.ts";
 import { isEligible } from "./placement.ts";
 import { measureFreeCores } from "./placement_pass.ts";
 import { findTask, getStep } from "./stages.ts";
@@ -213,6 +214,7 @@
     if (!taskRef || taskRef.task.run !== run) continue;
     const canRunElsewhere = [...state.endpoints.values()].some((target) =>
       target !== endpoint && target.hasAcceptedFence && !target.isCordoned &&
+      !isEvacuated(state, target) &&
       target.throttle.percent === FULL_PACE && isEligible(target, taskRef.stage)
     );
     if (!canRunElsewhere || !canInterrupt(taskRef.stage, taskRef.task)) {
--- a/packages/cell/placement.ts
+++ b/packages/cell/placement.ts
@@ -8,6 +8,7 @@
 } from "../jobs/mod.ts";
 
 import { MAX_EJECTED_FRACTION, TICKET_MARGIN_MS } from "./constants.ts";
+import { isEvacuated } from "./evacuated_domains.ts";
 import type { CellState } from "./state.ts";
 import { getStep } from "./stages.ts";
 import type { Endpoint, Stage } from "./types.ts";
@@ -86,7 +87,8 @@
  */
 export function listEjected(state: CellState, now: number): Set<Endpoint> {
   const usable = [...state.endpoints.values()].filter((endpoint) =>
-    endpoint.isListed && !endpoint.info.isDraining
+    endpoint.isListed && !endpoint.info.isDraining &&
+    !isEvacuated(state, endpoint)
   );
   const ejected = splitBy(usable, ({ info }) => info.service)
     .flatMap((endpoints) => {
--- a/packages/cell/placement_pass.ts
+++ b/packages/cell/placement_pass.ts
@@ -1,4 +1,5 @@
 import { type Demand, makeZeroDemand } from "../jobs/mod.ts";
+import { isEvacuated } from "./evacuated_domains.ts";
 import {
   canAcceptStarts,
   isEligible,
@@ -24,7 +25,7 @@
 
 /** Endpoints of one service during a pass. */
 export interface ServiceView {
-  /** Listed endpoints that are not draining. */
+  /** Listed endpoints that are not draining, in domains that are not evacuated. */
   listed: Endpoint[];
   /** The listed endpoints that have a label, by label; filled when needed. */
   listedByLabel: Map<string, Endpoint[]>;
@@ -118,6 +119,7 @@
   for (const endpoint of state.endpoints.values()) {
     const { info, used } = endpoint;
     if (!endpoint.isListed || info.isDraining) continue;
+    if (isEvacuated(state, endpoint)) continue;
     let service = services.get(info.service);
     if (!service) {
       service = {
--- a/packages/cell/state.ts
+++ b/packages/cell/state.ts
@@ -3,6 +3,7 @@
 import type { AdviceCounts } from "./advice_choice.ts";
 import type { Backlog } from "./admission.ts";
 import type { Crash } from "./blame.ts";
+import type { EvacuationState } from "../evacuation/mod.ts";
 import type { RunTimes } from "../runtimes/mod.ts";
 import type { CellPolicies } from "./policies.ts";
 import type { ShareMeter } from "./share_meter.ts";
@@ -63,6 +64,8 @@
   shareMeter: ShareMeter;
   policies: CellPolicies;
   runTimes: RunTimes;
+  /** Failure domains in which nothing is started. */
+  evacuation: EvacuationState;
   /**
    * Predicted duration of the advice calls in flight, in milliseconds, for each
    * entry that makes them. The policy service handles the calls of one entry
--- a/packages/cell/unsent_starts.ts
+++ b/packages/cell/unsent_starts.ts
@@ -1,3 +1,4 @@
+import { isEvacuated } from "./evacuated_domains.ts";
 import { canAcceptStarts, isEligible, isOverQuota } from "./placement.ts";
 import { isOverRoom } from "./room.ts";
 import { findTask, getStep } from "./stages.ts";
@@ -55,6 +56,9 @@
   if (now >= ticketEndsAt) {
     return "the ticket expired before the placement was committed";
   }
+  if (isEvacuated(state, run.endpoint)) {
+    return "the failure domain was evacuated before the placement was committed";
+  }
   if (isOverRoom(run.endpoint)) {
     return "the endpoint's room shrank before the placement was committed";
   }
--- a/packages/events/catalogue.ts
+++ b/packages/events/catalogue.ts
@@ -66,6 +66,10 @@
   WaveRejected = 6403,
   UpkeepOrdered = 6404,
   UpkeepDelayed = 6405,
+  EvacuationRequested = 6410,
+  EvacuationEffective = 6411,
+  EvacuationWithdrawn = 6412,
+  EvacuationRejected = 6413,
   ElectionFailed = 7001,
   OwnershipBegan = 7002,
   OwnershipEnded = 7003,
@@ -370,6 +374,31 @@
     message: "an upkeep wave waits for the store or the VM list",
     remedy: "Check the store and the platform's VM service.",
   },
+  [EventCode.EvacuationRequested]: {
+    severity: Severity.Info,
+    message:
+      "evacuation of a failure domain requested; nothing is started there",
+    remedy:
+      "If `endpoints` is 0, check the name of the domain; `runs` counts what still runs there.",
+  },
+  [EventCode.EvacuationEffective]: {
+    severity: Severity.Info,
+    message:
+      "no start that was decided before an evacuation can be carried out any more",
+    remedy:
+      "None; the domain is free once `runs` is 0 in the list of evacuations.",
+  },
+  [EventCode.EvacuationWithdrawn]: {
+    severity: Severity.Info,
+    message:
+      "evacuation of a failure domain withdrawn; tasks are started there",
+    remedy: "None.",
+  },
+  [EventCode.EvacuationRejected]: {
+    severity: Severity.Warn,
+    message: "a request for an evacuation names no failure domain",
+    remedy: "Remove the key in `subject` and request the evacuation again.",
+  },
   [EventCode.ElectionFailed]: {
     severity: Severity.Warn,
     message: "no answer to an election step; the step is retried",
--- a/packages/scheduler/constants.ts
+++ b/packages/scheduler/constants.ts
@@ -217,6 +217,24 @@
 /** Key prefix of the records of upkeeps that may have begun, one per wave. */
 export const UPKEEP_PREFIX = "baobabhead/upkeep/";
 
+/** Key prefix of the evacuations that operators request at an entry, by domain. */
+export const EVACUATION_PREFIX = "baobabhead/evacuations/";
+
+/**
+ * Longest time that one watch of evacuation requests waits, in milliseconds. An answer
+ * without changes confirms the requests only as of the moment it was asked for.
+ */
+export const EVACUATION_WATCH_WAIT_MS = 800;
+
+/** Pause after each watch of evacuation requests, in milliseconds. */
+export const EVACUATION_WATCH_INTERVAL_MS = 50;
+
+/**
+ * Longest wait of a watch of evacuation requests as a fraction of the age of requests
+ * on which tasks are started: a lost answer and the list after it fit into that age.
+ */
+export const EVACUATION_WATCH_FRACTION = 0.25;
+
 /**
  * Longest time that one watch of wave requests waits, in milliseconds; few
  * requests arrive per day.
--- a/packages/scheduler/mod.ts
+++ b/packages/scheduler/mod.ts
@@ -7,6 +7,8 @@
 export * from "./election.ts";
 export * from "./endpoint_feed.ts";
 export * from "./endpoint_session.ts";
+export * from "./evacuation_feed.ts";
+export * from "./evacuation_role.ts";
 export * from "./owner_gateway.ts";
 export * from "./owner_role.ts";
 export * from "./ports.ts";
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -5,11 +5,13 @@
   type CellSnapshot,
   CLOCK_DRIFT,
   type CurrentTime,
+  describeEvacuations,
   type Endpoint,
   type EndpointInfo,
   LEASE_MARGIN_MS,
   type PolicyNames,
 } from "../cell/mod.ts";
+import type { EvacuationReport } from "../evacuation/mod.ts";
 import { EventCode, type EventLog } from "../events/mod.ts";
 import { type JobSpec, JobState } from "../jobs/mod.ts";
 import { Journal, JournalHost, readJournal } from "../journal/mod.ts";
@@ -33,6 +35,7 @@
 } from "./constants.ts";
 import type { Ownership } from "./election.ts";
 import { EndpointFeed } from "./endpoint_feed.ts";
+import { EvacuationRole } from "./evacuation_role.ts";
 import type { PollFailure, SessionHost } from "./endpoint_session.ts";
 import { LoopMonitor } from "./loop_monitor.ts";
 import { OrderSender } from "./order_sender.ts";
@@ -69,6 +72,11 @@
    * milliseconds.
    */
   endpointRecordsMs: number;
+  /**
+   * Time after which nothing is started in a failure domain whose evacuation was
+   * requested, in milliseconds; absent: evacuations are not offered.
+   */
+  evacuationMs?: number;
   /** Returns when a call to the store failed last, by the steady clock in ms. */
   getStoreFailedAt: () => number;
   /** How long the result of an ended job is kept, in milliseconds. */
@@ -106,6 +114,7 @@
   readonly #orderSender: OrderSender;
   readonly #planLoop: PlanLoop;
   readonly #upkeepRole: UpkeepRole | undefined;
+  readonly #evacuationRole: EvacuationRole | undefined;
   #journal: Journal | undefined;
   readonly #loopMonitor = new LoopMonitor();
   #readySince: number | undefined;
@@ -157,6 +166,14 @@
       onChanged: () => this.#planLoop.schedulePlan(),
       onDeposed: (reason) => this.endOwnership(reason),
     });
+    this.#evacuationRole = parts.evacuationMs === undefined
+      ? undefined
+      : new EvacuationRole({
+        ...parts,
+        evacuationMs: parts.evacuationMs,
+        cell: this.cell,
+        onChanged: () => this.#planLoop.schedulePlan(),
+      });
     this.#orderSender = new OrderSender({
       cell: this.cell,
       control: parts.control,
@@ -179,7 +196,9 @@
       log,
       metrics: parts.metrics,
       mayOrder: (now) => this.mayOrder(now),
-      hasCurrentRecords: (time) => this.#endpointFeed.checkAge(time),
+      hasCurrentRecords: (time) =>
+        this.#endpointFeed.checkAge(time) &&
+        this.#evacuationRole?.checkAge(time) !== false,
     });
   }
 
@@ -198,6 +217,11 @@
     return this.#upkeepRole?.describe();
   }
 
+  /** Describes the evacuations of failure domains, with the runs still there. */
+  describeEvacuations(): EvacuationReport[] {
+    return describeEvacuations(this.cell.state, this.#parts.clock.now());
+  }
+
   /** True from the end of the restore until the role begins to stop. */
   get isReady(): boolean {
     return this.#journal !== undefined && !this.#isClosing;
@@ -246,6 +270,7 @@
     this.updateConfig(this.#parts.getConfig());
     void this.#endpointFeed.run();
     void this.#upkeepRole?.run();
+    void this.#evacuationRole?.run();
     this.#scheduleTick();
     this.#planLoop.schedulePlan();
   }
@@ -271,6 +296,7 @@
     this.#cancelTick();
     this.#endpointFeed.stop();
     this.#upkeepRole?.stop();
+    this.#evacuationRole?.stop();
     this.#journal?.close();
     this.#sessions.stop();
   }
@@ -449,6 +475,7 @@
       );
       this.#checkHandover(now);
       this.#planLoop.planIfIdle();
+      this.#evacuationRole?.updateReports();
       this.cell.dropEnded(this.#parts.clock.readWallTime());
       this.#checkIsolation();
       this.#scheduleTick();
--- a/packages/scheduler/ports.ts
+++ b/packages/scheduler/ports.ts
@@ -205,6 +205,12 @@
   /** Prefix of the reports on upkeep waves. */
   abstract readonly waveStatusPrefix: string;
 
+  /**
+   * Prefix of the requests to evacuate failure domains. The rest of a key names the
+   * domain; the value has no meaning.
+   */
+  abstract readonly evacuationPrefix: string;
+
   /** Decodes a request for a wave; `undefined` if it is malformed. */
   abstract decodeWave(key: string, text: string): WaveRequest | undefined;
 
--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -201,6 +201,7 @@
       leaseMs: Math.min(TASK_LEASE_MS, settings.bounds.task_lease_ms),
       retentionMs: settings.bounds.ended_jobs_ms,
       endpointRecordsMs: settings.bounds.endpoint_records_ms,
+      evacuationMs: settings.bounds.evacuation_ms,
       policies: settings.scheduling,
       takeOverPauseMs: settings.vms.take_over_pause_ms,
       listLinks: () => this.#linkServer.listIdentified(),
@@ -263,6 +264,7 @@
       links: this.#linkServer.listIdentified().map((link) => link.peer),
       advice: this.#ownerRole?.advice.describe(),
       upkeep: this.#ownerRole?.describeUpkeep(),
+      evacuations: this.#ownerRole?.describeEvacuations(),
       cell: cell && {
         term: cell.term,
         jobs: cell.jobs.size,
--- a/tests/cell/cell_site.ts
+++ b/tests/cell/cell_site.ts
@@ -137,12 +137,13 @@
   pollIntervalMs = 100;
   snapshot: CellSnapshot | undefined;
   readonly draining = new Set<string>();
-  /** Returns the labels and the rack of an endpoint. */
-  describeEndpoint: (id: string) => { labels: string[]; rack: string } =
-    () => ({
-      labels: [],
-      rack: "",
-    });
+  /** Returns the labels, the rack and the failure domain of an endpoint. */
+  describeEndpoint: (
+    id: string,
+  ) => { labels: string[]; rack: string; domain?: string } = () => ({
+    labels: [],
+    rack: "",
+  });
   /** Number of orders and polls so far, by kind. */
   readonly calls = { starts: 0, stops: 0, polls: 0, paces: 0, advice: 0 };
   #commits: { at: number; owner: Cell; output: CellOutput }[] = [];
--- a/tests/virtual/no_upkeep_records.ts
+++ b/tests/virtual/no_upkeep_records.ts
@@ -5,6 +5,7 @@
 export abstract class NoUpkeepRecords extends SiteRecords {
   override readonly wavePrefix = "waves/";
   override readonly waveStatusPrefix = "wave_reports/";
+  override readonly evacuationPrefix = "evacuations/";
 
   override decodeWave(): WaveRequest | undefined {
     return undefined;
--- a/tests/virtual/owner_site.ts
+++ b/tests/virtual/owner_site.ts
@@ -100,6 +100,7 @@
       metrics: new Metrics(),
       leaseMs: LEASE_MS,
       endpointRecordsMs: 3_000,
+      evacuationMs: this.#site.evacuationMs,
       getStoreFailedAt: () => Number.NEGATIVE_INFINITY,
       retentionMs: 1e9,
       takeOverPauseMs: 0,
@@ -162,6 +163,8 @@
   readonly #stepRandom: Random;
   readonly jobs = new Map<string, JobSpec>();
   readonly config: SiteConfig = new EndpointStateRecords().decodeConfig();
+  /** Bound of evacuations, in milliseconds; undefined: they are not offered. */
+  evacuationMs: number | undefined;
   /** Time after which a new owner knows the configuration, in milliseconds. */
   configDelayMs = 0;
   /** Share of orders that arrive late or whose answer is lost, from 0 to 1. */
