Place urgent work and gangs on fast endpoints of uneven services

On endpoints with speeds of 0.6, 1.0 and 1.6, all counted as equal: an urgent task on a slow endpoint was always late.

With choice = speed, endpoints of a service that the run times call uneven are grouped into tiers once for each plan. Urgent work and gangs take the fastest, other work the slowest that meet its deadline. An urgent task that would be late waits for a faster endpoint for at most as long as that one can gain. Advice calls name endpoints in the same order.

--- a/packages/cell/advice_choice.ts
+++ b/packages/cell/advice_choice.ts
@@ -5,6 +5,7 @@
 } from "./constants.ts";
 import { countFittingTasks } from "./placement.ts";
 import { measureFreeCores, type PlacementPass } from "./placement_pass.ts";
+import { findAdviceRanks } from "./speed_choice.ts";
 import { getStep } from "./stages.ts";
 import type { CellState } from "./state.ts";
 import type { Endpoint, Stage } from "./types.ts";
@@ -54,14 +55,18 @@
     if (slots > 0) candidates.push({ endpoint, slots });
     else if (accepting.has(endpoint)) full.push(endpoint);
   }
+  const getRank = findAdviceRanks(pass, stage);
   const withRoom = sortCandidates(
     stage,
     listFromCursor(candidates, pass.state.adviceCursor++),
+    getRank,
   );
   const selected = selectEnoughRoom(pass.state, stage, withRoom);
   const missing = USUAL_ENDPOINTS_ASKED - selected.length;
   if (missing <= 0 || selected.length < withRoom.length) return selected;
-  full.sort((a, b) => measureFreeCores(b) - measureFreeCores(a));
+  full.sort((a, b) =>
+    getRank(a) - getRank(b) || measureFreeCores(b) - measureFreeCores(a)
+  );
   return [...selected, ...full.slice(0, missing)];
 }
 
@@ -109,27 +114,32 @@
 
 /**
  * Sorts the candidates: those in the rack of the data first; for a gang that has
- * to fit into one rack, those of the racks with most room; for any gang, those
- * with much room, as it starts sooner on few endpoints.
+ * to fit into one rack, those of the racks with most room; then by the rank of their
+ * speed; for any gang, those with much room, as it starts sooner on few endpoints.
  */
 function sortCandidates(
   stage: Stage,
   candidates: readonly AdviceCandidate[],
+  getRank: (endpoint: Endpoint) => number,
 ): AdviceCandidate[] {
   const { gang, preferredRack, rackLocal } = getStep(stage);
   const slotsByRack = new Map<string, number>();
   for (const { endpoint: { info }, slots } of candidates) {
     slotsByRack.set(info.rack, (slotsByRack.get(info.rack) ?? 0) + slots);
   }
-  const score = ({ endpoint: { info }, slots }: AdviceCandidate) => ({
-    isNear: preferredRack !== "" && info.rack === preferredRack ? 1 : 0,
-    rackSlots: rackLocal ? slotsByRack.get(info.rack) ?? 0 : 0,
+  const score = ({ endpoint, slots }: AdviceCandidate) => ({
+    isNear: preferredRack !== "" && endpoint.info.rack === preferredRack
+      ? 1
+      : 0,
+    rackSlots: rackLocal ? slotsByRack.get(endpoint.info.rack) ?? 0 : 0,
+    speedRank: getRank(endpoint),
     slots: gang ? slots : 0,
   });
   return candidates
     .map((candidate) => ({ candidate, rank: score(candidate) }))
     .sort(({ rank: a }, { rank: b }) =>
-      b.isNear - a.isNear || b.rackSlots - a.rackSlots || b.slots - a.slots
+      b.isNear - a.isNear || b.rackSlots - a.rackSlots ||
+      a.speedRank - b.speedRank || b.slots - a.slots
     )
     .map(({ candidate }) => candidate);
 }
--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -16,6 +16,7 @@
 } from "./endpoints.ts";
 import { type CurrentTime, endJob, type ListingTimes } from "./task_ends.ts";
 import { applyListing } from "./listing.ts";
+import { makePlacementMemory } from "./placement_memory.ts";
 import { planStarts } from "./plan.ts";
 import {
   buildPolicies,
@@ -104,6 +105,7 @@
       shareMeter: new ShareMeter(),
       policies: buildPolicies(options.policies ?? DEFAULT_POLICIES),
       runTimes: new StatedRunTimes(),
+      placement: makePlacementMemory(),
       adviceBacklogsMs: [0],
       adviceCounts: new Map(),
       adviceCursor: 0,
--- a/packages/cell/placement_pass.ts
+++ b/packages/cell/placement_pass.ts
@@ -6,7 +6,9 @@
   listOnTrial,
   type PlacementView,
 } from "./placement.ts";
+import { makeReleases, type Releases } from "./releases.ts";
 import type { CellState } from "./state.ts";
+import type { SpeedTiers } from "./speed_tiers.ts";
 import { getStep } from "./stages.ts";
 import { collectTrials, type Trials } from "./trials.ts";
 import type { Endpoint, Stage } from "./types.ts";
@@ -20,6 +22,9 @@
   trials: Trials;
   /** Number of gangs that do not fit yet but reserve capacity in this pass. */
   reservedGangs: number;
+  /** Tiers of the services that were looked up; `undefined`: not uneven. */
+  speedTiers: Map<string, SpeedTiers | undefined>;
+  releases: Releases;
 }
 
 /** Endpoints of one service during a pass. */
@@ -55,6 +60,8 @@
     trials,
     stoppingTasks: new Set([...state.stoppingRuns].map(({ task }) => task)),
     reservedGangs: 0,
+    speedTiers: new Map(),
+    releases: makeReleases(),
   };
 }
 
--- a/packages/cell/plan.ts
+++ b/packages/cell/plan.ts
@@ -7,8 +7,10 @@
   listUsable,
   type PlacementPass,
 } from "./placement_pass.ts";
+import { waitForFaster } from "./faster_endpoints.ts";
 import { planGang } from "./plan_gang.ts";
 import type { EndpointChoice } from "./policies.ts";
+import { findEndpointChoice } from "./speed_choice.ts";
 import { getStep } from "./stages.ts";
 import {
   chooseLeastInterference,
@@ -67,6 +69,7 @@
   if (slots.size === 0) {
     return askAboutUnaskedEndpoints(pass, stage);
   }
+  const choice = findEndpointChoice(pass, stage);
   let isTicketMissing = false;
   for (const task of stage.tasks) {
     if (allowance <= 0) break;
@@ -84,7 +87,8 @@
     const isTrial = isSuspect(task);
     const endpoint = isTrial
       ? chooseTrialEndpoint(pass, endpointsWithTicket)
-      : chooseEndpoint(pass, stage, { task, endpoints: preferred });
+      : chooseEndpoint(pass, stage, { task, endpoints: preferred, choice });
+    if (!isTrial && waitForFaster(pass, stage, endpoint)) break;
     startTask(pass, stage, { task, endpoint, run: task.lastRun + 1 });
     if (isTrial) beginTrial(pass, stage, [endpoint]);
     allowance--;
@@ -101,12 +105,12 @@
 function chooseEndpoint(
   { state }: PlacementPass,
   stage: Stage,
-  { task, endpoints }: { task: Task; endpoints: Endpoint[] },
+  options: { task: Task; endpoints: Endpoint[]; choice: EndpointChoice },
 ): Endpoint {
+  const { task, endpoints, choice } = options;
   if (isColocationSensitive(stage)) {
     return chooseLeastInterference(endpoints, { state, task });
   }
-  const { choice } = state.policies;
   return chooseAvoidingFailed(endpoints, { choice, task });
 }
 
--- a/packages/cell/plan_gang.ts
+++ b/packages/cell/plan_gang.ts
@@ -15,6 +15,7 @@
   splitByRack,
 } from "./placement.ts";
 import { measureFreeCores, type PlacementPass } from "./placement_pass.ts";
+import { sortGangSlots } from "./speed_choice.ts";
 import { getStep } from "./stages.ts";
 import { startTask } from "./start_task.ts";
 import { beginTrial, isSuspect, mayTry } from "./trials.ts";
@@ -82,12 +83,9 @@
       slots: countFittingTasks(pass, endpoint, stage),
       isTicketed: hasTicket(pass, stage, endpoint),
     }))
-    .filter(({ slots }) => slots > 0)
-    .sort((a, b) =>
-      Number(b.isTicketed) - Number(a.isTicketed) || b.slots - a.slots
-    );
+    .filter(({ slots }) => slots > 0);
   const assignment: Endpoint[] = [];
-  for (const { endpoint, slots } of slotCounts) {
+  for (const { endpoint, slots } of sortGangSlots(pass, stage, slotCounts)) {
     for (
       let slot = 0;
       slot < slots && assignment.length < stage.tasks.length;
--- a/packages/cell/start_task.ts
+++ b/packages/cell/start_task.ts
@@ -2,6 +2,7 @@
 import { FULL_PACE } from "./constants.ts";
 import { measureFreeCores, type PlacementPass } from "./placement_pass.ts";
 import { noteLeaseSent } from "./order_effects.ts";
+import { describeSpeed } from "./speed_tiers.ts";
 import { getStep } from "./stages.ts";
 import {
   addDecision,
@@ -83,6 +84,7 @@
       bornAt: endpoint.bornAt,
       freeMilliCores: measureFreeCores(endpoint),
       ...describeRoom(run),
+      ...describeSpeed(pass, endpoint),
     },
   });
 }
--- a/packages/cell/state.ts
+++ b/packages/cell/state.ts
@@ -4,6 +4,7 @@
 import type { Backlog } from "./admission.ts";
 import type { Crash } from "./blame.ts";
 import type { RunTimes } from "../runtimes/mod.ts";
+import type { PlacementMemory } from "./placement_memory.ts";
 import type { CellPolicies } from "./policies.ts";
 import type { ShareMeter } from "./share_meter.ts";
 import type {
@@ -63,6 +64,7 @@
   shareMeter: ShareMeter;
   policies: CellPolicies;
   runTimes: RunTimes;
+  placement: PlacementMemory;
   /**
    * Predicted duration of the advice calls in flight, in milliseconds, for each
    * entry that makes them. The policy service handles the calls of one entry
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -517,6 +517,8 @@
   EndpointCrashed = "endpoint_crashed",
   /** Too many endpoints have crashed under a task; its job has failed. */
   TaskGivenUp = "task_given_up",
+  /** A stage that fits on slow endpoints waits for faster ones. */
+  StartPostponed = "start_postponed",
 }
 
 /** One decision with the inputs that led to it. */
--- a/packages/events/catalogue.ts
+++ b/packages/events/catalogue.ts
@@ -59,6 +59,7 @@
   StopUnanswered = 6207,
   PaceUnanswered = 6208,
   TaskGivenUp = 6209,
+  StartPostponed = 6230,
   AdviceAnswered = 6301,
   AdviceFailed = 6302,
   WaveBegan = 6401,
@@ -270,6 +271,11 @@
     remedy:
       "Correct the task before it is submitted again; `endpoints` names those that crashed.",
   },
+  [EventCode.StartPostponed]: {
+    severity: Severity.Info,
+    message: "a stage that fits on slow endpoints waits for faster ones",
+    remedy: "None, unless it repeats while fast endpoints are idle.",
+  },
   [EventCode.EndpointLapsed]: {
     severity: Severity.Warn,
     message: "endpoint was unreachable until its leases expired",
--- a/packages/scheduler/decision_log.ts
+++ b/packages/scheduler/decision_log.ts
@@ -19,6 +19,7 @@
   [DecisionKind.RoomGrown]: EventCode.EndpointRoomGrown,
   [DecisionKind.EndpointCrashed]: EventCode.EndpointCrashed,
   [DecisionKind.TaskGivenUp]: EventCode.TaskGivenUp,
+  [DecisionKind.StartPostponed]: EventCode.StartPostponed,
 };
 
 /** Counters of decisions, by kind. */
@@ -30,6 +31,7 @@
   [DecisionKind.RoomGrown]: "rooms_grown",
   [DecisionKind.EndpointCrashed]: "endpoint_crashes",
   [DecisionKind.TaskGivenUp]: "tasks_given_up",
+  [DecisionKind.StartPostponed]: "starts_postponed",
 };
 
 /** Records one event for each decision of the cell. */
