--- a/packages/cell/state.ts
+++ b/packages/cell/state.ts
@@ -5,6 +5,7 @@
 import type { Crash } from "./blame.ts";
 import type { EvacuationState } from "../evacuation/mod.ts";
 import type { RunTimes } from "../runtimes/mod.ts";
+import type { PlacementMemory } from "./placement_memory.ts";
 import type { CellPolicies } from "./policies.ts";
 import type { ShareMeter } from "./share_meter.ts";
 import type {
@@ -66,6 +67,7 @@
   runTimes: RunTimes;
   /** Failure domains in which nothing is started. */
   evacuation: EvacuationState;
+  placement: PlacementMemory;
   /**
    * Predicted duration of the advice calls in flight, in milliseconds, for each
    * entry that makes them. The policy service handles the calls of one entry
