Keep a submission unsettled while another one with its id is under way

Cause: of two submissions with one id at one entry, the first one reached no owner and was forgotten, although the second one was still under way and could have an effect. The first caller, and any later one, was told "not run" of a job that may run.

Change: UnsettledRequests counts the calls that are under way apart from those whose effect is unknown; a call that was not sent changes neither for the others.

Result: the new test of caller_service_test fails with the former file ("unavailable" instead of "unknown") and passes with the new one; the other tests of the file pass.

--- a/packages/scheduler/unsettled_requests.ts
+++ b/packages/scheduler/unsettled_requests.ts
@@ -10,10 +10,12 @@
 export class UnsettledRequests {
   /** When each request is forgotten (steady clock, in ms), oldest first. */
   readonly #expiresAt = new Map<string, number>();
+  /** Number of calls under way for each request, which may be submitted twice. */
+  readonly #underWay = new Map<string, number>();
 
   /** Returns whether a request may have had an effect. */
   has(key: string, now: number): boolean {
-    return (this.#expiresAt.get(key) ?? 0) > now;
+    return this.#underWay.has(key) || (this.#expiresAt.get(key) ?? 0) > now;
   }
 
   /**
@@ -21,7 +23,7 @@
    * returns true for a reply.
    *
    * @throws what the call throws; after a `NotSentError` the request counts as
-   * it did before
+   * it did before, whatever other calls for it do meanwhile
    */
   async observe<T>(
     key: string,
@@ -32,16 +34,19 @@
     },
   ): Promise<T> {
     const { now, call, isSettled } = options;
-    const wasUnsettled = this.has(key, now);
-    this.#add(key, now);
+    this.#underWay.set(key, (this.#underWay.get(key) ?? 0) + 1);
     try {
       const reply = await call();
       if (isSettled(reply)) this.#expiresAt.delete(key);
+      else this.#add(key, now);
       return reply;
     } catch (error) {
-      const isUnchanged = error instanceof NotSentError && !wasUnsettled;
-      if (isUnchanged) this.#expiresAt.delete(key);
+      if (!(error instanceof NotSentError)) this.#add(key, now);
       throw error;
+    } finally {
+      const othersUnderWay = (this.#underWay.get(key) ?? 1) - 1;
+      if (othersUnderWay > 0) this.#underWay.set(key, othersUnderWay);
+      else this.#underWay.delete(key);
     }
   }
 
--- a/tests/virtual/caller_service_test.ts
+++ b/tests/virtual/caller_service_test.ts
@@ -204,3 +204,20 @@
     t.is(await submit(), AnswerKind.Unavailable);
   }
 });
+
+// Guards against a false "not run": of two requests with one id, the one that was not
+// sent forgot that the other one may have had an effect.
+test("a submission that was not sent does not settle another one with its id", async (t) => {
+  const { service, gateway, time, handlers } = await startService();
+  gateway.setOwner(undefined, false);
+  handlers["job.submit"] = () => new Promise(() => {});
+  const first = service.submit({ ...REQUEST, deadlineMs: 500 }, parseEmptyJob);
+  await time.advance(100);
+  const second = service.submit(REQUEST, parseEmptyJob);
+  t.is((await settle(time, first)).answer.kind, AnswerKind.Unknown);
+  gateway.setOwner(NEXT_OWNER, true);
+  t.is((await settle(time, second)).answer.kind, AnswerKind.Unknown);
+  gateway.setOwner(undefined, false);
+  const third = await settle(time, service.submit(REQUEST, parseEmptyJob));
+  t.is(third.answer.kind, AnswerKind.Unknown);
+});
