Refuse a submission that no owner could answer before its deadline

Cause: an entry without an owner holds submissions and sends all of them when the next owner is known, some with a few milliseconds left. They got 504, which callers may not repeat; 503 with "not run" would have been true.

An attempt that was sent, or an unsettled one with the same id, is answered as before.

--- a/packages/scheduler/caller_service.ts
+++ b/packages/scheduler/caller_service.ts
@@ -39,6 +39,11 @@
   metrics: Metrics;
   /** Returns the time in which a revoked key must stop working, in ms. */
   getKeyRevocationMs: () => number;
+  /**
+   * Returns whether a submission that reaches an owner too late for an answer in time
+   * is refused instead of being sent.
+   */
+  refusesLateSubmissions?: () => boolean;
 }
 
 /**
@@ -99,6 +104,7 @@
           isRead: false,
           classify: classifySubmitReply,
           timeoutMs: computeTimeout(request),
+          mayRefuseLate: this.#parts.refusesLateSubmissions?.() ?? false,
         });
       const reply = await this.#unsettledSubmissions.observe(
         formatRequestKey(request),
--- a/packages/scheduler/owner_calls.ts
+++ b/packages/scheduler/owner_calls.ts
@@ -1,6 +1,7 @@
 import { type Clock, NotSentError, UnknownEffectError } from "../base/mod.ts";
 import { EventCode, type EventLog } from "../events/mod.ts";
 import type { LinkMethod, LinkMethods } from "../links/mod.ts";
+import { CallTimes } from "./call_times.ts";
 import {
   MAX_HELD_CALLS,
   OWNER_CALL_TIMEOUT_MS,
@@ -32,6 +33,11 @@
   classify: (reply: LinkMethods[M]["result"]) => ReplyKind;
   /** Time until the caller needs an answer, in milliseconds. */
   timeoutMs: number;
+  /**
+   * The first attempt is sent only if an answer is likely before `timeoutMs`: a call that
+   * was not sent certainly had no effect, and its caller can go elsewhere in time.
+   */
+  mayRefuseLate?: boolean;
 }
 
 /** The dependencies of `OwnerCalls`. */
@@ -68,6 +74,7 @@
  */
 export class OwnerCalls {
   readonly #parts: OwnerCallsParts;
+  readonly #callTimes = new CallTimes();
   #heldCount = 0;
   #answerBy = Number.POSITIVE_INFINITY;
 
@@ -95,7 +102,8 @@
     const { clock, gateway } = this.#parts;
     const startedAt = clock.now();
     const giveUpAt = Math.min(startedAt + call.timeoutMs, this.#answerBy);
-    const waitUntil = Math.min(giveUpAt, startedAt + OWNER_WAIT_MS);
+    const neededMs = call.mayRefuseLate ? this.#callTimes.predict() : 0;
+    const waitUntil = Math.min(giveUpAt - neededMs, startedAt + OWNER_WAIT_MS);
     const settleUntil = Math.min(giveUpAt, startedAt + SETTLE_WAIT_MS);
     /** Owners of the attempts whose effect is unknown. */
     const unsettled: (OwnerRecord | undefined)[] = [];
@@ -106,6 +114,11 @@
       const { owner } = gateway;
       const timeoutMs = Math.min(OWNER_CALL_TIMEOUT_MS, giveUpAt - clock.now());
       if (timeoutMs <= 0) break;
+      if (unsettled.length === 0 && timeoutMs < neededMs) {
+        reason = `${Math.round(timeoutMs)} ms are left, and the owner takes ` +
+          `up to ${Math.round(neededMs)} ms`;
+        break;
+      }
       const outcome = await this.#sendOnce(call, timeoutMs);
       reason = outcome.reason;
       if (outcome.kind === ReplyKind.Final) return outcome.reply!;
@@ -139,11 +152,17 @@
     { kind: ReplyKind; reason: string; reply?: LinkMethods[M]["result"] }
   > {
     const { method, params } = call;
+    const { clock } = this.#parts;
+    const sentAt = clock.now();
     try {
       const reply = await this.#parts.gateway.call(method, params, {
         timeoutMs,
       });
       const kind = call.classify(reply);
+      // Refusals and replies of entries that own nothing take less time.
+      if (!call.isRead && kind === ReplyKind.Final) {
+        this.#callTimes.observe(clock.now() - sentAt);
+      }
       return {
         kind,
         reply,
--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -1,5 +1,5 @@
 import type { Clock, Random } from "../base/mod.ts";
-import { Admission } from "../cell/mod.ts";
+import { Admission, AdmissionName } from "../cell/mod.ts";
 import { EventCode, type EventLog } from "../events/mod.ts";
 import {
   CancelReply,
@@ -120,6 +120,8 @@
       random,
       metrics: parts.metrics,
       getKeyRevocationMs: () => this.parts.settings.bounds.key_revocation_ms,
+      refusesLateSubmissions: () =>
+        this.parts.settings.scheduling.admission === AdmissionName.Room,
     });
   }
 
--- a/tests/virtual/service_site.ts
+++ b/tests/virtual/service_site.ts
@@ -59,6 +59,7 @@
 /** Starts a caller service, by default on a time of its own. */
 export async function startService(
   time = new VirtualTime(),
+  { refusesLate = false } = {},
 ): Promise<ServiceSite> {
   const clock = new ProcessClock(time, "caller service");
   const log = new SilentEventLog();
@@ -101,6 +102,7 @@
     random: new SeededRandom(1),
     metrics: new Metrics(),
     getKeyRevocationMs: () => 5_000,
+    refusesLateSubmissions: () => refusesLate,
   });
   return { service, gateway, time, store, handlers };
 }
