Admit jobs by the room that becomes free, and spread refused callers

Cause: admission divided waiting work by the capacity. It ignored the remaining time of running work, the room that a gang needs at one moment, advice time and quotas, so that bulk gangs were accepted that found no room while they had value. Retry-After was the same for all callers who were refused at a moment, and they returned together.

Change: with admission = room, a curve of the free room of each service is made once for each plan; waiting work is placed on it in the order in which it is served. A job is refused if it would finish later than three times its objective. Retry-After is the time when room is expected, never past the last useful retry, and spread over whole seconds. Refused ids are remembered, at most 4,000 and until 2 s after their return, and go before newcomers of their queue.

--- a/packages/cell/admission.ts
+++ b/packages/cell/admission.ts
@@ -4,6 +4,8 @@
   type JobSpec,
   makeZeroDemand,
 } from "../jobs/mod.ts";
+import { AdmissionName } from "./policies.ts";
+import { admitByRoom } from "./room_admission.ts";
 import type { CellState } from "./state.ts";
 import { computeObjective, getStep } from "./stages.ts";
 import { Admission, type AdmissionOutcome } from "./types.ts";
@@ -82,7 +84,7 @@
 export function admitJob(
   state: CellState,
   spec: JobSpec,
-  options: { isOverShare: boolean },
+  options: { isOverShare: boolean; now: number },
 ): AdmissionOutcome {
   const { isOverShare } = options;
   const unplaceableStep = findUnplaceableStep(state, spec);
@@ -96,6 +98,9 @@
   if (state.policies.admitsAll) {
     return { admission: Admission.Accepted, reason: "" };
   }
+  if (state.policies.names.admission === AdmissionName.Room) {
+    return admitByRoom(state, spec, options);
+  }
   const waitMs = predictWait(state, spec);
   const objectiveMs = computeObjective(spec);
   const slackMs = objectiveMs * (1 - 1 / Math.max(1, spec.queue.stretch));
--- a/packages/cell/advice_choice.ts
+++ b/packages/cell/advice_choice.ts
@@ -102,7 +102,7 @@
 }
 
 /** Estimates the share of the endpoints that advice allows for a queue. */
-function estimateAllowedShare(state: CellState, queue: string): number {
+export function estimateAllowedShare(state: CellState, queue: string): number {
   const { named, allowed } = state.adviceCounts.get(queue) ?? INITIAL_COUNTS;
   return Math.max(MIN_ALLOWED_SHARE, allowed / named);
 }
--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -1,6 +1,7 @@
 import { RecordKind } from "../journal/mod.ts";
 import { findJobError, type JobSpec, JobState } from "../jobs/mod.ts";
 import { LATE_ORDER_MS } from "./constants.ts";
+import { makeAdmissionState } from "./admission_state.ts";
 import { addBacklog, admitJob, measureBacklogs } from "./admission.ts";
 import {
   applyAdvice,
@@ -16,12 +17,14 @@
 } from "./endpoints.ts";
 import { type CurrentTime, endJob, type ListingTimes } from "./task_ends.ts";
 import { applyListing } from "./listing.ts";
+import { checkOverShare } from "./dominant_shares.ts";
 import { planStarts } from "./plan.ts";
 import {
   buildPolicies,
   DEFAULT_POLICIES,
   type PolicyNames,
 } from "./policies.ts";
+import { setReturnDueTime } from "./room_admission.ts";
 import { ShareMeter } from "./share_meter.ts";
 import {
   type CellSnapshot,
@@ -108,6 +111,7 @@
       adviceCounts: new Map(),
       adviceCursor: 0,
       backlogs: new Map(),
+      admission: makeAdmissionState(),
       output: makeOutput(),
     };
   }
@@ -170,12 +174,9 @@
     }
     const error = findJobError(spec);
     if (error) return { admission: Admission.Refused, reason: error };
-    const rules = state.organisations?.get(spec.organisation);
-    const isOverShare = state.shareMeter.checkOverShare(spec.organisation, {
-      jobsPerSecond: rules?.weight ?? 0,
-      now: time.now,
-    });
-    const outcome = admitJob(state, spec, { isOverShare });
+    const isOverShare = checkOverShare(state, spec, { now: time.now });
+    const refused = state.admission.refused.find(spec.id, time.now);
+    const outcome = admitJob(state, spec, { isOverShare, now: time.now });
     if (outcome.admission !== Admission.Accepted) return outcome;
     if (!isOverShare) addBacklog(state, spec);
     const job = buildJob(state, spec, {
@@ -183,6 +184,7 @@
       now: time.now,
       isOverShare,
     });
+    if (refused) setReturnDueTime(job, refused, { now: time.now });
     state.jobs.set(spec.id, job);
     state.output.records.push({
       kind: RecordKind.Accepted,
@@ -410,6 +412,7 @@
     }
     if (options.mayStart) planStarts(state, time.now);
     state.backlogs = measureBacklogs(state);
+    state.admission.forecasts.clear();
   }
 
   /** Drops ended jobs after the retention time. */
--- a/packages/cell/mod.ts
+++ b/packages/cell/mod.ts
@@ -11,5 +11,6 @@
 export type { CellOutput } from "./state.ts";
 export type { CurrentTime } from "./task_ends.ts";
 export * from "./policies.ts";
+export { describeAdmission } from "./room_admission.ts";
 export * from "./snapshot.ts";
 export * from "./types.ts";
--- /dev/null
+++ b/packages/cell/room_forecast.ts
@@ -0,0 +1,164 @@
+import { RoomCurve, type RoomRelease } from "./room_curve.ts";
+import {
+  computeStageLevel,
+  describeBacklog,
+  estimateAdvice,
+  listWaiting,
+} from "./room_demand.ts";
+import { RoomLevels } from "./room_levels.ts";
+import { getStep } from "./stages.ts";
+import type { CellState } from "./state.ts";
+import type { Endpoint, Stage } from "./types.ts";
+
+/** Endpoints of a service of equal room and labels. */
+interface EndpointGroup {
+  endpoint: Endpoint;
+  count: number;
+}
+
+/** Room of one service as it becomes free, made once for each plan. */
+export interface RoomForecast {
+  madeAt: number;
+  /** Room of the endpoints that take starts, in thousandths of a core. */
+  milliCores: number;
+  /** Room of all listed endpoints, contacted or not. */
+  listedMilliCores: number;
+  groups: EndpointGroup[];
+  levels: RoomLevels;
+  /** Duration of the advice calls that wait, in ms, by level. */
+  adviceMs: Map<number, number>;
+  /** Room within the quota of an organisation, by name; filled when needed. */
+  quotas: Map<string, RoomLevels>;
+}
+
+/** Makes the forecast of a service; `undefined` if none of its endpoints is listed. */
+export function buildForecast(
+  state: CellState,
+  service: string,
+  { now }: { now: number },
+): RoomForecast | undefined {
+  const releases: RoomRelease[] = [];
+  const groups = new Map<string, EndpointGroup>();
+  let milliCores = 0;
+  let listedMilliCores = 0;
+  for (const endpoint of state.endpoints.values()) {
+    const { info } = endpoint;
+    if (info.service !== service || !endpoint.isListed) continue;
+    if (info.isDraining || endpoint.isReplaced) continue;
+    listedMilliCores += info.capacity.milliCores;
+    if (!endpoint.hasAcceptedFence || endpoint.isCordoned) continue;
+    milliCores += info.capacity.milliCores;
+    addToGroup(groups, endpoint);
+    releases.push(...listReleases(state, endpoint, { now }));
+  }
+  if (listedMilliCores === 0) return undefined;
+  const forecast: RoomForecast = {
+    madeAt: now,
+    milliCores,
+    listedMilliCores,
+    groups: [...groups.values()],
+    levels: new RoomLevels(RoomCurve.build(releases)),
+    adviceMs: new Map(),
+    quotas: new Map(),
+  };
+  const waiting = listWaiting(state, { now }).filter(({ job }) =>
+    job.spec.queue.service === service
+  );
+  for (const stage of waiting) addAdviceTime(state, stage, { forecast, now });
+  const backlog = describeBacklog(state, waiting, { forecast, now });
+  forecast.levels.addBacklog(backlog);
+  return forecast;
+}
+
+function addToGroup(
+  groups: Map<string, EndpointGroup>,
+  endpoint: Endpoint,
+): void {
+  const { fullRoom, info } = endpoint;
+  const key = `${fullRoom.milliCores} ${fullRoom.memoryMb} ` +
+    `${fullRoom.accelerators} ${info.labels.join(" ")}`;
+  const group = groups.get(key);
+  if (group) group.count++;
+  else groups.set(key, { endpoint, count: 1 });
+}
+
+/** Lists what becomes free on an endpoint: its unused room, then that of its runs. */
+function listReleases(
+  state: CellState,
+  endpoint: Endpoint,
+  { now }: { now: number },
+): RoomRelease[] {
+  const { info, used, runs } = endpoint;
+  const pausedUntil = Math.max(
+    endpoint.pausedUntil,
+    endpoint.unresponsiveUntil,
+    endpoint.ejectedUntil,
+  );
+  const pausedMs = Math.max(0, pausedUntil - now);
+  const unused = Math.max(0, info.capacity.milliCores - used.milliCores);
+  const releases: RoomRelease[] = [];
+  if (unused > 0) releases.push({ afterMs: pausedMs, milliCores: unused });
+  // Runs may take more than the room, which may shrink: no more becomes free.
+  let unreleased = info.capacity.milliCores - unused;
+  for (const run of runs.values()) {
+    const milliCores = Math.min(unreleased, run.demand.milliCores);
+    if (milliCores <= 0) continue;
+    unreleased -= milliCores;
+    const restMs = state.admission.ends.predictRest(state, run, { now });
+    releases.push({ afterMs: Math.max(pausedMs, restMs), milliCores });
+  }
+  return releases;
+}
+
+function addAdviceTime(
+  state: CellState,
+  stage: Stage,
+  { forecast, now }: { forecast: RoomForecast; now: number },
+): void {
+  const { advice, job } = stage;
+  const hasAnswer = advice.askedEndpoints.size > 0 || advice.callsInFlight > 0;
+  if (!job.spec.queue.advice || hasAnswer) return;
+  const level = computeStageLevel(stage, { now });
+  const adviceMs = estimateAdvice(state, job.spec, getStep(stage));
+  forecast.adviceMs.set(
+    level,
+    (forecast.adviceMs.get(level) ?? 0) + adviceMs,
+  );
+}
+
+/** Returns the room within an organisation's quota; `undefined`: it has none. */
+export function getQuotaLevels(
+  state: CellState,
+  organisation: string,
+  { forecast, now }: { forecast: RoomForecast; now: number },
+): RoomLevels | undefined {
+  const limit = state.organisations?.get(organisation)?.cap.milliCores ?? 0;
+  if (limit === 0) return undefined;
+  const known = forecast.quotas.get(organisation);
+  if (known) return known;
+  const used = state.usage.get(organisation)?.milliCores ?? 0;
+  const releases = [{ afterMs: 0, milliCores: limit - used }];
+  let unlisted = used;
+  for (const { runs } of state.endpoints.values()) {
+    for (const run of runs.values()) {
+      if (run.organisation !== organisation) continue;
+      const afterMs = state.admission.ends.predictRest(state, run, { now });
+      releases.push({ afterMs, milliCores: run.charge.milliCores });
+      unlisted -= run.charge.milliCores;
+    }
+  }
+  // The rest is what runs of former owners may still use.
+  const afterMs = Math.max(0, state.unlocatedUntil - now);
+  releases.push({ afterMs, milliCores: unlisted });
+  const levels = new RoomLevels(RoomCurve.build(releases));
+  const waiting = listWaiting(state, { now }).filter(({ job }) =>
+    job.spec.organisation === organisation
+  );
+  const backlog = describeBacklog(state, waiting, { forecast, now });
+  levels.addBacklog(backlog.map(({ level, tasks }) => ({
+    level,
+    tasks: { ...tasks, share: 1 },
+  })));
+  forecast.quotas.set(organisation, levels);
+  return levels;
+}
--- a/packages/cell/run_shape.ts
+++ b/packages/cell/run_shape.ts
@@ -1,12 +1,12 @@
-import { getCapacityDemand } from "../jobs/mod.ts";
+import { getCapacityDemand, type JobSpec } from "../jobs/mod.ts";
 import type { RunShape } from "../runtimes/mod.ts";
-import { getStep } from "./stages.ts";
-import type { Stage } from "./types.ts";
 
 /** Describes what the run time of a stage's tasks is predicted from. */
-export function describeShape(stage: Stage): RunShape {
-  const { queue, organisation } = stage.job.spec;
-  const step = getStep(stage);
+export function describeShape(
+  stage: { job: { spec: JobSpec }; step: number },
+): RunShape {
+  const { queue, organisation, steps } = stage.job.spec;
+  const step = steps[stage.step];
   return {
     service: queue.service,
     queue: queue.name,
--- a/packages/cell/stages.ts
+++ b/packages/cell/stages.ts
@@ -19,7 +19,7 @@
 const TYPICAL_ADVICE_ENDPOINTS = 30;
 
 /** Multiple of its objective after which a job's result has no value. */
-const EXPIRY_FACTOR = 3;
+export const EXPIRY_FACTOR = 3;
 
 /** Builds a job with all its stages, none of them ready. */
 export function buildJob(
--- a/packages/cell/state.ts
+++ b/packages/cell/state.ts
@@ -1,5 +1,6 @@
 import type { JournalRecord } from "../journal/mod.ts";
 import { addDemand, type Demand, makeZeroDemand } from "../jobs/mod.ts";
+import type { AdmissionState } from "./admission_state.ts";
 import type { AdviceCounts } from "./advice_choice.ts";
 import type { Backlog } from "./admission.ts";
 import type { Crash } from "./blame.ts";
@@ -75,6 +76,7 @@
   adviceCursor: number;
   /** Waiting work of each service at the last plan, plus later arrivals. */
   backlogs: Map<string, Backlog>;
+  admission: AdmissionState;
   output: CellOutput;
 }
 
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -517,6 +517,10 @@
   EndpointCrashed = "endpoint_crashed",
   /** Too many endpoints have crashed under a task; its job has failed. */
   TaskGivenUp = "task_given_up",
+  /** The forecast shows that a new job cannot finish while it has value. */
+  JobRefused = "job_refused",
+  /** The forecast shows that a new job can finish while it has value. */
+  JobAdmitted = "job_admitted",
 }
 
 /** One decision with the inputs that led to it. */
--- a/packages/events/catalogue.ts
+++ b/packages/events/catalogue.ts
@@ -59,6 +59,8 @@
   StopUnanswered = 6207,
   PaceUnanswered = 6208,
   TaskGivenUp = 6209,
+  JobRefused = 6220,
+  JobAdmitted = 6221,
   AdviceAnswered = 6301,
   AdviceFailed = 6302,
   WaveBegan = 6401,
@@ -270,6 +272,18 @@
     remedy:
       "Correct the task before it is submitted again; `endpoints` names those that crashed.",
   },
+  [EventCode.JobRefused]: {
+    severity: Severity.Info,
+    message:
+      "a job was refused: it could not finish while its result has value",
+    remedy:
+      "None under a burst; if it lasts, the service needs more capacity. See `finishMs` and `limitMs`.",
+  },
+  [EventCode.JobAdmitted]: {
+    severity: Severity.Debug,
+    message: "the forecast shows that a new job can finish in time or of value",
+    remedy: "None.",
+  },
   [EventCode.EndpointLapsed]: {
     severity: Severity.Warn,
     message: "endpoint was unreachable until its leases expired",
--- a/packages/scheduler/decision_log.ts
+++ b/packages/scheduler/decision_log.ts
@@ -19,6 +19,8 @@
   [DecisionKind.RoomGrown]: EventCode.EndpointRoomGrown,
   [DecisionKind.EndpointCrashed]: EventCode.EndpointCrashed,
   [DecisionKind.TaskGivenUp]: EventCode.TaskGivenUp,
+  [DecisionKind.JobRefused]: EventCode.JobRefused,
+  [DecisionKind.JobAdmitted]: EventCode.JobAdmitted,
 };
 
 /** Counters of decisions, by kind. */
@@ -30,6 +32,8 @@
   [DecisionKind.RoomGrown]: "rooms_grown",
   [DecisionKind.EndpointCrashed]: "endpoint_crashes",
   [DecisionKind.TaskGivenUp]: "tasks_given_up",
+  [DecisionKind.JobRefused]: "jobs_refused",
+  [DecisionKind.JobAdmitted]: "jobs_admitted",
 };
 
 /** Records one event for each decision of the cell. */
--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -1,5 +1,5 @@
 import type { Clock, Random } from "../base/mod.ts";
-import { Admission, AdmissionName } from "../cell/mod.ts";
+import { Admission, AdmissionName, describeAdmission } from "../cell/mod.ts";
 import { EventCode, type EventLog } from "../events/mod.ts";
 import {
   CancelReply,
@@ -270,6 +270,7 @@
         jobs: cell.jobs.size,
         ended: cell.ended.size,
         unlocated: cell.unlocated.size,
+        admission: describeAdmission(cell),
         ready: [...cell.ready].map((stage) => stage.name),
         endpoints: [...cell.endpoints.values()].map((endpoint) => ({
           id: endpoint.info.id,
