Divide scarce capacity by dominant shares at each plan

Cause: shares were judged once, at the submission, by jobs per second. A flood of large jobs stayed within its share, jobs beyond it went last for ever, even when there was room in their share again, and idle shares were not counted.

Change: with shares = dominant, an organisation's share is the largest fraction of any resource that its running and waiting work takes, divided by its weight. When that of all exceeds 85% of the capacity, stages of one priority that are beyond the level up to which every organisation can be served come after the others, the smallest share first.

--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -23,6 +23,7 @@
   buildPolicies,
   DEFAULT_POLICIES,
   type PolicyNames,
+  SharesName,
 } from "./policies.ts";
 import { setReturnDueTime } from "./room_admission.ts";
 import { ShareMeter } from "./share_meter.ts";
@@ -182,7 +183,9 @@
     const job = buildJob(state, spec, {
       acceptedAt: time.wallNow,
       now: time.now,
-      isOverShare,
+      // Dominant shares are compared at each plan.
+      isOverShare: isOverShare &&
+        state.policies.names.shares === SharesName.Admission,
     });
     if (refused) setReturnDueTime(job, refused, { now: time.now });
     state.jobs.set(spec.id, job);
--- a/packages/cell/dominant_shares.ts
+++ b/packages/cell/dominant_shares.ts
@@ -1,13 +1,56 @@
-import type { JobSpec } from "../jobs/mod.ts";
-import type { CellState } from "./state.ts";
-import type { Stage } from "./types.ts";
+import {
+  addDemand,
+  type Demand,
+  getCapacityDemand,
+  type JobSpec,
+  makeZeroDemand,
+} from "../jobs/mod.ts";
+import { SharesName } from "./policies.ts";
+import { getStep } from "./stages.ts";
+import { addDecision, type CellState } from "./state.ts";
+import { DecisionKind, type Stage } from "./types.ts";
 
-/** Returns whether a new job is beyond the share of its organisation. */
+/**
+ * Fraction of a service's capacity from which it is scarce: tasks of different sizes do
+ * not fill endpoints completely.
+ */
+const SCARCE_FRACTION = 0.85;
+
+/** Shortest time between two records of who is beyond its share, in milliseconds. */
+const CHECK_INTERVAL_MS = 1_000;
+
+/** What an organisation runs and what waits for it, in one service. */
+interface OrganisationDemand {
+  weight: number;
+  running: Demand;
+  wanted: Demand;
+}
+
+/** How the capacity of a service is divided at a moment. */
+export interface ShareLevel {
+  /** Largest dominant share, divided by the weight, that is granted; infinite: all. */
+  level: number;
+  /** Dominant share of running and waiting work divided by the weight. */
+  wanted: Map<string, number>;
+  /** Organisations that were found beyond their share, and when this was checked. */
+  beyond: ReadonlySet<string>;
+  checkedAt: number;
+}
+
+/**
+ * Returns whether a new job is beyond the share of its organisation: by the number of
+ * jobs per second, or by the dominant share at the last plan.
+ */
 export function checkOverShare(
   state: CellState,
-  { organisation }: JobSpec,
+  { organisation, queue }: JobSpec,
   { now }: { now: number },
 ): boolean {
+  if (state.policies.names.shares === SharesName.Dominant) {
+    const shares = state.admission.shareLevels.get(queue.service);
+    return (shares?.wanted.get(organisation) ?? 0) >
+      (shares?.level ?? Number.POSITIVE_INFINITY);
+  }
   const rules = state.organisations?.get(organisation);
   return state.shareMeter.checkOverShare(organisation, {
     jobsPerSecond: rules?.weight ?? 0,
@@ -16,6 +59,193 @@
 }
 
 /** Returns whether a waiting stage is served after stages within their share. */
-export function isStageBeyondShare(stage: Stage): boolean {
-  return stage.job.isOverShare;
+export function isStageBeyondShare(state: CellState, stage: Stage): boolean {
+  return state.policies.names.shares === SharesName.Dominant
+    ? state.admission.stagesBeyondShare.has(stage)
+    : stage.job.isOverShare;
+}
+
+/**
+ * Sorts waiting stages for a plan. With dominant shares, those of one priority that are
+ * beyond the share of their organisation come after the others, the smallest share first.
+ * Load: one organisation sends many times its usual work. While capacity is not scarce,
+ * the order is that of the policy; stages without value stay last.
+ */
+export function sortForPlan(state: CellState, now: number): Stage[] {
+  const sorted = state.policies.order.sortStages(state.ready, now);
+  if (state.policies.names.shares !== SharesName.Dominant) return sorted;
+  const { admission } = state;
+  admission.stagesBeyondShare = new Set();
+  const demands = measureDemands(
+    state,
+    sorted.filter(({ expiresAt }) => now <= expiresAt),
+  );
+  const former = admission.shareLevels;
+  admission.shareLevels = new Map();
+  /** Shares with which the stages beyond the level would be served. */
+  const stageShares = new Map<Stage, number>();
+  for (const [service, organisations] of demands) {
+    const capacity = measureCapacity(state, service);
+    const stages = sorted.filter(({ job }) =>
+      job.spec.queue.service === service
+    );
+    const wanted = new Map<string, number>();
+    for (const [name, { weight, wanted: demand }] of organisations) {
+      wanted.set(name, computeDominantShare(demand, capacity) / weight);
+    }
+    const level = computeLevelOfShares(organisations, wanted);
+    const shares = recordChanges(state, service, {
+      shares: { level, wanted, beyond: new Set(), checkedAt: now },
+      former: former.get(service),
+    });
+    admission.shareLevels.set(service, shares);
+    if (!Number.isFinite(level)) continue;
+    for (const stage of stages) {
+      const organisation = organisations.get(stage.job.spec.organisation);
+      if (!organisation || now > stage.expiresAt) continue;
+      const share = computeDominantShare(organisation.running, capacity) /
+        organisation.weight;
+      addStage(organisation.running, stage);
+      if (share < level) continue;
+      stageShares.set(stage, share);
+      admission.stagesBeyondShare.add(stage);
+    }
+  }
+  if (stageShares.size === 0) return sorted;
+  const expired = (stage: Stage) => now > stage.expiresAt ? 1 : 0;
+  const beyond = (stage: Stage) => stageShares.has(stage) ? 1 : 0;
+  // The sort is stable: stages within their share keep the order of the policy.
+  return sorted.sort((a, b) =>
+    expired(a) - expired(b) ||
+    a.job.spec.queue.priority - b.job.spec.queue.priority ||
+    beyond(a) - beyond(b) ||
+    (stageShares.get(a) ?? 0) - (stageShares.get(b) ?? 0)
+  );
+}
+
+/** Describes the shares of all services for a dump. */
+export function describeShares(state: CellState): unknown {
+  return [...state.admission.shareLevels].map(([service, shares]) => ({
+    service,
+    level: Number.isFinite(shares.level) ? shares.level : undefined,
+    wanted: Object.fromEntries(shares.wanted),
+    stagesBeyondShare: state.admission.stagesBeyondShare.size,
+  }));
+}
+
+/** Measures what each organisation runs and wants, by service. */
+function measureDemands(
+  state: CellState,
+  stages: readonly Stage[],
+): Map<string, Map<string, OrganisationDemand>> {
+  const demands = new Map<string, Map<string, OrganisationDemand>>();
+  const usualWeight = computeUsualWeight(state);
+  const getDemand = (service: string, name: string): OrganisationDemand => {
+    const organisations = demands.get(service) ?? new Map();
+    demands.set(service, organisations);
+    const demand: OrganisationDemand = organisations.get(name) ?? {
+      weight: state.organisations?.get(name)?.weight || usualWeight,
+      running: makeZeroDemand(),
+      wanted: makeZeroDemand(),
+    };
+    organisations.set(name, demand);
+    return demand;
+  };
+  for (const { info, runs } of state.endpoints.values()) {
+    for (const { organisation, demand } of runs.values()) {
+      const { running, wanted } = getDemand(info.service, organisation);
+      addDemand(running, demand);
+      addDemand(wanted, demand);
+    }
+  }
+  for (const stage of stages) {
+    const { organisation, queue } = stage.job.spec;
+    addStage(getDemand(queue.service, organisation).wanted, stage);
+  }
+  return demands;
+}
+
+function addStage(total: Demand, stage: Stage): void {
+  addDemand(total, getCapacityDemand(getStep(stage)), stage.waitingTasks);
+}
+
+/** Computes the weight of an organisation that has none: the mean of the others. */
+function computeUsualWeight(state: CellState): number {
+  const weights = [...state.organisations?.values() ?? []]
+    .map(({ weight }) => weight)
+    .filter((weight) => weight > 0);
+  if (weights.length === 0) return 1;
+  return weights.reduce((sum, weight) => sum + weight) / weights.length;
+}
+
+function measureCapacity(state: CellState, service: string): Demand {
+  const capacity = makeZeroDemand();
+  for (const { info, isListed } of state.endpoints.values()) {
+    if (!isListed || info.isDraining || info.service !== service) continue;
+    addDemand(capacity, info.capacity);
+  }
+  return capacity;
+}
+
+/** Computes the largest share of any resource that a demand takes. */
+function computeDominantShare(demand: Demand, capacity: Demand): number {
+  const shares = [
+    [demand.milliCores, capacity.milliCores],
+    [demand.memoryMb, capacity.memoryMb],
+    [demand.accelerators, capacity.accelerators],
+  ].map(([amount, total]) => total > 0 ? amount / total : 0);
+  return Math.max(...shares);
+}
+
+/**
+ * Computes the share per weight up to which each organisation is served, so that what
+ * some do not use goes to the others; infinite if there is enough for all.
+ */
+function computeLevelOfShares(
+  organisations: ReadonlyMap<string, OrganisationDemand>,
+  wanted: ReadonlyMap<string, number>,
+): number {
+  const byShare = [...organisations]
+    .map(([name, { weight }]) => ({ weight, share: wanted.get(name) ?? 0 }))
+    .sort((a, b) => a.share - b.share);
+  let left = SCARCE_FRACTION;
+  let weightLeft = byShare.reduce((sum, { weight }) => sum + weight, 0);
+  for (const { weight, share } of byShare) {
+    if (share * weightLeft > left) return left / weightLeft;
+    left -= share * weight;
+    weightLeft -= weight;
+  }
+  return Number.POSITIVE_INFINITY;
+}
+
+/**
+ * Records which organisations went beyond their share, or came back within it, at most
+ * once in `CHECK_INTERVAL_MS`; returns the shares with the organisations beyond theirs.
+ */
+function recordChanges(
+  state: CellState,
+  service: string,
+  options: { shares: ShareLevel; former: ShareLevel | undefined },
+): ShareLevel {
+  const { shares, former } = options;
+  if (former && shares.checkedAt - former.checkedAt < CHECK_INTERVAL_MS) {
+    return { ...shares, beyond: former.beyond, checkedAt: former.checkedAt };
+  }
+  const beyond = new Set<string>();
+  for (const [name, wanted] of shares.wanted) {
+    if (wanted > shares.level) beyond.add(name);
+  }
+  const formerlyBeyond = former?.beyond ?? new Set<string>();
+  const record = (kind: DecisionKind, subject: string) => {
+    const level = Number.isFinite(shares.level) ? shares.level : undefined;
+    const wanted = shares.wanted.get(subject) ?? 0;
+    addDecision(state, { kind, subject, inputs: { service, wanted, level } });
+  };
+  for (const name of beyond) {
+    if (!formerlyBeyond.has(name)) record(DecisionKind.ShareExceeded, name);
+  }
+  for (const name of formerlyBeyond) {
+    if (!beyond.has(name)) record(DecisionKind.ShareKept, name);
+  }
+  return { ...shares, beyond };
 }
--- a/packages/cell/plan.ts
+++ b/packages/cell/plan.ts
@@ -8,6 +8,7 @@
   type PlacementPass,
 } from "./placement_pass.ts";
 import { planGang } from "./plan_gang.ts";
+import { sortForPlan } from "./dominant_shares.ts";
 import type { EndpointChoice } from "./policies.ts";
 import { getStep } from "./stages.ts";
 import {
@@ -27,7 +28,7 @@
 /** Plans task starts and advice calls for all waiting stages. */
 export function planStarts(state: CellState, now: number): void {
   const pass = beginPlacementPass(state, now);
-  for (const stage of state.policies.order.sortStages(state.ready, now)) {
+  for (const stage of sortForPlan(state, now)) {
     if (stage.waitingTasks === 0 || stage.job.outcome) continue;
     planStage(pass, stage);
   }
--- a/packages/cell/room_admission.ts
+++ b/packages/cell/room_admission.ts
@@ -1,4 +1,5 @@
 import { getCapacityDemand, type JobSpec } from "../jobs/mod.ts";
+import { describeShares } from "./dominant_shares.ts";
 import { addAccepted, type JobForecast, predictJob } from "./job_forecast.ts";
 import { predictShape } from "./predicted_ends.ts";
 import type { RefusedJob, RefusedWork } from "./refused_jobs.ts";
@@ -65,7 +66,7 @@
     return accepted;
   }
   const { priority, name } = spec.queue;
-  const level = computeLevel({ priority, isOverShare, isLate: false });
+  const level = computeLevel(state, { priority, isOverShare, isLate: false });
   const ahead = former ? undefined : refused.computeWorkAhead(name, now);
   const predicted = predictJob(state, spec, { forecast, level, now, ahead });
   const limitMs = computeObjective(spec) * EXPIRY_FACTOR;
@@ -131,10 +132,11 @@
   }
 }
 
-/** Describes refused jobs and forecasts for a dump. */
+/** Describes refused jobs, forecasts and shares for a dump. */
 export function describeAdmission(state: CellState): Record<string, unknown> {
   const { admission } = state;
   return {
+    shares: describeShares(state),
     refusedIds: admission.refused.size,
     forecasts: [...admission.forecasts].map(([service, forecast]) => ({
       service,
--- a/packages/cell/room_demand.ts
+++ b/packages/cell/room_demand.ts
@@ -12,6 +12,7 @@
   USUAL_ENDPOINTS_ASKED,
 } from "./constants.ts";
 import { isStageBeyondShare } from "./dominant_shares.ts";
+import { SharesName } from "./policies.ts";
 import type { PlacedTasks } from "./room_curve.ts";
 import type { RoomForecast } from "./room_forecast.ts";
 import type { LevelTasks } from "./room_levels.ts";
@@ -37,22 +38,26 @@
  * is served by its deadline, so that all of it goes before a new job.
  */
 export function computeLevel(
+  state: CellState,
   work: { priority: number; isOverShare: boolean; isLate: boolean },
 ): number {
   const over = work.isOverShare ? 1 : 0;
   const late = work.isLate ? 1 : 0;
-  // All work within its share is served first, whatever its priority.
-  return over * 1e9 + work.priority * 2 + late;
+  // Shares by admission put all work within its share first, whatever its priority.
+  return state.policies.names.shares === SharesName.Dominant
+    ? work.priority * 4 + over * 2 + late
+    : over * 1e9 + work.priority * 2 + late;
 }
 
 /** Computes the level of a waiting stage. */
 export function computeStageLevel(
+  state: CellState,
   stage: Stage,
   { now }: { now: number },
 ): number {
-  return computeLevel({
+  return computeLevel(state, {
     priority: stage.job.spec.queue.priority,
-    isOverShare: isStageBeyondShare(stage),
+    isOverShare: isStageBeyondShare(state, stage),
     isLate: now > stage.dueAt && !getStep(stage).longRunning,
   });
 }
@@ -72,7 +77,7 @@
     const step = getStep(stage);
     const { milliCores } = getCapacityDemand(step);
     if (milliCores <= 0) continue;
-    const level = computeStageLevel(stage, { now });
+    const level = computeStageLevel(state, stage, { now });
     const tasks: PlacedTasks = {
       tasks: stage.waitingTasks,
       milliCores,
--- a/packages/cell/room_forecast.ts
+++ b/packages/cell/room_forecast.ts
@@ -118,7 +118,7 @@
   const { advice, job } = stage;
   const hasAnswer = advice.askedEndpoints.size > 0 || advice.callsInFlight > 0;
   if (!job.spec.queue.advice || hasAnswer) return;
-  const level = computeStageLevel(stage, { now });
+  const level = computeStageLevel(state, stage, { now });
   const adviceMs = estimateAdvice(state, job.spec, getStep(stage));
   forecast.adviceMs.set(
     level,
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -521,6 +521,10 @@
   JobRefused = "job_refused",
   /** The forecast shows that a new job can finish while it has value. */
   JobAdmitted = "job_admitted",
+  /** An organisation wants more than its share of scarce capacity. */
+  ShareExceeded = "share_exceeded",
+  /** An organisation wants no more than its share any more. */
+  ShareKept = "share_kept",
 }
 
 /** One decision with the inputs that led to it. */
--- a/packages/events/catalogue.ts
+++ b/packages/events/catalogue.ts
@@ -61,6 +61,8 @@
   TaskGivenUp = 6209,
   JobRefused = 6220,
   JobAdmitted = 6221,
+  ShareExceeded = 6222,
+  ShareKept = 6223,
   AdviceAnswered = 6301,
   AdviceFailed = 6302,
   WaveBegan = 6401,
@@ -284,6 +286,17 @@
     message: "the forecast shows that a new job can finish in time or of value",
     remedy: "None.",
   },
+  [EventCode.ShareExceeded]: {
+    severity: Severity.Info,
+    message:
+      "an organisation wants more than its share of a scarce service; the rest waits",
+    remedy: "None; raise the organisation's weight if it should get more.",
+  },
+  [EventCode.ShareKept]: {
+    severity: Severity.Info,
+    message: "an organisation is within its share again",
+    remedy: "None.",
+  },
   [EventCode.EndpointLapsed]: {
     severity: Severity.Warn,
     message: "endpoint was unreachable until its leases expired",
--- a/packages/scheduler/decision_log.ts
+++ b/packages/scheduler/decision_log.ts
@@ -21,6 +21,8 @@
   [DecisionKind.TaskGivenUp]: EventCode.TaskGivenUp,
   [DecisionKind.JobRefused]: EventCode.JobRefused,
   [DecisionKind.JobAdmitted]: EventCode.JobAdmitted,
+  [DecisionKind.ShareExceeded]: EventCode.ShareExceeded,
+  [DecisionKind.ShareKept]: EventCode.ShareKept,
 };
 
 /** Counters of decisions, by kind. */
@@ -34,6 +36,7 @@
   [DecisionKind.TaskGivenUp]: "tasks_given_up",
   [DecisionKind.JobRefused]: "jobs_refused",
   [DecisionKind.JobAdmitted]: "jobs_admitted",
+  [DecisionKind.ShareExceeded]: "shares_exceeded",
 };
 
 /** Records one event for each decision of the cell. */
