--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -1,6 +1,7 @@
 import { RecordKind } from "../journal/mod.ts";
 import { findJobError, type JobSpec, JobState } from "../jobs/mod.ts";
 import { LATE_ORDER_MS } from "./constants.ts";
+import { makeAdmissionState } from "./admission_state.ts";
 import { addBacklog, admitJob, measureBacklogs } from "./admission.ts";
 import {
   applyAdvice,
@@ -17,12 +18,15 @@
 import { type CurrentTime, endJob, type ListingTimes } from "./task_ends.ts";
 import { applyListing } from "./listing.ts";
 import { makePlacementMemory } from "./placement_memory.ts";
+import { checkOverShare } from "./dominant_shares.ts";
 import { planStarts } from "./plan.ts";
 import {
   buildPolicies,
   DEFAULT_POLICIES,
   type PolicyNames,
+  SharesName,
 } from "./policies.ts";
+import { setReturnDueTime } from "./room_admission.ts";
 import { ShareMeter } from "./share_meter.ts";
 import {
   type CellSnapshot,
@@ -112,6 +116,7 @@
       adviceCounts: new Map(),
       adviceCursor: 0,
       backlogs: new Map(),
+      admission: makeAdmissionState(),
       output: makeOutput(),
     };
   }
@@ -174,19 +179,19 @@
     }
     const error = findJobError(spec);
     if (error) return { admission: Admission.Refused, reason: error };
-    const rules = state.organisations?.get(spec.organisation);
-    const isOverShare = state.shareMeter.checkOverShare(spec.organisation, {
-      jobsPerSecond: rules?.weight ?? 0,
-      now: time.now,
-    });
-    const outcome = admitJob(state, spec, { isOverShare });
+    const isOverShare = checkOverShare(state, spec, { now: time.now });
+    const refused = state.admission.refused.find(spec.id, time.now);
+    const outcome = admitJob(state, spec, { isOverShare, now: time.now });
     if (outcome.admission !== Admission.Accepted) return outcome;
     if (!isOverShare) addBacklog(state, spec);
     const job = buildJob(state, spec, {
       acceptedAt: time.wallNow,
       now: time.now,
-      isOverShare,
+      // Dominant shares are compared at each plan.
+      isOverShare: isOverShare &&
+        state.policies.names.shares === SharesName.Admission,
     });
+    if (refused) setReturnDueTime(job, refused, { now: time.now });
     state.jobs.set(spec.id, job);
     state.output.records.push({
       kind: RecordKind.Accepted,
@@ -417,6 +422,7 @@
     }
     if (options.mayStart) planStarts(state, time.now);
     state.backlogs = measureBacklogs(state);
+    state.admission.forecasts.clear();
   }
 
   /** Drops ended jobs after the retention time. */
--- a/packages/cell/mod.ts
+++ b/packages/cell/mod.ts
@@ -12,6 +12,7 @@
 export type { CellOutput } from "./state.ts";
 export type { CurrentTime } from "./task_ends.ts";
 export * from "./policies.ts";
+export { describeAdmission } from "./room_admission.ts";
 export * from "./snapshot.ts";
 export { StopReason } from "./stop_run.ts";
 export * from "./types.ts";
--- a/packages/events/catalogue.ts
+++ b/packages/events/catalogue.ts
@@ -60,6 +60,10 @@
   PaceUnanswered = 6208,
   TaskGivenUp = 6209,
   StartPostponed = 6230,
+  JobRefused = 6220,
+  JobAdmitted = 6221,
+  ShareExceeded = 6222,
+  ShareKept = 6223,
   AdviceAnswered = 6301,
   AdviceFailed = 6302,
   WaveBegan = 6401,
@@ -280,6 +284,29 @@
     message: "a stage that fits on slow endpoints waits for faster ones",
     remedy: "None, unless it repeats while fast endpoints are idle.",
   },
+  [EventCode.JobRefused]: {
+    severity: Severity.Info,
+    message:
+      "a job was refused: it could not finish while its result has value",
+    remedy:
+      "None under a burst; if it lasts, the service needs more capacity. See `finishMs` and `limitMs`.",
+  },
+  [EventCode.JobAdmitted]: {
+    severity: Severity.Debug,
+    message: "the forecast shows that a new job can finish in time or of value",
+    remedy: "None.",
+  },
+  [EventCode.ShareExceeded]: {
+    severity: Severity.Info,
+    message:
+      "an organisation wants more than its share of a scarce service; the rest waits",
+    remedy: "None; raise the organisation's weight if it should get more.",
+  },
+  [EventCode.ShareKept]: {
+    severity: Severity.Info,
+    message: "an organisation is within its share again",
+    remedy: "None.",
+  },
   [EventCode.EndpointLapsed]: {
     severity: Severity.Warn,
     message: "endpoint was unreachable until its leases expired",
--- a/packages/scheduler/decision_log.ts
+++ b/packages/scheduler/decision_log.ts
@@ -20,6 +20,10 @@
   [DecisionKind.EndpointCrashed]: EventCode.EndpointCrashed,
   [DecisionKind.TaskGivenUp]: EventCode.TaskGivenUp,
   [DecisionKind.StartPostponed]: EventCode.StartPostponed,
+  [DecisionKind.JobRefused]: EventCode.JobRefused,
+  [DecisionKind.JobAdmitted]: EventCode.JobAdmitted,
+  [DecisionKind.ShareExceeded]: EventCode.ShareExceeded,
+  [DecisionKind.ShareKept]: EventCode.ShareKept,
 };
 
 /** Counters of decisions, by kind. */
@@ -32,6 +36,9 @@
   [DecisionKind.EndpointCrashed]: "endpoint_crashes",
   [DecisionKind.TaskGivenUp]: "tasks_given_up",
   [DecisionKind.StartPostponed]: "starts_postponed",
+  [DecisionKind.JobRefused]: "jobs_refused",
+  [DecisionKind.JobAdmitted]: "jobs_admitted",
+  [DecisionKind.ShareExceeded]: "shares_exceeded",
 };
 
 /** Records one event for each decision of the cell. */
--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -1,5 +1,5 @@
 import type { Clock, Random } from "../base/mod.ts";
-import { Admission } from "../cell/mod.ts";
+import { Admission, AdmissionName, describeAdmission } from "../cell/mod.ts";
 import { EventCode, type EventLog } from "../events/mod.ts";
 import {
   CancelReply,
@@ -121,6 +121,8 @@
       random,
       metrics: parts.metrics,
       getKeyRevocationMs: () => this.parts.settings.bounds.key_revocation_ms,
+      refusesLateSubmissions: () =>
+        this.parts.settings.scheduling.admission === AdmissionName.Room,
     });
   }
 
@@ -271,6 +273,7 @@
         jobs: cell.jobs.size,
         ended: cell.ended.size,
         unlocated: cell.unlocated.size,
+        admission: describeAdmission(cell),
         ready: [...cell.ready].map((stage) => stage.name),
         endpoints: [...cell.endpoints.values()].map((endpoint) => ({
           id: endpoint.info.id,
