Learn run times and speeds of endpoints from runs

Every decision used the callers' estimates, which are off by factors, and took all endpoints as equal: an urgent task on a slow endpoint was always late, and nothing could tell that it would be.

LearnedRunTimes keeps distributions of actual time x speed / estimate by queue, organisation and shape of the step, with stopped runs as censored observations, and a speed for each lifetime of an endpoint from the progress and ends of its runs. The bias of a queue is separated from the speeds; a slowdown shows in the pace of runs relative to their own earlier pace. `run_times = stated`, the default, observes and stores nothing.

--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -22,6 +22,7 @@
   DEFAULT_POLICIES,
   type PolicyNames,
 } from "./policies.ts";
+import { buildRunTimes } from "./run_feed.ts";
 import { ShareMeter } from "./share_meter.ts";
 import {
   type CellSnapshot,
@@ -53,7 +54,6 @@
   type StopResult,
 } from "./types.ts";
 import type { JournalRecord } from "../journal/mod.ts";
-import { StatedRunTimes } from "../runtimes/mod.ts";
 
 /** Interval between retries of an unacknowledged stop order, in ms. */
 const STOP_RETRY_MS = 300;
@@ -103,7 +103,7 @@
       stoppingRuns: new Set(),
       shareMeter: new ShareMeter(),
       policies: buildPolicies(options.policies ?? DEFAULT_POLICIES),
-      runTimes: new StatedRunTimes(),
+      runTimes: buildRunTimes(options.policies ?? DEFAULT_POLICIES),
       adviceBacklogsMs: [0],
       adviceCounts: new Map(),
       adviceCursor: 0,
--- a/packages/cell/lifetimes.ts
+++ b/packages/cell/lifetimes.ts
@@ -1,6 +1,7 @@
 import { LATE_ORDER_MS } from "./constants.ts";
 import { describeCrash, noteCrash } from "./crashes.ts";
 import { describeAge, noteNewLifetime } from "./order_effects.ts";
+import { noteLifetime } from "./run_feed.ts";
 import { addDecision, type CellState } from "./state.ts";
 import { sendStop } from "./stop_run.ts";
 import { type CurrentTime, releaseRun } from "./task_ends.ts";
@@ -42,6 +43,7 @@
   }
   const crash = describeCrash(state, endpoint, { isMissing: false });
   endpoint.bornAt = bornAt;
+  noteLifetime(state, endpoint, times);
   endpoint.lastEndNumber = 0;
   endpoint.committedEndNumber = 0;
   endpoint.lastListingClock = 0;
--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -21,6 +21,7 @@
   removeWaiting,
 } from "./state.ts";
 import { computeRunCost } from "./remnants.ts";
+import { noteProgress, noteRunEnd, noteRunReleased } from "./run_feed.ts";
 import { findTask, getStep, removeUnlocated } from "./stages.ts";
 import { planPaces } from "./colocation.ts";
 import { stopRun } from "./stop_run.ts";
@@ -122,12 +123,20 @@
   options: { end: ListedEnd; times: ListingTimes },
 ): void {
   const { end, times } = options;
-  recordEnd(state, end, times);
   const run = endpoint.runs.get(end.task);
+  const runTimes = run?.number === end.run
+    ? noteRunEnd(state, run, { end: end.end, now: times.now })
+    : {};
+  recordEnd(state, end, times);
   addDecision(state, {
     kind: DecisionKind.Ended,
     subject: end.task,
-    inputs: { run: end.run, endpoint: endpoint.info.id, end: end.end },
+    inputs: {
+      run: end.run,
+      endpoint: endpoint.info.id,
+      end: end.end,
+      ...runTimes,
+    },
   });
   const isFailure = end.end === EndKind.Failed;
   if (isFailure || end.end === EndKind.Done) {
@@ -169,6 +178,7 @@
     setCheckpoint(taskRef, listedRun.saved);
   }
   run.gauge = listedRun.gauge;
+  noteProgress(state, run, { percent: listedRun.percent, now: times.now });
   checkProgress(state, run, options);
 }
 
@@ -212,6 +222,7 @@
   };
   const earlierRun = endpoint.runs.get(listedRun.task);
   if (earlierRun) {
+    noteRunReleased(state, earlierRun);
     removeRun(state, earlierRun);
     if (taskRef?.task.run === earlierRun) taskRef.task.run = run;
   }
--- a/packages/cell/snapshot.ts
+++ b/packages/cell/snapshot.ts
@@ -1,5 +1,6 @@
 import { type JournalRecord, RecordKind } from "../journal/mod.ts";
 import { type JobSpec, JobState } from "../jobs/mod.ts";
+import type { RunTimesSnapshot } from "../runtimes/mod.ts";
 import { applyEnd, type CurrentTime } from "./task_ends.ts";
 import { applyClearance, applyCrash } from "./crashes.ts";
 import { makeEndpoint } from "./endpoints.ts";
@@ -49,6 +50,8 @@
   endpoints: { id: string; address: string; service: string }[];
   /** Missing in snapshots of earlier versions. */
   remnants?: Remnant[];
+  /** What the model of run times has learned; missing unless it learns. */
+  runTimes?: RunTimesSnapshot;
 }
 
 /** Exports the durable state with all decisions so far, committed or not. */
@@ -65,6 +68,7 @@
     ended: [...state.ended],
     endpoints,
     remnants: collectRemnants(state),
+    runTimes: state.runTimes.collectSnapshot(),
   };
 }
 
@@ -89,6 +93,8 @@
   for (const job of contents.snapshot?.jobs ?? []) {
     restoreJob(state, job, time);
   }
+  const { runTimes } = contents.snapshot ?? {};
+  if (runTimes) state.runTimes.restore(runTimes, time.now);
   for (const record of contents.records) applyRecord(state, record, time);
   for (const job of state.jobs.values()) {
     restorePlacements(state, job);
--- a/packages/cell/start_task.ts
+++ b/packages/cell/start_task.ts
@@ -50,6 +50,7 @@
     unlistedLeaseEndsAt: 0,
     hasTicket: stage.job.spec.queue.advice !== undefined,
     percent: 0,
+    isResumed: task.checkpoint !== "",
     progressAt: now,
     pace: FULL_PACE,
     isPaceOrderInFlight: false,
--- a/packages/cell/task_ends.ts
+++ b/packages/cell/task_ends.ts
@@ -9,6 +9,7 @@
   removeRun,
   removeWaiting,
 } from "./state.ts";
+import { noteRunReleased } from "./run_feed.ts";
 import { releaseUnlocated } from "./remnants.ts";
 import { findTask, getStep, openStages } from "./stages.ts";
 import {
@@ -116,6 +117,7 @@
     isUnsent?: boolean;
   },
 ): void {
+  noteRunReleased(state, run);
   removeRun(state, run);
   const taskRef = findTask(state, run.task);
   if (!taskRef || taskRef.task.run !== run) return;
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -1,4 +1,5 @@
 import type { Demand, EndKind, JobSpec, JobState } from "../jobs/mod.ts";
+import type { RunProgress } from "../runtimes/mod.ts";
 
 /** An endpoint as the platform's list describes it. */
 export interface EndpointInfo {
@@ -89,6 +90,10 @@
   hasTicket: boolean;
   /** Progress as last listed, in percent. */
   percent: number;
+  /** The run resumes from a checkpoint, so its progress began above 0. */
+  isResumed?: boolean;
+  /** What the model of run times observes; null: nothing (more). */
+  progress?: RunProgress | null;
   /** When the listed progress last changed. */
   progressAt: number;
   /**
@@ -323,6 +328,8 @@
    */
   isReady: boolean;
   gangFailures: number;
+  /** Number of the gang's newest run whose end the model of run times has observed. */
+  observedRun?: number;
   advice: StageAdvice;
 }
 
--- /dev/null
+++ b/packages/runtimes/run_progress.ts
@@ -0,0 +1,168 @@
+import type { EndpointSpeed } from "./endpoint_speed.ts";
+import { LAST_PERCENT } from "./constants.ts";
+import type { ListedProgress, RunShape, RunStart } from "./types.ts";
+
+/** Shortest window in which a change of a run's pace is measured, in milliseconds. */
+const MIN_WINDOW_MS = 300;
+
+/** Progress that a window is expected to show: `percent` has no decimals. */
+const WINDOW_PERCENT = 4;
+
+/** Length of a window that may show less progress, and how much, for long runs. */
+const LONG_WINDOW_MS = 1_000;
+const LONG_WINDOW_PERCENT = 1.5;
+
+/** Progress from which a run's own pace is a reference. */
+const MIN_OWN_PERCENT = 8;
+
+/** Progress from which a run is compared with the estimate, and least at its end. */
+const RATED_PERCENT = 50;
+const MIN_RATED_PERCENT = 20;
+
+/** Observed progress of one run. Times: steady clock, in milliseconds. */
+export class RunProgress {
+  readonly shape: RunShape;
+  readonly step: string;
+  readonly endpoint: EndpointSpeed;
+  readonly startedAt: number | undefined;
+  /** The endpoint was slow when the run was seen first: its own pace says nothing. */
+  readonly beganSlow: boolean;
+  /** The run has been compared with its estimate. */
+  isRated = false;
+  /** Newest pace relative to the reference, and when it was measured. */
+  paceRatio = 1;
+  paceAt = Number.NEGATIVE_INFINITY;
+  readonly #clockOffset: number;
+  /** Progress from which work and time are counted; undefined: not listed yet. */
+  #basePercent: number | undefined;
+  /** Newest listing. */
+  #percent = 0;
+  #at: number;
+  /** Time since the base, less what slowdowns of the endpoint took. */
+  #workMs = 0;
+  /** Time that slowdowns took from the whole run. */
+  #lostMs = 0;
+  #windowAt: number;
+  #windowPercent = 0;
+  /** Progress and time of the windows that are a reference. */
+  #ownPercent = 0;
+  #ownMs = 0;
+
+  constructor(start: RunStart, endpoint: EndpointSpeed) {
+    this.shape = start.shape;
+    this.step = start.step;
+    this.endpoint = endpoint;
+    this.startedAt = start.startedAt;
+    this.beganSlow = endpoint.getSlowdown(start.now) < 1;
+    this.#clockOffset = start.clockOffset;
+    this.#at = start.startedAt ?? start.now;
+    this.#windowAt = this.#at;
+    // The members of a gang wait for each other before they begin.
+    if (start.startedAt !== undefined && !start.shape.isGang) {
+      this.#basePercent = 0;
+    }
+  }
+
+  /** Time that slowdowns of the endpoint took from the run, in milliseconds. */
+  get lostMs(): number {
+    return this.#lostMs;
+  }
+
+  /**
+   * Applies a listing. `expectedMs`: run time that the pace is compared with if the
+   * run's own pace is no reference; undefined: none. Returns whether a pace was
+   * measured.
+   */
+  update(listed: ListedProgress, expectedMs: number | undefined): boolean {
+    const { percent } = listed;
+    const at = listed.clockMs - this.#clockOffset;
+    // At its last percent, a member of a gang waits for the slowest one.
+    const isWaiting = this.shape.isGang && percent >= LAST_PERCENT;
+    if (isWaiting || at <= this.#at) return false;
+    if (this.#isBaseOutdated(percent)) {
+      this.#setBase(percent, at);
+      return false;
+    }
+    this.#countTime(at, listed.now);
+    this.#percent = percent;
+    return this.#measurePace(listed, at, expectedMs);
+  }
+
+  /** Adds a window to the reference, once the endpoint's slowdown is known. */
+  closeWindow(now: number): void {
+    this.#ownPercent += this.#percent - this.#windowPercent;
+    this.#ownMs += (this.#at - this.#windowAt) * this.endpoint.getSlowdown(now);
+    this.#windowAt = this.#at;
+    this.#windowPercent = this.#percent;
+  }
+
+  /**
+   * Estimates the time of all the work from the progress so far, in milliseconds;
+   * `undefined` while there is too little.
+   */
+  estimateTotal({ isEnded }: { isEnded: boolean }): number | undefined {
+    const done = this.#percent - (this.#basePercent ?? this.#percent);
+    const least = isEnded ? MIN_RATED_PERCENT : RATED_PERCENT;
+    if (done < least || this.#workMs <= 0) return undefined;
+    return this.#workMs * 100 / done;
+  }
+
+  /** Counts the time until the end of a run that has done all its work. */
+  finish(now: number): void {
+    if (this.#basePercent === undefined) return;
+    this.#countTime(Math.max(now, this.#at), now);
+    this.#percent = 100;
+  }
+
+  #countTime(until: number, now: number): void {
+    const elapsedMs = until - this.#at;
+    const workMs = elapsedMs * this.endpoint.getSlowdown(now);
+    this.#workMs += workMs;
+    this.#lostMs += elapsedMs - workMs;
+    this.#at = until;
+  }
+
+  /** Returns whether the base has to be set or moved. */
+  #isBaseOutdated(percent: number): boolean {
+    if (this.#basePercent === undefined || percent < this.#percent) return true;
+    // Members of a gang that wait for each other at the start make no progress.
+    return this.shape.isGang && percent === 0;
+  }
+
+  #setBase(percent: number, at: number): void {
+    this.#basePercent = percent;
+    this.#percent = percent;
+    this.#at = at;
+    this.#workMs = 0;
+    this.#windowAt = at;
+    this.#windowPercent = percent;
+    this.#ownPercent = 0;
+    this.#ownMs = 0;
+  }
+
+  #measurePace(
+    { now }: ListedProgress,
+    at: number,
+    expectedMs: number | undefined,
+  ): boolean {
+    const windowMs = at - this.#windowAt;
+    if (windowMs < MIN_WINDOW_MS) return false;
+    const hasOwnPace = !this.beganSlow && this.#ownPercent >= MIN_OWN_PERCENT;
+    if (!hasOwnPace && !this.beganSlow) {
+      if (this.#percent - this.#windowPercent >= WINDOW_PERCENT) {
+        this.closeWindow(now);
+      }
+      return false;
+    }
+    const rate = hasOwnPace
+      ? this.#ownPercent / this.#ownMs
+      : 100 / (expectedMs ?? Number.POSITIVE_INFINITY);
+    const expected = rate * windowMs;
+    const isLong = windowMs >= LONG_WINDOW_MS &&
+      expected >= LONG_WINDOW_PERCENT;
+    if (expected < WINDOW_PERCENT && !isLong) return false;
+    this.paceRatio = (this.#percent - this.#windowPercent) / expected;
+    this.paceAt = now;
+    return true;
+  }
+}
