Show operators what run times are expected and how well they match

Operators could not see how long a job was expected to run, nor whether the model that decisions rest on is right.

The acceptance of a job (6101) has `expectedMs`, its predicted median run time without waits, which `logs trace` prints; the end of a run (6202) has its actual and predicted times since the model is fed. Gauges and the dump have the shares of runs below their predicted median and 90th percentile by queue; the dump has distributions, speeds and whether a service is uneven.

--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -22,6 +22,7 @@
   DEFAULT_POLICIES,
   type PolicyNames,
 } from "./policies.ts";
+import { predictJob } from "./predict_job.ts";
 import { buildRunTimes } from "./run_feed.ts";
 import { ShareMeter } from "./share_meter.ts";
 import {
@@ -191,7 +192,7 @@
     });
     state.output.accepted.add(job);
     openStages(state, job, time);
-    return outcome;
+    return { ...outcome, expectedMs: predictJob(state, spec, time) };
   }
 
   /**
--- a/packages/cell/run_shape.ts
+++ b/packages/cell/run_shape.ts
@@ -1,12 +1,18 @@
-import { getCapacityDemand } from "../jobs/mod.ts";
+import { getCapacityDemand, type JobSpec, type StepSpec } from "../jobs/mod.ts";
 import type { RunShape } from "../runtimes/mod.ts";
 import { getStep } from "./stages.ts";
 import type { Stage } from "./types.ts";
 
 /** Describes what the run time of a stage's tasks is predicted from. */
 export function describeShape(stage: Stage): RunShape {
-  const { queue, organisation } = stage.job.spec;
-  const step = getStep(stage);
+  return describeStepShape(stage.job.spec, getStep(stage));
+}
+
+/** Describes what the run time of a step's tasks is predicted from. */
+export function describeStepShape(
+  { queue, organisation }: JobSpec,
+  step: StepSpec,
+): RunShape {
   return {
     service: queue.service,
     queue: queue.name,
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -499,6 +499,8 @@
   admission: Admission;
   reason: string;
   retryAfterMs?: number;
+  /** Predicted median run time of an accepted job, in milliseconds. */
+  expectedMs?: number;
 }
 
 /** Kinds of decisions in the log. */
--- a/packages/events/trace_test.ts
+++ b/packages/events/trace_test.ts
@@ -31,3 +31,19 @@
   const log = line(5, { event: 6001, path: "/filings/aa", reason: "late" });
   t.is(collectTrace("aa", [log]).lines.length, 1);
 });
+
+// Guards against an operator who cannot see how long a job was expected to run.
+test("a trace shows the expected run time of the job and those of its runs", (t) => {
+  const log = [
+    line(10, { event: 6101, subject: "aa", expectedMs: 2_400 }),
+    line(30, {
+      event: 6202,
+      subject: "aa.0.0.0",
+      actualMs: 2_600,
+      predictedMs: 2_100,
+    }),
+  ].join("\n");
+  const text = renderTrace(collectTrace("aa", [log]));
+  t.regex(text, /JobAccepted .*expectedMs=2400/);
+  t.regex(text, /TaskEnded .*actualMs=2600 predictedMs=2100/);
+});
--- a/packages/scheduler/caller_service.ts
+++ b/packages/scheduler/caller_service.ts
@@ -265,7 +265,7 @@
     if (reply.isUnknown) {
       return { kind: AnswerKind.Unknown, detail: "the owner has changed" };
     }
-    const { admission, reason, retryAfterMs } = reply;
+    const { admission, expectedMs, reason, retryAfterMs } = reply;
     if (admission === Admission.StoreStalled) {
       return this.#createUnavailableAnswer(reason);
     }
@@ -277,6 +277,7 @@
       queue: spec.queue.name,
       organisation: spec.organisation,
       admission,
+      expectedMs,
     });
     return { kind: AnswerKind.Accepted, detail: "" };
   }
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -45,6 +45,7 @@
   PollResult,
   type SiteRecords,
 } from "./ports.ts";
+import { setCalibrationGauges } from "./run_time_metrics.ts";
 import { SessionPool } from "./session_pool.ts";
 import type { SiteConfig } from "./types.ts";
 import { UpkeepRole } from "./upkeep_role.ts";
@@ -447,6 +448,7 @@
         "loop_lag_ms",
         this.#loopMonitor.measureLag(),
       );
+      setCalibrationGauges(this.#parts.metrics, this.cell);
       this.#checkHandover(now);
       this.#planLoop.planIfIdle();
       this.cell.dropEnded(this.#parts.clock.readWallTime());
--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -269,6 +269,7 @@
         ended: cell.ended.size,
         unlocated: cell.unlocated.size,
         ready: [...cell.ready].map((stage) => stage.name),
+        runTimes: cell.runTimes.describe(now),
         endpoints: [...cell.endpoints.values()].map((endpoint) => ({
           id: endpoint.info.id,
           isHeld: endpoint.hasAcceptedFence,
