--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -27,6 +27,8 @@
   SharesName,
 } from "./policies.ts";
 import { setReturnDueTime } from "./room_admission.ts";
+import { predictJob } from "./predict_job.ts";
+import { buildRunTimes } from "./run_feed.ts";
 import { ShareMeter } from "./share_meter.ts";
 import {
   type CellSnapshot,
@@ -112,6 +114,7 @@
       runTimes: new StatedRunTimes(),
       evacuation: makeEvacuationState(),
       placement: makePlacementMemory(),
+      runTimes: buildRunTimes(options.policies ?? DEFAULT_POLICIES),
       adviceBacklogsMs: [0],
       adviceCounts: new Map(),
       adviceCursor: 0,
@@ -200,7 +203,7 @@
     });
     state.output.accepted.add(job);
     openStages(state, job, time);
-    return outcome;
+    return { ...outcome, expectedMs: predictJob(state, spec, time) };
   }
 
   /**
--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -22,6 +22,8 @@
 import { computeRunCost } from "./remnants.ts";
 import { findTask, removeUnlocated } from "./stages.ts";
 import { checkProgress } from "./stalls.ts";
+import { noteProgress, noteRunEnd, noteRunReleased } from "./run_feed.ts";
+import { findTask, getStep, removeUnlocated } from "./stages.ts";
 import { planPaces } from "./colocation.ts";
 import { StopReason, stopRun } from "./stop_run.ts";
 import { settleUnlistedRun } from "./unlisted_runs.ts";
@@ -122,12 +124,20 @@
   options: { end: ListedEnd; times: ListingTimes },
 ): void {
   const { end, times } = options;
-  recordEnd(state, end, times);
   const run = endpoint.runs.get(end.task);
+  const runTimes = run?.number === end.run
+    ? noteRunEnd(state, run, { end: end.end, now: times.now })
+    : {};
+  recordEnd(state, end, times);
   addDecision(state, {
     kind: DecisionKind.Ended,
     subject: end.task,
-    inputs: { run: end.run, endpoint: endpoint.info.id, end: end.end },
+    inputs: {
+      run: end.run,
+      endpoint: endpoint.info.id,
+      end: end.end,
+      ...runTimes,
+    },
   });
   const isFailure = end.end === EndKind.Failed;
   if (isFailure || end.end === EndKind.Done) {
@@ -170,6 +180,8 @@
   }
   run.gauge = listedRun.gauge;
   checkProgress(state, run, { percent: listedRun.percent, now: times.now });
+  noteProgress(state, run, { percent: listedRun.percent, now: times.now });
+  checkProgress(state, run, options);
 }
 
 /**
@@ -212,6 +224,7 @@
   };
   const earlierRun = endpoint.runs.get(listedRun.task);
   if (earlierRun) {
+    noteRunReleased(state, earlierRun);
     removeRun(state, earlierRun);
     if (taskRef?.task.run === earlierRun) taskRef.task.run = run;
   }
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -1,4 +1,5 @@
 import type { Demand, EndKind, JobSpec, JobState } from "../jobs/mod.ts";
+import type { RunProgress } from "../runtimes/mod.ts";
 
 /** An endpoint as the platform's list describes it. */
 export interface EndpointInfo {
@@ -97,6 +98,10 @@
   hasTicket: boolean;
   /** Progress as last listed, in percent. */
   percent: number;
+  /** The run resumes from a checkpoint, so its progress began above 0. */
+  isResumed?: boolean;
+  /** What the model of run times observes; null: nothing (more). */
+  progress?: RunProgress | null;
   /** When the listed progress last changed. */
   progressAt: number;
   /** Where the listed progress began; undefined: no listing has shown the run. */
@@ -333,6 +338,8 @@
    */
   isReady: boolean;
   gangFailures: number;
+  /** Number of the gang's newest run whose end the model of run times has observed. */
+  observedRun?: number;
   advice: StageAdvice;
 }
 
@@ -502,6 +509,8 @@
   admission: Admission;
   reason: string;
   retryAfterMs?: number;
+  /** Predicted median run time of an accepted job, in milliseconds. */
+  expectedMs?: number;
 }
 
 /** Kinds of decisions in the log. */
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -48,6 +48,7 @@
   PollResult,
   type SiteRecords,
 } from "./ports.ts";
+import { setCalibrationGauges } from "./run_time_metrics.ts";
 import { SessionPool } from "./session_pool.ts";
 import type { SiteConfig } from "./types.ts";
 import { UpkeepRole } from "./upkeep_role.ts";
@@ -473,6 +474,7 @@
         "loop_lag_ms",
         this.#loopMonitor.measureLag(),
       );
+      setCalibrationGauges(this.#parts.metrics, this.cell);
       this.#checkHandover(now);
       this.#planLoop.planIfIdle();
       this.#evacuationRole?.updateReports();
--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -275,6 +275,7 @@
         unlocated: cell.unlocated.size,
         admission: describeAdmission(cell),
         ready: [...cell.ready].map((stage) => stage.name),
+        runTimes: cell.runTimes.describe(now),
         endpoints: [...cell.endpoints.values()].map((endpoint) => ({
           id: endpoint.info.id,
           isHeld: endpoint.hasAcceptedFence,
