Move long-running and checkpointing runs out of evacuated domains

Cause: an evacuated domain was not free before its long-running tasks ended, which they never do, and long checkpointing work held it for minutes.

Change: a long-running task is stopped within its disruption budget, one of each step at a time, if an endpoint of another domain that advice allows has room for it. A checkpointing run of no gang is stopped right after a new checkpoint if more than 10 s of it are predicted to remain. The room is reserved until the run has stopped. Gangs, short work and runs on endpoints that do not answer are left alone. Event 6204 states reason, domain, predicted rest and progress.

Result: with stops of 900 ms, long-running tasks of a step move with one away at a time; the run that continues elsewhere gets the checkpoint that was just listed (evacuation_moves_test).

--- a/packages/cell/plan.ts
+++ b/packages/cell/plan.ts
@@ -1,6 +1,7 @@
 import { getCapacityDemand } from "../jobs/mod.ts";
 import { askAboutUnaskedEndpoints, askAdvice } from "./ask_advice.ts";
 import { selectForTickets } from "./advice_choice.ts";
+import { planMoves, reserveForMoves } from "./evacuation_moves.ts";
 import { countFittingTasks, countWithinQuota, hasTicket } from "./placement.ts";
 import {
   beginPlacementPass,
@@ -27,10 +28,12 @@
 /** Plans task starts and advice calls for all waiting stages. */
 export function planStarts(state: CellState, now: number): void {
   const pass = beginPlacementPass(state, now);
+  reserveForMoves(pass);
   for (const stage of state.policies.order.sortStages(state.ready, now)) {
     if (stage.waitingTasks === 0 || stage.job.outcome) continue;
     planStage(pass, stage);
   }
+  planMoves(pass);
 }
 
 function planStage(pass: PlacementPass, stage: Stage): void {
--- a/packages/cell/plan_gang.ts
+++ b/packages/cell/plan_gang.ts
@@ -177,7 +177,8 @@
     : fitting;
 }
 
-function reserveCapacity(
+/** Reserves capacity of an endpoint in this pass, for a number of tasks. */
+export function reserveCapacity(
   pass: PlacementPass,
   endpoint: Endpoint,
   options: { demand: Run["demand"]; tasks?: number },
--- a/packages/cell/stop_run.ts
+++ b/packages/cell/stop_run.ts
@@ -2,12 +2,13 @@
 import { DecisionKind, OrderKind, type Run, RunPhase } from "./types.ts";
 
 /**
- * Orders a run to stop. The run occupies its resources until it is released.
+ * Orders a run to stop. The run occupies its resources until it is released. `inputs`:
+ * what led to the decision, for the log.
  */
 export function stopRun(
   state: CellState,
   run: Run,
-  { now }: { now: number },
+  { now, inputs }: { now: number; inputs?: Record<string, unknown> },
 ): void {
   if (run.phase === RunPhase.Stopping) return;
   run.phase = RunPhase.Stopping;
@@ -18,7 +19,7 @@
   addDecision(state, {
     kind: DecisionKind.Stopped,
     subject: run.task,
-    inputs: { run: run.number, endpoint: run.endpoint.info.id },
+    inputs: { run: run.number, endpoint: run.endpoint.info.id, ...inputs },
   });
 }
 
--- a/tests/cell/fake_endpoint.ts
+++ b/tests/cell/fake_endpoint.ts
@@ -60,6 +60,8 @@
   getPercent: (run: FakeRun) => number = () => Math.round(this.#now / 10) % 100;
   /** Returns the gauge that a run reports for the last half second. */
   getGauge: (run: FakeRun) => number = () => 0;
+  /** Returns the newest checkpoint that a run lists. */
+  getSaved: (run: FakeRun) => string = () => "";
   /** Checkpoint that every run has saved when it ends. */
   checkpoint = "";
   /** Called when a run ends. */
@@ -158,7 +160,7 @@
       running: [...this.runs.values()].map((run) => ({
         task: run.task,
         run: run.run,
-        saved: "",
+        saved: this.getSaved(run),
         percent: this.isStalled ? 1 : this.getPercent(run),
         gauge: this.getGauge(run),
       })),
