Order stages by their predicted finish

In a backlog, work whose deadline had not passed yet went first even if it could no longer finish by then, and took the room of work that could.

With order = learned, a stage counts as late once the predicted median finish of a start now is past its deadline; the rest of the order is that of due. Predictions are at most a second old, so that sorting hundreds of stages for each plan stays cheap.

--- a/packages/cell/plan.ts
+++ b/packages/cell/plan.ts
@@ -8,6 +8,7 @@
   type PlacementPass,
 } from "./placement_pass.ts";
 import { waitForFaster } from "./faster_endpoints.ts";
+import { sortReadyStages } from "./learned_order.ts";
 import { planGang } from "./plan_gang.ts";
 import type { EndpointChoice } from "./policies.ts";
 import { findEndpointChoice } from "./speed_choice.ts";
@@ -29,7 +30,7 @@
 /** Plans task starts and advice calls for all waiting stages. */
 export function planStarts(state: CellState, now: number): void {
   const pass = beginPlacementPass(state, now);
-  for (const stage of state.policies.order.sortStages(state.ready, now)) {
+  for (const stage of sortReadyStages(pass)) {
     if (stage.waitingTasks === 0 || stage.job.outcome) continue;
     planStage(pass, stage);
   }
--- a/packages/cell/policies.ts
+++ b/packages/cell/policies.ts
@@ -169,20 +169,27 @@
  * deadline. In a backlog of short work, late stages thus make no further stages
  * late, and still go before long work of lower priority.
  */
+export function sortByDue(
+  stages: Iterable<Stage>,
+  { now, isLate }: { now: number; isLate: (stage: Stage) => boolean },
+): Stage[] {
+  const rank = ({ job, expiresAt }: Stage) => {
+    if (now > expiresAt) return Rank.Expired;
+    return job.isOverShare ? Rank.OverShare : Rank.WithinShare;
+  };
+  return [...stages].sort((a, b) =>
+    rank(a) - rank(b) ||
+    a.job.spec.queue.priority - b.job.spec.queue.priority ||
+    Number(isLate(a)) - Number(isLate(b)) ||
+    a.dueAt - b.dueAt
+  );
+}
+
 class DueOrder extends StageOrder {
   override sortStages(stages: Iterable<Stage>, now: number): Stage[] {
-    const rank = ({ job, expiresAt }: Stage) => {
-      if (now > expiresAt) return Rank.Expired;
-      return job.isOverShare ? Rank.OverShare : Rank.WithinShare;
-    };
     const isLate = (stage: Stage) =>
-      now > stage.dueAt && !getStep(stage).longRunning ? 1 : 0;
-    return [...stages].sort((a, b) =>
-      rank(a) - rank(b) ||
-      a.job.spec.queue.priority - b.job.spec.queue.priority ||
-      isLate(a) - isLate(b) ||
-      a.dueAt - b.dueAt
-    );
+      now > stage.dueAt && !getStep(stage).longRunning;
+    return sortByDue(stages, { now, isLate });
   }
 }
 
