--- a/packages/cell/plan.ts
+++ b/packages/cell/plan.ts
@@ -9,6 +9,7 @@
   type PlacementPass,
 } from "./placement_pass.ts";
 import { waitForFaster } from "./faster_endpoints.ts";
+import { sortReadyStages } from "./learned_order.ts";
 import { planGang } from "./plan_gang.ts";
 import { sortForPlan } from "./dominant_shares.ts";
 import type { EndpointChoice } from "./policies.ts";
@@ -34,6 +35,7 @@
   for (const stage of sortForPlan(state, now)) {
   reserveForMoves(pass);
   for (const stage of state.policies.order.sortStages(state.ready, now)) {
+  for (const stage of sortReadyStages(pass)) {
     if (stage.waitingTasks === 0 || stage.job.outcome) continue;
     planStage(pass, stage);
   }
