Join the merged parts: order, shares, progress and reasons of stops

Change: dominant shares sort what the policy has sorted; learned progress is noted before stalls are checked; moves out of evacuated domains pass their stop reason.

--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -61,7 +61,6 @@
 } from "./types.ts";
 import type { JournalRecord } from "../journal/mod.ts";
 import { makeEvacuationState } from "../evacuation/mod.ts";
-import { StatedRunTimes } from "../runtimes/mod.ts";
 
 /** Interval between retries of an unacknowledged stop order, in ms. */
 const STOP_RETRY_MS = 300;
@@ -111,7 +110,6 @@
       stoppingRuns: new Set(),
       shareMeter: new ShareMeter(),
       policies: buildPolicies(options.policies ?? DEFAULT_POLICIES),
-      runTimes: new StatedRunTimes(),
       evacuation: makeEvacuationState(),
       placement: makePlacementMemory(),
       runTimes: buildRunTimes(options.policies ?? DEFAULT_POLICIES),
--- a/packages/cell/dominant_shares.ts
+++ b/packages/cell/dominant_shares.ts
@@ -66,13 +66,15 @@
 }
 
 /**
- * Sorts waiting stages for a plan. With dominant shares, those of one priority that are
+ * Sorts stages that are in the order of the policy. With dominant shares, those of one priority that are
  * beyond the share of their organisation come after the others, the smallest share first.
  * Load: one organisation sends many times its usual work. While capacity is not scarce,
  * the order is that of the policy; stages without value stay last.
  */
-export function sortForPlan(state: CellState, now: number): Stage[] {
-  const sorted = state.policies.order.sortStages(state.ready, now);
+export function sortByShares(
+  state: CellState,
+  { sorted, now }: { sorted: Stage[]; now: number },
+): Stage[] {
   if (state.policies.names.shares !== SharesName.Dominant) return sorted;
   const { admission } = state;
   admission.stagesBeyondShare = new Set();
--- a/packages/cell/evacuation_moves.ts
+++ b/packages/cell/evacuation_moves.ts
@@ -13,7 +13,7 @@
 import { describeShape } from "./run_shape.ts";
 import { findTask, getStep } from "./stages.ts";
 import type { CellState } from "./state.ts";
-import { stopRun } from "./stop_run.ts";
+import { StopReason, stopRun } from "./stop_run.ts";
 import {
   type Endpoint,
   type Run,
@@ -85,11 +85,10 @@
     task.avoidEndpoint = run.endpoint.info.id;
     stopRun(state, run, {
       now,
+      reason: StopReason.Evacuated,
       inputs: {
-        reason: "evacuated",
         domain: run.endpoint.info.domain,
         restMs: Math.round(restMs),
-        percent: run.percent,
       },
     });
   }
--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -23,7 +23,6 @@
 import { findTask, removeUnlocated } from "./stages.ts";
 import { checkProgress } from "./stalls.ts";
 import { noteProgress, noteRunEnd, noteRunReleased } from "./run_feed.ts";
-import { findTask, getStep, removeUnlocated } from "./stages.ts";
 import { planPaces } from "./colocation.ts";
 import { StopReason, stopRun } from "./stop_run.ts";
 import { settleUnlistedRun } from "./unlisted_runs.ts";
@@ -179,9 +178,9 @@
     setCheckpoint(taskRef, listedRun.saved);
   }
   run.gauge = listedRun.gauge;
-  checkProgress(state, run, { percent: listedRun.percent, now: times.now });
-  noteProgress(state, run, { percent: listedRun.percent, now: times.now });
-  checkProgress(state, run, options);
+  const listed = { percent: listedRun.percent, now: times.now };
+  noteProgress(state, run, listed);
+  checkProgress(state, run, listed);
 }
 
 /**
--- a/packages/cell/plan.ts
+++ b/packages/cell/plan.ts
@@ -11,7 +11,7 @@
 import { waitForFaster } from "./faster_endpoints.ts";
 import { sortReadyStages } from "./learned_order.ts";
 import { planGang } from "./plan_gang.ts";
-import { sortForPlan } from "./dominant_shares.ts";
+import { sortByShares } from "./dominant_shares.ts";
 import type { EndpointChoice } from "./policies.ts";
 import { findEndpointChoice } from "./speed_choice.ts";
 import { getStep } from "./stages.ts";
@@ -32,10 +32,9 @@
 /** Plans task starts and advice calls for all waiting stages. */
 export function planStarts(state: CellState, now: number): void {
   const pass = beginPlacementPass(state, now);
-  for (const stage of sortForPlan(state, now)) {
   reserveForMoves(pass);
-  for (const stage of state.policies.order.sortStages(state.ready, now)) {
-  for (const stage of sortReadyStages(pass)) {
+  const sorted = sortReadyStages(pass);
+  for (const stage of sortByShares(state, { sorted, now })) {
     if (stage.waitingTasks === 0 || stage.job.outcome) continue;
     planStage(pass, stage);
   }
--- a/packages/cell/run_shape.ts
+++ b/packages/cell/run_shape.ts
@@ -1,15 +1,11 @@
-import { getCapacityDemand, type JobSpec } from "../jobs/mod.ts";
 import { getCapacityDemand, type JobSpec, type StepSpec } from "../jobs/mod.ts";
 import type { RunShape } from "../runtimes/mod.ts";
 
 /** Describes what the run time of a stage's tasks is predicted from. */
 export function describeShape(
-  stage: { job: { spec: JobSpec }; step: number },
+  { job, step }: { job: { spec: JobSpec }; step: number },
 ): RunShape {
-  const { queue, organisation, steps } = stage.job.spec;
-  const step = steps[stage.step];
-export function describeShape(stage: Stage): RunShape {
-  return describeStepShape(stage.job.spec, getStep(stage));
+  return describeStepShape(job.spec, job.spec.steps[step]);
 }
 
 /** Describes what the run time of a step's tasks is predicted from. */
--- a/packages/cell/stop_run.ts
+++ b/packages/cell/stop_run.ts
@@ -34,14 +34,12 @@
 }
 
 /**
- * Orders a run to stop. The run occupies its resources until it is released. `inputs`:
- * what led to the decision, for the log.
+ * Orders a run to stop. The run occupies its resources until it is released.
  */
 export function stopRun(
   state: CellState,
   run: Run,
   { now, reason, inputs }: StopCause,
-  { now, inputs }: { now: number; inputs?: Record<string, unknown> },
 ): void {
   if (run.phase === RunPhase.Stopping) return;
   const { phase } = run;
@@ -62,7 +60,6 @@
       sinceStartMs: Math.round(now - run.startedAt),
       ...inputs,
     },
-    inputs: { run: run.number, endpoint: run.endpoint.info.id, ...inputs },
   });
 }
 
