Repeat the unanswered start of a gang's member before the gang is stopped

The start is ordered again at the same endpoint and lifetime with the same run number, one order at a time, until 2,500 ms after the gang's first start, the end of the ticket or of the lease. Each repeat is checked like an unsent start and sent with the plan that decided it. A refused repeat says nothing about earlier copies: the next listing settles the run. Starts without a ticket are not repeated, as a later lifetime would carry out a late copy. Event 6210, counter baobabhead_starts_repeated_total.

--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -7,8 +7,8 @@
   applyPaceAnswer,
   applyStartAnswer,
   applyStopAnswer,
-  stopUnconfirmedRuns,
 } from "./order_results.ts";
+import { settleUnansweredStarts } from "./gang_starts.ts";
 import {
   expireEndpoints,
   noteReplacement,
@@ -403,7 +403,8 @@
     state.plannedAt = time.wallNow;
     expireEndpoints(state, time);
     settleTrials(state);
-    stopUnconfirmedRuns(state, time.now);
+    const { mayStart } = options;
+    settleUnansweredStarts(state, { now: time.now, mayStart });
     for (const run of state.stoppingRuns) {
       const isDue = time.now - run.lastChangedAt >= STOP_RETRY_MS;
       if (!run.isStopAcknowledged && isDue) sendStop(state, run);
@@ -411,7 +412,7 @@
     for (const { job } of [...state.awaitingStartTime]) {
       openStages(state, job, time);
     }
-    if (options.mayStart) planStarts(state, time.now);
+    if (mayStart) planStarts(state, time.now);
     state.backlogs = measureBacklogs(state);
   }
 
--- a/packages/cell/constants.ts
+++ b/packages/cell/constants.ts
@@ -39,6 +39,24 @@
 /** An unanswered start must be listed within this time, in milliseconds. */
 export const START_CONFIRM_MS = 500;
 
+/**
+ * Time without an answer after which the start of a gang's member is ordered again, in
+ * milliseconds: the poll that follows an unanswered start may settle it first.
+ */
+export const START_REPEAT_MS = 100;
+
+/**
+ * Time from the first start of a gang until which starts of its members are repeated,
+ * in milliseconds. Members wait 4 s for the others; the last answer takes up to 500 ms.
+ */
+export const GANG_REPEAT_MS = 2_500;
+
+/**
+ * Time after an order without an answer for which gangs avoid the endpoint, in
+ * milliseconds: as long as an unresponsive endpoint gets no other starts.
+ */
+export const GANG_AVOID_MS = 2_000;
+
 /** Backoff before the second retry, in ms; the first retry is immediate. */
 export const RETRY_DELAY_MS = 150;
 
--- a/packages/cell/order_effects.ts
+++ b/packages/cell/order_effects.ts
@@ -45,6 +45,7 @@
   noteLeaseSent(run.endpoint, options);
   run.sentToBornAt = run.endpoint.bornAt;
   run.sentAt = now;
+  if (run.gangStart) run.gangStart.firstSentAt ??= now;
   run.startMayArriveUntil = Math.min(
     now + LATE_ORDER_MS,
     ticketEndsAt + LEASE_MARGIN_MS,
--- a/packages/cell/order_results.ts
+++ b/packages/cell/order_results.ts
@@ -4,14 +4,13 @@
   ENDPOINT_PAUSE_MS,
   MAX_ADVICE_BACKOFF_FACTOR,
   RUNS_PER_TERM,
-  START_CONFIRM_MS,
 } from "./constants.ts";
 import { noteAdviceCounts } from "./advice_choice.ts";
+import { applyRepeatAnswer } from "./gang_starts.ts";
 import { noteLeaseUnanswered, noteStartCarriedOut } from "./order_effects.ts";
-import { type CurrentTime, releaseRun, stopGang } from "./task_ends.ts";
+import { type CurrentTime, releaseRun } from "./task_ends.ts";
 import type { CellState } from "./state.ts";
-import { findTask, getStep } from "./stages.ts";
-import { StopReason, stopRun } from "./stop_run.ts";
+import { findTask } from "./stages.ts";
 import {
   type AdviceAnswer,
   PaceResult,
@@ -43,8 +42,16 @@
   }
   if (run.endpoint.runs.get(run.task) !== run) return;
   run.lastChangedAt = now;
+  if (applyRepeatAnswer(run, result)) {
+    if (result !== StartResult.Unavailable) {
+      applyRefusal(state, run, { result, now });
+    }
+    return;
+  }
   if (result === StartResult.Started) {
-    if (run.phase === RunPhase.Starting) run.phase = RunPhase.Running;
+    const isUnconfirmed = run.phase === RunPhase.Starting ||
+      run.phase === RunPhase.Unacknowledged;
+    if (isUnconfirmed) run.phase = RunPhase.Running;
     noteStartCarriedOut(run, now);
     run.progressAt = now;
     const taskRef = findTask(state, run.task);
@@ -147,24 +154,3 @@
     )
     .otherwise(() => {});
 }
-
-/**
- * Stops runs whose start got no answer and that were not listed in time: the
- * whole gang, or a run that is not its task's current one. Any other run is
- * settled by the endpoint's next listing or the end of its lease.
- */
-export function stopUnconfirmedRuns(state: CellState, now: number): void {
-  for (const endpoint of state.endpoints.values()) {
-    for (const run of endpoint.runs.values()) {
-      if (run.phase !== RunPhase.Unacknowledged) continue;
-      if (now - run.lastChangedAt < START_CONFIRM_MS) continue;
-      const taskRef = findTask(state, run.task);
-      if (!taskRef || taskRef.task.run !== run) {
-        stopRun(state, run, { now, reason: StopReason.NoLongerNeeded });
-      } else if (getStep(taskRef.stage).gang) {
-        const why = `the start of ${run.task} got no answer`;
-        stopGang(state, taskRef.stage, { now, why });
-      }
-    }
-  }
-}
--- a/packages/cell/placement.ts
+++ b/packages/cell/placement.ts
@@ -54,9 +54,14 @@
 
 /** Returns whether an endpoint accepts start orders now. */
 export function canAcceptStarts(endpoint: Endpoint, now: number): boolean {
+  return canAcceptRepeats(endpoint, now) && now >= endpoint.unresponsiveUntil;
+}
+
+/** Returns whether an endpoint accepts repeats of starts that it did not answer. */
+export function canAcceptRepeats(endpoint: Endpoint, now: number): boolean {
   return endpoint.hasAcceptedFence && endpoint.isRecorded &&
     !endpoint.isCordoned && !endpoint.isRecordOutdated &&
-    now >= endpoint.pausedUntil && now >= endpoint.unresponsiveUntil;
+    now >= endpoint.pausedUntil;
 }
 
 /**
--- a/packages/cell/start_task.ts
+++ b/packages/cell/start_task.ts
@@ -17,6 +17,7 @@
   type Run,
   RunPhase,
   type Stage,
+  type StartOrder,
   type Task,
   TaskPhase,
 } from "./types.ts";
@@ -66,14 +67,23 @@
   task.lastRun = options.run;
   removeWaiting(state, stage);
   const ticket = stage.advice.allowedEndpoints.get(endpoint.info.id);
-  state.output.orders.push({
+  const order: StartOrder = {
     kind: OrderKind.Start,
     run,
     payload: stage.job.spec.payload,
     checkpoint: task.checkpoint,
     ticket: ticket?.ticket ?? "",
     ticketEndsAt: ticket?.expiresAt ?? Number.MAX_SAFE_INTEGER,
-  });
+  };
+  state.output.orders.push(order);
+  if (getStep(stage).gang) {
+    run.gangStart = {
+      order,
+      repeats: 0,
+      isRepeatInFlight: false,
+      isClosed: false,
+    };
+  }
   addDecision(state, {
     kind: DecisionKind.Started,
     subject: task.name,
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -39,6 +39,17 @@
   Stopping = "stopping",
 }
 
+/** The start of a gang's member, which is repeated while it gets no answer. */
+export interface GangStart {
+  order: StartOrder;
+  /** When it was sent for the first time; undefined: it was not. */
+  firstSentAt?: number;
+  repeats: number;
+  isRepeatInFlight: boolean;
+  /** It was refused, or must not be sent any more. */
+  isClosed: boolean;
+}
+
 /** Progress of a run when a listing first showed it. */
 export interface FirstProgress {
   percent: number;
@@ -99,6 +110,8 @@
   percent: number;
   /** When the listed progress last changed. */
   progressAt: number;
+  /** The start of a gang's member and its repeats; undefined: of no gang, or adopted. */
+  gangStart?: GangStart;
   /** Where the listed progress began; undefined: no listing has shown the run. */
   firstProgress?: FirstProgress;
   /**
@@ -410,6 +423,8 @@
 /** Kinds of orders that the cell issues. */
 export enum OrderKind {
   Start = "start",
+  /** As `Start`, for a run whose placement is committed and that was sent before. */
+  RepeatStart = "repeat_start",
   Stop = "stop",
   Pace = "pace",
   AskAdvice = "ask_advice",
@@ -417,15 +432,8 @@
 
 /** An order that the cell's host has to carry out. */
 export type Order =
-  | {
-    kind: OrderKind.Start;
-    run: Run;
-    payload: string;
-    checkpoint: string;
-    ticket: string;
-    /** The order must be sent before this time. */
-    ticketEndsAt: number;
-  }
+  | StartOrder
+  | { kind: OrderKind.RepeatStart; start: StartOrder }
   | { kind: OrderKind.Stop; run: Run }
   | { kind: OrderKind.Pace; run: Run; percent: number }
   | {
@@ -437,7 +445,15 @@
   };
 
 /** An order to start a run; sent after the placement is committed. */
-export type StartOrder = Extract<Order, { kind: OrderKind.Start }>;
+export interface StartOrder {
+  kind: OrderKind.Start;
+  run: Run;
+  payload: string;
+  checkpoint: string;
+  ticket: string;
+  /** The order must be sent before this time. */
+  ticketEndsAt: number;
+}
 
 /** Result of a start order. */
 export enum StartResult {
@@ -520,6 +536,8 @@
   Throttled = "throttled",
   LeaseExpired = "lease_lapsed",
   Adopted = "adopted",
+  /** The unanswered start of a gang's member was ordered again. */
+  StartRepeated = "start_repeated",
   /** An endpoint's record shows less room of some resource than before. */
   RoomShrunk = "room_shrunk",
   /** An endpoint's record shows more room, and less of no resource. */
--- a/packages/cell/unlisted_runs.ts
+++ b/packages/cell/unlisted_runs.ts
@@ -1,4 +1,5 @@
 import { MAX_LISTED_ENDS } from "./constants.ts";
+import { isStartPending } from "./gang_starts.ts";
 import { mayStartLater } from "./order_effects.ts";
 import type { CellState } from "./state.ts";
 import { sendStop, StopReason, stopRun } from "./stop_run.ts";
@@ -22,6 +23,7 @@
   }
   const isStopping = run.phase === RunPhase.Stopping;
   if (isStopping && !run.isStopAcknowledged) return sendStop(state, run);
+  if (!isStopping && isStartPending(state, run, times)) return;
   // A second start of the task must not be on its way beside this one.
   if (mayStartLater(run, times.askedAt)) return;
   if (!isStopping) {
--- a/packages/cell/unsent_starts.ts
+++ b/packages/cell/unsent_starts.ts
@@ -1,4 +1,9 @@
-import { canAcceptStarts, isEligible, isOverQuota } from "./placement.ts";
+import {
+  canAcceptRepeats,
+  canAcceptStarts,
+  isEligible,
+  isOverQuota,
+} from "./placement.ts";
 import { isOverRoom } from "./room.ts";
 import { findTask, getStep } from "./stages.ts";
 import type { CellState } from "./state.ts";
@@ -46,10 +51,17 @@
     run.endpoint.runs.get(run.task) === run;
 }
 
-/** Explains why a start may not be sent any more; empty: it may. */
-function explainObstacle(
+/**
+ * Explains why a start may not be sent any more; empty: it may. `isRepeat`: it was
+ * sent before, and its endpoint did not answer.
+ */
+export function explainObstacle(
   { run, ticketEndsAt }: StartOrder,
-  { state, now }: { state: CellState; now: number },
+  { state, now, isRepeat = false }: {
+    state: CellState;
+    now: number;
+    isRepeat?: boolean;
+  },
 ): string {
   const stage = findTask(state, run.task)?.stage;
   if (now >= ticketEndsAt) {
@@ -61,8 +73,10 @@
   if (isOverQuota(state, run.organisation)) {
     return "the quota was lowered before the placement was committed";
   }
-  const isUsable = canAcceptStarts(run.endpoint, now) && stage &&
-    isEligible(run.endpoint, stage);
+  const canAccept = isRepeat
+    ? canAcceptRepeats(run.endpoint, now)
+    : canAcceptStarts(run.endpoint, now);
+  const isUsable = canAccept && stage && isEligible(run.endpoint, stage);
   if (!isUsable) {
     return "the endpoint took no more starts before the placement was committed";
   }
--- a/packages/events/catalogue.ts
+++ b/packages/events/catalogue.ts
@@ -59,6 +59,7 @@
   StopUnanswered = 6207,
   PaceUnanswered = 6208,
   TaskGivenUp = 6209,
+  StartRepeated = 6210,
   AdviceAnswered = 6301,
   AdviceFailed = 6302,
   WaveBegan = 6401,
@@ -335,6 +336,11 @@
     message: "a change of a run's pace was not acknowledged; it is sent again",
     remedy: "Check the endpoint if it repeats.",
   },
+  [EventCode.StartRepeated]: {
+    severity: Severity.Info,
+    message: "ordered the unanswered start of a gang's member again",
+    remedy: "Check the endpoint and the network to it if it repeats.",
+  },
   [EventCode.AdviceAnswered]: {
     severity: Severity.Debug,
     message: "the policy service answered which endpoints a step may use",
--- a/packages/scheduler/order_sender.ts
+++ b/packages/scheduler/order_sender.ts
@@ -57,6 +57,10 @@
   send(order: Order): void {
     match(order)
       .with({ kind: OrderKind.Start }, (start) => void this.#start(start))
+      .with(
+        { kind: OrderKind.RepeatStart },
+        ({ start }) => void this.#start(start),
+      )
       .with({ kind: OrderKind.Stop }, ({ run }) => void this.#stop(run))
       .with({ kind: OrderKind.Pace }, (pace) => void this.#setPace(pace))
       .with(
--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -279,6 +279,8 @@
             run: run.number,
             phase: run.phase,
             percent: run.percent,
+            idleMs: Math.round(now - run.progressAt),
+            repeats: run.gangStart?.repeats,
           })),
         })),
       },
--- a/tests/cell/cell_site.ts
+++ b/tests/cell/cell_site.ts
@@ -131,6 +131,8 @@
    * undefined: the number of concurrent calls is not limited.
    */
   adviceBacklogs: number[] | undefined;
+  /** Time for which tickets are valid, in milliseconds. */
+  adviceValidMs = 1_500;
   /** Duration of a commit, in milliseconds. */
   commitMs = 20;
   /** Time between two polls of an endpoint, in milliseconds. */
@@ -144,7 +146,14 @@
       rack: "",
     });
   /** Number of orders and polls so far, by kind. */
-  readonly calls = { starts: 0, stops: 0, polls: 0, paces: 0, advice: 0 };
+  readonly calls = {
+    starts: 0,
+    repeats: 0,
+    stops: 0,
+    polls: 0,
+    paces: 0,
+    advice: 0,
+  };
   #commits: { at: number; owner: Cell; output: CellOutput }[] = [];
   #scheduledCalls: { at: number; run: () => void }[] = [];
   #polledAt = new Map<Endpoint, number>();
@@ -356,6 +365,10 @@
     if (order.kind === OrderKind.AskAdvice) {
       return this.#handleAdviceOrder(owner, order);
     }
+    if (order.kind === OrderKind.RepeatStart) {
+      this.calls.repeats++;
+      return this.#sendOrder(owner, order.start);
+    }
     const { run } = order;
     const fake = this.endpoints.get(run.endpoint.info.id);
     const fence = this.fence;
@@ -385,6 +398,9 @@
       // A delayed order has already reached the endpoint's VM.
       const isLost = !fake || (fake.isUnreachable && !isDelayed);
       if (isLost) return StartResult.Unknown;
+      const isOtherLifetime = order.ticket !== "" &&
+        order.ticket !== makeTicket(fake);
+      if (isOtherLifetime) return StartResult.OtherLifetime;
       const fakeRun: FakeRun = {
         task: run.task,
         run: run.number,
@@ -445,19 +461,27 @@
     const { stage, endpoints } = order;
     const isAllowed = this.isEndpointAllowed ?? (() => true);
     const tickets = endpoints.filter(isAllowed)
-      .map((endpoint) => ({ endpoint, ticket: `t-${endpoint}` }));
+      .map((endpoint) => ({
+        endpoint,
+        ticket: makeTicket(this.endpoints.get(endpoint)),
+      }));
     this.#scheduledCalls.push({
       at: this.#claimFreeEntry(order.costMs) ?? this.now + this.adviceMs,
       run: () =>
         owner.applyAdvice(stage, {
           endpoints,
-          answer: { tickets, validMs: 1_500 },
+          answer: { tickets, validMs: this.adviceValidMs },
           now: this.now,
         }),
     });
   }
 }
 
+/** Makes a ticket, which is bound to the current lifetime of the endpoint. */
+function makeTicket(fake: FakeEndpoint | undefined): string {
+  return `t-${fake?.id}-${fake?.bornAt}`;
+}
+
 /** Returns the job id in a task name; empty if the name is invalid. */
 export function getJobId(task: string): string {
   return parseTaskName(task)?.job ?? "";
