Place gangs on endpoints that answer, if they fit there

Cause: an endpoint that does not answer or has just failed costs the work of a whole gang, and it was as likely to be chosen as any other.

Change: under `gang_starts = repeat`, a gang is placed on endpoints without failures that have answered all polls and orders of the last 2 s; if it does not fit there, on those without failures, then on all. Racks are kept whole. Draining endpoints get no starts, as before.

Result: the last test of tests/cell/gang_starts_test.ts: an endpoint that does not answer gets no member of a gang while there is room on others, and gets one if there is not.

--- a/packages/cell/plan_gang.ts
+++ b/packages/cell/plan_gang.ts
@@ -7,6 +7,7 @@
 } from "../jobs/mod.ts";
 import { askAboutUnaskedEndpoints, askAdvice } from "./ask_advice.ts";
 import { MAX_GANG_RESERVATIONS } from "./constants.ts";
+import { splitForGang } from "./gang_endpoints.ts";
 import { stopGang } from "./task_ends.ts";
 import {
   countFittingTasks,
@@ -29,13 +30,7 @@
   if (!canPlaceGang(pass, stage)) return;
   if (!mayTry(pass, stage, stage.tasks)) return;
   if (countWithinQuota(pass.state, stage) < stage.tasks.length) return;
-  const avoided = new Set(stage.tasks.map((task) => task.avoidEndpoint));
-  const endpointsWithoutFailures = usable.filter((
-    { info, failuresInRow },
-  ) => !avoided.has(info.id) && failuresInRow === 0);
-  const groups = getStep(stage).rackLocal
-    ? splitByRack(usable)
-    : [endpointsWithoutFailures, usable];
+  const groups = splitForGang(pass.state, stage, { usable, now: pass.now });
   for (const group of groups) {
     const assignment = selectGangEndpoints(pass, stage, group);
     if (!assignment) continue;
--- a/tests/cell/gang_starts_test.ts
+++ b/tests/cell/gang_starts_test.ts
@@ -197,3 +197,22 @@
   }
   t.true(repeats > 50);
 });
+
+// Guards against a gang that is placed on an endpoint which has just failed to answer,
+// although there is room for it on others.
+test("a gang avoids endpoints that lately did not answer, if it fits on others", (t) => {
+  for (const gangStarts of Object.values(GangStartsName)) {
+    for (const endpoints of [4, 3]) {
+      const site = makeSite(gangStarts, { endpoints });
+      const silent = site.endpoints.get("e0")!;
+      silent.isUnreachable = true;
+      site.advance(300);
+      const isRepeat = gangStarts === GangStartsName.Repeat;
+      const endpoint = site.cell.state.endpoints.get("e0")!;
+      t.true(endpoint.contact.lostAt > 0);
+      site.submit(makeJob("a", [GANG], { queue: QUEUE }));
+      site.advance(200);
+      t.is(endpoint.runs.size > 0, !isRepeat || endpoints === 3);
+    }
+  }
+});
