Save and move work before a leaving endpoint is gone

Cause: callers lost the work of runs, and with one member that of a whole gang, when an endpoint was taken away, although its record stated how long it would stay.

`remaining_ms` of a draining endpoint's record is decoded as EndpointInfo.remainingMs. Work whose median predicted remaining time fits runs to its end. Checkpointing work is stopped 1,400 ms before the end (longest stop 900 ms, margin 500 ms). Other work moves if there is room elsewhere and that wastes less than the end of the endpoint would. A gang moves as a whole; long-running tasks move one at a time within their disruption budget. Event 5002 states the time left; the dump lists leaving endpoints.

--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -16,6 +16,7 @@
 } from "./endpoints.ts";
 import { type CurrentTime, endJob, type ListingTimes } from "./task_ends.ts";
 import { applyListing } from "./listing.ts";
+import { planLeaving } from "./leaving.ts";
 import { planStarts } from "./plan.ts";
 import {
   buildPolicies,
@@ -405,6 +406,7 @@
     settleTrials(state);
     const { mayStart } = options;
     settleUnansweredStarts(state, { now: time.now, mayStart });
+    planLeaving(state, { now: time.now, mayStart });
     for (const run of state.stoppingRuns) {
       const isDue = time.now - run.lastChangedAt >= STOP_RETRY_MS;
       if (!run.isStopAcknowledged && isDue) sendStop(state, run);
--- a/packages/cell/constants.ts
+++ b/packages/cell/constants.ts
@@ -57,6 +57,15 @@
  */
 export const GANG_AVOID_MS = 2_000;
 
+/** Longest time that a stop takes, which saves a run's progress, in milliseconds. */
+export const LONGEST_STOP_MS = 900;
+
+/**
+ * Time between the last useful stop on a leaving endpoint and its end, in milliseconds,
+ * beside the stop itself: covers the plan's interval and the transit of the order.
+ */
+export const LEAVING_MARGIN_MS = 500;
+
 /** Backoff before the second retry, in ms; the first retry is immediate. */
 export const RETRY_DELAY_MS = 150;
 
--- a/packages/cell/mod.ts
+++ b/packages/cell/mod.ts
@@ -2,6 +2,7 @@
 export * from "./cell.ts";
 export * from "./constants.ts";
 export { makeEndpoint } from "./endpoints.ts";
+export { describeLeaving } from "./leaving.ts";
 export {
   hasStartInDoubt,
   noteLeaseSent,
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -12,6 +12,8 @@
   capacity: Demand;
   /** The endpoint is leaving the cluster and gets no new work. */
   isDraining: boolean;
+  /** Least time until a draining endpoint is gone, in ms; undefined: not known. */
+  remainingMs?: number;
   /**
    * When the endpoint's lifetime started, in Unix milliseconds, as the platform's
    * list says; 0: the list does not say.
@@ -145,6 +147,16 @@
   endedBornAt: number;
 }
 
+/** The announced end of a draining endpoint. */
+export interface EndpointLeaving {
+  /** Time left as its record says, in milliseconds. */
+  remainingMs: number;
+  /** Lifetime of the record, by its start, in Unix milliseconds. */
+  bornAt: number;
+  /** The owner's steady clock, in milliseconds. */
+  leavesAt: number;
+}
+
 /** An endpoint in the view of the cell's owner. */
 export interface Endpoint {
   info: EndpointInfo;
@@ -229,6 +241,8 @@
   /** No new work: the endpoint is about to go down for maintenance. */
   isCordoned: boolean;
   contact: EndpointContact;
+  /** When the endpoint is gone at the earliest; undefined: not known. */
+  leaving?: EndpointLeaving;
 }
 
 /** Phase of a task in the view of the cell's owner. */
@@ -536,6 +550,8 @@
   Throttled = "throttled",
   LeaseExpired = "lease_lapsed",
   Adopted = "adopted",
+  /** A draining endpoint's record says how long it stays. */
+  EndpointLeaving = "endpoint_leaving",
   /** The unanswered start of a gang's member was ordered again. */
   StartRepeated = "start_repeated",
   /** An endpoint's record shows less room of some resource than before. */
--- a/packages/scheduler/decision_log.ts
+++ b/packages/scheduler/decision_log.ts
@@ -15,6 +15,7 @@
   [DecisionKind.Throttled]: EventCode.EndpointThrottled,
   [DecisionKind.LeaseExpired]: EventCode.EndpointLapsed,
   [DecisionKind.Adopted]: EventCode.TaskAdopted,
+  [DecisionKind.EndpointLeaving]: EventCode.EndpointLeaving,
   [DecisionKind.StartRepeated]: EventCode.StartRepeated,
   [DecisionKind.RoomShrunk]: EventCode.EndpointRoomShrunk,
   [DecisionKind.RoomGrown]: EventCode.EndpointRoomGrown,
--- a/tests/cell/cell_site.ts
+++ b/tests/cell/cell_site.ts
@@ -139,6 +139,8 @@
   pollIntervalMs = 100;
   snapshot: CellSnapshot | undefined;
   readonly draining = new Set<string>();
+  /** Time left that the records of draining endpoints state, in ms, by id. */
+  readonly remainingMs = new Map<string, number>();
   /** Returns the labels and the rack of an endpoint. */
   describeEndpoint: (id: string) => { labels: string[]; rack: string } =
     () => ({
@@ -221,6 +223,7 @@
       ...this.describeEndpoint(endpoint.id),
       capacity: endpoint.capacity,
       isDraining: this.draining.has(endpoint.id),
+      remainingMs: this.remainingMs.get(endpoint.id),
       bornAt: endpoint.bornAt,
     })));
   }
