--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -8,8 +8,8 @@
   applyPaceAnswer,
   applyStartAnswer,
   applyStopAnswer,
-  stopUnconfirmedRuns,
 } from "./order_results.ts";
+import { settleUnansweredStarts } from "./gang_starts.ts";
 import {
   expireEndpoints,
   noteReplacement,
@@ -19,6 +19,7 @@
 import { applyListing } from "./listing.ts";
 import { makePlacementMemory } from "./placement_memory.ts";
 import { checkOverShare } from "./dominant_shares.ts";
+import { planLeaving } from "./leaving.ts";
 import { planStarts } from "./plan.ts";
 import {
   buildPolicies,
@@ -413,7 +414,9 @@
     state.plannedAt = time.wallNow;
     expireEndpoints(state, time);
     settleTrials(state);
-    stopUnconfirmedRuns(state, time.now);
+    const { mayStart } = options;
+    settleUnansweredStarts(state, { now: time.now, mayStart });
+    planLeaving(state, { now: time.now, mayStart });
     for (const run of state.stoppingRuns) {
       const isDue = time.now - run.lastChangedAt >= STOP_RETRY_MS;
       if (!run.isStopAcknowledged && isDue) sendStop(state, run);
@@ -421,7 +424,7 @@
     for (const { job } of [...state.awaitingStartTime]) {
       openStages(state, job, time);
     }
-    if (options.mayStart) planStarts(state, time.now);
+    if (mayStart) planStarts(state, time.now);
     state.backlogs = measureBacklogs(state);
     state.admission.forecasts.clear();
   }
--- a/packages/cell/mod.ts
+++ b/packages/cell/mod.ts
@@ -3,6 +3,7 @@
 export * from "./constants.ts";
 export * from "./evacuated_domains.ts";
 export { makeEndpoint } from "./endpoints.ts";
+export { describeLeaving } from "./leaving.ts";
 export {
   hasStartInDoubt,
   noteLeaseSent,
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -13,6 +13,8 @@
   capacity: Demand;
   /** The endpoint is leaving the cluster and gets no new work. */
   isDraining: boolean;
+  /** Least time until a draining endpoint is gone, in ms; undefined: not known. */
+  remainingMs?: number;
   /**
    * When the endpoint's lifetime started, in Unix milliseconds, as the platform's
    * list says; 0: the list does not say.
@@ -40,6 +42,17 @@
   Stopping = "stopping",
 }
 
+/** The start of a gang's member, which is repeated while it gets no answer. */
+export interface GangStart {
+  order: StartOrder;
+  /** When it was sent for the first time; undefined: it was not. */
+  firstSentAt?: number;
+  repeats: number;
+  isRepeatInFlight: boolean;
+  /** It was refused, or must not be sent any more. */
+  isClosed: boolean;
+}
+
 /** Progress of a run when a listing first showed it. */
 export interface FirstProgress {
   percent: number;
@@ -104,6 +117,8 @@
   progress?: RunProgress | null;
   /** When the listed progress last changed. */
   progressAt: number;
+  /** The start of a gang's member and its repeats; undefined: of no gang, or adopted. */
+  gangStart?: GangStart;
   /** Where the listed progress began; undefined: no listing has shown the run. */
   firstProgress?: FirstProgress;
   /**
@@ -137,6 +152,16 @@
   endedBornAt: number;
 }
 
+/** The announced end of a draining endpoint. */
+export interface EndpointLeaving {
+  /** Time left as its record says, in milliseconds. */
+  remainingMs: number;
+  /** Lifetime of the record, by its start, in Unix milliseconds. */
+  bornAt: number;
+  /** The owner's steady clock, in milliseconds. */
+  leavesAt: number;
+}
+
 /** An endpoint in the view of the cell's owner. */
 export interface Endpoint {
   info: EndpointInfo;
@@ -221,6 +246,8 @@
   /** No new work: the endpoint is about to go down for maintenance. */
   isCordoned: boolean;
   contact: EndpointContact;
+  /** When the endpoint is gone at the earliest; undefined: not known. */
+  leaving?: EndpointLeaving;
 }
 
 /** Phase of a task in the view of the cell's owner. */
@@ -417,6 +444,8 @@
 /** Kinds of orders that the cell issues. */
 export enum OrderKind {
   Start = "start",
+  /** As `Start`, for a run whose placement is committed and that was sent before. */
+  RepeatStart = "repeat_start",
   Stop = "stop",
   Pace = "pace",
   AskAdvice = "ask_advice",
@@ -424,15 +453,8 @@
 
 /** An order that the cell's host has to carry out. */
 export type Order =
-  | {
-    kind: OrderKind.Start;
-    run: Run;
-    payload: string;
-    checkpoint: string;
-    ticket: string;
-    /** The order must be sent before this time. */
-    ticketEndsAt: number;
-  }
+  | StartOrder
+  | { kind: OrderKind.RepeatStart; start: StartOrder }
   | { kind: OrderKind.Stop; run: Run }
   | { kind: OrderKind.Pace; run: Run; percent: number }
   | {
@@ -444,7 +466,15 @@
   };
 
 /** An order to start a run; sent after the placement is committed. */
-export type StartOrder = Extract<Order, { kind: OrderKind.Start }>;
+export interface StartOrder {
+  kind: OrderKind.Start;
+  run: Run;
+  payload: string;
+  checkpoint: string;
+  ticket: string;
+  /** The order must be sent before this time. */
+  ticketEndsAt: number;
+}
 
 /** Result of a start order. */
 export enum StartResult {
@@ -529,6 +559,10 @@
   Throttled = "throttled",
   LeaseExpired = "lease_lapsed",
   Adopted = "adopted",
+  /** A draining endpoint's record says how long it stays. */
+  EndpointLeaving = "endpoint_leaving",
+  /** The unanswered start of a gang's member was ordered again. */
+  StartRepeated = "start_repeated",
   /** An endpoint's record shows less room of some resource than before. */
   RoomShrunk = "room_shrunk",
   /** An endpoint's record shows more room, and less of no resource. */
--- a/packages/events/catalogue.ts
+++ b/packages/events/catalogue.ts
@@ -64,6 +64,7 @@
   JobAdmitted = 6221,
   ShareExceeded = 6222,
   ShareKept = 6223,
+  StartRepeated = 6210,
   AdviceAnswered = 6301,
   AdviceFailed = 6302,
   WaveBegan = 6401,
@@ -372,6 +373,11 @@
     message: "a change of a run's pace was not acknowledged; it is sent again",
     remedy: "Check the endpoint if it repeats.",
   },
+  [EventCode.StartRepeated]: {
+    severity: Severity.Info,
+    message: "ordered the unanswered start of a gang's member again",
+    remedy: "Check the endpoint and the network to it if it repeats.",
+  },
   [EventCode.AdviceAnswered]: {
     severity: Severity.Debug,
     message: "the policy service answered which endpoints a step may use",
--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -1,5 +1,10 @@
 import type { Clock, Random } from "../base/mod.ts";
-import { Admission, AdmissionName, describeAdmission } from "../cell/mod.ts";
+import {
+  Admission,
+  AdmissionName,
+  describeAdmission,
+  describeLeaving,
+} from "../cell/mod.ts";
 import { EventCode, type EventLog } from "../events/mod.ts";
 import {
   CancelReply,
@@ -276,6 +281,7 @@
         admission: describeAdmission(cell),
         ready: [...cell.ready].map((stage) => stage.name),
         runTimes: cell.runTimes.describe(now),
+        leaving: describeLeaving(cell, now),
         endpoints: [...cell.endpoints.values()].map((endpoint) => ({
           id: endpoint.info.id,
           isHeld: endpoint.hasAcceptedFence,
@@ -286,6 +292,8 @@
             run: run.number,
             phase: run.phase,
             percent: run.percent,
+            idleMs: Math.round(now - run.progressAt),
+            repeats: run.gangStart?.repeats,
           })),
         })),
       },
