Let operators request, withdraw and follow evacuations

Cause: an operator had to write to the platform's store, and could not see whether a domain was free or why a run was still there.

Change: `baobabhead evacuate DOMAIN`, `--cancel` and, without DOMAIN, the list of the evacuated domains with the remaining runs and the reason for each; the same at the operations address (PUT, DELETE and GET /v1/evacuations). An entry writes only the product's own record, and says so if the platform's request still holds.

--- a/packages/cli/registry.ts
+++ b/packages/cli/registry.ts
@@ -8,6 +8,7 @@
   jobStatusCommand,
   jobSubmitCommand,
 } from "./commands/job.ts";
+import { evacuateCommand } from "./commands/evacuate.ts";
 import { keyNewCommand } from "./commands/key_new.ts";
 import { logsExplainCommand } from "./commands/logs_explain.ts";
 import { logsTraceCommand } from "./commands/logs_trace.ts";
@@ -26,6 +27,7 @@
   statusCommand,
   dumpCommand,
   drainCommand,
+  evacuateCommand,
   keyNewCommand,
   submitCommand,
   cancelCommand,
--- a/packages/links/types.ts
+++ b/packages/links/types.ts
@@ -1,4 +1,5 @@
 import type { AdmissionOutcome, AdviceAnswer } from "../cell/mod.ts";
+import type { EvacuationReport } from "../evacuation/mod.ts";
 import type { JobSpec, JobState } from "../jobs/mod.ts";
 
 /** Parameters and results of the methods that entries call on each other. */
@@ -8,6 +9,10 @@
   "job.submit": { params: { job: JobSpec }; result: SubmitReply };
   "job.cancel": { params: JobQuery; result: CancelReply };
   "job.find": { params: JobQuery; result: { state: JobState } | null };
+  "evacuation.list": {
+    params: Record<string, never>;
+    result: EvacuationReport[];
+  };
   "queue.count": { params: { queue: string }; result: number };
   "advice.ask": {
     params: { stage: string; endpoints: string[]; timeoutMs: number };
--- a/packages/scheduler/daemon.ts
+++ b/packages/scheduler/daemon.ts
@@ -5,9 +5,17 @@
 import { BaobabheadError } from "../base/mod.ts";
 import { EventCode } from "../events/mod.ts";
 import { type Address, formatAddress } from "../settings/mod.ts";
+import {
+  createEvacuationApp,
+  type EvacuationAppParts,
+} from "./evacuation_app.ts";
 import { createJobApp } from "./job_app.ts";
 import { LoopWatch } from "./loop_watch.ts";
-import { SHUTDOWN_CHECK_INTERVAL_MS, SHUTDOWN_GRACE_MS } from "./constants.ts";
+import {
+  OWNER_CALL_TIMEOUT_MS,
+  SHUTDOWN_CHECK_INTERVAL_MS,
+  SHUTDOWN_GRACE_MS,
+} from "./constants.ts";
 import type { SchedulerNode } from "./scheduler_node.ts";
 
 /** Thrown when a configured address cannot be listened on. */
@@ -104,10 +112,23 @@
   const app = new Hono();
   app.get("/metrics", async (c) => c.text(await renderMetrics(node)));
   app.get("/dump", (c) => c.json(node.describe()));
+  app.route("/", createEvacuationApp(collectEvacuationParts(node)));
   app.route("/", createJobApp(node));
   return app;
 }
 
+function collectEvacuationParts(node: SchedulerNode): EvacuationAppParts {
+  return {
+    ...node.parts,
+    entry: node.parts.settings.vm.name,
+    isOffered: () => node.parts.settings.bounds.evacuation_ms !== undefined,
+    listEvacuations: () =>
+      node.gateway.call("evacuation.list", {}, {
+        timeoutMs: OWNER_CALL_TIMEOUT_MS,
+      }),
+  };
+}
+
 async function renderMetrics(node: SchedulerNode): Promise<string> {
   const { metrics, clock } = node.parts;
   metrics.setGauge("config_version", node.config.config?.version ?? 0);
--- a/packages/scheduler/mod.ts
+++ b/packages/scheduler/mod.ts
@@ -7,6 +7,7 @@
 export * from "./election.ts";
 export * from "./endpoint_feed.ts";
 export * from "./endpoint_session.ts";
+export * from "./evacuation_app.ts";
 export * from "./evacuation_feed.ts";
 export * from "./evacuation_role.ts";
 export * from "./owner_gateway.ts";
--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -309,6 +309,7 @@
         const role = this.#requireOwnerRole();
         return role.find(id, organisation) ?? null;
       },
+      "evacuation.list": () => this.#requireOwnerRole().describeEvacuations(),
       "queue.count": ({ queue }) =>
         this.#requireOwnerRole().cell.countWaiting(queue),
       "advice.ask": async ({ stage, endpoints, timeoutMs }) =>
