Report an evacuation as effective only once all endpoints are known

The test of names covers the key of the requests.

Result: evacuation_test covers a take-over without the list.

--- a/packages/cell/evacuated_domains.ts
+++ b/packages/cell/evacuated_domains.ts
@@ -50,6 +50,12 @@
   });
 }
 
+/** Counts the endpoints that the platform lists; 0 until the list was read. */
+export function countListedEndpoints(state: CellState): number {
+  return [...state.endpoints.values()].filter(({ isListed }) => isListed)
+    .length;
+}
+
 /** Lists the endpoints of a domain. */
 export function listDomainEndpoints(
   state: CellState,
@@ -94,13 +100,16 @@
 /**
  * Returns whether a start that was decided before a request may still be carried out
  * in its domain: one without an answer, or one of a former owner that an endpoint
- * does not fence off yet.
+ * does not fence off yet. An endpoint that was restored from the journal and is not
+ * listed yet may be in any domain.
  */
 export function mayStillStart(
   state: CellState,
   { domain, now }: { domain: string; now: number },
 ): boolean {
-  const endpoints = listDomainEndpoints(state, domain);
+  const endpoints = [...state.endpoints.values()].filter(({ info }) =>
+    info.domain === domain || info.domain === ""
+  );
   const isPending = endpoints.some(({ runs, hasAcceptedFence, isReplaced }) =>
     !hasAcceptedFence && !isReplaced && now < state.formerStartsUntil ||
     [...runs.values()].some((run) => isStartPending(run, now))
--- a/packages/events/catalogue.ts
+++ b/packages/events/catalogue.ts
@@ -379,7 +379,7 @@
     message:
       "evacuation of a failure domain requested; nothing is started there",
     remedy:
-      "If `endpoints` is 0, check the name of the domain; `runs` counts what still runs there.",
+      "If `endpoints` is 0 and `knownEndpoints` is not, check the name of the domain.",
   },
   [EventCode.EvacuationEffective]: {
     severity: Severity.Info,
--- a/packages/scheduler/evacuation_role.ts
+++ b/packages/scheduler/evacuation_role.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "../base/mod.ts";
 import {
   type Cell,
+  countListedEndpoints,
   countUnlocatedRuns,
   type CurrentTime,
   listDomainEndpoints,
@@ -87,6 +88,7 @@
       (domain) => mayStillStart(cell.state, { domain, now }),
     );
     this.#recordChanges(changes);
+    if (this.#evacuation.domains.size === 0) return;
     const unlocated = countUnlocatedRuns(cell.state);
     for (const domain of this.#evacuation.domains.keys()) {
       const listed = listDomainRuns(cell.state, domain).length;
@@ -125,6 +127,7 @@
         revision,
         sinceRequestMs: Math.round(now - requestedAt),
         endpoints: listDomainEndpoints(cell.state, domain).length,
+        knownEndpoints: countListedEndpoints(cell.state),
         runs: listDomainRuns(cell.state, domain).length,
       });
     }
--- a/tests/cell/evacuation_test.ts
+++ b/tests/cell/evacuation_test.ts
@@ -148,3 +148,18 @@
   site.advance(13_000);
   t.false(mayStillStart(state, { domain: "a", now: site.now }));
 });
+
+// As above, for the time in which the new owner does not know which endpoints the
+// domain has.
+test("a new owner without the list of endpoints takes each for one of the domain", (t) => {
+  const site = makeTwoDomains({ endpoints: 2 });
+  site.endpoints.get("e0")!.isUnreachable = true;
+  site.replaceOwner({ isListLate: true });
+  evacuate(site, "a");
+  site.advance(200);
+  const { state } = site.cell;
+  t.true(mayStillStart(state, { domain: "a", now: site.now }));
+  site.endpoints.get("e0")!.isUnreachable = false;
+  site.advance(200);
+  t.false(mayStillStart(state, { domain: "a", now: site.now }));
+});
--- a/tests/house_style_test.ts
+++ b/tests/house_style_test.ts
@@ -49,7 +49,7 @@
 
 /** Paths, keys and fields of the platform's protocols. */
 const PLATFORM_NAMES =
-  /kv-(key|range|watch|txn|lease|keep)|run-start|run-stop|baobabhead\/hold|op\/config|task_spec|api_keys|last_seen|until_ms|mem_mb|no_auth/;
+  /kv-(key|range|watch|txn|lease|keep)|run-start|run-stop|baobabhead\/hold|op\/config|op\/evacuate|task_spec|api_keys|last_seen|until_ms|mem_mb|no_auth/;
 
 test("names of the platform's protocols occur only in platform/", (t) => {
   const violations = listSources(["packages"]).filter((file) =>
