Send callers of an entry without the store to another entry at once

They answered 430 requests with 503 and Retry-After of 2 s (1 s with jitter, rounded up), and the urgent queue's objective is 1.2 s: its callers were late although the owner and 28 entries could serve them (5 to 40 of 160 in each 2 s). Ruled out: an owner without the store; a heartbeat reply now says whether it reaches it.

Change: with admission by room, an entry that can't check keys for lack of the store, while the owner is connected, serves callers and reaches the store, answers Retry-After 0 and closes the connection, so that the next attempt reaches another entry. While nobody reaches the store, the pause stays.

--- a/packages/links/types.ts
+++ b/packages/links/types.ts
@@ -35,6 +35,8 @@
 export interface HeartbeatReply {
   /** Processor speed of the largest VM linked to the owner, its own included. */
   largestCores?: number;
+  /** The owner reads the configuration from the store; absent: not known. */
+  isStoreReachable?: boolean;
   /**
    * The owner has restored the cell and serves callers. An owner of an earlier
    * version answers `true` instead of an object, and is taken to be ready.
--- a/packages/scheduler/caller_service.ts
+++ b/packages/scheduler/caller_service.ts
@@ -198,7 +198,7 @@
     const { config } = this.#parts;
     if (!config.config) {
       const reason = "no configuration has been read yet";
-      return this.#createUndeliveredAnswer(request, { method, reason });
+      return this.#createLocalRefusal(request, { method, reason });
     }
     const queue = config.findQueue(request);
     if (!queue) return { kind: AnswerKind.NoSuchQueue, detail: request.path };
@@ -206,7 +206,7 @@
     if (!this.canTrustKeys()) {
       const ageMs = config.measureAge(now);
       const reason = `keys were last confirmed ${Math.round(ageMs)} ms ago`;
-      return this.#createUndeliveredAnswer(request, { method, reason });
+      return this.#createLocalRefusal(request, { method, reason });
     }
     const organisation = config.findOrganisation(request.key);
     if (!organisation) {
@@ -241,6 +241,24 @@
     return { kind: AnswerKind.Unknown, detail: reason };
   }
 
+  /**
+   * Answers a request that this entry can't serve for lack of the store. Load: the store
+   * turns some entries away for seconds and serves the others. A caller that waits is
+   * late; one that reconnects at once, to another entry, is not.
+   */
+  #createLocalRefusal(
+    request: CallerRequest,
+    options: { method: string; reason: string },
+  ): CallerAnswer {
+    const { gateway, refusesLateSubmissions } = this.#parts;
+    const answer = this.#createUndeliveredAnswer(request, options);
+    const isServedElsewhere = answer.kind === AnswerKind.Unavailable &&
+      refusesLateSubmissions?.() === true && gateway.canOthersServe;
+    return isServedElsewhere
+      ? { ...answer, retryAfterMs: 0, isServedElsewhere }
+      : answer;
+  }
+
   /**
    * Answers a request that reached no owner: it did not run, but an earlier
    * attempt of a submission may have.
--- a/packages/scheduler/owner_gateway.ts
+++ b/packages/scheduler/owner_gateway.ts
@@ -28,6 +28,8 @@
   #isConnecting = false;
   #isStopped = false;
   readonly #waiting = new Set<() => void>();
+  /** The owner said in its last reply that it reaches the store. */
+  isOwnerAtStore = false;
   /** Called when nothing listens at the owner's address: its process ended. */
   onOwnerProcessGone: (owner: OwnerRecord) => void = () => {};
   /** Called when the owner cannot be reached or its link is closed. */
@@ -60,6 +62,14 @@
     return this.#link?.isOpen === true && this.#isOwnerReady;
   }
 
+  /**
+   * True while other entries can serve a request that this one can't for lack of the
+   * store: the owner is connected, serves callers and reaches the store.
+   */
+  get canOthersServe(): boolean {
+    return this.canReachOwner && !this.#isOwnerLocal && this.isOwnerAtStore;
+  }
+
   /** True while the link to the owner is open, whether it serves callers or not. */
   get isLinked(): boolean {
     return this.#link?.isOpen === true;
--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -92,8 +92,9 @@
           entry: name,
           cores: this.config.isStoreReachable ? this.#cores : 0,
         }),
-        onReply: ({ largestCores = 0, isReady = true }) => {
+        onReply: ({ largestCores = 0, isReady = true, isStoreReachable }) => {
           this.#largestCores = largestCores;
+          this.gateway.isOwnerAtStore = isStoreReachable === true;
           this.gateway.noteOwnerReady(isReady);
         },
       },
@@ -304,6 +305,7 @@
     return {
       "link.heartbeat": () => ({
         largestCores: Math.max(this.#cores, this.#linkServer.largestPeerCores),
+        isStoreReachable: this.config.isStoreReachable,
         isReady: this.#ownerRole?.isReady === true,
       }),
       "owner.ready": () => {
--- a/packages/scheduler/types.ts
+++ b/packages/scheduler/types.ts
@@ -60,6 +60,8 @@
   state?: JobState;
   count?: number;
   retryAfterMs?: number;
+  /** Another entry can serve the request now; the caller should reconnect. */
+  isServedElsewhere?: boolean;
 }
 
 /** The common part of all callers' requests. */
--- a/tests/virtual/service_site.ts
+++ b/tests/virtual/service_site.ts
@@ -24,15 +24,21 @@
   lease: 1,
 };
 
-/** Records of a site with one queue that needs no key. */
-class OpenQueueRecords extends NoUpkeepRecords {
+/** Records of a site with one queue. */
+class OneQueueRecords extends NoUpkeepRecords {
   override readonly configKey = "config";
   override readonly endpointPrefix = "endpoints/";
+  readonly #isOpen: boolean;
+
+  constructor(isOpen: boolean) {
+    super();
+    this.#isOpen = isOpen;
+  }
 
   override decodeConfig(): SiteConfig {
     const queue = { name: "filings", service: "desk", priority: 0 };
     const rules = { attempts: 1, stretch: 1, targetLatencyMs: 1_000 };
-    const route = { host: "desk", prefix: "/f/", isOpen: true };
+    const route = { host: "desk", prefix: "/f/", isOpen: this.#isOpen };
     return {
       version: 1,
       queues: [{ ...queue, ...rules, ...route }],
@@ -59,7 +65,7 @@
 /** Starts a caller service, by default on a time of its own. */
 export async function startService(
   time = new VirtualTime(),
-  { refusesLate = false } = {},
+  { refusesLate = false, isOpen = true } = {},
 ): Promise<ServiceSite> {
   const clock = new ProcessClock(time, "caller service");
   const log = new SilentEventLog();
@@ -69,7 +75,7 @@
   const store = new MemoryStore(state, clock);
   const config = new ConfigFeed({
     store,
-    records: new OpenQueueRecords(),
+    records: new OneQueueRecords(isOpen),
     clock,
     wallNow: () => time.now,
     log,
