Count a service as uneven only when a third of its endpoints is measured

In trials with estimates that are off by a spread of 0.9 by step, even services were uneven for 300 to 800 runs at the start, when few endpoints had five runs each, all of the same steps. Runs that load a checkpoint counted as slow, a start that arrived late as a long run, and one of two runs that hangs as a slow endpoint.

A third of the endpoints must be measured; time before the first progress of a resumed run does not count; the start of a run that got no answer and was listed late is unknown; of two paces the higher one counts.

--- a/packages/cell/run_feed.ts
+++ b/packages/cell/run_feed.ts
@@ -7,7 +7,7 @@
   type RunTimes,
   StatedRunTimes,
 } from "../runtimes/mod.ts";
-import { FULL_PACE } from "./constants.ts";
+import { FULL_PACE, START_CONFIRM_MS } from "./constants.ts";
 import { type PolicyNames, RunTimesName } from "./policies.ts";
 import { describeShape } from "./run_shape.ts";
 import { findTask, getStep } from "./stages.ts";
@@ -106,12 +106,12 @@
   if (!taskRef) return undefined;
   const { isFilling, longRunning } = getStep(taskRef.stage);
   if (isFilling || longRunning) return undefined;
-  const { endpoint, isResumed, sentAt } = run;
+  const { endpoint } = run;
   const progress = state.runTimes.beginRun({
     shape: describeShape(taskRef.stage),
     step: taskRef.stage.name,
     endpoint: describeLifetime(endpoint),
-    startedAt: isResumed ? undefined : sentAt,
+    startedAt: findStart(run, now),
     clockOffset: endpoint.clockOffset,
     now,
   });
@@ -119,6 +119,17 @@
   return progress;
 }
 
+/**
+ * Returns when a run began with all its work ahead; `undefined`: it resumed from a
+ * checkpoint, a former owner started it, or its start order may have arrived late.
+ */
+function findStart(run: Run, now: number): number | undefined {
+  const { isResumed, sentAt, unlistedLeaseEndsAt } = run;
+  if (isResumed || sentAt === undefined) return undefined;
+  const isAnswered = unlistedLeaseEndsAt > 0;
+  return isAnswered || now - sentAt <= START_CONFIRM_MS ? sentAt : undefined;
+}
+
 /**
  * Returns whether the end of a gang's member counts. The members end together with
  * the slowest one, so the first end tells the run time of the whole gang. Members that
--- a/packages/runtimes/endpoint_speed.ts
+++ b/packages/runtimes/endpoint_speed.ts
@@ -99,13 +99,21 @@
       (run.beganSlow ? estimatedPaces : ownPaces).push(run.paceRatio);
     }
     if (ownPaces.length > 0) {
-      const pace = computeMedian(ownPaces);
+      const pace = computeUpperMedian(ownPaces);
       const isSlow = pace < (this.#slowdown < 1 ? USUAL_PACE : SLOW_PACE);
       this.#slowdown = isSlow ? Math.max(MIN_SLOWDOWN, pace) : 1;
     } else if (estimatedPaces.length > 0) {
-      const pace = computeMedian(estimatedPaces);
+      const pace = computeUpperMedian(estimatedPaces);
       if (pace >= ESTIMATED_USUAL_PACE) this.#slowdown = 1;
     } else return;
     this.#slowdownAt = now;
   }
 }
+
+/**
+ * Computes the median; of two middle values the higher one, so that one of two runs
+ * without progress makes no slow endpoint.
+ */
+function computeUpperMedian(values: number[]): number {
+  return values.sort((a, b) => a - b)[values.length >> 1];
+}
--- a/packages/runtimes/learned_run_times_test.ts
+++ b/packages/runtimes/learned_run_times_test.ts
@@ -43,15 +43,22 @@
     return tail * Math.exp(SPREAD * this.drawNormal());
   }
 
-  begin(endpoint: string, shape: Partial<RunShape> = {}): RunProgress {
+  begin(
+    endpoint: string,
+    shape: Partial<RunShape> = {},
+    { labels = [], isResumed = false }: {
+      labels?: string[];
+      isResumed?: boolean;
+    } = {},
+  ): RunProgress {
     const { queue = SHAPE.queue } = shape;
     const runs = this.#runs.get(queue) ?? 0;
     this.#runs.set(queue, runs + 1);
     return this.model.beginRun({
       shape: { ...SHAPE, ...shape },
       step: `${queue}-${Math.floor(runs / 25)}`,
-      endpoint: { id: endpoint, service: "desk", labels: [], bornAt: 1 },
-      startedAt: this.now,
+      endpoint: { id: endpoint, service: "desk", labels, bornAt: 1 },
+      startedAt: isResumed ? undefined : this.now,
       clockOffset: 5_000,
       now: this.now,
     });
@@ -291,3 +298,48 @@
   restored.beginLifetime({ ...lifetime, bornAt: 2 });
   t.is(restored.getSpeed("e0", 500), 1);
 });
+
+// Guards against an endpoint that counts as slow because one of two runs hangs.
+test("one run without progress beside another one is no slowdown", (t) => {
+  const fleet = new Fleet();
+  const [running, hanging] = [fleet.begin("e0"), fleet.begin("e0")];
+  for (let percent = 5; percent < 90; percent += 5) {
+    fleet.now += 300;
+    fleet.list(running, percent);
+    fleet.list(hanging, Math.min(40, percent));
+  }
+  t.is(fleet.getSpeed("e0"), 1);
+});
+
+// Guards against endpoints that count as slow because their runs load checkpoints, and
+// against new endpoints that count as usual although all others like them are fast.
+test("loading a checkpoint does not count; new endpoints have the speed of those with their labels", (t) => {
+  const fleet = new Fleet();
+  for (let run = 0; run < 10; run++) {
+    for (let n = 0; n < 24; n++) {
+      const labels = n < 8 ? ["fast"] : [];
+      const resumed = { labels, isResumed: n % 2 === 0 };
+      const progress = fleet.begin(`e${n}`, {}, resumed);
+      const start = fleet.now;
+      const actualMs = 3_000 * fleet.drawRatio() / (n < 8 ? 2 : 1);
+      // Resumed runs load their checkpoint at 30% first.
+      const [loadMs, first] = resumed.isResumed ? [1_500, 30] : [0, 0];
+      const endMs = loadMs + actualMs * (1 - first / 100);
+      for (let ms = 250; ms < endMs; ms += 250) {
+        const percent = first + 100 * Math.max(0, ms - loadMs) / actualMs;
+        fleet.list(progress, percent, start + ms);
+      }
+      const now = start + endMs;
+      fleet.model.observeEnd(progress, { outcome: RunOutcome.Complete, now });
+      fleet.now += 100;
+    }
+  }
+  const mean = (ids: number[]) =>
+    ids.reduce((sum, n) => sum + fleet.getSpeed(`e${n}`), 0) / ids.length;
+  const ratio = mean([8, 10, 12, 14, 16, 18, 20, 22]) /
+    mean([9, 11, 13, 15, 17, 19, 21, 23]);
+  t.true(ratio > 0.85 && ratio < 1.15, `${ratio}`);
+  const lifetime = { id: "new", service: "desk", bornAt: 1 };
+  fleet.model.beginLifetime({ ...lifetime, labels: ["fast"] });
+  t.true(fleet.getSpeed("new") > 1.3, `${fleet.getSpeed("new")}`);
+});
--- a/packages/runtimes/run_progress.ts
+++ b/packages/runtimes/run_progress.ts
@@ -125,8 +125,10 @@
   /** Returns whether the base has to be set or moved. */
   #isBaseOutdated(percent: number): boolean {
     if (this.#basePercent === undefined || percent < this.#percent) return true;
-    // Members of a gang that wait for each other at the start make no progress.
-    return this.shape.isGang && percent === 0;
+    // Members of a gang wait for each other at the start, and a run loads its
+    // checkpoint; neither makes progress meanwhile.
+    const mayWait = this.shape.isGang || this.startedAt === undefined;
+    return mayWait && percent === this.#basePercent;
   }
 
   #setBase(percent: number, at: number): void {
--- a/packages/runtimes/speed_table.ts
+++ b/packages/runtimes/speed_table.ts
@@ -28,6 +28,12 @@
 const MIN_PRIOR_RUNS = 0.5;
 const MAX_PRIOR_RUNS = 100;
 
+/**
+ * Share of a service's endpoints with enough runs from which it can be uneven. With
+ * fewer, steps whose estimates are wrong made even endpoints look uneven in trials.
+ */
+const UNEVEN_SHARE = 1 / 3;
+
 /** Ratio, relative to the limit, below which a service is even again. */
 const EVEN_AGAIN = 0.85;
 
@@ -144,11 +150,14 @@
     if (last && !isDue) return last;
     this.#newSamples.delete(service);
     const limit = this.#unevenRatio * (last?.isUneven ? EVEN_AGAIN : 1);
-    const endpoints = this.list().filter((endpoint) =>
-      endpoint.service === service &&
-      endpoint.samples.length >= MIN_SPEED_RUNS
+    const known = this.list().filter((endpoint) =>
+      endpoint.service === service
+    );
+    const endpoints = known.filter(({ samples }) =>
+      samples.length >= MIN_SPEED_RUNS
     );
-    const summary = summarizeService(endpoints, { limit, now });
+    const enough = Math.max(MIN_UNEVEN_ENDPOINTS, known.length * UNEVEN_SHARE);
+    const summary = summarizeService(endpoints, { limit, enough, now });
     this.#summaries.set(service, summary);
     return summary;
   }
@@ -156,7 +165,7 @@
 
 function summarizeService(
   endpoints: readonly EndpointSpeed[],
-  { limit, now }: { limit: number; now: number },
+  { limit, enough, now }: { limit: number; enough: number; now: number },
 ): ServiceSummary {
   const center = endpoints.length > 0
     ? computeMedian(endpoints.map(({ mean }) => mean))
@@ -175,7 +184,7 @@
     .filter(({ samples }) => samples.length >= MIN_UNEVEN_RUNS)
     .map((endpoint) => computeSpeed(endpoint, summary))
     .sort((a, b) => a - b);
-  if (speeds.length < MIN_UNEVEN_ENDPOINTS) return summary;
+  if (speeds.length < enough) return summary;
   const tenth = Math.floor((speeds.length - 1) / 10);
   summary.ratio = Math.exp(
     speeds[speeds.length - 1 - tenth] - speeds[tenth],
