Measure the pace of runs over a sliding window

With windows one after the other, the first one after a slowdown was mixed: runs of 40 s showed a slowdown of factor 5 after up to 3.0 s, and some runs of 60 s did not show it at all. The rounding of `percent` made that worse.

Parts of the window in which a slowdown began or ended are left out of the run's own pace.

--- a/packages/runtimes/endpoint_speed.ts
+++ b/packages/runtimes/endpoint_speed.ts
@@ -92,28 +92,28 @@
 
   /** Updates the slowdown from the newest paces of the runs. */
   updateSlowdown(now: number): void {
-    const ownPaces: number[] = [];
-    const estimatedPaces: number[] = [];
+    const ownPaces: RunProgress[] = [];
+    const estimatedPaces: RunProgress[] = [];
     for (const run of this.runs) {
       if (now - run.paceAt > PACE_AGE_MS) continue;
-      (run.beganSlow ? estimatedPaces : ownPaces).push(run.paceRatio);
+      (run.beganSlow ? estimatedPaces : ownPaces).push(run);
     }
     if (ownPaces.length > 0) {
-      const pace = computeUpperMedian(ownPaces);
-      const isSlow = pace < (this.#slowdown < 1 ? USUAL_PACE : SLOW_PACE);
-      this.#slowdown = isSlow ? Math.max(MIN_SLOWDOWN, pace) : 1;
+      const { paceLimit, paceRatio } = findUpperMedian(ownPaces);
+      const isSlow = paceLimit < (this.#slowdown < 1 ? USUAL_PACE : SLOW_PACE);
+      this.#slowdown = isSlow ? Math.max(MIN_SLOWDOWN, paceRatio) : 1;
     } else if (estimatedPaces.length > 0) {
-      const pace = computeUpperMedian(estimatedPaces);
-      if (pace >= ESTIMATED_USUAL_PACE) this.#slowdown = 1;
+      const { paceRatio } = findUpperMedian(estimatedPaces);
+      if (paceRatio >= ESTIMATED_USUAL_PACE) this.#slowdown = 1;
     } else return;
     this.#slowdownAt = now;
   }
 }
 
 /**
- * Computes the median; of two middle values the higher one, so that one of two runs
+ * Finds the run with the median pace; of two the faster one, so that one of two runs
  * without progress makes no slow endpoint.
  */
-function computeUpperMedian(values: number[]): number {
-  return values.sort((a, b) => a - b)[values.length >> 1];
+function findUpperMedian(runs: RunProgress[]): RunProgress {
+  return runs.sort((a, b) => a.paceRatio - b.paceRatio)[runs.length >> 1];
 }
--- a/packages/runtimes/learned_run_times.ts
+++ b/packages/runtimes/learned_run_times.ts
@@ -88,7 +88,6 @@
       : undefined;
     if (progress.update(listed, expectedMs)) {
       progress.endpoint.updateSlowdown(now);
-      progress.closeWindow(now);
     }
     if (!progress.isRated) {
       this.#observeSpeed(progress, now, { isEnded: false });
--- a/packages/runtimes/learned_run_times_test.ts
+++ b/packages/runtimes/learned_run_times_test.ts
@@ -212,7 +212,7 @@
 // Guards against work on an endpoint that has become slow, and against an endpoint
 // that counts as slow after it has recovered.
 test("a slowdown of factor 5 shows within 2 s of progress and clears again", (t) => {
-  for (const actualMs of [5_300, 20_000]) {
+  for (const actualMs of [2_300, 5_300, 20_000, 60_000]) {
     const fleet = new Fleet();
     const runs = [0, 1, 2].map(() => ({
       progress: fleet.begin("e0"),
--- a/packages/runtimes/run_progress.ts
+++ b/packages/runtimes/run_progress.ts
@@ -1,20 +1,8 @@
 import type { EndpointSpeed } from "./endpoint_speed.ts";
 import { LAST_PERCENT } from "./constants.ts";
+import { PaceWindow } from "./pace_window.ts";
 import type { ListedProgress, RunShape, RunStart } from "./types.ts";
 
-/** Shortest window in which a change of a run's pace is measured, in milliseconds. */
-const MIN_WINDOW_MS = 300;
-
-/** Progress that a window is expected to show: `percent` has no decimals. */
-const WINDOW_PERCENT = 4;
-
-/** Length of a window that may show less progress, and how much, for long runs. */
-const LONG_WINDOW_MS = 1_000;
-const LONG_WINDOW_PERCENT = 1.5;
-
-/** Progress from which a run's own pace is a reference. */
-const MIN_OWN_PERCENT = 8;
-
 /** Progress from which a run is compared with the estimate, and least at its end. */
 const RATED_PERCENT = 50;
 const MIN_RATED_PERCENT = 20;
@@ -31,6 +19,8 @@
   isRated = false;
   /** Newest pace relative to the reference, and when it was measured. */
   paceRatio = 1;
+  /** Highest pace that the listed percent, which have no decimals, allow. */
+  paceLimit = 1;
   paceAt = Number.NEGATIVE_INFINITY;
   readonly #clockOffset: number;
   /** Progress from which work and time are counted; undefined: not listed yet. */
@@ -42,11 +32,7 @@
   #workMs = 0;
   /** Time that slowdowns took from the whole run. */
   #lostMs = 0;
-  #windowAt: number;
-  #windowPercent = 0;
-  /** Progress and time of the windows that are a reference. */
-  #ownPercent = 0;
-  #ownMs = 0;
+  readonly #window = new PaceWindow();
 
   constructor(start: RunStart, endpoint: EndpointSpeed) {
     this.shape = start.shape;
@@ -56,10 +42,9 @@
     this.beganSlow = endpoint.getSlowdown(start.now) < 1;
     this.#clockOffset = start.clockOffset;
     this.#at = start.startedAt ?? start.now;
-    this.#windowAt = this.#at;
     // The members of a gang wait for each other before they begin.
     if (start.startedAt !== undefined && !start.shape.isGang) {
-      this.#basePercent = 0;
+      this.#setBase(0, start);
     }
   }
 
@@ -80,20 +65,14 @@
     const isWaiting = this.shape.isGang && percent >= LAST_PERCENT;
     if (isWaiting || at <= this.#at) return false;
     if (this.#isBaseOutdated(percent)) {
-      this.#setBase(percent, at);
+      this.#setBase(percent, { startedAt: at, now: listed.now });
       return false;
     }
     this.#countTime(at, listed.now);
     this.#percent = percent;
-    return this.#measurePace(listed, at, expectedMs);
-  }
-
-  /** Adds a window to the reference, once the endpoint's slowdown is known. */
-  closeWindow(now: number): void {
-    this.#ownPercent += this.#percent - this.#windowPercent;
-    this.#ownMs += (this.#at - this.#windowAt) * this.endpoint.getSlowdown(now);
-    this.#windowAt = this.#at;
-    this.#windowPercent = this.#percent;
+    // A run that has done its work may be listed until its end is.
+    if (percent >= LAST_PERCENT) return false;
+    return this.#measurePace(listed.now, expectedMs);
   }
 
   /**
@@ -131,39 +110,34 @@
     return mayWait && percent === this.#basePercent;
   }
 
-  #setBase(percent: number, at: number): void {
+  #setBase(
+    percent: number,
+    { startedAt, now }: { startedAt?: number; now: number },
+  ): void {
+    const at = startedAt ?? now;
     this.#basePercent = percent;
     this.#percent = percent;
     this.#at = at;
     this.#workMs = 0;
-    this.#windowAt = at;
-    this.#windowPercent = percent;
-    this.#ownPercent = 0;
-    this.#ownMs = 0;
+    const slowdown = this.endpoint.getSlowdown(now);
+    this.#window.clear({ at, percent, slowdown });
   }
 
-  #measurePace(
-    { now }: ListedProgress,
-    at: number,
-    expectedMs: number | undefined,
-  ): boolean {
-    const windowMs = at - this.#windowAt;
-    if (windowMs < MIN_WINDOW_MS) return false;
-    const hasOwnPace = !this.beganSlow && this.#ownPercent >= MIN_OWN_PERCENT;
-    if (!hasOwnPace && !this.beganSlow) {
-      if (this.#percent - this.#windowPercent >= WINDOW_PERCENT) {
-        this.closeWindow(now);
-      }
-      return false;
-    }
-    const rate = hasOwnPace
-      ? this.#ownPercent / this.#ownMs
-      : 100 / (expectedMs ?? Number.POSITIVE_INFINITY);
-    const expected = rate * windowMs;
-    const isLong = windowMs >= LONG_WINDOW_MS &&
-      expected >= LONG_WINDOW_PERCENT;
-    if (expected < WINDOW_PERCENT && !isLong) return false;
-    this.paceRatio = (this.#percent - this.#windowPercent) / expected;
+  #measurePace(now: number, expectedMs: number | undefined): boolean {
+    // The pace of a run that began during a slowdown is no reference.
+    if (this.beganSlow && expectedMs === undefined) return false;
+    const point = {
+      at: this.#at,
+      percent: this.#percent,
+      slowdown: this.endpoint.getSlowdown(now),
+    };
+    const pace = this.#window.measure(
+      point,
+      this.beganSlow && expectedMs !== undefined ? 100 / expectedMs : undefined,
+    );
+    if (!pace) return false;
+    this.paceRatio = pace.done / pace.expected;
+    this.paceLimit = (pace.done + 1) / pace.expected;
     this.paceAt = now;
     return true;
   }
