Measure the pace of a run from the first change of its progress

Cause: a slow run that resumes from a checkpoint jumps to it in its first second. The jump counted as its pace, and the run as stalled after 2.5 s. Waiting for a gang counted the other way.

Change: the mean time per percent begins with the first change of the listed progress. Predicted remaining times of runs on leaving endpoints begin there as well.

Result: a run that jumps to 50% and then takes 4 s per percent is not stopped (stalls_test); a healthy gang is not stopped with polls of 10 ms or 1 s either.

--- a/packages/cell/leaving.ts
+++ b/packages/cell/leaving.ts
@@ -229,8 +229,9 @@
 ): LeavingInputs {
   const shape = describeShape(stage);
   const speed = state.runTimes.getSpeed(run.endpoint.info.id, now);
-  const elapsedMs = now - (run.firstProgress?.workedSince ?? run.progressAt);
-  // What former runs have done shows as progress from the first listing on.
+  // Before its progress first changes, a run waits for its gang or loads what former
+  // runs have done, which shows as progress from then on.
+  const elapsedMs = now - (run.firstProgress?.changedAt ?? run.progressAt);
   const formerPercent = run.firstProgress?.percent ?? 0;
   const usualMs = state.runTimes.predict(shape, { quantile: 0.5, speed, now });
   const workedMs = elapsedMs + usualMs * formerPercent / 100;
--- a/packages/cell/stalls.ts
+++ b/packages/cell/stalls.ts
@@ -11,6 +11,7 @@
 import { StopReason, stopRun } from "./stop_run.ts";
 import { recordEndpointResult, stopGang } from "./task_ends.ts";
 import {
+  type FirstProgress,
   type Run,
   RunPhase,
   type Stage,
@@ -166,12 +167,9 @@
   { percent, now }: { percent: number; now: number },
 ): boolean {
   const first = run.firstProgress;
-  if (!first || percent < first.percent) {
-    run.firstProgress = {
-      percent,
-      workedSince: first ? now : run.progressAt,
-      listedAt: first?.listedAt ?? now,
-    };
+  if (!first) run.firstProgress = { listedAt: now, percent };
+  else if (percent < first.percent || isFirstChange(first, percent)) {
+    run.firstProgress = { ...first, percent, changedAt: now };
   }
   if (percent === run.percent) return false;
   run.percent = percent;
@@ -179,6 +177,14 @@
   return true;
 }
 
+/**
+ * Returns whether a run progresses for the first time. Before, a gang's member waits for
+ * the others, and a run that resumes from a checkpoint loads it.
+ */
+function isFirstChange(first: FirstProgress, percent: number): boolean {
+  return first.changedAt === undefined && percent !== first.percent;
+}
+
 /** Computes after how long without progress a run is stalled, in milliseconds. */
 function computeLimit(
   state: CellState,
@@ -195,8 +201,8 @@
 }
 
 /**
- * Computes the mean time that a run has taken for one percent, in milliseconds. What
- * its task was predicted to take counts while the run has made little progress.
+ * Computes the mean time that a run has taken for one percent since its progress first
+ * changed, in milliseconds. What its task was predicted to take counts while the run has made little progress.
  */
 function computePace(
   { percent, progressAt, firstProgress }: Run,
@@ -204,8 +210,9 @@
 ): number {
   const predictedPace = predictedMs / 100;
   const madePercent = percent - (firstProgress?.percent ?? percent);
-  if (!firstProgress || madePercent <= 0) return predictedPace;
-  const pace = (progressAt - firstProgress.workedSince) / madePercent;
+  const changedAt = firstProgress?.changedAt;
+  if (changedAt === undefined || madePercent <= 0) return predictedPace;
+  const pace = (progressAt - changedAt) / madePercent;
   return madePercent < MIN_PACED_PERCENT ? Math.max(pace, predictedPace) : pace;
 }
 
@@ -218,6 +225,6 @@
   return firstProgress?.listedAt ?? progressAt;
 }
 
-function hasProgress({ percent, firstProgress }: Run): boolean {
-  return firstProgress !== undefined && percent > firstProgress.percent;
+function hasProgress({ firstProgress }: Run): boolean {
+  return firstProgress?.changedAt !== undefined;
 }
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -52,12 +52,14 @@
   isClosed: boolean;
 }
 
-/** Progress of a run when a listing first showed it. */
+/** Where the listed progress of a run began. */
 export interface FirstProgress {
-  percent: number;
-  /** Since when the run has worked, as far as known. */
-  workedSince: number;
+  /** When a listing first showed the run. */
   listedAt: number;
+  /** When the progress first changed; undefined: it has not. */
+  changedAt?: number;
+  /** Progress at that change, in percent; in the first listing until then. */
+  percent: number;
 }
 
 /**
--- a/tests/cell/stalls_test.ts
+++ b/tests/cell/stalls_test.ts
@@ -72,12 +72,16 @@
 // Guards against a healthy gang that is stopped, and its endpoint charged with a
 // failure, while the members that have done their part wait for the slowest.
 test("a gang whose members differ in run time is stopped by fixed stalls and not by progress", (t) => {
-  for (const stalls of Object.values(StallsName)) {
+  const cases = Object.values(StallsName).flatMap((stalls) =>
+    [10, 1_000].map((pollIntervalMs) => [stalls, pollIntervalMs] as const)
+  );
+  for (const [stalls, pollIntervalMs] of cases) {
     const runMs = 9_000;
     const partMs = (run: FakeRun) => [4_500, 6_000, runMs][getIndex(run)];
     const site = makeSite({ stalls, endpoints: 3, runMs, partMs });
+    site.pollIntervalMs = pollIntervalMs;
     site.submit(makeJob("a", [GANG]));
-    site.advance(runMs + 500);
+    site.advance(runMs + 500 + pollIntervalMs);
     const isProgress = stalls === StallsName.Progress;
     t.is(site.calls.stops > 0, !isProgress);
     t.is(site.find("a") === JobState.Completed, isProgress);
@@ -186,3 +190,22 @@
   site.advance(9_000 - 530 - DETECTION_MS + 300);
   t.is(site.find("slow"), JobState.Completed);
 });
+
+// Guards against a slow run that is stopped because the jump to its checkpoint, in the
+// first second, counted as its pace.
+test("a slow run that resumes from a checkpoint is not stalled by the jump to it", (t) => {
+  const runMs = 12_000;
+  const site = makeSite({
+    stalls: StallsName.Progress,
+    endpoints: 1,
+    runMs,
+    partMs: () => 400_000,
+    getWorkedMs: (_run, elapsedMs) =>
+      elapsedMs < 600 ? 0 : 200_000 + elapsedMs - 600,
+  });
+  const slow = makeStep({ checkpointing: true, estimateMs: 400_000 });
+  site.submit(makeJob("a", [slow]));
+  site.advance(runMs + 300);
+  t.is(site.calls.stops, 0);
+  t.is(site.find("a"), JobState.Completed);
+});
