Let the poll that may show a stall not wait beyond it

Cause: a poll waits for up to 1 s for the end of a run, so that a halted run was found up to 3.5 s after its last listed progress.

Change: under `stalls = progress`, an endpoint holds when one of its runs may be stalled, and a poll does not wait beyond that. It is one shorter poll for a run that makes no progress; the other waits stay.

Result: session_test: the listing comes at the moment of the check, and the polls after it wait as before. stalls_test: the moment is 2,500 ms after the last progress.

--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -21,7 +21,7 @@
 } from "./state.ts";
 import { computeRunCost } from "./remnants.ts";
 import { findTask, removeUnlocated } from "./stages.ts";
-import { checkProgress } from "./stalls.ts";
+import { checkProgress, noteStallCheck } from "./stalls.ts";
 import { planPaces } from "./colocation.ts";
 import { StopReason, stopRun } from "./stop_run.ts";
 import { settleUnlistedRun } from "./unlisted_runs.ts";
@@ -82,6 +82,7 @@
     if (!listed.has(run.task)) settleUnlistedRun(state, run, options);
   }
   endpoint.hasAcceptedFence = true;
+  noteStallCheck(state, endpoint, times);
   planPaces(state, endpoint, times);
   settleUnlocated(state, times);
 }
--- a/packages/cell/stalls.ts
+++ b/packages/cell/stalls.ts
@@ -11,6 +11,7 @@
 import { StopReason, stopRun } from "./stop_run.ts";
 import { recordEndpointResult, stopGang } from "./task_ends.ts";
 import {
+  type Endpoint,
   type FirstProgress,
   type Run,
   RunPhase,
@@ -108,6 +109,25 @@
   return findGangStall(state, { stage, task, run, now });
 }
 
+/**
+ * Notes when a listing of an endpoint may show the next stall, so that the poll that is
+ * to find it does not wait beyond. Load: a poll waits for up to a second for an end.
+ */
+export function noteStallCheck(
+  state: CellState,
+  endpoint: Endpoint,
+  { now }: { now: number },
+): void {
+  if (state.policies.names.stalls !== StallsName.Progress) return;
+  let checkAt = Number.POSITIVE_INFINITY;
+  for (const run of endpoint.runs.values()) {
+    const dueAt = findIdleStart(run) + STALL_MS;
+    const isAhead = run.phase === RunPhase.Running && dueAt > now;
+    if (isAhead) checkAt = Math.min(checkAt, dueAt);
+  }
+  endpoint.stallCheckAt = Number.isFinite(checkAt) ? checkAt : undefined;
+}
+
 /** Finds a stall by a fixed time without progress. */
 function findFixedStall(run: Run, now: number): Stall | undefined {
   return now - run.progressAt >= STALL_MS
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -243,6 +243,8 @@
   /** No new work: the endpoint is about to go down for maintenance. */
   isCordoned: boolean;
   contact: EndpointContact;
+  /** When a listing may show the next stall; undefined: the polls need not heed it. */
+  stallCheckAt?: number;
   /** When the endpoint is gone at the earliest; undefined: not known. */
   leaving?: EndpointLeaving;
 }
--- a/packages/scheduler/endpoint_session.ts
+++ b/packages/scheduler/endpoint_session.ts
@@ -93,9 +93,7 @@
       }
       const startedAt = this.#clock.now();
       const isAnswered = await this.#pollOnce(startedAt, {
-        waitMs: this.#endpoint.isColocated
-          ? COLOCATED_POLL_WAIT_MS
-          : POLL_WAIT_MS,
+        waitMs: this.#computeWait(startedAt),
       });
       const elapsedMs = this.#clock.now() - startedAt;
       const pauseMs = isAnswered
@@ -168,6 +166,15 @@
       !hasStartInDoubt(this.#endpoint);
   }
 
+  /** Computes for how long the endpoint may delay its answer to a poll. */
+  #computeWait(now: number): number {
+    const { isColocated, stallCheckAt = 0 } = this.#endpoint;
+    const waitMs = isColocated ? COLOCATED_POLL_WAIT_MS : POLL_WAIT_MS;
+    return stallCheckAt > now
+      ? Math.min(waitMs, Math.ceil(stallCheckAt - now))
+      : waitMs;
+  }
+
   /** Notes whether a poll that is sent now leaves ends unacknowledged. */
   #noteWithheld(now: number, acknowledgedEnd: number): void {
     const isWithheld = acknowledgedEnd === 0 && this.#hasUnacknowledgedEnds();
--- a/tests/cell/stalls_test.ts
+++ b/tests/cell/stalls_test.ts
@@ -184,7 +184,9 @@
   const fake = site.findPlacement("halted.0.0.0");
   const [run] = fake.runs.values();
   const haltedAt = run.endsAt - 9_000 + 530;
-  site.advance(haltedAt - site.now);
+  site.advance(haltedAt - site.now + 1_000);
+  const { stallCheckAt } = site.cell.state.endpoints.get(fake.id)!;
+  t.is(stallCheckAt, haltedAt + DETECTION_MS);
   t.true(advanceToStop(site, haltedAt) <= DETECTION_MS);
   t.deepEqual(listFailures(site), { [fake.id]: 1 });
   site.advance(9_000 - 530 - DETECTION_MS + 300);
--- a/tests/virtual/session_test.ts
+++ b/tests/virtual/session_test.ts
@@ -272,3 +272,26 @@
   await time.advance(3_000);
   t.is(host.replacements, 0);
 });
+
+// Guards against a stalled run that is found up to a second late, because the poll that
+// could show it waits for the end of a run.
+test("a poll does not wait beyond the moment when a run may be stalled", async (t) => {
+  const { time, control, endpoint, addRun } = startSession();
+  await time.advance(200);
+  addRun();
+  await time.advance(1_000);
+  const stallCheckAt = time.now + 2_500;
+  endpoint.stallCheckAt = stallCheckAt;
+  const answersAt: number[] = [];
+  const poll = control.poll.bind(control);
+  control.poll = async (...call) => {
+    const answer = await poll(...call);
+    answersAt.push(time.now);
+    return answer;
+  };
+  await time.advance(2_600);
+  t.true(answersAt.includes(stallCheckAt), answersAt.join());
+  const { length } = answersAt;
+  await time.advance(3_000);
+  t.true(answersAt.length - length <= 3);
+});
