--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -21,8 +21,8 @@
 } from "./state.ts";
 import { computeRunCost } from "./remnants.ts";
 import { findTask, removeUnlocated } from "./stages.ts";
-import { checkProgress } from "./stalls.ts";
 import { noteProgress, noteRunEnd, noteRunReleased } from "./run_feed.ts";
+import { checkProgress, noteStallCheck } from "./stalls.ts";
 import { planPaces } from "./colocation.ts";
 import { StopReason, stopRun } from "./stop_run.ts";
 import { settleUnlistedRun } from "./unlisted_runs.ts";
@@ -83,6 +83,7 @@
     if (!listed.has(run.task)) settleUnlistedRun(state, run, options);
   }
   endpoint.hasAcceptedFence = true;
+  noteStallCheck(state, endpoint, times);
   planPaces(state, endpoint, times);
   settleUnlocated(state, times);
 }
