--- a/packages/cell/room_forecast.ts
+++ b/packages/cell/room_forecast.ts
@@ -1,3 +1,4 @@
+import { isEvacuated } from "./evacuated_domains.ts";
 import { RoomCurve, type RoomRelease } from "./room_curve.ts";
 import {
   computeStageLevel,
@@ -45,6 +46,7 @@
     const { info } = endpoint;
     if (info.service !== service || !endpoint.isListed) continue;
     if (info.isDraining || endpoint.isReplaced) continue;
+    if (isEvacuated(state, endpoint)) continue;
     listedMilliCores += info.capacity.milliCores;
     if (!endpoint.hasAcceptedFence || endpoint.isCordoned) continue;
     milliCores += info.capacity.milliCores;
