Keep room free for urgent work

In a cell full of tasks of one core, urgent tasks of two cores found no room at all: cores became free one at a time, and the next small task took each of them.

With headroom = learned, the owner reserves what urgent work asked for in 95 of 100 moments of the last 10 s, less what it uses now, at most a fifth of the service, on the fastest endpoints and also where it is not free yet. Work that would never fit beside it is exempt.

--- /dev/null
+++ b/packages/cell/describe_placement.ts
@@ -0,0 +1,31 @@
+import { ChoiceName } from "./policies.ts";
+import type { CellState } from "./state.ts";
+
+/**
+ * Describes what placement knows, for a dump: the speeds of the endpoints of uneven
+ * services, and the room that is kept free for urgent work.
+ */
+export function describePlacement(
+  state: CellState,
+  now: number,
+): Record<string, unknown> {
+  const { policies, placement, runTimes } = state;
+  const { choice, order, headroom } = policies.names;
+  const speeds: Record<string, number> = {};
+  if (choice === ChoiceName.Speed) {
+    for (const { info } of state.endpoints.values()) {
+      if (!runTimes.isUneven(info.service, now)) continue;
+      speeds[info.id] = runTimes.getSpeed(info.id, now);
+    }
+  }
+  return {
+    policies: { choice, order, headroom },
+    speeds,
+    headroomMilliCores: Object.fromEntries(
+      [...placement.headroom].map(([service, { milliCores }]) => [
+        service,
+        milliCores,
+      ]),
+    ),
+  };
+}
--- a/packages/cell/mod.ts
+++ b/packages/cell/mod.ts
@@ -1,6 +1,7 @@
 /** Decision logic of a cell's owner, without I/O: jobs, endpoints, runs. */
 export * from "./cell.ts";
 export * from "./constants.ts";
+export { describePlacement } from "./describe_placement.ts";
 export { makeEndpoint } from "./endpoints.ts";
 export {
   hasStartInDoubt,
--- a/packages/cell/placement.ts
+++ b/packages/cell/placement.ts
@@ -8,6 +8,7 @@
 } from "../jobs/mod.ts";
 
 import { MAX_EJECTED_FRACTION, TICKET_MARGIN_MS } from "./constants.ts";
+import { findReserved, type Headroom } from "./headroom.ts";
 import type { CellState } from "./state.ts";
 import { getStep } from "./stages.ts";
 import type { Endpoint, Stage } from "./types.ts";
@@ -22,6 +23,8 @@
   state: CellState;
   now: number;
   reservations: Reservations;
+  /** Room that is kept free for urgent work. */
+  headroom: Headroom;
   /**
    * Endpoints whose ejection time is over and on which no run has succeeded
    * since: they get one task at a time.
@@ -127,7 +130,7 @@
   stage: Stage,
 ): number {
   const step = getStep(stage);
-  const reserved = view.reservations.get(endpoint);
+  const reserved = findReserved(view, endpoint, stage);
   const used = reserved
     ? {
       milliCores: endpoint.used.milliCores + reserved.milliCores,
--- a/packages/cell/placement_memory.ts
+++ b/packages/cell/placement_memory.ts
@@ -1,6 +1,7 @@
 import { describeShape } from "./run_shape.ts";
 import type { CellState } from "./state.ts";
 import type { Stage } from "./types.ts";
+import type { UrgentUse } from "./urgent_use.ts";
 
 /**
  * Age from which a stage's predicted run time is predicted anew, in ms. A plan sorts
@@ -13,6 +14,13 @@
   at: number;
 }
 
+/** The headroom of a service as last reserved and as last logged. */
+export interface NotedHeadroom {
+  milliCores: number;
+  loggedMilliCores: number;
+  loggedAt: number;
+}
+
 /**
  * What placement keeps between plans. A new owner begins with an empty memory: it holds
  * nothing on which correctness depends.
@@ -22,11 +30,20 @@
   predictions: WeakMap<Stage, Map<number, Prediction>>;
   /** Since when a stage waits for faster endpoints although it fits on slower ones. */
   waitingSince: WeakMap<Stage, number>;
+  /** Recent use of each service by urgent work. */
+  urgentUse: Map<string, UrgentUse>;
+  /** Cores kept free for urgent work at the last plan, in thousandths, by service. */
+  headroom: Map<string, NotedHeadroom>;
 }
 
 /** Makes an empty memory. */
 export function makePlacementMemory(): PlacementMemory {
-  return { predictions: new WeakMap(), waitingSince: new WeakMap() };
+  return {
+    predictions: new WeakMap(),
+    waitingSince: new WeakMap(),
+    urgentUse: new Map(),
+    headroom: new Map(),
+  };
 }
 
 /**
--- a/packages/cell/placement_pass.ts
+++ b/packages/cell/placement_pass.ts
@@ -6,6 +6,7 @@
   listOnTrial,
   type PlacementView,
 } from "./placement.ts";
+import { makeHeadroom } from "./headroom.ts";
 import { makeReleases, type Releases } from "./releases.ts";
 import type { CellState } from "./state.ts";
 import type { SpeedTiers } from "./speed_tiers.ts";
@@ -62,6 +63,7 @@
     reservedGangs: 0,
     speedTiers: new Map(),
     releases: makeReleases(),
+    headroom: makeHeadroom(),
   };
 }
 
--- a/packages/cell/plan.ts
+++ b/packages/cell/plan.ts
@@ -8,6 +8,7 @@
   type PlacementPass,
 } from "./placement_pass.ts";
 import { waitForFaster } from "./faster_endpoints.ts";
+import { noteExemption, observeHeadroom, reserveHeadroom } from "./headroom.ts";
 import { sortReadyStages } from "./learned_order.ts";
 import { planGang } from "./plan_gang.ts";
 import type { EndpointChoice } from "./policies.ts";
@@ -30,6 +31,7 @@
 /** Plans task starts and advice calls for all waiting stages. */
 export function planStarts(state: CellState, now: number): void {
   const pass = beginPlacementPass(state, now);
+  observeHeadroom(pass);
   for (const stage of sortReadyStages(pass)) {
     if (stage.waitingTasks === 0 || stage.job.outcome) continue;
     planStage(pass, stage);
@@ -39,6 +41,7 @@
 function planStage(pass: PlacementPass, stage: Stage): void {
   const service = pass.services.get(stage.job.spec.queue.service);
   if (!service) return;
+  reserveHeadroom(pass, stage);
   const step = getStep(stage);
   const { gang } = step;
   const demand = getCapacityDemand(step);
@@ -51,6 +54,7 @@
   if (!hasAdvice) return askAboutUnaskedEndpoints(pass, stage);
   if (!stage.job.isCommitted) return;
   const usable = listUsable(pass, service, stage);
+  noteExemption(pass, stage, usable);
   if (gang) planGang(pass, stage, usable);
   else planTasks(pass, stage, usable);
 }
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -519,6 +519,8 @@
   TaskGivenUp = "task_given_up",
   /** A stage that fits on slow endpoints waits for faster ones. */
   StartPostponed = "start_postponed",
+  /** The room that is kept free for urgent work changed much. */
+  HeadroomChanged = "headroom_changed",
 }
 
 /** One decision with the inputs that led to it. */
--- a/packages/events/catalogue.ts
+++ b/packages/events/catalogue.ts
@@ -60,6 +60,7 @@
   PaceUnanswered = 6208,
   TaskGivenUp = 6209,
   StartPostponed = 6230,
+  HeadroomChanged = 6231,
   AdviceAnswered = 6301,
   AdviceFailed = 6302,
   WaveBegan = 6401,
@@ -276,6 +277,11 @@
     message: "a stage that fits on slow endpoints waits for faster ones",
     remedy: "None, unless it repeats while fast endpoints are idle.",
   },
+  [EventCode.HeadroomChanged]: {
+    severity: Severity.Info,
+    message: "the room that is kept free for urgent work changed",
+    remedy: "None.",
+  },
   [EventCode.EndpointLapsed]: {
     severity: Severity.Warn,
     message: "endpoint was unreachable until its leases expired",
--- a/packages/scheduler/decision_log.ts
+++ b/packages/scheduler/decision_log.ts
@@ -20,6 +20,7 @@
   [DecisionKind.EndpointCrashed]: EventCode.EndpointCrashed,
   [DecisionKind.TaskGivenUp]: EventCode.TaskGivenUp,
   [DecisionKind.StartPostponed]: EventCode.StartPostponed,
+  [DecisionKind.HeadroomChanged]: EventCode.HeadroomChanged,
 };
 
 /** Counters of decisions, by kind. */
--- a/packages/scheduler/plan_loop.ts
+++ b/packages/scheduler/plan_loop.ts
@@ -109,6 +109,9 @@
       cell.plan(this.#getCurrentTime(), { mayStart });
     }
     metrics.observeDuration("plan", clock.now() - startedAt, {});
+    for (const [service, kept] of cell.state.placement.headroom) {
+      metrics.setGauge("headroom_milli_cores", kept.milliCores, { service });
+    }
     this.#sendOutput();
     sessions.update(cell.state.endpoints);
     this.#lastPlanAt = clock.now();
--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -1,5 +1,5 @@
 import type { Clock, Random } from "../base/mod.ts";
-import { Admission } from "../cell/mod.ts";
+import { Admission, describePlacement } from "../cell/mod.ts";
 import { EventCode, type EventLog } from "../events/mod.ts";
 import {
   CancelReply,
@@ -269,6 +269,7 @@
         ended: cell.ended.size,
         unlocated: cell.unlocated.size,
         ready: [...cell.ready].map((stage) => stage.name),
+        placement: describePlacement(cell, now),
         endpoints: [...cell.endpoints.values()].map((endpoint) => ({
           id: endpoint.info.id,
           isHeld: endpoint.hasAcceptedFence,
