--- a/packages/cell/mod.ts
+++ b/packages/cell/mod.ts
@@ -2,6 +2,7 @@
 export * from "./cell.ts";
 export * from "./constants.ts";
 export * from "./evacuated_domains.ts";
+export { describePlacement } from "./describe_placement.ts";
 export { makeEndpoint } from "./endpoints.ts";
 export { describeLeaving } from "./leaving.ts";
 export {
--- a/packages/cell/plan.ts
+++ b/packages/cell/plan.ts
@@ -9,6 +9,8 @@
   type PlacementPass,
 } from "./placement_pass.ts";
 import { waitForFaster } from "./faster_endpoints.ts";
+import { noteExemption, observeHeadroom, reserveHeadroom } from "./headroom.ts";
+import { planPreemptions, settlePreemptions } from "./preemption.ts";
 import { sortReadyStages } from "./learned_order.ts";
 import { planGang } from "./plan_gang.ts";
 import { sortByShares } from "./dominant_shares.ts";
@@ -33,6 +35,8 @@
 export function planStarts(state: CellState, now: number): void {
   const pass = beginPlacementPass(state, now);
   reserveForMoves(pass);
+  observeHeadroom(pass);
+  settlePreemptions(pass);
   const sorted = sortReadyStages(pass);
   for (const stage of sortByShares(state, { sorted, now })) {
     if (stage.waitingTasks === 0 || stage.job.outcome) continue;
@@ -44,6 +48,7 @@
 function planStage(pass: PlacementPass, stage: Stage): void {
   const service = pass.services.get(stage.job.spec.queue.service);
   if (!service) return;
+  reserveHeadroom(pass, stage);
   const step = getStep(stage);
   const { gang } = step;
   const demand = getCapacityDemand(step);
@@ -52,12 +57,16 @@
   const mayFit = demand.milliCores <= service.maxFree.milliCores &&
     demand.memoryMb <= service.maxFree.memoryMb;
   // Cheap early exit: under load most stages fit nowhere.
-  if (hasAdvice && !gang && !mayFit) return;
+  if (hasAdvice && !gang && !mayFit) return planPreemptions(pass, stage);
   if (!hasAdvice) return askAboutUnaskedEndpoints(pass, stage);
   if (!stage.job.isCommitted) return;
   const usable = listUsable(pass, service, stage);
+  noteExemption(pass, stage, usable);
   if (gang) planGang(pass, stage, usable);
-  else planTasks(pass, stage, usable);
+  else {
+    planTasks(pass, stage, usable);
+    planPreemptions(pass, stage);
+  }
 }
 
 function planTasks(
--- a/packages/events/catalogue.ts
+++ b/packages/events/catalogue.ts
@@ -65,6 +65,8 @@
   ShareExceeded = 6222,
   ShareKept = 6223,
   StartRepeated = 6210,
+  HeadroomChanged = 6231,
+  TaskPreempted = 6232,
   AdviceAnswered = 6301,
   AdviceFailed = 6302,
   WaveBegan = 6401,
@@ -308,6 +310,16 @@
     message: "an organisation is within its share again",
     remedy: "None.",
   },
+  [EventCode.HeadroomChanged]: {
+    severity: Severity.Info,
+    message: "the room that is kept free for urgent work changed",
+    remedy: "None.",
+  },
+  [EventCode.TaskPreempted]: {
+    severity: Severity.Info,
+    message: "stopping a run to make room for urgent work",
+    remedy: "None, unless it repeats for the same tasks.",
+  },
   [EventCode.EndpointLapsed]: {
     severity: Severity.Warn,
     message: "endpoint was unreachable until its leases expired",
--- a/packages/scheduler/decision_log.ts
+++ b/packages/scheduler/decision_log.ts
@@ -26,6 +26,8 @@
   [DecisionKind.JobAdmitted]: EventCode.JobAdmitted,
   [DecisionKind.ShareExceeded]: EventCode.ShareExceeded,
   [DecisionKind.ShareKept]: EventCode.ShareKept,
+  [DecisionKind.HeadroomChanged]: EventCode.HeadroomChanged,
+  [DecisionKind.Preempted]: EventCode.TaskPreempted,
 };
 
 /** Counters of decisions, by kind. */
@@ -42,6 +44,7 @@
   [DecisionKind.JobRefused]: "jobs_refused",
   [DecisionKind.JobAdmitted]: "jobs_admitted",
   [DecisionKind.ShareExceeded]: "shares_exceeded",
+  [DecisionKind.Preempted]: "tasks_preempted",
 };
 
 /** Records one event for each decision of the cell. */
--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -4,6 +4,7 @@
   AdmissionName,
   describeAdmission,
   describeLeaving,
+  describePlacement,
 } from "../cell/mod.ts";
 import { EventCode, type EventLog } from "../events/mod.ts";
 import {
@@ -283,6 +284,7 @@
         ready: [...cell.ready].map((stage) => stage.name),
         runTimes: cell.runTimes.describe(now),
         leaving: describeLeaving(cell, now),
+        placement: describePlacement(cell, now),
         endpoints: [...cell.endpoints.values()].map((endpoint) => ({
           id: endpoint.info.id,
           isHeld: endpoint.hasAcceptedFence,
