Compute the summary of speeds by the number of known endpoints

A profile with more endpoints than are kept showed 40% of the time in the summary: while few endpoints had been measured, as at the start, it was computed again after each sample.

A quarter as many samples as known endpoints, or 3 s, lie between two summaries.

--- a/packages/runtimes/speed_table.ts
+++ b/packages/runtimes/speed_table.ts
@@ -9,9 +9,9 @@
 import type { EndpointLifetime } from "./types.ts";
 
 /** Interval between two computations of a service's summary, in milliseconds. */
-const SUMMARY_INTERVAL_MS = 1_000;
+const SUMMARY_INTERVAL_MS = 3_000;
 
-/** Samples from which it is computed earlier, relative to the measured endpoints. */
+/** Samples from which it is computed earlier, relative to the known endpoints. */
 const SUMMARY_SHARE = 0.25;
 
 /** Endpoints from which differences between them are measured. */
@@ -49,7 +49,8 @@
   isUneven: boolean;
   /** Fastest tenth relative to the slowest tenth. */
   ratio: number;
-  /** Number of endpoints whose speed counts. */
+  /** Number of endpoints, and of those whose speed counts. */
+  known: number;
   measured: number;
 }
 
@@ -146,7 +147,7 @@
     const newSamples = this.#newSamples.get(service) ?? 0;
     const isDue = !last || (newSamples > 0 &&
       (now - last.computedAt >= SUMMARY_INTERVAL_MS ||
-        newSamples >= last.measured * SUMMARY_SHARE));
+        newSamples >= last.known * SUMMARY_SHARE));
     if (last && !isDue) return last;
     this.#newSamples.delete(service);
     const limit = this.#unevenRatio * (last?.isUneven ? EVEN_AGAIN : 1);
@@ -157,7 +158,10 @@
       samples.length >= MIN_SPEED_RUNS
     );
     const enough = Math.max(MIN_UNEVEN_ENDPOINTS, known.length * UNEVEN_SHARE);
-    const summary = summarizeService(endpoints, { limit, enough, now });
+    const summary = {
+      ...summarizeService(endpoints, { limit, enough, now }),
+      known: known.length,
+    };
     this.#summaries.set(service, summary);
     return summary;
   }
@@ -166,12 +170,12 @@
 function summarizeService(
   endpoints: readonly EndpointSpeed[],
   { limit, enough, now }: { limit: number; enough: number; now: number },
-): ServiceSummary {
+): Omit<ServiceSummary, "known"> {
   const center = endpoints.length > 0
     ? computeMedian(endpoints.map(({ mean }) => mean))
     : 0;
   const groups = computeGroups(endpoints, center);
-  const summary: ServiceSummary = {
+  const summary = {
     computedAt: now,
     center,
     groups,
@@ -196,7 +200,10 @@
 /** Computes the logarithm of a speed: the mean, drawn towards the prior. */
 function computeSpeed(
   endpoint: EndpointSpeed,
-  { center, groups, priorRuns }: ServiceSummary,
+  { center, groups, priorRuns }: Pick<
+    ServiceSummary,
+    "center" | "groups" | "priorRuns"
+  >,
 ): number {
   const prior = groups.get(endpoint.group) ?? 0;
   if (endpoint.samples.length < MIN_SPEED_RUNS) return prior;
