Move the next task of a step only once the last one has started up

Cause: without a disruption budget the next long-running task was stopped as soon as the last one's start was answered, so that two of a step did not serve. A step without room elsewhere was also examined again for each of its tasks in every plan.

Change: all other tasks of the step must have started up. The room of a step is examined once for each plan.

Result: with a start-up of 500 ms and stops of 900 ms, one task of six is away at a time, with and without a budget (evacuation_moves_test).

--- a/packages/cell/colocation.ts
+++ b/packages/cell/colocation.ts
@@ -135,7 +135,8 @@
     .endpoint;
 }
 
-function isServing({ run }: Task): boolean {
+/** Returns whether a long-running task runs and has started up. */
+export function isServing({ run }: Task): boolean {
   return run?.phase === RunPhase.Running && run.percent >= SERVING_PERCENT;
 }
 
--- a/packages/cell/evacuation_moves.ts
+++ b/packages/cell/evacuation_moves.ts
@@ -1,7 +1,7 @@
 import { chooseMove, MoveVerdict } from "../evacuation/mod.ts";
 import { getCapacityDemand } from "../jobs/mod.ts";
 import { askAboutUnaskedEndpoints } from "./ask_advice.ts";
-import { canInterrupt } from "./colocation.ts";
+import { canInterrupt, isServing } from "./colocation.ts";
 import {
   formatRunKey,
   isEvacuated,
@@ -56,6 +56,8 @@
   const candidates = listCandidates(state);
   const formerRuns = state.evacuation.runs;
   state.evacuation.runs = new Map();
+  /** Stages whose tasks have found no room elsewhere in this pass. */
+  const stagesWithoutRoom = new Set<Stage>();
   for (const candidate of candidates) {
     const { run, stage, task } = candidate;
     const restMs = predictRest(state, candidate, { now });
@@ -72,12 +74,14 @@
       hasNewCheckpoint: former !== undefined &&
         former.checkpoint !== checkpoint,
       restMs,
-      areSiblingsRunning: hasRunningSiblings(stage, task),
+      areSiblingsServing: hasServingSiblings(stage, task),
       canInterrupt: canInterrupt(stage, task),
       hasRoomElsewhere: () => {
-        const isReserved = reserveElsewhere(pass, stage);
-        if (!isReserved) askAboutUnaskedEndpoints(pass, stage);
-        return isReserved;
+        if (stagesWithoutRoom.has(stage)) return false;
+        if (reserveElsewhere(pass, stage)) return true;
+        stagesWithoutRoom.add(stage);
+        askAboutUnaskedEndpoints(pass, stage);
+        return false;
       },
     });
     state.evacuation.runs.set(key, { checkpoint, verdict });
@@ -136,11 +140,8 @@
     endpoint.contact.lostAt === 0 && now >= endpoint.unresponsiveUntil;
 }
 
-function hasRunningSiblings(stage: Stage, task: Task): boolean {
-  return stage.tasks.every((sibling) =>
-    sibling === task || sibling.phase === TaskPhase.Done ||
-    sibling.run?.phase === RunPhase.Running
-  );
+function hasServingSiblings(stage: Stage, task: Task): boolean {
+  return stage.tasks.every((sibling) => sibling === task || isServing(sibling));
 }
 
 /**
--- a/packages/evacuation/moves.ts
+++ b/packages/evacuation/moves.ts
@@ -18,7 +18,7 @@
   NoContact = "no_contact",
   /** Waits for the next checkpoint, so that a move loses no work. */
   AwaitsCheckpoint = "awaits_checkpoint",
-  /** Another task of the step is being moved or is not running. */
+  /** Another task of the step is being moved or has not started up. */
   AwaitsSibling = "awaits_sibling",
   /** The disruption budget of the step is used up. */
   Budget = "budget",
@@ -37,8 +37,8 @@
   hasNewCheckpoint: boolean;
   /** Predicted remaining time, in milliseconds. */
   restMs: number;
-  /** All other tasks of the step are running. */
-  areSiblingsRunning: boolean;
+  /** All other tasks of a long-running step have started up. */
+  areSiblingsServing: boolean;
   /** The disruption budget of the step permits to interrupt the task. */
   canInterrupt: boolean;
   /** Returns whether an endpoint of another domain has room for the task. */
@@ -60,7 +60,7 @@
   if (!run.isRunning) return MoveVerdict.Unsettled;
   if (!run.hasContact) return MoveVerdict.NoContact;
   if (run.isLongRunning) {
-    if (!run.areSiblingsRunning) return MoveVerdict.AwaitsSibling;
+    if (!run.areSiblingsServing) return MoveVerdict.AwaitsSibling;
     if (!run.canInterrupt) return MoveVerdict.Budget;
   } else if (!run.hasNewCheckpoint) return MoveVerdict.AwaitsCheckpoint;
   return run.hasRoomElsewhere() ? MoveVerdict.Move : MoveVerdict.NoRoom;
--- a/packages/evacuation/moves_test.ts
+++ b/packages/evacuation/moves_test.ts
@@ -14,7 +14,7 @@
   isCheckpointing: false,
   hasNewCheckpoint: false,
   restMs: 0,
-  areSiblingsRunning: true,
+  areSiblingsServing: true,
   canInterrupt: true,
   hasRoomElsewhere: () => true,
 };
@@ -54,7 +54,7 @@
   [
     "one task of a step moves at a time",
     LONG_RUNNING,
-    { areSiblingsRunning: false },
+    { areSiblingsServing: false },
     MoveVerdict.AwaitsSibling,
   ],
   [
--- a/tests/cell/evacuation_moves_test.ts
+++ b/tests/cell/evacuation_moves_test.ts
@@ -18,6 +18,8 @@
 const LONG_RUN_MS = 60_000;
 /** Time that a stop takes on the slower of the two deployments, in milliseconds. */
 const STOP_MS = 900;
+/** Time after which a long-running task has started up, in milliseconds. */
+const START_UP_MS = 500;
 /** Interval of checkpoints there, in milliseconds. */
 const CHECKPOINT_MS = 2_000;
 
@@ -26,7 +28,10 @@
   const site = makeTwoDomains({ endpoints, afterMs: LONG_RUN_MS });
   for (const endpoint of site.endpoints.values()) {
     endpoint.getStopMs = () => STOP_MS;
-    endpoint.getPercent = () => 100;
+    endpoint.getPercent = ({ endsAt }) => {
+      const ageMs = site.now - (endsAt - LONG_RUN_MS);
+      return Math.min(100, Math.floor(100 * ageMs / START_UP_MS));
+    };
     endpoint.getSaved = () =>
       `at ${Math.floor(site.now / CHECKPOINT_MS) * CHECKPOINT_MS}`;
   }
@@ -46,13 +51,14 @@
   let mostAway = 0;
   while (site.now < until) {
     site.advance(10);
-    const running = [...site.endpoints.values()].flatMap(({ runs }) =>
-      [...runs.values()].filter(({ task, stopsAt }) =>
-        task.startsWith("s.") && stopsAt === undefined
+    const serving = [...site.endpoints.values()].flatMap((endpoint) =>
+      [...endpoint.runs.values()].filter((run) =>
+        run.task.startsWith("s.") && run.stopsAt === undefined &&
+        endpoint.getPercent(run) === 100
       )
     );
     const { tasks } = findTask(site.cell.state, "s.0.0.0")!.stage;
-    mostAway = Math.max(mostAway, tasks.length - running.length);
+    mostAway = Math.max(mostAway, tasks.length - serving.length);
   }
   return mostAway;
 }
@@ -72,7 +78,7 @@
     const there = countRunsInA(site);
     t.true(there > 0);
     evacuate(site, "a");
-    t.is(advanceAndWatch(site, there * (STOP_MS + 600)), 1);
+    t.is(advanceAndWatch(site, there * (STOP_MS + START_UP_MS + 600)), 1);
     t.is(countRunsInA(site), 0);
     t.is(site.calls.stops, there);
     t.deepEqual(site.checker.violations, []);
