Hold the test of learned speeds to its target

Cause: the test that tells speeds of 0.6, 1.0 and 1.6 apart required 98, 88 and 88% of the pairs in order, figures that were set after a trial. The target is that they are told apart within five runs.

Change: the test requires every pair; another one keeps the bounds on the medians and that the service counts as uneven.

--- a/packages/runtimes/learned_run_times_test.ts
+++ b/packages/runtimes/learned_run_times_test.ts
@@ -147,43 +147,49 @@
   t.true(rest(1_000) < fleet.model.predict(SHAPE, options));
 });
 
-// Guards against urgent work on slow endpoints because all count as equal.
-test("speeds 0.6, 1.0 and 1.6 are distinguished after 5 runs on each endpoint", (t) => {
+/** Draws five runs on each of 90 endpoints; returns their speeds, sorted, by class. */
+function learnThreeSpeeds(seed: number): { classes: number[][]; fleet: Fleet } {
   const speeds = [0.6, 1, 1.6];
-  const seeds = [1, 2, 3, 4, 5];
-  const shares = { slowFast: 0, slowUsual: 0, usualFast: 0 };
-  for (const seed of seeds) {
-    const fleet = new Fleet(seed);
-    const endpoints = Array.from({ length: 90 }, (_, n) => ({
-      id: `e${n}`,
-      speed: speeds[n % 3],
-    }));
-    for (let run = 0; run < 5; run++) {
-      for (const { id, speed } of shuffle([...endpoints], fleet.random)) {
-        fleet.run(id, 3_000 * fleet.drawRatio() / speed);
-        fleet.now += 20;
-      }
-      fleet.now += 5_000;
+  const fleet = new Fleet(seed);
+  const endpoints = Array.from({ length: 90 }, (_, n) => ({
+    id: `e${n}`,
+    speed: speeds[n % 3],
+  }));
+  for (let run = 0; run < 5; run++) {
+    for (const { id, speed } of shuffle([...endpoints], fleet.random)) {
+      fleet.run(id, 3_000 * fleet.drawRatio() / speed);
+      fleet.now += 20;
     }
-    const [slow, usual, fast] = speeds.map((speed) =>
-      endpoints.filter((endpoint) => endpoint.speed === speed)
-        .map(({ id }) => fleet.getSpeed(id)).sort((a, b) => a - b)
-    );
+    fleet.now += 5_000;
+  }
+  const classes = speeds.map((speed) =>
+    endpoints.filter((endpoint) => endpoint.speed === speed)
+      .map(({ id }) => fleet.getSpeed(id)).sort((a, b) => a - b)
+  );
+  return { classes, fleet };
+}
+
+// Guards against urgent work on slow endpoints because all count as equal.
+test("services with speeds 0.6, 1.0 and 1.6 are uneven after 5 runs on each endpoint", (t) => {
+  for (const seed of [1, 2, 3, 4, 5]) {
+    const { classes: [slow, usual, fast], fleet } = learnThreeSpeeds(seed);
     // Few runs are drawn towards 1.
     t.true(slow[15] > 0.5 && slow[15] < 0.8, `${slow[15]}`);
     t.true(usual[15] > 0.85 && usual[15] < 1.15, `${usual[15]}`);
     t.true(fast[15] > 1.3 && fast[15] < 1.8, `${fast[15]}`);
     t.true(fleet.model.isUneven("desk", fleet.now));
-    shares.slowFast += countOrdered(slow, fast) / seeds.length;
-    shares.slowUsual += countOrdered(slow, usual) / seeds.length;
-    shares.usualFast += countOrdered(usual, fast) / seeds.length;
   }
-  t.log(shares);
-  // The spread of 0.5 of single runs leaves 0.22 after five, which orders 95% of the
-  // pairs of neighbouring speeds and 99.9% of the others at best.
-  t.true(shares.slowFast >= 0.98);
-  t.true(shares.slowUsual >= 0.88);
-  t.true(shares.usualFast >= 0.88);
+});
+
+// Guards against a slow endpoint that is taken for a faster one. Single runs spread by
+// 0.5, which leaves 0.22 after five: single endpoints may stay out of order.
+test("speeds 0.6, 1.0 and 1.6 are told apart for every endpoint after 5 runs on each", (t) => {
+  for (const seed of [1, 2, 3, 4, 5]) {
+    const { classes: [slow, usual, fast] } = learnThreeSpeeds(seed);
+    t.is(countOrdered(slow, fast), 1, "0.6 and 1.6");
+    t.is(countOrdered(slow, usual), 1, "0.6 and 1.0");
+    t.is(countOrdered(usual, fast), 1, "1.0 and 1.6");
+  }
 });
 
 // Guards against even endpoints that the noise of their runs makes look uneven.
