Test gangs and urgent work with tickets for slow endpoints only

Guards against gangs and urgent tasks that are late on the endpoints for which they have tickets while faster ones are free, and against gangs that ask again although they are in time.

--- a/tests/cell/uneven_placement_test.ts
+++ b/tests/cell/uneven_placement_test.ts
@@ -185,3 +185,70 @@
     t.deepEqual(site.checker.violations, []);
   });
 }
+
+/**
+ * A gang with tickets for all endpoints, which are full. At one moment the slow ones
+ * become free, and so do the fast ones, by a restart that makes their tickets invalid.
+ */
+function submitGangWithSlowTickets(targetLatencyMs: number) {
+  const cell = openUnevenCell();
+  const { site, speedsOf } = cell;
+  const { endRule } = site;
+  site.endRule = (run, random) => {
+    if (getJobId(run.task) !== "long") return endRule(run, random);
+    const isSlow = cell.runTimes.getSpeed(run.endpoint) === 0.6;
+    return { afterMs: isSlow ? 600 : 60_000, endKind: EndKind.Done };
+  };
+  const long = makeStep({ tasks: 9, estimateMs: 60_000, demand: WHOLE });
+  site.submit(makeJob("long", [long], { queue: sweep }));
+  site.advance(400);
+  const gang = makeStep({
+    tasks: 3,
+    gang: true,
+    demand: WHOLE,
+    estimateMs: 5_000,
+  });
+  const queue = { ...bulk, stretch: 1, targetLatencyMs, advice: TICKETS };
+  site.submit(makeJob("gang", [gang], { queue }));
+  const slow = [...site.endpoints.values()].filter(({ id }) =>
+    cell.runTimes.getSpeed(id) === 0.6
+  );
+  while (slow.some(({ runs }) => runs.size > 0)) site.advance(10);
+  for (const fake of site.endpoints.values()) {
+    if (cell.runTimes.getSpeed(fake.id) === 1.6) fake.restart(site.now);
+  }
+  site.advance(200);
+  return speedsOf.get("gang");
+}
+
+test("a gang with tickets for slow endpoints only starts there if it is in time", (t) => {
+  t.deepEqual(submitGangWithSlowTickets(20_000), [0.6, 0.6, 0.6]);
+});
+
+test("a gang that would be late on the endpoints of its tickets asks about faster ones", (t) => {
+  t.deepEqual(submitGangWithSlowTickets(1_000), [1.6, 1.6, 1.6]);
+});
+
+// Guards against urgent work that is late on the endpoints that had room when it asked.
+test("urgent work with tickets for slow endpoints only asks about fast ones that became free", (t) => {
+  const { site, speedsOf, runTimes } = openUnevenCell({ endpoints: 120 });
+  site.adviceMs = 60;
+  const { endRule } = site;
+  site.endRule = (run, random) =>
+    getJobId(run.task) === "long"
+      ? { afterMs: 500, endKind: EndKind.Done }
+      : endRule(run, random);
+  const tight = makeQueue({ priority: 2, stretch: 1, targetLatencyMs: 300 });
+  const long = makeStep({ tasks: 80, estimateMs: 500, demand: WHOLE });
+  site.submit(makeJob("long", [long], { queue: tight }));
+  site.advance(490);
+  const short = makeStep({ tasks: 3, estimateMs: 850, demand: WHOLE });
+  const queue = { ...urgent, advice: TICKETS };
+  site.submit(makeJob("short", [short], { queue }));
+  const [stage] = site.cell.state.jobs.get("short")?.stages ?? [];
+  site.advance(150);
+  const asked = [...stage.advice.askedEndpoints]
+    .map((id) => runTimes.getSpeed(id));
+  t.deepEqual(new Set(asked), new Set([0.6, 1.6]));
+  t.deepEqual(speedsOf.get("short"), [1.6, 1.6, 1.6]);
+});
