Test admission by room under changes of owner and a flood beyond its share

Cause: the failure cases of admission by room covered a wrong model and failing runs, but no change of owner, lost start orders, or shares by jobs per second.

Change: two tests in room_admission_test.

--- a/tests/cell/room_admission_test.ts
+++ b/tests/cell/room_admission_test.ts
@@ -4,6 +4,7 @@
   AdmissionName,
   type AdmissionOutcome,
   type PolicyNames,
+  SharesName,
 } from "../../packages/cell/mod.ts";
 import { EndKind, type JobSpec } from "../../packages/jobs/mod.ts";
 import { RunTimes } from "../../packages/runtimes/mod.ts";
@@ -345,3 +346,59 @@
   const doneIds = new Set([...site.checker.done].map(getJobId));
   t.true(accepted.every(([id]) => doneIds.has(id)));
 });
+
+// Guards against state of admission that a change of owner or lost orders break.
+test("owners that change during a burst: accepted jobs complete and no invariant breaks", (t) => {
+  for (const shares of [SharesName.Admission, SharesName.Dominant]) {
+    const site = startSite({ policies: { shares } });
+    site.lostStartRatio = 0.1;
+    const fakes = [...site.endpoints.values()];
+    const accepted: string[] = [];
+    for (let n = 0; n < 240; n++) {
+      const id = `j${n}`;
+      const organisation = n % 3 === 0 ? "sur" : "norte";
+      if (isAccepted(submitUrgent(site, id, { organisation }))) {
+        accepted.push(id);
+      }
+      site.advance(10);
+      if (n % 80 === 40) {
+        // The acceptance of all jobs so far is committed by then.
+        site.advance(50);
+        site.replaceOwner();
+        t.is(site.cell.state.admission.refused.size, 0);
+      }
+      if (n === 100) fakes[0].restart(site.now);
+      if (n === 150) fakes[1].isUnreachable = true;
+    }
+    fakes[1].isUnreachable = false;
+    site.lostStartRatio = 0;
+    site.advance(60_000);
+    t.deepEqual(site.checker.violations, []);
+    t.true(accepted.length >= 60, `${accepted.length}`);
+    for (const id of accepted) t.true(site.checker.done.has(`${id}.0.0.0`), id);
+  }
+});
+
+// Load: the flood of admission_test, with shares by jobs per second.
+test("a flood beyond its share refuses and delays no job within its share", (t) => {
+  const site = startSite();
+  const cap = { milliCores: 0, memoryMb: 0, accelerators: 0 };
+  site.cell.updateOrganisations([
+    { name: "flood", weight: 10, cap },
+    { name: "calm", weight: 10, cap },
+  ]);
+  for (let tick = 0; tick < 300; tick++) {
+    for (let job = 0; job < 4; job++) {
+      submitUrgent(site, `f${tick}x${job}`, { organisation: "flood" });
+    }
+    if (tick % 10 === 0) {
+      const id = `c${tick}`;
+      t.true(isAccepted(submitUrgent(site, id, { organisation: "calm" })), id);
+    }
+    site.advance(10);
+  }
+  site.advance(OBJECTIVE_MS);
+  for (let tick = 0; tick < 300; tick += 10) {
+    t.true(site.checker.done.has(`c${tick}.0.0.0`));
+  }
+});
