--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -426,7 +426,6 @@
     }
     if (mayStart) planStarts(state, time.now);
     state.backlogs = measureBacklogs(state);
-    state.admission.forecasts.clear();
   }
 
   /** Drops ended jobs after the retention time. */
