State the measured time of a room forecast

Cause: the comment of MAX_FORECAST_AGE_MS named a time that had not been measured.

Change: the comment.

--- a/packages/cell/room_admission.ts
+++ b/packages/cell/room_admission.ts
@@ -16,7 +16,7 @@
 
 /**
  * Age up to which a forecast is used, in milliseconds. Plans follow each other within a
- * few milliseconds under load, and a forecast of 245 endpoints takes about one.
+ * few milliseconds under load; a forecast of 245 endpoints with 980 runs took 0.4 ms.
  */
 const MAX_FORECAST_AGE_MS = 50;
 
