Keep disruption budgets when one plan preempts several tasks of a step

Cause: the budget of each victim was checked before any of them was stopped. Two long-running tasks of one step, on one endpoint or on two, were stopped in one plan although their step had a budget of one (maxAway).

Without preemption nothing changes.

--- a/packages/cell/preemption.ts
+++ b/packages/cell/preemption.ts
@@ -1,45 +1,34 @@
 import {
   addDemand,
   type Demand,
-  fitsInto,
   getCapacityDemand,
   makeZeroDemand,
 } from "../jobs/mod.ts";
-import { canInterrupt } from "./colocation.ts";
 import { predictRoomMs } from "./faster_endpoints.ts";
 import { countFittingTasks, countWithinQuota } from "./placement.ts";
 import { predictRunMs } from "./placement_memory.ts";
 import { listUsable, type PlacementPass } from "./placement_pass.ts";
 import { PreemptionName } from "./policies.ts";
+import {
+  type Candidate,
+  findCandidate,
+  isPreemptable,
+  isPreempted,
+  measureWastedMs,
+} from "./preemption_candidates.ts";
 import {
   canMeetDeadline,
   findSpeedTiers,
   getTier,
   MEDIAN,
 } from "./speed_tiers.ts";
-import { findTask, getStep } from "./stages.ts";
+import { getStep } from "./stages.ts";
 import { addDecision } from "./state.ts";
 import { StopReason, stopRun } from "./stop_run.ts";
 import { estimateStopMs, observeStops } from "./stop_times.ts";
-import {
-  DecisionKind,
-  type Endpoint,
-  type Run,
-  RunPhase,
-  type Stage,
-  TaskPhase,
-} from "./types.ts";
+import { DecisionKind, type Endpoint, type Stage, TaskPhase } from "./types.ts";
 import { isUrgent } from "./urgency.ts";
 
-/**
- * Worth of a core-second of urgent work, as a multiple of that of other work. Callers of
- * both deployments with uneven endpoints value it at 0.030 against 0.0095 and 0.0087.
- */
-const URGENT_WORTH = 3;
-
-/** Time that a start from a checkpoint costs, in ms: the longer one of two platforms. */
-const RESTART_MS = 600;
-
 /** Largest share of a service's endpoints with a preemption at a time; at least one. */
 const MAX_PREEMPTED_SHARE = 0.05;
 
@@ -56,19 +45,6 @@
   until: number;
 }
 
-/** Runs of one endpoint that make room for a task, and what their stop wastes. */
-interface Candidate {
-  endpoint: Endpoint;
-  victims: Victim[];
-  /** Thousandths of a core times milliseconds. */
-  waste: number;
-}
-
-interface Victim {
-  run: Run;
-  waste: number;
-}
-
 /**
  * Forgets the preemptions that have served their purpose, and keeps the freed room of
  * the others from work that is not urgent.
@@ -135,8 +111,16 @@
       findCandidate(pass, stage, { endpoint, stopMs }) ?? []
     )
     .sort((a, b) => a.waste - b.waste);
-  for (const candidate of candidates.slice(0, allowance)) {
+  let preempted = 0;
+  for (const candidate of candidates) {
+    if (preempted >= allowance) return;
+    // A stop for the candidate before may have used up a disruption budget.
+    const isStillAllowed = candidate.victims.every(({ run }) =>
+      isPreemptable(pass, { run, stopMs })
+    );
+    if (!isStillAllowed) continue;
     stopVictims(pass, stage, { candidate, stopMs });
+    preempted++;
   }
 }
 
@@ -180,12 +164,6 @@
   return count;
 }
 
-function isPreempted({ state }: PlacementPass, endpoint: Endpoint): boolean {
-  return state.placement.preemptions.some((preemption) =>
-    preemption.endpoint === endpoint
-  );
-}
-
 function findSpeed(pass: PlacementPass, endpoint: Endpoint): number {
   const tiers = findSpeedTiers(pass, endpoint.info.service);
   return tiers ? tiers.speeds[getTier(tiers, endpoint)] : 1;
@@ -202,82 +180,6 @@
   return canMeetDeadline(stage, { runMs, now });
 }
 
-/**
- * Finds the runs of an endpoint whose stop makes room for a task and wastes the least;
- * `undefined` if there are none, or if their stop wastes more than the task is worth.
- */
-function findCandidate(
-  pass: PlacementPass,
-  stage: Stage,
-  { endpoint, stopMs }: { endpoint: Endpoint; stopMs: number },
-): Candidate | undefined {
-  if (pass.releases.claimed.has(endpoint) || isPreempted(pass, endpoint)) {
-    return undefined;
-  }
-  const demand = getCapacityDemand(getStep(stage));
-  const { now, state } = pass;
-  const gain = URGENT_WORTH * demand.milliCores *
-    predictRunMs(state, stage, { quantile: MEDIAN, now });
-  const used = { ...endpoint.used };
-  const reserved = pass.reservations.get(endpoint);
-  if (reserved) addDemand(used, reserved);
-  const candidate: Candidate = { endpoint, victims: [], waste: 0 };
-  for (const victim of listVictims(pass, { endpoint, stopMs })) {
-    addDemand(used, victim.run.demand, -1);
-    candidate.victims.push(victim);
-    candidate.waste += victim.waste;
-    if (candidate.waste >= gain) return undefined;
-    if (fitsInto(demand, endpoint.info.capacity, used)) return candidate;
-  }
-  return undefined;
-}
-
-/** Lists the runs that may be preempted on an endpoint, the least wasteful first. */
-function listVictims(
-  pass: PlacementPass,
-  { endpoint, stopMs }: { endpoint: Endpoint; stopMs: number },
-): Victim[] {
-  return [...endpoint.runs.values()]
-    .filter((run) => isPreemptable(pass, { run, stopMs }))
-    .map((run) => ({
-      run,
-      waste: run.demand.milliCores * (measureWastedMs(pass, run) + stopMs),
-    }))
-    .sort((a, b) => a.waste - b.waste);
-}
-
-/**
- * Returns whether a run may be preempted: no member of a gang, no urgent work, no
- * long-running task beyond its budget, and no task that would be late only because of
- * it.
- */
-function isPreemptable(
-  pass: PlacementPass,
-  { run, stopMs }: { run: Run; stopMs: number },
-): boolean {
-  const taskRef = findTask(pass.state, run.task);
-  if (!taskRef || taskRef.task.run !== run) return false;
-  const { stage, task } = taskRef;
-  if (run.phase !== RunPhase.Running || run.demand.milliCores === 0) {
-    return false;
-  }
-  if (isUrgent(stage) || stage.job.outcome || getStep(stage).gang) return false;
-  if (!canInterrupt(stage, task)) return false;
-  const { now } = pass;
-  const runMs = predictRunMs(pass.state, stage, { quantile: MEDIAN, now });
-  const restMs = Math.max(0, runMs - (now - run.startedAt));
-  const againMs = restMs + measureWastedMs(pass, run) + stopMs;
-  return !canMeetDeadline(stage, { runMs: restMs, now }) ||
-    canMeetDeadline(stage, { runMs: againMs, now });
-}
-
-/** Measures the work that a run loses if it is stopped now, in milliseconds. */
-function measureWastedMs({ now }: PlacementPass, run: Run): number {
-  return run.savedAt === undefined
-    ? now - run.startedAt
-    : now - run.savedAt + RESTART_MS;
-}
-
 function stopVictims(
   pass: PlacementPass,
   stage: Stage,
--- a/tests/cell/preemption_test.ts
+++ b/tests/cell/preemption_test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { PreemptionName } from "../../packages/cell/mod.ts";
+import { PreemptionName, RunPhase } from "../../packages/cell/mod.ts";
 import { EndKind, JobState, type StepSpec } from "../../packages/jobs/mod.ts";
 import {
   CellSite,
@@ -34,6 +34,10 @@
   /** Tasks of the urgent step. */
   tasks?: number;
   targetLatencyMs?: number;
+  /** Cores of each urgent task. */
+  cores?: number;
+  /** The tasks that fill the service have started up as soon as they run. */
+  isServing?: boolean;
 }
 
 /** A service that is full of long tasks of one core when an urgent job arrives. */
@@ -41,7 +45,10 @@
   const { endpoints = 4, long, priority = 2, ageMs = 150 } = options;
   const preemption = options.preemption ?? PreemptionName.Urgent;
   const site = new CellSite({ endpoints, policies: { preemption } });
-  for (const fake of site.endpoints.values()) fake.getStopMs = () => STOP_MS;
+  for (const fake of site.endpoints.values()) {
+    fake.getStopMs = () => STOP_MS;
+    if (options.isServing) fake.getPercent = () => 100;
+  }
   site.endRule = ({ task }) => ({
     afterMs: getJobId(task) === "long" ? 8_000 : 850,
     endKind: EndKind.Done,
@@ -56,7 +63,15 @@
     ...urgent,
     targetLatencyMs: options.targetLatencyMs ?? urgent.targetLatencyMs,
   };
-  const short = makeStep({ tasks: options.tasks ?? 1, estimateMs: 850 });
+  const short = makeStep({
+    tasks: options.tasks ?? 1,
+    estimateMs: 850,
+    demand: {
+      milliCores: (options.cores ?? 1) * 1_000,
+      memoryMb: 100,
+      accelerators: 0,
+    },
+  });
   site.submit(makeJob("short", [short], { queue }));
   return site;
 }
@@ -96,6 +111,30 @@
   });
 }
 
+const BUDGET_USES: Record<string, Options> = {
+  "on one endpoint": { endpoints: 1, cores: 2 },
+  "on two endpoints": { endpoints: 40, tasks: 2 },
+};
+
+// Guards against one plan that stops more tasks of a step than its budget permits.
+for (const [name, options] of Object.entries(BUDGET_USES)) {
+  test(`preemptions ${name} keep the disruption budget of a step`, (t) => {
+    const long = { longRunning: true, maxAway: 1 };
+    const site = submitToFullService({ ...options, long, isServing: true });
+    let most = 0;
+    for (let elapsed = 0; elapsed < 2_000; elapsed += 10) {
+      site.advance(10);
+      const stage = site.cell.state.jobs.get("long")?.stages[0];
+      const away = stage?.tasks.filter(({ run }) =>
+        run?.phase !== RunPhase.Running
+      );
+      most = Math.max(most, away?.length ?? 0);
+    }
+    t.true(most <= 1, `${most} tasks were away at a time`);
+    t.deepEqual(site.checker.violations, []);
+  });
+}
+
 test("not preempted: any run while an endpoint has room", (t) => {
   const site = submitToFullService({ long: { tasks: 31 } });
   site.advance(1_500);
