Count no room of evacuated domains for work on leaving endpoints

Cause: the room for work that moves from a leaving endpoint included endpoints of evacuated domains, where nothing starts. The work was stopped, and waited for the end of the evacuation instead of running on for as long as its endpoint stayed.

Change: countPlaces skips endpoints of evacuated domains.

Without leaving = move nothing changes.

--- a/packages/cell/leaving.ts
+++ b/packages/cell/leaving.ts
@@ -6,6 +6,7 @@
 } from "../jobs/mod.ts";
 import { canInterrupt } from "./colocation.ts";
 import { LEAVING_MARGIN_MS, LONGEST_STOP_MS } from "./constants.ts";
+import { isEvacuated } from "./evacuated_domains.ts";
 import { canAcceptStarts, isEligible } from "./placement.ts";
 import { LeavingName } from "./policies.ts";
 import { describeShape } from "./run_shape.ts";
@@ -261,6 +262,7 @@
   let places = 0;
   for (const endpoint of state.endpoints.values()) {
     const isUsable = endpoint.ejectedUntil === 0 &&
+      !isEvacuated(state, endpoint) &&
       canAcceptStarts(endpoint, now) && isEligible(endpoint, stage);
     if (!isUsable) continue;
     const used = makeZeroDemand();
--- a/tests/cell/leaving_test.ts
+++ b/tests/cell/leaving_test.ts
@@ -4,6 +4,7 @@
 import { EndKind, JobState, type StepSpec } from "../../packages/jobs/mod.ts";
 import { PlatformRecords } from "../../platform/site_records.ts";
 import { CellSite, makeJob, makeStep } from "./cell_site.ts";
+import { evacuate, makeTwoDomains } from "./evacuation_site.ts";
 
 const TASK = "a.0.0.0";
 
@@ -124,6 +125,29 @@
   t.deepEqual(site.checker.violations, []);
 });
 
+// Guards against a long-running task that is stopped and then waits for the end of an
+// evacuation, and against other work that is lost earlier than with its endpoint.
+for (const longRunning of [true, false]) {
+  test(`room in an evacuated domain is no room elsewhere: longRunning ${longRunning}`, (t) => {
+    const policies = { leaving: LeavingName.Move };
+    const site = makeTwoDomains({ endpoints: 2, afterMs: 60_000, policies });
+    for (const fake of site.endpoints.values()) {
+      if (longRunning) fake.getPercent = () => 100;
+    }
+    evacuate(site, "a");
+    const step = makeStep({ longRunning, maxAway: 1, estimateMs: 10_000 });
+    site.submit(makeJob("a", [step]));
+    site.advance(500);
+    beginLeaving(site, site.findPlacement(TASK).id, 4_000);
+    site.advance(2_000);
+    t.is(site.calls.stops, 0);
+    evacuate(site);
+    site.advance(1_000);
+    t.is(site.calls.stops, 1);
+    t.deepEqual(site.checker.violations, []);
+  });
+}
+
 // Guards against a gang that loses what all members have done since the last checkpoint
 // when the endpoint of one of them is gone.
 test("a gang with a member on a leaving endpoint is saved and moves as a whole", (t) => {
