Preempt nothing for a task that may not start on the endpoint

Cause: preemption looked at the room of an endpoint, and not at the limit of the urgent step for tasks on one endpoint (maxPerEndpoint). Runs were stopped where the limit was reached already; the task stayed where it was, and once the room was given up, further runs could be stopped for it.

Change: an endpoint that runs as many tasks of the step as it may is no candidate. countBelowEndpointLimit reads the step itself.

Without preemption nothing changes.

--- a/packages/cell/placement.ts
+++ b/packages/cell/placement.ts
@@ -4,7 +4,6 @@
   fitsInto,
   getCapacityDemand,
   makeZeroDemand,
-  type StepSpec,
 } from "../jobs/mod.ts";
 
 import { MAX_EJECTED_FRACTION, TICKET_MARGIN_MS } from "./constants.ts";
@@ -149,7 +148,7 @@
   if (!fitsInto(demand, endpoint.info.capacity, used)) return 0;
   if (view.onTrial.has(endpoint)) return endpoint.runs.size === 0 ? 1 : 0;
   const fittingCount = countFits(demand, endpoint.info.capacity, used);
-  return Math.min(fittingCount, countBelowEndpointLimit(endpoint, stage, step));
+  return Math.min(fittingCount, countBelowEndpointLimit(endpoint, stage));
 }
 
 /**
@@ -205,11 +204,11 @@
  * Counts how many more tasks `maxPerEndpoint` permits on an endpoint. Runs that
  * are being stopped count, whether they are their task's current run or not.
  */
-function countBelowEndpointLimit(
+export function countBelowEndpointLimit(
   endpoint: Endpoint,
   stage: Stage,
-  step: StepSpec,
 ): number {
+  const step = getStep(stage);
   if (step.maxPerEndpoint <= 0) return Number.MAX_SAFE_INTEGER;
   let running = 0;
   for (const { name } of stage.tasks) {
--- a/packages/cell/preemption_candidates.ts
+++ b/packages/cell/preemption_candidates.ts
@@ -1,5 +1,6 @@
 import { addDemand, fitsInto, getCapacityDemand } from "../jobs/mod.ts";
 import { canInterrupt } from "./colocation.ts";
+import { countBelowEndpointLimit } from "./placement.ts";
 import { predictRunMs } from "./placement_memory.ts";
 import type { PlacementPass } from "./placement_pass.ts";
 import { canMeetDeadline, MEDIAN } from "./speed_tiers.ts";
@@ -51,6 +52,7 @@
   if (pass.releases.claimed.has(endpoint) || isPreempted(pass, endpoint)) {
     return undefined;
   }
+  if (countBelowEndpointLimit(endpoint, stage) === 0) return undefined;
   const demand = getCapacityDemand(getStep(stage));
   const { now, state } = pass;
   const gain = URGENT_WORTH * demand.milliCores *
--- a/tests/cell/preemption_test.ts
+++ b/tests/cell/preemption_test.ts
@@ -36,6 +36,10 @@
   targetLatencyMs?: number;
   /** Cores of each urgent task. */
   cores?: number;
+  /** Urgent tasks that one endpoint may run; 0: any number. */
+  maxPerEndpoint?: number;
+  /** Estimated run time of each urgent task, in milliseconds. */
+  estimateMs?: number;
   /** The tasks that fill the service have started up as soon as they run. */
   isServing?: boolean;
 }
@@ -65,7 +69,8 @@
   };
   const short = makeStep({
     tasks: options.tasks ?? 1,
-    estimateMs: 850,
+    estimateMs: options.estimateMs ?? 850,
+    maxPerEndpoint: options.maxPerEndpoint ?? 0,
     demand: {
       milliCores: (options.cores ?? 1) * 1_000,
       memoryMb: 100,
@@ -135,6 +140,21 @@
   });
 }
 
+// Guards against stops for a task that may not start in the freed room.
+test("no room is freed on an endpoint that runs as many tasks of the step as it may", (t) => {
+  const site = submitToFullService({
+    endpoints: 1,
+    tasks: 2,
+    maxPerEndpoint: 1,
+    estimateMs: 1_500,
+  });
+  site.advance(900);
+  t.is(site.calls.stops, 1);
+  site.advance(10_000);
+  t.is(site.find("short"), JobState.Completed);
+  t.deepEqual(site.checker.violations, []);
+});
+
 test("not preempted: any run while an endpoint has room", (t) => {
   const site = submitToFullService({ long: { tasks: 31 } });
   site.advance(1_500);
