Preempt nothing for tasks that may not be started yet

Cause: preemption counted all waiting tasks of an urgent stage whose backoff has passed, also suspects of crashes before their next trial, and tasks of which a former run is still being stopped. Runs were stopped for them although they could not start.

Change: only tasks that planTasks would start count.

Without preemption nothing changes.

--- a/packages/cell/preemption.ts
+++ b/packages/cell/preemption.ts
@@ -27,6 +27,7 @@
 import { StopReason, stopRun } from "./stop_run.ts";
 import { estimateStopMs, observeStops } from "./stop_times.ts";
 import { DecisionKind, type Endpoint, type Stage, TaskPhase } from "./types.ts";
+import { mayTry } from "./trials.ts";
 import { isUrgent } from "./urgency.ts";
 
 /** Largest share of a service's endpoints with a preemption at a time; at least one. */
@@ -131,10 +132,12 @@
 }
 
 /** Counts the tasks that could start now and for which no room is being freed. */
-function countUnserved({ state, now }: PlacementPass, stage: Stage): number {
+function countUnserved(pass: PlacementPass, stage: Stage): number {
+  const { state, now, stoppingTasks } = pass;
   const startable =
-    stage.tasks.filter(({ phase, notBefore }) =>
-      phase === TaskPhase.Waiting && now >= notBefore
+    stage.tasks.filter((task) =>
+      task.phase === TaskPhase.Waiting && now >= task.notBefore &&
+      !stoppingTasks.has(task.name) && mayTry(pass, stage, [task])
     ).length;
   const served =
     state.placement.preemptions.filter((preemption) =>
--- a/tests/cell/preemption_test.ts
+++ b/tests/cell/preemption_test.ts
@@ -155,6 +155,22 @@
   t.deepEqual(site.checker.violations, []);
 });
 
+// Guards against runs that are stopped, one after the other, for a task that must wait.
+test("not preempted: any run for a suspect of crashes before its next trial", (t) => {
+  const site = submitToFullService();
+  const [task] = site.cell.state.jobs.get("short")!.stages[0].tasks;
+  task.crashes.counted.push({
+    run: 1,
+    endpoint: "e0",
+    bornAt: 1,
+    isWidespread: false,
+  });
+  task.crashes.retryAt = site.now + 60_000;
+  site.advance(1_500);
+  t.is(site.calls.stops, 0);
+  t.deepEqual(site.checker.violations, []);
+});
+
 test("not preempted: any run while an endpoint has room", (t) => {
   const site = submitToFullService({ long: { tasks: 31 } });
   site.advance(1_500);
