Let the predicted time of submissions fall without calls

Cause: an entry does not send a submission whose deadline is nearer than the predicted time of a call, and only settled calls correct the prediction. After a few slow calls, an entry whose callers all have short deadlines sent no call any more, and refused each of them for good.

--- a/packages/scheduler/owner_calls.ts
+++ b/packages/scheduler/owner_calls.ts
@@ -102,7 +102,9 @@
     const { clock, gateway } = this.#parts;
     const startedAt = clock.now();
     const giveUpAt = Math.min(startedAt + call.timeoutMs, this.#answerBy);
-    const neededMs = call.mayRefuseLate ? this.#callTimes.predict() : 0;
+    const neededMs = call.mayRefuseLate
+      ? this.#callTimes.predict(startedAt)
+      : 0;
     const waitUntil = Math.min(giveUpAt - neededMs, startedAt + OWNER_WAIT_MS);
     const settleUntil = Math.min(giveUpAt, startedAt + SETTLE_WAIT_MS);
     /** Owners of the attempts whose effect is unknown. */
@@ -161,7 +163,8 @@
       const kind = call.classify(reply);
       // Refusals and replies of entries that own nothing take less time.
       if (!call.isRead && kind === ReplyKind.Final) {
-        this.#callTimes.observe(clock.now() - sentAt);
+        const now = clock.now();
+        this.#callTimes.observe(now - sentAt, now);
       }
       return {
         kind,
--- a/tests/virtual/late_submission_test.ts
+++ b/tests/virtual/late_submission_test.ts
@@ -114,3 +114,29 @@
   gateway.setOwner(undefined, false);
   t.is(await submit(400, 102), AnswerKind.Unavailable);
 });
+
+// Guards against an entry that refuses every submission for good: a few slow calls raise
+// the prediction above the time of all its callers, and no call is sent to lower it.
+test("after a slow owner, callers with short deadlines are served again", async (t) => {
+  const { service, time, handlers } = await startLateService();
+  let answerMs = 300;
+  const accepted = { admission: Admission.Accepted, reason: "" } as const;
+  handlers["job.submit"] = () =>
+    new Promise((resolve) =>
+      time.schedule("owner", answerMs, () => resolve(accepted))
+    );
+  const submit = async (deadlineMs: number, n: number) => {
+    const request = { ...REQUEST, path: `/f/${n}`, deadlineMs };
+    return (await settle(time, service.submit(request, parseEmptyJob))).answer
+      .kind;
+  };
+  for (let n = 0; n < 20; n++) await submit(3_000, n);
+  answerMs = 20;
+  const kinds: AnswerKind[] = [];
+  for (let n = 100; n < 130; n++) {
+    kinds.push(await submit(400, n));
+    await time.advance(1_000);
+  }
+  t.is(kinds[0], AnswerKind.Unavailable);
+  t.deepEqual(new Set(kinds.slice(20)), new Set([AnswerKind.Accepted]));
+});
