Leave evacuated endpoints out of the capacity that is shared

Cause: with shares = dominant, endpoints of an evacuated domain counted as capacity although nothing starts there. Scarcity was noticed too late, and a flood counted as within its share while it filled all the room that was left.

Change: measureCapacity skips evacuated endpoints, as the forecast of admission does.

--- a/packages/cell/dominant_shares.ts
+++ b/packages/cell/dominant_shares.ts
@@ -5,6 +5,7 @@
   type JobSpec,
   makeZeroDemand,
 } from "../jobs/mod.ts";
+import { isEvacuated } from "./evacuated_domains.ts";
 import { SharesName } from "./policies.ts";
 import { getStep } from "./stages.ts";
 import { addDecision, type CellState } from "./state.ts";
@@ -182,8 +183,10 @@
 
 function measureCapacity(state: CellState, service: string): Demand {
   const capacity = makeZeroDemand();
-  for (const { info, isListed } of state.endpoints.values()) {
+  for (const endpoint of state.endpoints.values()) {
+    const { info, isListed } = endpoint;
     if (!isListed || info.isDraining || info.service !== service) continue;
+    if (isEvacuated(state, endpoint)) continue;
     addDemand(capacity, info.capacity);
   }
   return capacity;
--- a/tests/cell/dominant_shares_test.ts
+++ b/tests/cell/dominant_shares_test.ts
@@ -5,6 +5,7 @@
   SharesName,
 } from "../../packages/cell/mod.ts";
 import { CellSite, makeJob, makeQueue, makeStep } from "./cell_site.ts";
+import { evacuate, makeTwoDomains } from "./evacuation_site.ts";
 
 /** Objective of a job of 600 ms: 1,150 ms. */
 const queue = makeQueue({ priority: 0, stretch: 1.5, targetLatencyMs: 250 });
@@ -131,3 +132,20 @@
   t.deepEqual(site.checker.violations, []);
   t.is(site.checker.done.size, 10);
 });
+
+// Guards against shares of room that takes no starts: a flood would count as within its
+// share while it fills all the room that is left.
+test("endpoints of an evacuated domain do not count as capacity", (t) => {
+  const site = makeTwoDomains({
+    afterMs: 60_000,
+    policies: { shares: SharesName.Dominant, admission: AdmissionName.Open },
+  });
+  evacuate(site, "a");
+  for (let n = 0; n < 14; n++) submit(site, `flood-${n}`, "flood");
+  site.advance(200);
+  for (let n = 0; n < 6; n++) submit(site, `calm-${n}`, "calm");
+  site.advance(10);
+  const { admission } = site.cell.state;
+  const level = admission.shareLevels.get("desk")?.level ?? 0;
+  t.true(level > 0.4 && level < 0.5, `${level}`);
+});
