Admit by the callers' estimates if a prediction is not finite

Cause: a remaining time of NaN placed the room of running work in the first interval of the forecast, and a run time that is NaN or infinite never fits a curve, so that every gang was refused unless it could start at once.

Change: PredictedEnds falls back to the caller's estimate unless the model's number is finite. Only admission reads it; LearnedRunTimes is not known to give such numbers.

Result: predicted_ends_test: with NaN and infinity, a gang behind runs of 10 s is accepted and one behind runs of 60 s is refused; before, both were refused.

--- a/packages/cell/predicted_ends.ts
+++ b/packages/cell/predicted_ends.ts
@@ -61,8 +61,10 @@
   stage: Parameters<typeof describeShape>[0],
   { now }: { now: number },
 ): number {
+  const shape = describeShape(stage);
   const options = { quantile: MEDIAN, speed: 1, now };
-  return Math.max(1, state.runTimes.predict(describeShape(stage), options));
+  const predictedMs = state.runTimes.predict(shape, options);
+  return Math.max(1, chooseFinite(predictedMs, shape.estimateMs));
 }
 
 function computeRest(
@@ -76,7 +78,19 @@
   if (getStep(stage).longRunning) return Number.POSITIVE_INFINITY;
   const elapsedMs = Math.max(0, now - run.startedAt);
   const speed = state.runTimes.getSpeed(run.endpoint.info.id, now);
+  const shape = describeShape(stage);
   const options = { quantile: MEDIAN, speed, now, elapsedMs };
-  const restMs = state.runTimes.predictRest(describeShape(stage), options);
-  return Math.max(restMs, elapsedMs * MIN_REST_FRACTION);
+  const restMs = state.runTimes.predictRest(shape, options);
+  return Math.max(
+    chooseFinite(restMs, shape.estimateMs - elapsedMs),
+    elapsedMs * MIN_REST_FRACTION,
+  );
+}
+
+/**
+ * Returns a prediction, or the caller's estimate if the model gives no finite number: a
+ * run whose end is NaN would free its room at once, an endless task would never do so.
+ */
+function chooseFinite(predictedMs: number, estimatedMs: number): number {
+  return Number.isFinite(predictedMs) ? predictedMs : estimatedMs;
 }
