Skip waiting stages that fit nowhere beside the headroom

Headroom leaves free cores that only urgent work may use, so that no stage was skipped, and each plan examined all endpoints of each waiting stage.

Change: when the headroom is reserved, the largest room beside it is measured once for each plan, and stages that do not fit are skipped. Tasks that some idle endpoint could not hold beside it may be exempt from the headroom, and are not skipped.

The tests of headroom, preemption and uneven placement pass.

--- a/packages/cell/headroom.ts
+++ b/packages/cell/headroom.ts
@@ -31,11 +31,18 @@
   reserved: Map<Endpoint, Demand>;
   /** Stages that fit nowhere beside the headroom, and to which it does not apply. */
   exempt: Set<Stage>;
+  /** Largest free and smallest idle room of an endpoint beside it, by service. */
+  beside: Map<string, { free: Demand; idle: Demand }>;
 }
 
 /** Makes the headroom of a new pass. */
 export function makeHeadroom(): Headroom {
-  return { services: new Set(), reserved: new Map(), exempt: new Set() };
+  return {
+    services: new Set(),
+    reserved: new Map(),
+    exempt: new Set(),
+    beside: new Map(),
+  };
 }
 
 /** Observes urgent work for the headroom of later plans. */
@@ -78,6 +85,7 @@
   const reservedMilliCores = demand
     ? reserveOnFastest(pass, service, { accepting, target, task: demand.task })
     : 0;
+  if (reservedMilliCores > 0) measureBeside(pass, service, accepting);
   noteHeadroom(pass, service, {
     milliCores: reservedMilliCores,
     targetMilliCores: Math.max(0, target),
@@ -160,6 +168,53 @@
   return sum;
 }
 
+/** Measures the room beside the headroom, once for each plan. */
+function measureBeside(
+  { headroom }: PlacementPass,
+  service: string,
+  accepting: readonly Endpoint[],
+): void {
+  const free = makeZeroDemand();
+  const idle = {
+    ...makeZeroDemand(),
+    milliCores: Number.POSITIVE_INFINITY,
+    memoryMb: Number.POSITIVE_INFINITY,
+  };
+  for (const endpoint of accepting) {
+    const kept = headroom.reserved.get(endpoint) ?? makeZeroDemand();
+    const { capacity } = endpoint.info;
+    for (const amount of ["milliCores", "memoryMb"] as const) {
+      const besideKept = capacity[amount] - kept[amount];
+      idle[amount] = Math.min(idle[amount], besideKept);
+      free[amount] = Math.max(
+        free[amount],
+        besideKept - endpoint.used[amount],
+      );
+    }
+  }
+  headroom.beside.set(service, { free, idle });
+}
+
+/**
+ * Returns whether a task may fit beside the headroom. Load: hundreds of waiting stages
+ * in a full service; the headroom alone would hold each of them, so that a plan would
+ * examine all their endpoints. Tasks that some idle endpoint could not hold beside it
+ * may be exempt, and count as fitting.
+ */
+export function mayFitBeside(
+  { headroom }: PlacementPass,
+  stage: Stage,
+): boolean {
+  const beside = headroom.beside.get(stage.job.spec.queue.service);
+  if (!beside || isUrgent(stage)) return true;
+  const demand = getCapacityDemand(getStep(stage));
+  const { free, idle } = beside;
+  const mayBeExempt = demand.accelerators > 0 ||
+    demand.milliCores > idle.milliCores || demand.memoryMb > idle.memoryMb;
+  return mayBeExempt || (demand.milliCores <= free.milliCores &&
+    demand.memoryMb <= free.memoryMb);
+}
+
 /**
  * Exempts a stage from the headroom if it would not fit beside it even on idle
  * endpoints: a gang that needs almost the whole service, or tasks that only the
--- a/packages/cell/plan.ts
+++ b/packages/cell/plan.ts
@@ -9,7 +9,12 @@
   type PlacementPass,
 } from "./placement_pass.ts";
 import { waitForFaster } from "./faster_endpoints.ts";
-import { noteExemption, observeHeadroom, reserveHeadroom } from "./headroom.ts";
+import {
+  mayFitBeside,
+  noteExemption,
+  observeHeadroom,
+  reserveHeadroom,
+} from "./headroom.ts";
 import { planPreemptions, settlePreemptions } from "./preemption.ts";
 import { sortReadyStages } from "./learned_order.ts";
 import { planGang } from "./plan_gang.ts";
@@ -55,7 +60,8 @@
   const hasAdvice = !stage.job.spec.queue.advice ||
     stage.advice.askedEndpoints.size > 0;
   const mayFit = demand.milliCores <= service.maxFree.milliCores &&
-    demand.memoryMb <= service.maxFree.memoryMb;
+    demand.memoryMb <= service.maxFree.memoryMb &&
+    mayFitBeside(pass, stage);
   // Cheap early exit: under load most stages fit nowhere.
   if (hasAdvice && !gang && !mayFit) return planPreemptions(pass, stage);
   if (!hasAdvice) return askAboutUnaskedEndpoints(pass, stage);
--- a/tests/cell/headroom_test.ts
+++ b/tests/cell/headroom_test.ts
@@ -1,5 +1,8 @@
 import test from "ava";
 import { HeadroomName } from "../../packages/cell/mod.ts";
+import { mayFitBeside, reserveHeadroom } from "../../packages/cell/headroom.ts";
+import { countFittingTasks } from "../../packages/cell/placement.ts";
+import { beginPlacementPass } from "../../packages/cell/placement_pass.ts";
 import { EndKind, JobState } from "../../packages/jobs/mod.ts";
 import {
   CellSite,
@@ -138,3 +141,55 @@
   site.advance(20_000);
   t.deepEqual(site.checker.violations, []);
 });
+
+// Guards against plans that examine the endpoints of every waiting stage because each
+// would fit into the headroom alone, and against one that skips a stage which fits.
+test("stages that fit nowhere beside the headroom are skipped, others are not", (t) => {
+  let skipped = 0;
+  let wronglySkipped = 0;
+  runBursts(HeadroomName.Learned, {
+    urgentMs: 20_000,
+    onTick: ({ cell: { state }, now }) => {
+      const pass = beginPlacementPass(state, now);
+      const service = pass.services.get("desk");
+      const stage = [...state.ready].find(({ job, waitingTasks }) =>
+        job.spec.queue === sweep && waitingTasks > 0
+      );
+      if (!stage || !service) return;
+      reserveHeadroom(pass, stage);
+      if (service.maxFree.milliCores < 1_000 || mayFitBeside(pass, stage)) {
+        return;
+      }
+      skipped++;
+      const fits = [...service.accepting].some((endpoint) =>
+        countFittingTasks(pass, endpoint, stage) > 0
+      );
+      if (fits) wronglySkipped++;
+    },
+  });
+  t.true(skipped > 10, `${skipped}`);
+  t.is(wronglySkipped, 0);
+});
+
+test("a task that an idle endpoint cannot hold beside the headroom is not skipped", (t) => {
+  let checked = 0;
+  runBursts(HeadroomName.Learned, {
+    urgentMs: 20_000,
+    onTick: (site) => {
+      const { state } = site.cell;
+      const id = `whole${site.now}`;
+      const demand = { milliCores: 8_000, memoryMb: 100, accelerators: 0 };
+      site.submit(makeJob(id, [makeStep({ demand })], { queue: sweep }));
+      const pass = beginPlacementPass(state, site.now);
+      const stage = state.jobs.get(id)?.stages[0];
+      if (!stage) return;
+      reserveHeadroom(pass, stage);
+      if (pass.headroom.reserved.size > 0) {
+        checked++;
+        t.true(mayFitBeside(pass, stage));
+      }
+      site.cancel(id);
+    },
+  });
+  t.true(checked > 0);
+});
