--- a/packages/scheduler/caller_service.ts
+++ b/packages/scheduler/caller_service.ts
@@ -1,4 +1,3 @@
-import { match } from "ts-pattern";
 import {
   type Clock,
   computeRetryAfter,
@@ -11,12 +10,7 @@
 import { CancelReply, type SubmitReply } from "../links/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type { ConfigFeed } from "./config_feed.ts";
-import {
-  ANSWER_MARGIN_MS,
-  DEFAULT_DEADLINE_MS,
-  KEY_TRUST_FRACTION,
-  NO_OWNER_RETRY_MS,
-} from "./constants.ts";
+import { KEY_TRUST_FRACTION, NO_OWNER_RETRY_MS } from "./constants.ts";
 import { OwnerCalls, ReplyKind } from "./owner_calls.ts";
 import type { OwnerGateway } from "./owner_gateway.ts";
 import {
@@ -27,6 +21,12 @@
   type JobRequest,
   type QueueRoute,
 } from "./types.ts";
+import {
+  classifySubmitReply,
+  computeTimeout,
+  formatRequestKey,
+  selectQueueRules,
+} from "./caller_requests.ts";
 import { UnsettledRequests } from "./unsettled_requests.ts";
 
 /** The dependencies and settings of a `CallerService`. */
@@ -331,28 +331,3 @@
     });
   }
 }
-
-function computeTimeout({ deadlineMs }: CallerRequest): number {
-  const totalMs = deadlineMs > 0 ? deadlineMs : DEFAULT_DEADLINE_MS;
-  const remainingMs = Math.max(ANSWER_MARGIN_MS, totalMs - ANSWER_MARGIN_MS);
-  return remainingMs;
-}
-
-/** Formats what identifies a submission to this entry. */
-function formatRequestKey({ host, path }: CallerRequest): string {
-  return `${host}${path}`;
-}
-
-function classifySubmitReply(reply: SubmitReply): ReplyKind {
-  if (reply.isUnknown) return ReplyKind.Unknown;
-  return match(reply.admission)
-    .with(Admission.Accepted, Admission.Known, () => ReplyKind.Final)
-    .with(Admission.NotOwner, () => ReplyKind.NotOwner)
-    .with(Admission.Refused, Admission.StoreStalled, () => ReplyKind.Refused)
-    .exhaustive();
-}
-
-function selectQueueRules(queue: QueueRoute): JobSpec["queue"] {
-  const { host: _host, prefix: _prefix, isOpen: _isOpen, ...rules } = queue;
-  return rules;
-}
