--- a/packages/scheduler/owner_gateway.ts
+++ b/packages/scheduler/owner_gateway.ts
@@ -97,6 +97,7 @@
     this.#link?.close("the owner of the cell has changed");
     this.#link = undefined;
     this.#isOwnerReady = false;
+    this.isOwnerAtStore = false;
     if (this.canReachOwner) this.releaseWaiting();
     if (owner && !isLocal) void this.#openLink(owner);
   }
