Select no endpoints for advice while no entry can ask

What callers saw: the more urgent jobs came, the fewer were started, while endpoints were idle. Cause: each plan selected endpoints anew (a look at each, two sorts) for each stage that waits for a call to the policy service, also while no entry could make one. Plans may take a quarter of the time, so longer plans are fewer, and entries idle until the next plan gives them a call: more stages wait. Change: the check whether an entry can ask comes before the selection. Result: the test of plans beside 200 waiting stages, 100 endpoints: 100,800 looks before, within 100 of an idle plan's 800 now.

--- a/packages/cell/ask_advice.ts
+++ b/packages/cell/ask_advice.ts
@@ -50,6 +50,8 @@
   const { advice } = stage;
   const isWaiting = advice.callsInFlight > 0 || pass.now < advice.retryAt;
   if (!service || !queue.advice || isWaiting) return;
+  // Load: hundreds of stages wait for a call that no entry can make yet.
+  if (countFreeEntries(pass.state.adviceBacklogsMs) === 0) return;
   const unasked = listEligible(service, stage).filter(({ info }) =>
     !advice.askedEndpoints.has(info.id)
   );
@@ -63,6 +65,13 @@
   );
 }
 
+/** Counts the entries that can take another call. */
+function countFreeEntries(backlogsMs: readonly number[]): number {
+  let count = 0;
+  for (const ms of backlogsMs) if (ms < MAX_ADVICE_BACKLOG_MS) count++;
+  return count;
+}
+
 /** Splits the endpoints into one list for each call. */
 function splitAmongCalls(
   endpoints: readonly Endpoint[],
