Read answers that have arrived before a call counts as unanswered

What callers saw: gangs stopped and endpoints set aside for 2 s while the owner was late; their work was late. Cause: timers run before sockets are read. A process that was busy beyond a call's timeout took an answer that had arrived for none. Change: a timeout ends the wait after the next read of the sockets.

--- a/packages/platform/http_json.ts
+++ b/packages/platform/http_json.ts
@@ -132,6 +132,7 @@
   #reject!: (error: Error) => void;
   #controller: Dispatcher.DispatchController | undefined;
   #hasTimedOut = false;
+  #isSettled = false;
   #status = 0;
   readonly #chunks: Buffer[] = [];
 
@@ -140,13 +141,12 @@
       this.#resolve = resolve;
       this.#reject = reject;
     });
-    this.#timer = setTimeout(() => {
-      this.#hasTimedOut = true;
-      const error = new AnswerTimeoutError("timed out");
-      this.#controller?.abort(error);
-      // The call may still wait for a connection.
-      this.#reject(error);
-    }, timeoutMs);
+    // Timers run before sockets are read: if this process is late, the answer may have
+    // arrived, and is read before the immediate runs.
+    this.#timer = setTimeout(
+      () => setImmediate(() => this.#endWait()),
+      timeoutMs,
+    );
   }
 
   /** Makes the handler of undici for the call. */
@@ -161,12 +161,22 @@
       },
       onResponseEnd: () => this.#finish(),
       onResponseError: (_controller, error) => {
+        this.#isSettled = true;
         clearTimeout(this.#timer);
         this.#reject(error);
       },
     };
   }
 
+  #endWait(): void {
+    if (this.#isSettled) return;
+    this.#hasTimedOut = true;
+    const error = new AnswerTimeoutError("timed out");
+    this.#controller?.abort(error);
+    // The call may still wait for a connection.
+    this.#reject(error);
+  }
+
   /** Prevents that a call is sent whose caller was told that it timed out. */
   #beginRequest(controller: Dispatcher.DispatchController): void {
     this.#controller = controller;
@@ -175,6 +185,7 @@
   }
 
   #finish(): void {
+    this.#isSettled = true;
     clearTimeout(this.#timer);
     const text = this.#chunks.length === 1
       ? this.#chunks[0].toString()
--- a/packages/platform/http_json_test.ts
+++ b/packages/platform/http_json_test.ts
@@ -1,5 +1,6 @@
 import { createServer, type RequestListener, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
+import { Worker } from "node:worker_threads";
 import test from "ava";
 import { NotSentError, UnknownEffectError } from "../base/mod.ts";
 import { HttpJsonClient } from "./mod.ts";
@@ -72,6 +73,34 @@
   });
 });
 
+/** Answers every call at once, in a thread of its own. */
+const ANSWERING_SERVER = `
+const { createServer } = require("node:http");
+const { parentPort } = require("node:worker_threads");
+const server = createServer((_, response) => response.end("{}"));
+server.listen(0, "127.0.0.1", () => parentPort.postMessage(server.address().port));
+`;
+
+// An owner that was late took answers that had arrived for timeouts: it stopped gangs and
+// set healthy endpoints aside.
+test("an answer that has arrived counts, although the process was busy beyond the timeout", async (t) => {
+  const worker = new Worker(ANSWERING_SERVER, { eval: true });
+  t.teardown(() => worker.terminate());
+  const port = await new Promise<number>((resolve) =>
+    worker.once("message", resolve)
+  );
+  const client = new HttpJsonClient({ connections: 1, connectTimeoutMs: 500 });
+  const url = `http://127.0.0.1:${port}/`;
+  // Opens the connection.
+  await client.exchange({ ...makeCall(url), timeoutMs: 5_000 });
+  const answer = client.exchange(makeCall(url));
+  await new Promise((resolve) => setImmediate(resolve));
+  const busyUntil = performance.now() + 3 * TIMEOUT_MS;
+  while (performance.now() < busyUntil);
+  t.is((await answer).status, 200);
+  await client.close();
+});
+
 test("a refused connection is reported as not sent", async (t) => {
   const client = new HttpJsonClient({ connections: 1, connectTimeoutMs: 500 });
   const error = await t.throwsAsync(
