Keep sums of what organisations run instead of adding them up at each plan

What callers saw: as before; plans of a busy owner were too long and too few. Cause: dominant shares added up all runs of all endpoints at each plan, and the backlog of the other admission was measured, which nothing read. Evidence: profile of 250 endpoints under three times the usual demand, in memory: 1.2 of 4.1 s of plans went into the shares. Change: sums that change with each run; the backlog is measured only for the admission that reads it.

--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -22,6 +22,7 @@
 import { planLeaving } from "./leaving.ts";
 import { planStarts } from "./plan.ts";
 import {
+  AdmissionName,
   buildPolicies,
   DEFAULT_POLICIES,
   type PolicyNames,
@@ -30,6 +31,7 @@
 import { setReturnDueTime } from "./room_admission.ts";
 import { predictJob } from "./predict_job.ts";
 import { buildRunTimes } from "./run_feed.ts";
+import { RunningDemand } from "./running_demand.ts";
 import { ShareMeter } from "./share_meter.ts";
 import {
   type CellSnapshot,
@@ -109,6 +111,7 @@
       suspects: new Map(),
       recentCrashes: [],
       stoppingRuns: new Set(),
+      running: new RunningDemand(),
       shareMeter: new ShareMeter(),
       policies: buildPolicies(options.policies ?? DEFAULT_POLICIES),
       evacuation: makeEvacuationState(),
@@ -425,7 +428,9 @@
       openStages(state, job, time);
     }
     if (mayStart) planStarts(state, time.now);
-    state.backlogs = measureBacklogs(state);
+    if (state.policies.names.admission === AdmissionName.Predicted) {
+      state.backlogs = measureBacklogs(state);
+    }
   }
 
   /** Drops ended jobs after the retention time. */
--- a/packages/cell/dominant_shares.ts
+++ b/packages/cell/dominant_shares.ts
@@ -153,21 +153,22 @@
   const demands = new Map<string, Map<string, OrganisationDemand>>();
   const usualWeight = computeUsualWeight(state);
   const getDemand = (service: string, name: string): OrganisationDemand => {
-    const organisations = demands.get(service) ?? new Map();
-    demands.set(service, organisations);
-    const demand: OrganisationDemand = organisations.get(name) ?? {
-      weight: state.organisations?.get(name)?.weight || usualWeight,
-      running: makeZeroDemand(),
-      wanted: makeZeroDemand(),
-    };
-    organisations.set(name, demand);
+    let organisations = demands.get(service);
+    if (!organisations) demands.set(service, organisations = new Map());
+    let demand = organisations.get(name);
+    if (!demand) {
+      const weight = state.organisations?.get(name)?.weight || usualWeight;
+      const [running, wanted] = [makeZeroDemand(), makeZeroDemand()];
+      organisations.set(name, demand = { weight, running, wanted });
+    }
     return demand;
   };
-  for (const { info, runs } of state.endpoints.values()) {
-    for (const { organisation, demand } of runs.values()) {
-      const { running, wanted } = getDemand(info.service, organisation);
-      addDemand(running, demand);
-      addDemand(wanted, demand);
+  for (const [service, totals] of state.running.listTotals()) {
+    for (const [organisation, total] of totals) {
+      if (isZeroDemand(total)) continue;
+      const { running, wanted } = getDemand(service, organisation);
+      addDemand(running, total);
+      addDemand(wanted, total);
     }
   }
   for (const stage of stages) {
@@ -177,6 +178,11 @@
   return demands;
 }
 
+function isZeroDemand(demand: Readonly<Demand>): boolean {
+  return demand.milliCores === 0 && demand.memoryMb === 0 &&
+    demand.accelerators === 0;
+}
+
 function addStage(total: Demand, stage: Stage): void {
   addDemand(total, getCapacityDemand(getStep(stage)), stage.waitingTasks);
 }
@@ -203,12 +209,15 @@
 
 /** Computes the largest share of any resource that a demand takes. */
 function computeDominantShare(demand: Demand, capacity: Demand): number {
-  const shares = [
-    [demand.milliCores, capacity.milliCores],
-    [demand.memoryMb, capacity.memoryMb],
-    [demand.accelerators, capacity.accelerators],
-  ].map(([amount, total]) => total > 0 ? amount / total : 0);
-  return Math.max(...shares);
+  return Math.max(
+    computeShare(demand.milliCores, capacity.milliCores),
+    computeShare(demand.memoryMb, capacity.memoryMb),
+    computeShare(demand.accelerators, capacity.accelerators),
+  );
+}
+
+function computeShare(amount: number, total: number): number {
+  return total > 0 ? amount / total : 0;
 }
 
 /**
--- a/packages/cell/state.ts
+++ b/packages/cell/state.ts
@@ -8,6 +8,7 @@
 import type { RunTimes } from "../runtimes/mod.ts";
 import type { PlacementMemory } from "./placement_memory.ts";
 import type { CellPolicies } from "./policies.ts";
+import type { RunningDemand } from "./running_demand.ts";
 import type { ShareMeter } from "./share_meter.ts";
 import type {
   Decision,
@@ -63,6 +64,8 @@
   recentCrashes: Crash[];
   /** Runs that were ordered to stop and have not been released. */
   stoppingRuns: Set<Run>;
+  /** What the runs of each organisation take in each service. */
+  running: RunningDemand;
   shareMeter: ShareMeter;
   policies: CellPolicies;
   runTimes: RunTimes;
@@ -132,6 +135,7 @@
 /** Adds a run to its endpoint and to the usage of its organisation. */
 export function addRun(state: CellState, run: Run): void {
   run.endpoint.runs.set(run.task, run);
+  state.running.add(run);
   addDemand(run.endpoint.used, run.demand);
   addDemand(getUsage(state, run.organisation), run.charge);
 }
@@ -141,6 +145,7 @@
   if (run.endpoint.runs.get(run.task) !== run) return;
   run.endpoint.runs.delete(run.task);
   state.stoppingRuns.delete(run);
+  state.running.remove(run);
   addDemand(run.endpoint.used, run.demand, -1);
   addDemand(getUsage(state, run.organisation), run.charge, -1);
 }
