Skip looks at endpoints that nothing is to be done about

What callers saw: as before. Cause: each plan went through the runs of all endpoints for starts without an answer, twice, sorted all endpoints for ejections, and compared the links of all entries pairwise. Change: endpoints without an unanswered order, and cells without an ejected endpoint, are skipped.

--- a/packages/cell/gang_starts.ts
+++ b/packages/cell/gang_starts.ts
@@ -29,6 +29,8 @@
   { now, mayStart }: { now: number; mayStart: boolean },
 ): void {
   for (const endpoint of state.endpoints.values()) {
+    // An unanswered start is an unanswered lease too: most endpoints never had one.
+    if (!Number.isFinite(endpoint.unansweredLeaseAt)) continue;
     for (const run of endpoint.runs.values()) {
       if (run.phase !== RunPhase.Unacknowledged) continue;
       const stage = findTask(state, run.task)?.stage;
--- a/packages/cell/placement.ts
+++ b/packages/cell/placement.ts
@@ -76,11 +76,20 @@
   return now >= endpoint.ejectedUntil && endpoint.runs.size === 0;
 }
 
+/** Returns whether any endpoint is ejected or has not succeeded since. */
+function hasEjections({ endpoints }: CellState): boolean {
+  for (const { ejectedUntil } of endpoints.values()) {
+    if (ejectedUntil !== 0) return true;
+  }
+  return false;
+}
+
 /**
  * Returns the endpoints whose ejection time is over, that run nothing, and on
  * which no run has succeeded since.
  */
 export function listOnTrial(state: CellState, now: number): Set<Endpoint> {
+  if (!hasEjections(state)) return new Set();
   const onTrial = [...state.endpoints.values()].filter((endpoint) =>
     endpoint.ejectedUntil !== 0 && isHealthy(endpoint, now)
   );
@@ -93,6 +102,7 @@
  * be if the service has another.
  */
 export function listEjected(state: CellState, now: number): Set<Endpoint> {
+  if (!hasEjections(state)) return new Set();
   const usable = [...state.endpoints.values()].filter((endpoint) =>
     endpoint.isListed && !endpoint.info.isDraining &&
     !isEvacuated(state, endpoint)
--- a/packages/scheduler/advice_pool.ts
+++ b/packages/scheduler/advice_pool.ts
@@ -89,9 +89,9 @@
   }
 
   #updateRemoteClients(): void {
-    const links = this.#listLinks();
+    const links = new Set(this.#listLinks());
     for (const link of this.#remoteClients.keys()) {
-      if (!links.includes(link)) this.#remoteClients.delete(link);
+      if (!links.has(link)) this.#remoteClients.delete(link);
     }
     for (const link of links) {
       if (!this.#remoteClients.has(link)) {
--- a/packages/scheduler/endpoint_session.ts
+++ b/packages/scheduler/endpoint_session.ts
@@ -114,6 +114,8 @@
     }
     if (this.#isExtraPollInFlight) return;
     const now = this.#clock.now();
+    // A start that was left unanswered is an unanswered lease too.
+    if (now - this.#endpoint.unansweredLeaseAt > START_CONFIRM_MS) return;
     for (const { phase, lastChangedAt } of this.#endpoint.runs.values()) {
       if (phase !== RunPhase.Unacknowledged) continue;
       if (now - lastChangedAt > START_CONFIRM_MS) continue;
