Leave out records that name no usable endpoint, and say so once each

Here no process ended, but a record with a number too large was taken as an endpoint of endless room, which turned admission by room and dominant shares off for its service; one with a port out of range, or no address, as an endpoint that no call can reach. Cause: the decoder checked types, not ranges. A record that is left out is logged (5012) and counted once for each revision; the others hold, and a usable record in its place is taken again. Open: the numbers of a configuration, answers of endpoints and of the policy service, the whole process in the soak.

--- a/packages/events/catalogue.ts
+++ b/packages/events/catalogue.ts
@@ -40,6 +40,7 @@
   EndpointThrottled = 5009,
   EndpointCrashed = 5010,
   EndpointListingIgnored = 5011,
+  EndpointRecordIgnored = 5012,
   EndpointRoomShrunk = 5020,
   EndpointRoomGrown = 5021,
   EndpointRecordsStale = 5022,
@@ -502,6 +503,12 @@
     message: "the owner did not settle a caller's request; it is sent again",
     remedy: "None; check the owner if it repeats without a change of owner.",
   },
+  [EventCode.EndpointRecordIgnored]: {
+    severity: Severity.Warn,
+    message: "a record in the list of endpoints names no usable endpoint",
+    remedy:
+      "Find out who wrote it: a field is missing, of another type or out of range.",
+  },
   [EventCode.EndpointRoomShrunk]: {
     severity: Severity.Info,
     message: "an endpoint has less room; it gets no task until its runs fit",
--- a/packages/scheduler/endpoint_feed.ts
+++ b/packages/scheduler/endpoint_feed.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "../base/mod.ts";
 import type { CurrentTime, EndpointInfo } from "../cell/mod.ts";
 import { EventCode, type EventLog } from "../events/mod.ts";
+import type { Metrics } from "../metrics/mod.ts";
 import type { KeyValueStore, StoreChange, StoredItem } from "../storage/mod.ts";
 import {
   ENDPOINT_RECORDS_RETURN_MS,
@@ -27,6 +28,9 @@
   readonly #endpoints = new Map<string, EndpointInfo>();
   /** Revision of the listed record of each endpoint, by key. */
   readonly #revisions = new Map<string, number>();
+  /** Revisions of the records that were left out, by key. */
+  readonly #ignored = new Map<string, number>();
+  readonly #metrics: Metrics;
   readonly #maxAgeMs: number;
   /** When the last answer of the store was asked for; undefined: none yet. */
   #heardAt: CurrentTime | undefined;
@@ -41,6 +45,7 @@
     records: SiteRecords;
     clock: Clock;
     log: EventLog;
+    metrics: Metrics;
     /** Age from which the records are too old to start tasks, in milliseconds. */
     maxAgeMs: number;
     /** Returns when this entry's last failed call to the store ended, in ms. */
@@ -58,6 +63,7 @@
     this.#records = options.records;
     this.#clock = options.clock;
     this.#log = options.log;
+    this.#metrics = options.metrics;
     this.#maxAgeMs = options.maxAgeMs;
     this.#onChanged = options.onChanged;
     this.#getStoreFailedAt = options.getStoreFailedAt;
@@ -124,9 +130,10 @@
       this.#endpoints.clear();
       this.#revisions.clear();
       for (const { key, value, revision } of items) {
-        this.#setEndpoint(key, value);
+        this.#setEndpoint({ key, value, revision });
         this.#revisions.set(key, revision);
       }
+      this.#forgetIgnored(items);
       this.#callOnChanged();
       // The pages are read at different revisions. The watch continues from that
       // of the first, so that no change to an earlier page is missed: an
@@ -157,8 +164,18 @@
     if (revision <= (this.#revisions.get(key) ?? 0)) return;
     this.#revisions.delete(key);
     this.#unconfirmed.confirm(key);
-    if (value === undefined) this.#endpoints.delete(key);
-    else this.#setEndpoint(key, value);
+    if (value === undefined) {
+      this.#endpoints.delete(key);
+      this.#ignored.delete(key);
+    } else this.#setEndpoint({ key, value, revision });
+  }
+
+  /** Forgets ignored records that are not listed any more. */
+  #forgetIgnored(items: readonly StoredItem[]): void {
+    const listed = new Set(items.map(({ key }) => key));
+    for (const key of this.#ignored.keys()) {
+      if (!listed.has(key)) this.#ignored.delete(key);
+    }
   }
 
   /**
@@ -189,10 +206,23 @@
     return { now: this.#clock.now(), wallNow: this.#clock.readWallTime() };
   }
 
-  #setEndpoint(key: string, value: string): void {
+  /** Takes a record; one that names no usable endpoint is left out, the others hold. */
+  #setEndpoint({ key, value, revision }: StoredItem): void {
     const info = this.#records.decodeEndpoint(key, value);
-    if (info) this.#endpoints.set(key, info);
-    else this.#endpoints.delete(key);
+    if (info) {
+      this.#endpoints.set(key, info);
+      this.#ignored.delete(key);
+      return;
+    }
+    this.#endpoints.delete(key);
+    if (this.#ignored.get(key) === revision) return;
+    this.#ignored.set(key, revision);
+    this.#metrics.countEvent("endpoint_records_ignored");
+    this.#log.record(EventCode.EndpointRecordIgnored, {
+      endpoint: key.slice(this.#records.endpointPrefix.length),
+      revision,
+      length: value.length,
+    });
   }
 
   #callOnChanged(): void {
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -146,6 +146,7 @@
       records,
       clock,
       log,
+      metrics: parts.metrics,
       // A start that is sent in time also has to arrive in time.
       maxAgeMs: parts.endpointRecordsMs - ORDER_TIMEOUT_MS,
       getStoreFailedAt: parts.getStoreFailedAt,
--- a/tests/virtual/endpoint_feed_test.ts
+++ b/tests/virtual/endpoint_feed_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import type { EndpointInfo } from "../../packages/cell/mod.ts";
 import { SilentEventLog } from "../../packages/events/mod.ts";
+import { Metrics } from "../../packages/metrics/mod.ts";
 import { EndpointFeed } from "../../packages/scheduler/mod.ts";
 import { EndpointIdRecords } from "./endpoint_id_records.ts";
 import { MemoryStore, MemoryStoreState, StoreFault } from "./memory_store.ts";
@@ -20,6 +21,7 @@
       records: new EndpointIdRecords(),
       clock,
       log: new SilentEventLog(),
+      metrics: new Metrics(),
       maxAgeMs: 2_500,
       getStoreFailedAt: () => Number.NEGATIVE_INFINITY,
       onChanged: () => {},
