Shed submissions while the owner is late, by share and by urgency

What callers saw: a burst, or a take-over under load, left an owner late for seconds. It accepted and refused submissions in turn at up to 1 ms each; urgent work was started after its objective, and its callers came back for more. Cause: admission knows the room, not what the owner can carry. Each step of a job waits for the owner's processor, so the shortest objective is missed first. Change: from a mean lateness of 25 ms on, classes of submissions are refused at once, with a Retry-After of 1 to 3 s: first those beyond their share, then the least urgent. A known job is never refused. Events 6224 and fields in 1010, counter, gauge. Ruled out: a limit on tasks a second, as no machine is like another.

--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -18,7 +18,7 @@
 import { type CurrentTime, endJob, type ListingTimes } from "./task_ends.ts";
 import { applyListing } from "./listing.ts";
 import { makePlacementMemory } from "./placement_memory.ts";
-import { checkOverShare } from "./dominant_shares.ts";
+import { checkOverShare, getJobRatio } from "./dominant_shares.ts";
 import { planLeaving } from "./leaving.ts";
 import { planStarts } from "./plan.ts";
 import {
@@ -173,6 +173,11 @@
     return this.state.jobs.has(id) || this.state.ended.has(id);
   }
 
+  /** Returns whether the work of a job's organisation is beyond its dominant share. */
+  isBeyondShare({ organisation, queue }: JobSpec): boolean {
+    return getJobRatio(this.state, { organisation, queue }) > 0;
+  }
+
   /** Accepts or refuses a job. Idempotent: the id identifies a repeated job. */
   submit(spec: JobSpec, time: CurrentTime): AdmissionOutcome {
     const { state } = this;
--- a/packages/events/catalogue.ts
+++ b/packages/events/catalogue.ts
@@ -66,6 +66,7 @@
   JobAdmitted = 6221,
   ShareExceeded = 6222,
   ShareKept = 6223,
+  JobShed = 6224,
   StartRepeated = 6210,
   HeadroomChanged = 6231,
   TaskPreempted = 6232,
@@ -393,6 +394,12 @@
     message: "a change of a run's pace was not acknowledged; it is sent again",
     remedy: "Check the endpoint if it repeats.",
   },
+  [EventCode.JobShed]: {
+    severity: Severity.Info,
+    message: "a submission was refused at once: the owner is late",
+    remedy:
+      "See 1010 for what the owner is busy with. Use larger VMs, or fewer submissions.",
+  },
   [EventCode.StartRepeated]: {
     severity: Severity.Info,
     message: "ordered the unanswered start of a gang's member again",
--- a/packages/scheduler/endpoint_feed.ts
+++ b/packages/scheduler/endpoint_feed.ts
@@ -133,7 +133,7 @@
         this.#setEndpoint({ key, value, revision });
         this.#revisions.set(key, revision);
       }
-      this.#forgetIgnored(items);
+      this.#dropIgnored(items);
       this.#callOnChanged();
       // The pages are read at different revisions. The watch continues from that
       // of the first, so that no change to an earlier page is missed: an
@@ -170,8 +170,8 @@
     } else this.#setEndpoint({ key, value, revision });
   }
 
-  /** Forgets ignored records that are not listed any more. */
-  #forgetIgnored(items: readonly StoredItem[]): void {
+  /** Drops ignored records that are not listed any more. */
+  #dropIgnored(items: readonly StoredItem[]): void {
     const listed = new Set(items.map(({ key }) => key));
     for (const key of this.#ignored.keys()) {
       if (!listed.has(key)) this.#ignored.delete(key);
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -38,6 +38,7 @@
 import { EndpointFeed } from "./endpoint_feed.ts";
 import { EvacuationRole } from "./evacuation_role.ts";
 import type { PollFailure, SessionHost } from "./endpoint_session.ts";
+import { LoadShedder } from "./load_shedder.ts";
 import { computePollInterval, LoopMonitor } from "./loop_monitor.ts";
 import { OrderSender } from "./order_sender.ts";
 import { LoadKind, OwnerLoad } from "./owner_load.ts";
@@ -121,6 +122,7 @@
   #journal: Journal | undefined;
   readonly #loopMonitor = new LoopMonitor();
   readonly #load = new OwnerLoad();
+  readonly #shedder = new LoadShedder();
   #pollIntervalMs = POLL_INTERVAL_MS;
   #readySince: number | undefined;
   #isClosing = false;
@@ -331,6 +333,8 @@
         retryAfterMs: NO_OWNER_RETRY_MS,
       };
     }
+    const refusal = isKnown ? undefined : this.#refuseIfLate(job, now);
+    if (refusal) return refusal;
     const outcome = this.cell.submit(job, this.#getCurrentTime());
     this.#load.note(LoadKind.Submission, this.#parts.clock.now() - now);
     if (outcome.admission === Admission.Refused) return outcome;
@@ -445,6 +449,30 @@
     return { now: clock.now(), wallNow: clock.readWallTime() };
   }
 
+  /** Refuses a submission that this owner is too late to decide about. */
+  #refuseIfLate(job: JobSpec, now: number): SubmitReply | undefined {
+    const { priority, name } = job.queue;
+    const isOverShare = this.cell.isBeyondShare(job);
+    const shed = this.#shedder.findRefusal({ priority, isOverShare }, now);
+    if (!shed) return undefined;
+    const { log, metrics } = this.#parts;
+    metrics.countEvent("jobs_shed", { queue: name });
+    log.record(EventCode.JobShed, {
+      subject: job.id,
+      queue: name,
+      organisation: job.organisation,
+      isOverShare,
+      level: shed.level,
+      meanLagMs: Math.round(this.#loopMonitor.measureMeanLag()),
+      retryAfterMs: shed.retryAfterMs,
+    });
+    return {
+      admission: Admission.Refused,
+      reason: "the owner of the cell is late; other work goes first",
+      retryAfterMs: shed.retryAfterMs,
+    };
+  }
+
   #refuseNotReady(): SubmitReply {
     return {
       admission: Admission.NotOwner,
@@ -484,7 +512,13 @@
 
   #recordLoad(now: number): void {
     const report = this.#load.collectReport(this.cell.state, now);
-    if (report) this.#parts.log.record(EventCode.OwnerLoad, report);
+    if (!report) return;
+    this.#parts.log.record(EventCode.OwnerLoad, {
+      ...report,
+      meanLagMs: Math.round(this.#loopMonitor.measureMeanLag()),
+      pollIntervalMs: Math.round(this.#pollIntervalMs),
+      shedLevel: Math.round(this.#shedder.level * 10) / 10,
+    });
   }
 
   #scheduleTick(): void {
@@ -494,6 +528,7 @@
       this.#loopMonitor.noteTick(now, PLAN_INTERVAL_MS);
       const meanLagMs = this.#loopMonitor.measureMeanLag();
       this.#pollIntervalMs = computePollInterval(meanLagMs);
+      this.#shedder.noteLag(meanLagMs, now);
       this.#parts.metrics.setGauge(
         "loop_lag_ms",
         this.#loopMonitor.measureLag(),
@@ -501,6 +536,7 @@
       this.#load.note(LoadKind.Tick, this.#loopMonitor.measureLag());
       this.#recordLoad(now);
       this.#parts.metrics.setGauge("poll_interval_ms", this.#pollIntervalMs);
+      this.#parts.metrics.setGauge("shed_level", this.#shedder.level);
       setCalibrationGauges(this.#parts.metrics, this.cell);
       this.#checkHandover(now);
       this.#planLoop.planIfIdle();
--- a/tests/virtual/owner_site.ts
+++ b/tests/virtual/owner_site.ts
@@ -2,10 +2,11 @@
 import {
   type AdviceAnswer,
   DEFAULT_POLICIES,
+  type PolicyNames,
 } from "../../packages/cell/mod.ts";
 import { SilentEventLog } from "../../packages/events/mod.ts";
 import { type Demand, EndKind, type JobSpec } from "../../packages/jobs/mod.ts";
-import { CancelReply } from "../../packages/links/mod.ts";
+import { CancelReply, type Link } from "../../packages/links/mod.ts";
 import { Metrics } from "../../packages/metrics/mod.ts";
 import {
   AdviceService,
@@ -104,8 +105,8 @@
       getStoreFailedAt: () => Number.NEGATIVE_INFINITY,
       retentionMs: 1e9,
       takeOverPauseMs: 0,
-      policies: DEFAULT_POLICIES,
-      listLinks: () => [],
+      policies: this.#site.policies,
+      listLinks: () => this.#site.listLinks(),
       listUnresponsive: () => [],
       onIsolated: () => {},
       cores: 1,
@@ -174,14 +175,22 @@
 
   /** Wall time that the entries read. */
   readonly wallTime: WallTime;
+  /** Policies of the cell, whichever entry owns it. */
+  readonly policies: PolicyNames;
 
   constructor(
     seed: number,
-    sizes: { entries: number; endpoints: number; wallTime?: WallTime },
+    sizes: {
+      entries: number;
+      endpoints: number;
+      wallTime?: WallTime;
+      policies?: Partial<PolicyNames>;
+    },
   ) {
     this.random = new SeededRandom(seed);
     this.#stepRandom = new SeededRandom(seed);
     this.wallTime = sizes.wallTime ?? WallTime.Virtual;
+    this.policies = { ...DEFAULT_POLICIES, ...sizes.policies };
     for (let n = 0; n < sizes.endpoints; n++) {
       this.addEndpoint({ id: `w${n}`, capacity: ENDPOINT_CAPACITY });
     }
@@ -238,6 +247,11 @@
     return new NoAdviceService();
   }
 
+  /** Lists the links of the owner to other entries. */
+  listLinks(): Link[] {
+    return [];
+  }
+
   /** Adds an entry, which takes part in the election at once. */
   addEntry(): OwnerEntry {
     const entry = new OwnerEntry(this, `e${this.entries.length}`);
--- a/tests/virtual/virtual_time.ts
+++ b/tests/virtual/virtual_time.ts
@@ -3,6 +3,8 @@
 
 interface Timer {
   at: number;
+  /** When it would have run if its process had not been busy. */
+  dueAt: number;
   sequence: number;
   processId: string;
   run: () => void;
@@ -19,11 +21,13 @@
   #sequence = 0;
   readonly #queue = new TinyQueue<Timer>(
     [],
-    (a, b) => a.at - b.at || a.sequence - b.sequence,
+    (a, b) => a.at - b.at || a.dueAt - b.dueAt || a.sequence - b.sequence,
   );
   /** Timers that came due while their process was frozen, by process id. */
   readonly #frozen = new Map<string, Timer[]>();
   readonly #killed = new Set<string>();
+  /** Until when the processor of a process is busy, by process id. */
+  readonly #busyUntil = new Map<string, number>();
   /** Time for which a process's VM was suspended, in ms, by process id. */
   readonly #suspendedMs = new Map<string, number>();
   /** Time by which a process's wall clock is ahead, in ms, by process id. */
@@ -31,9 +35,10 @@
 
   /** Schedules a function in a process; returns a function that cancels it. */
   schedule(processId: string, delayMs: number, run: () => void): () => void {
-    const at = this.now + Math.max(0, delayMs);
+    const at = this.getProcessTime(processId) + Math.max(0, delayMs);
     const timer: Timer = {
       at,
+      dueAt: at,
       sequence: this.#sequence++,
       processId,
       run,
@@ -43,6 +48,16 @@
     return () => timer.cancelled = true;
   }
 
+  /** Charges a process for work: until it is done, none of its timers run. */
+  chargeWork(processId: string, ms: number): void {
+    this.#busyUntil.set(processId, this.getProcessTime(processId) + ms);
+  }
+
+  /** Returns the time at which a process has done the work it was charged for. */
+  getProcessTime(processId: string): number {
+    return Math.max(this.now, this.#busyUntil.get(processId) ?? 0);
+  }
+
   /** Tells whether a process was killed. */
   isKilled(processId: string): boolean {
     return this.#killed.has(processId);
@@ -104,6 +119,12 @@
         deferred.push(timer);
         continue;
       }
+      const freeAt = this.#busyUntil.get(timer.processId) ?? 0;
+      if (freeAt > timer.at && freeAt > this.now) {
+        timer.at = freeAt;
+        this.#queue.push(timer);
+        continue;
+      }
       this.now = Math.max(this.now, timer.at);
       timer.run();
       await waitForMicrotasks();
@@ -129,11 +150,13 @@
   }
 
   override now(): number {
-    return this.#time.now - this.#time.getSuspendedTime(this.#processId);
+    return this.#time.getProcessTime(this.#processId) -
+      this.#time.getSuspendedTime(this.#processId);
   }
 
   override readWallTime(): number {
-    return this.#time.now + (this.#time.wallAheadMs.get(this.#processId) ?? 0);
+    return this.#time.getProcessTime(this.#processId) +
+      (this.#time.wallAheadMs.get(this.#processId) ?? 0);
   }
 
   override schedule(run: () => void, delayMs: number): () => void {
