Judge the owner's lateness by the median, so that one long stop sheds nothing

After a freeze of its VM an owner would have refused submissions for seconds, as one tick of some seconds raises the mean. Change: the median of the last 1.5 s, with two ticks at least.

--- a/packages/scheduler/claim_rules_test.ts
+++ b/packages/scheduler/claim_rules_test.ts
@@ -40,6 +40,18 @@
   t.is(explainHandover(withSmallPeers, 1e6), undefined);
 });
 
+// After a freeze of the VM an owner would shed submissions for seconds.
+test("one long stop makes a loop not usually late; ticks that are all late do", (t) => {
+  const slow = new LoopMonitor();
+  const stopped = new LoopMonitor();
+  for (let now = 0; now <= 6_000; now += 100) {
+    if (now % 300 === 0) slow.noteTick(now, 100);
+    if (now < 2_000 || now > 5_000) stopped.noteTick(now, 100);
+    t.is(stopped.measureUsualLag(), 0);
+    if (now > OVERLOAD_WINDOW_MS) t.is(slow.measureUsualLag(), 200);
+  }
+});
+
 test("a loop that is late most of the time is overloaded; one long stop is not", (t) => {
   const steady = new LoopMonitor();
   const slow = new LoopMonitor();
--- a/packages/scheduler/load_shedder.ts
+++ b/packages/scheduler/load_shedder.ts
@@ -1,4 +1,4 @@
-/** Lateness of the owner's loop from which submissions are shed, in milliseconds. */
+/** Usual lateness of the loop from which submissions are shed, in milliseconds. */
 const SHED_FROM_MS = 25;
 
 /** Lateness beyond `SHED_FROM_MS` that sheds one more class a tick, in milliseconds. */
@@ -52,11 +52,11 @@
   }
 
   /** Notes by how much the loop is late, in milliseconds, once a tick. */
-  noteLag(meanLagMs: number, now: number): void {
+  noteLag(usualLagMs: number, now: number): void {
     for (const [name, { seenAt }] of this.#classes) {
       if (now - seenAt > CLASS_AGE_MS) this.#classes.delete(name);
     }
-    const excessMs = meanLagMs - SHED_FROM_MS;
+    const excessMs = usualLagMs - SHED_FROM_MS;
     const change = excessMs > 0
       ? Math.min(MAX_RISE, excessMs / CLASS_LAG_MS)
       : -FALL;
--- a/packages/scheduler/loop_monitor.ts
+++ b/packages/scheduler/loop_monitor.ts
@@ -41,11 +41,16 @@
     return this.#ticks.at(-1)?.lateMs ?? 0;
   }
 
-  /** Returns the mean lateness of the ticks within the window, in milliseconds. */
-  measureMeanLag(): number {
-    if (this.#ticks.length === 0) return 0;
-    const lateMs = this.#ticks.reduce((sum, tick) => sum + tick.lateMs, 0);
-    return lateMs / this.#ticks.length;
+  /**
+   * Returns the median lateness of the ticks within the window, in milliseconds: one
+   * long stop of the process does not count.
+   */
+  measureUsualLag(): number {
+    const sorted = this.#ticks.map(({ lateMs }) => lateMs).sort((a, b) =>
+      a - b
+    );
+    if (sorted.length < MIN_LATE_TICKS) return 0;
+    return sorted[(sorted.length - 1) >> 1];
   }
 
   /** Returns whether the loop was late for most of a whole window. */
@@ -62,10 +67,10 @@
  * loop is, in milliseconds. Load: each end of a run answers a poll, and the next poll
  * follows; an owner that is late does better with several ends in one listing.
  */
-export function computePollInterval(meanLagMs: number): number {
+export function computePollInterval(usualLagMs: number): number {
   return Math.min(
     MAX_POLL_INTERVAL_MS,
-    POLL_INTERVAL_MS + meanLagMs * POLL_LAG_FACTOR,
+    POLL_INTERVAL_MS + usualLagMs * POLL_LAG_FACTOR,
   );
 }
 
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -463,7 +463,7 @@
       organisation: job.organisation,
       isOverShare,
       level: shed.level,
-      meanLagMs: Math.round(this.#loopMonitor.measureMeanLag()),
+      usualLagMs: Math.round(this.#loopMonitor.measureUsualLag()),
       retryAfterMs: shed.retryAfterMs,
     });
     return {
@@ -515,7 +515,7 @@
     if (!report) return;
     this.#parts.log.record(EventCode.OwnerLoad, {
       ...report,
-      meanLagMs: Math.round(this.#loopMonitor.measureMeanLag()),
+      usualLagMs: Math.round(this.#loopMonitor.measureUsualLag()),
       pollIntervalMs: Math.round(this.#pollIntervalMs),
       shedLevel: Math.round(this.#shedder.level * 10) / 10,
     });
@@ -526,9 +526,9 @@
       if (this.#isClosing) return;
       const now = this.#parts.clock.now();
       this.#loopMonitor.noteTick(now, PLAN_INTERVAL_MS);
-      const meanLagMs = this.#loopMonitor.measureMeanLag();
-      this.#pollIntervalMs = computePollInterval(meanLagMs);
-      this.#shedder.noteLag(meanLagMs, now);
+      const usualLagMs = this.#loopMonitor.measureUsualLag();
+      this.#pollIntervalMs = computePollInterval(usualLagMs);
+      this.#shedder.noteLag(usualLagMs, now);
       this.#parts.metrics.setGauge(
         "loop_lag_ms",
         this.#loopMonitor.measureLag(),
