--- a/packages/scheduler/load_shedder.ts
+++ b/packages/scheduler/load_shedder.ts
@@ -65,8 +65,11 @@
   }
 
   /** Decides about a submission; `undefined`: it is not shed. */
-  findRefusal(shed: SheddingClass, now: number): ShedDecision | undefined {
-    const state = this.#noteClass(shed, now);
+  findRefusal(
+    submission: SheddingClass,
+    now: number,
+  ): ShedDecision | undefined {
+    const state = this.#noteClass(submission, now);
     const rank = this.#countShedBefore(state);
     state.rest += Math.min(1, Math.max(0, this.#level - rank));
     if (state.rest < 1) return undefined;
@@ -76,9 +79,10 @@
     return { level: this.#level, retryAfterMs };
   }
 
-  #noteClass(shed: SheddingClass, now: number): ClassState {
-    const name = `${shed.priority} ${shed.isOverShare}`;
-    const state = this.#classes.get(name) ?? { ...shed, seenAt: now, rest: 0 };
+  #noteClass(submission: SheddingClass, now: number): ClassState {
+    const name = `${submission.priority} ${submission.isOverShare}`;
+    const state = this.#classes.get(name) ??
+      { ...submission, seenAt: now, rest: 0 };
     state.seenAt = now;
     this.#classes.set(name, state);
     return state;
