Join what an owner does when it is late in a class of its own

What callers saw: nothing; owner_role.ts held the monitor, the report, the shedding and the interval of polls beside its own work. Change: owner_pace.ts; no change of behaviour.

--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -29,7 +29,6 @@
   OWNER_GRACE_MS,
   OWNER_KEY,
   PLAN_INTERVAL_MS,
-  POLL_INTERVAL_MS,
   STORE_RETRY_MS,
   UNRESPONSIVE_AFTER_MS,
   UNRESPONSIVE_PAUSE_MS,
@@ -38,10 +37,9 @@
 import { EndpointFeed } from "./endpoint_feed.ts";
 import { EvacuationRole } from "./evacuation_role.ts";
 import type { PollFailure, SessionHost } from "./endpoint_session.ts";
-import { LoadShedder } from "./load_shedder.ts";
-import { computePollInterval, LoopMonitor } from "./loop_monitor.ts";
 import { OrderSender } from "./order_sender.ts";
-import { LoadKind, OwnerLoad } from "./owner_load.ts";
+import { LoadKind } from "./owner_load.ts";
+import { OwnerPace } from "./owner_pace.ts";
 import { PlanLoop } from "./plan_loop.ts";
 import {
   type AdviceService,
@@ -120,10 +118,7 @@
   readonly #upkeepRole: UpkeepRole | undefined;
   readonly #evacuationRole: EvacuationRole | undefined;
   #journal: Journal | undefined;
-  readonly #loopMonitor = new LoopMonitor();
-  readonly #load = new OwnerLoad();
-  readonly #shedder = new LoadShedder();
-  #pollIntervalMs = POLL_INTERVAL_MS;
+  readonly #pace: OwnerPace;
   #readySince: number | undefined;
   #isClosing = false;
   #isStopped = false;
@@ -142,6 +137,7 @@
       leaseMs: parts.leaseMs,
       policies: parts.policies,
     });
+    this.#pace = new OwnerPace({ ...parts, cell: this.cell });
     this.advice = new AdvicePool({ service: parts.advice, listLinks });
     this.#endpointFeed = new EndpointFeed({
       store,
@@ -191,7 +187,7 @@
       metrics: parts.metrics,
       fence: ownership.revision,
       leaseMs: parts.leaseMs,
-      load: this.#load,
+      load: this.#pace.load,
       mayOrder: (now) => this.mayOrder(now),
       onDeposed: (reason) => this.endOwnership(reason),
       onAnswered: () => this.#planLoop.schedulePlan(),
@@ -204,7 +200,7 @@
       clock,
       log,
       metrics: parts.metrics,
-      load: this.#load,
+      load: this.#pace.load,
       mayOrder: (now) => this.mayOrder(now),
       hasCurrentRecords: (time) =>
         this.#endpointFeed.checkAge(time) &&
@@ -333,10 +329,10 @@
         retryAfterMs: NO_OWNER_RETRY_MS,
       };
     }
-    const refusal = isKnown ? undefined : this.#refuseIfLate(job, now);
+    const refusal = isKnown ? undefined : this.#pace.refuseIfLate(job, now);
     if (refusal) return refusal;
     const outcome = this.cell.submit(job, this.#getCurrentTime());
-    this.#load.note(LoadKind.Submission, this.#parts.clock.now() - now);
+    this.#pace.load.note(LoadKind.Submission, this.#parts.clock.now() - now);
     if (outcome.admission === Admission.Refused) return outcome;
     const isCommitted = await this.#planLoop.commitNow();
     if (!isCommitted) return { isUnknown: true };
@@ -371,7 +367,7 @@
 
   /** Returns the shortest time between two polls of one endpoint, in milliseconds. */
   getPollInterval(): number {
-    return this.#pollIntervalMs;
+    return this.#pace.pollIntervalMs;
   }
 
   /** Applies an endpoint's answer to a poll. */
@@ -389,7 +385,7 @@
     }
     const times = { ...this.#getCurrentTime(), askedAt };
     this.cell.applyListing(endpoint, { listing: answer.listing, times });
-    this.#load.note(
+    this.#pace.load.note(
       LoadKind.Listing,
       this.#parts.clock.now() - times.now,
     );
@@ -405,7 +401,7 @@
     { error, elapsedMs, isBroken }: PollFailure,
   ): void {
     const { clock, log } = this.#parts;
-    this.#load.note(LoadKind.PollUnanswered, elapsedMs);
+    this.#pace.load.note(LoadKind.PollUnanswered, elapsedMs);
     this.cell.noteContactLost(endpoint, { now: clock.now(), isBroken });
     if (elapsedMs > UNRESPONSIVE_AFTER_MS) {
       endpoint.unresponsiveUntil = clock.now() + UNRESPONSIVE_PAUSE_MS;
@@ -431,7 +427,7 @@
 
   override noteCommitSuccess(elapsedMs: number, recordCount: number): void {
     this.#parts.metrics.observeDuration("commit", elapsedMs, {});
-    this.#load.note(LoadKind.Commit, elapsedMs);
+    this.#pace.load.note(LoadKind.Commit, elapsedMs);
     if (recordCount > 0) this.#parts.metrics.countEvent("commits");
   }
 
@@ -449,30 +445,6 @@
     return { now: clock.now(), wallNow: clock.readWallTime() };
   }
 
-  /** Refuses a submission that this owner is too late to decide about. */
-  #refuseIfLate(job: JobSpec, now: number): SubmitReply | undefined {
-    const { priority, name } = job.queue;
-    const isOverShare = this.cell.isBeyondShare(job);
-    const shed = this.#shedder.findRefusal({ priority, isOverShare }, now);
-    if (!shed) return undefined;
-    const { log, metrics } = this.#parts;
-    metrics.countEvent("jobs_shed", { queue: name });
-    log.record(EventCode.JobShed, {
-      subject: job.id,
-      queue: name,
-      organisation: job.organisation,
-      isOverShare,
-      level: shed.level,
-      usualLagMs: Math.round(this.#loopMonitor.measureUsualLag()),
-      retryAfterMs: shed.retryAfterMs,
-    });
-    return {
-      admission: Admission.Refused,
-      reason: "the owner of the cell is late; other work goes first",
-      retryAfterMs: shed.retryAfterMs,
-    };
-  }
-
   #refuseNotReady(): SubmitReply {
     return {
       admission: Admission.NotOwner,
@@ -505,38 +477,16 @@
       cores: this.#parts.cores,
       largestPeerCores: this.#parts.getLargestPeerCores(),
       readySince: this.#readySince,
-      isOverloaded: this.#loopMonitor.isOverloaded(),
+      isOverloaded: this.#pace.isOverloaded,
     }, now);
     if (reason) this.#parts.onHandover(reason);
   }
 
-  #recordLoad(now: number): void {
-    const report = this.#load.collectReport(this.cell.state, now);
-    if (!report) return;
-    this.#parts.log.record(EventCode.OwnerLoad, {
-      ...report,
-      usualLagMs: Math.round(this.#loopMonitor.measureUsualLag()),
-      pollIntervalMs: Math.round(this.#pollIntervalMs),
-      shedLevel: Math.round(this.#shedder.level * 10) / 10,
-    });
-  }
-
   #scheduleTick(): void {
     this.#cancelTick = this.#parts.clock.schedule(() => {
       if (this.#isClosing) return;
       const now = this.#parts.clock.now();
-      this.#loopMonitor.noteTick(now, PLAN_INTERVAL_MS);
-      const usualLagMs = this.#loopMonitor.measureUsualLag();
-      this.#pollIntervalMs = computePollInterval(usualLagMs);
-      this.#shedder.noteLag(usualLagMs, now);
-      this.#parts.metrics.setGauge(
-        "loop_lag_ms",
-        this.#loopMonitor.measureLag(),
-      );
-      this.#load.note(LoadKind.Tick, this.#loopMonitor.measureLag());
-      this.#recordLoad(now);
-      this.#parts.metrics.setGauge("poll_interval_ms", this.#pollIntervalMs);
-      this.#parts.metrics.setGauge("shed_level", this.#shedder.level);
+      this.#pace.noteTick(now);
       setCalibrationGauges(this.#parts.metrics, this.cell);
       this.#checkHandover(now);
       this.#planLoop.planIfIdle();
