--- a/tests/virtual/loaded_site.ts
+++ b/tests/virtual/loaded_site.ts
@@ -242,9 +242,9 @@
   }
 
   /** Returns the share of the jobs of a queue that completed in time, from 0 to 1. */
-  measureInTime(queue: string, sentFrom = 0): number {
+  measureInTime(queue: string): number {
     const jobs = [...this.callers.values()].filter((job) =>
-      job.queue === queue && job.sentAt >= sentFrom
+      job.queue === queue
     );
     const inTime = jobs.filter(({ completedAt, dueAt }) =>
       completedAt !== undefined && completedAt <= dueAt
