--- a/tests/virtual/loaded_site.ts
+++ b/tests/virtual/loaded_site.ts
@@ -65,7 +65,6 @@
 /** A submission as its caller sees it. Times: site time in milliseconds. */
 export interface CallerJob {
   queue: string;
-  sentAt: number;
   /** By when it is in time. */
   dueAt: number;
   attempts: number;
@@ -358,7 +357,6 @@
       advice!.perEndpointMs * 30;
     const caller: CallerJob = {
       queue: kind.queue.name,
-      sentAt: this.time.now,
       dueAt: this.time.now + stretch * workMs + targetLatencyMs,
       attempts: 0,
       isAccepted: false,
