--- a/packages/base/mod.ts
+++ b/packages/base/mod.ts
@@ -5,4 +5,5 @@
 export * from "./hash.ts";
 export * from "./outcome.ts";
 export * from "./random.ts";
+export * from "./text.ts";
 export * from "./types.ts";
--- a/packages/journal/journal.ts
+++ b/packages/journal/journal.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "../base/mod.ts";
+import { type Clock, splitText } from "../base/mod.ts";
 import { type KeyValueStore, TransactionResult } from "../storage/mod.ts";
 import {
   COMMIT_INTERVAL_MS,
@@ -241,15 +241,11 @@
     // are replayed on top of it, which is idempotent.
     const segment = this.#lastSegment - this.#inFlight.length;
     const text = JSON.stringify(this.#host.collectSnapshot());
-    const parts = Math.max(1, Math.ceil(text.length / SNAPSHOT_PART_LENGTH));
+    const parts = splitText(text, SNAPSHOT_PART_LENGTH);
     const keys: string[] = [];
-    for (let part = 0; part < parts; part++) {
-      const key = formatSnapshotKey({ segment, part, parts });
+    for (const [part, value] of parts.entries()) {
+      const key = formatSnapshotKey({ segment, part, parts: parts.length });
       keys.push(key);
-      const value = text.slice(
-        part * SNAPSHOT_PART_LENGTH,
-        (part + 1) * SNAPSHOT_PART_LENGTH,
-      );
       if (!await this.#commit({ key, value, deletes: [] })) return;
     }
     for (
--- a/tests/virtual/journal_test.ts
+++ b/tests/virtual/journal_test.ts
@@ -6,6 +6,8 @@
   readJournal,
   RecordKind,
   SEGMENTS_PER_SNAPSHOT,
+  SNAPSHOT_PART_LENGTH,
+  SNAPSHOT_PREFIX,
 } from "../../packages/journal/mod.ts";
 import { TransactionResult } from "../../packages/storage/mod.ts";
 import { MemoryStore, MemoryStoreState, StoreFault } from "./memory_store.ts";
@@ -85,6 +87,19 @@
   return await pendingRead;
 }
 
+/** Commits enough segments for a snapshot of `records` and reads it back. */
+async function storeSnapshot(records: string[]) {
+  const { time, store, state, journal, host } = await startJournal();
+  host.records.push(...records);
+  for (let n = 0; n < SEGMENTS_PER_SNAPSHOT; n++) {
+    journal.add([makeRecord(`j${n}`)]);
+    await time.advance(50);
+  }
+  await time.advance(2_000);
+  const { snapshot } = await loadJournal(time, store);
+  return { snapshot, state, host };
+}
+
 function listJobs(records: JournalRecord[]): string[] {
   return records.flatMap((record) =>
     record.kind === RecordKind.Cancelled ? [record.job] : []
@@ -165,6 +180,17 @@
   t.true(state.items.size < 60);
 });
 
+// A part that ended between the halves of a surrogate pair was stored with U+FFFD.
+for (const offset of [0, 1]) {
+  test(`letters outside the BMP are unchanged where a snapshot is cut, offset ${offset}`, async (t) => {
+    const text = "x".repeat(offset) + "𠮷".repeat(SNAPSHOT_PART_LENGTH);
+    const { snapshot, state } = await storeSnapshot([text]);
+    const keys = [...state.items.keys()];
+    t.true(keys.filter((key) => key.startsWith(SNAPSHOT_PREFIX)).length > 2);
+    t.true(snapshot?.records[0] === text);
+  });
+}
+
 test("an incomplete snapshot is ignored", async (t) => {
   const { time, store, journal } = await startJournal();
   journal.add([makeRecord("a")]);
--- a/tests/virtual/memory_store.ts
+++ b/tests/virtual/memory_store.ts
@@ -1,3 +1,4 @@
+import { Buffer } from "node:buffer";
 import {
   HistoryGoneError,
   RefusedError,
@@ -52,9 +53,13 @@
   /** Number of transactions that were applied. */
   transactions = 0;
 
-  /** Sets an item at the current revision. */
-  put(key: string, value: string, lease: number): void {
+  /**
+   * Sets an item at the current revision. The store keeps bytes: what UTF-8 cannot
+   * encode is replaced.
+   */
+  put(key: string, text: string, lease: number): void {
     const revision = this.revision;
+    const value = Buffer.from(text).toString();
     this.items.set(key, { key, value, revision, lease });
     this.history.push({ key, value, revision });
   }
