--- a/packages/journal/constants.ts
+++ b/packages/journal/constants.ts
@@ -13,8 +13,11 @@
 /** Initial backoff before a failed commit is sent again, in milliseconds. */
 export const FIRST_RETRY_MS = 100;
 
-/** Target size of a commit, in characters: half of a store's smallest limit. */
-export const MAX_COMMIT_LENGTH = 400_000;
+/**
+ * Largest size of the records of one commit in UTF-8, in bytes: under half of a store's
+ * smallest limit on a value. A record that is larger is committed by itself.
+ */
+export const MAX_COMMIT_BYTES = 400_000;
 
 /**
  * Number of segments between two snapshots. One page of a range read can hold
@@ -29,10 +32,10 @@
 export const MAX_DELETES_PER_COMMIT = 24;
 
 /**
- * Maximum length of one part of a snapshot in characters, before base64
- * encoding adds a third.
+ * Largest size of one part of a snapshot in UTF-8, in bytes: under half of a store's
+ * smallest limit on a value.
  */
-export const SNAPSHOT_PART_LENGTH = 500_000;
+export const SNAPSHOT_PART_BYTES = 500_000;
 
 /** Prefix of the keys of segments; each commit writes one segment. */
 export const LOG_PREFIX = "baobabhead/log/";
--- a/packages/journal/journal.ts
+++ b/packages/journal/journal.ts
@@ -1,13 +1,14 @@
+import { Buffer } from "node:buffer";
 import { type Clock, splitText } from "../base/mod.ts";
 import { type KeyValueStore, TransactionResult } from "../storage/mod.ts";
 import {
   COMMIT_INTERVAL_MS,
   FIRST_RETRY_MS,
-  MAX_COMMIT_LENGTH,
+  MAX_COMMIT_BYTES,
   MAX_COMMITS_IN_FLIGHT,
   MAX_DELETES_PER_COMMIT,
   SEGMENTS_PER_SNAPSHOT,
-  SNAPSHOT_PART_LENGTH,
+  SNAPSHOT_PART_BYTES,
 } from "./constants.ts";
 import { formatSegmentKey, formatSnapshotKey } from "./load.ts";
 import type { JournalRecord, OwnerClaim } from "./types.ts";
@@ -30,7 +31,9 @@
 /** Records that are committed together as one segment. */
 interface Batch {
   segment: number;
-  records: JournalRecord[];
+  /** The records as JSON, and their number. */
+  value: string;
+  recordCount: number;
   onCommitted: (() => void)[];
   sentAt: number;
   isCommitted: boolean;
@@ -125,7 +128,7 @@
     const batch = this.#makeBatch();
     this.#inFlight.push(batch);
     if (this.#hasPending()) this.#scheduleCommit();
-    if (batch.records.length > 0) {
+    if (batch.recordCount > 0) {
       this.#lastCommitAt = batch.sentAt;
       if (!await this.#writeSegment(batch)) return;
     }
@@ -152,20 +155,24 @@
    * the records that were added before it are committed.
    */
   #makeBatch(): Batch {
-    let length = 0;
-    let count = 0;
-    while (count < this.#pendingRecords.length && length < MAX_COMMIT_LENGTH) {
-      length += JSON.stringify(this.#pendingRecords[count]).length;
-      count++;
+    const texts: string[] = [];
+    let bytes = 0;
+    for (const record of this.#pendingRecords) {
+      const text = JSON.stringify(record);
+      bytes += Buffer.byteLength(text);
+      if (texts.length > 0 && bytes > MAX_COMMIT_BYTES) break;
+      texts.push(text);
     }
-    const records = this.#pendingRecords.splice(0, count);
+    const recordCount = texts.length;
+    this.#pendingRecords.splice(0, recordCount);
     const isLast = this.#pendingRecords.length === 0;
     const onCommitted = isLast ? this.#pendingCallbacks : [];
     if (isLast) this.#pendingCallbacks = [];
-    if (records.length > 0) this.#lastSegment++;
+    if (recordCount > 0) this.#lastSegment++;
     return {
       segment: this.#lastSegment,
-      records,
+      value: `[${texts.join(",")}]`,
+      recordCount,
       onCommitted,
       sentAt: this.#clock.now(),
       isCommitted: false,
@@ -176,12 +183,12 @@
     const deletes = this.#obsoleteKeys.splice(0, MAX_DELETES_PER_COMMIT);
     const isCommitted = await this.#commit({
       key: formatSegmentKey(batch.segment),
-      value: JSON.stringify(batch.records),
+      value: batch.value,
       deletes,
     });
     if (!isCommitted) return false;
     const elapsedMs = this.#clock.now() - batch.sentAt;
-    this.#host.noteCommitSuccess(elapsedMs, batch.records.length);
+    this.#host.noteCommitSuccess(elapsedMs, batch.recordCount);
     return true;
   }
 
@@ -241,7 +248,7 @@
     // are replayed on top of it, which is idempotent.
     const segment = this.#lastSegment - this.#inFlight.length;
     const text = JSON.stringify(this.#host.collectSnapshot());
-    const parts = splitText(text, SNAPSHOT_PART_LENGTH);
+    const parts = splitText(text, SNAPSHOT_PART_BYTES);
     const keys: string[] = [];
     for (const [part, value] of parts.entries()) {
       const key = formatSnapshotKey({ segment, part, parts: parts.length });
--- a/tests/virtual/journal_test.ts
+++ b/tests/virtual/journal_test.ts
@@ -1,3 +1,4 @@
+import { Buffer } from "node:buffer";
 import test from "ava";
 import {
   Journal,
@@ -6,7 +7,7 @@
   readJournal,
   RecordKind,
   SEGMENTS_PER_SNAPSHOT,
-  SNAPSHOT_PART_LENGTH,
+  SNAPSHOT_PART_BYTES,
   SNAPSHOT_PREFIX,
 } from "../../packages/journal/mod.ts";
 import { TransactionResult } from "../../packages/storage/mod.ts";
@@ -97,7 +98,9 @@
   }
   await time.advance(2_000);
   const { snapshot } = await loadJournal(time, store);
-  return { snapshot, state, host };
+  const keys = [...state.items.keys()];
+  const parts = keys.filter((key) => key.startsWith(SNAPSHOT_PREFIX)).length;
+  return { snapshot, parts, host };
 }
 
 function listJobs(records: JournalRecord[]): string[] {
@@ -183,14 +186,36 @@
 // A part that ended between the halves of a surrogate pair was stored with U+FFFD.
 for (const offset of [0, 1]) {
   test(`letters outside the BMP are unchanged where a snapshot is cut, offset ${offset}`, async (t) => {
-    const text = "x".repeat(offset) + "𠮷".repeat(SNAPSHOT_PART_LENGTH);
-    const { snapshot, state } = await storeSnapshot([text]);
-    const keys = [...state.items.keys()];
-    t.true(keys.filter((key) => key.startsWith(SNAPSHOT_PREFIX)).length > 2);
+    const text = "x".repeat(offset) + "𠮷".repeat(SNAPSHOT_PART_BYTES);
+    const { snapshot, parts } = await storeSnapshot([text]);
+    t.true(parts > 2);
     t.true(snapshot?.records[0] === text);
   });
 }
 
+// Parts and commits were measured in UTF-16 code units: the store refused text of three
+// bytes a unit as too large, and the owner sent it again without end.
+for (const letter of ["x", "ñ", "牛", "𠮷"]) {
+  const text = letter.repeat(2 * SNAPSHOT_PART_BYTES);
+  const bytes = Buffer.byteLength(text);
+
+  test(`a snapshot of ${bytes} bytes is within the store's limit`, async (t) => {
+    const { snapshot, host } = await storeSnapshot([text]);
+    t.true(snapshot?.records[0] === text);
+    t.is(host.commitFailures, 0);
+  });
+
+  test(`records of ${bytes} bytes are within the store's limit`, async (t) => {
+    const { time, store, journal, host } = await startJournal();
+    const jobs = Array.from({ length: 500 }, () => letter.repeat(2_000));
+    journal.add(jobs.map(makeRecord));
+    await time.advance(2_000);
+    const { records } = await loadJournal(time, store);
+    t.deepEqual(listJobs(records), jobs);
+    t.is(host.commitFailures, 0);
+  });
+}
+
 test("an incomplete snapshot is ignored", async (t) => {
   const { time, store, journal } = await startJournal();
   journal.add([makeRecord("a")]);
--- a/tests/virtual/memory_store.ts
+++ b/tests/virtual/memory_store.ts
@@ -41,6 +41,9 @@
 const ITEMS_PER_PAGE = 50;
 const CALL_TIMEOUT_MS = 1_500;
 
+/** Largest size of a value, in bytes; the platform's limit. */
+const MAX_VALUE_BYTES = 1_048_576;
+
 /** Items, leases and history of changes, shared by all clients of a test. */
 export class MemoryStoreState {
   readonly items = new Map<string, Item>();
@@ -194,6 +197,12 @@
     if (!doLeasesExist) {
       return { result: TransactionResult.NoLease, revision: 0 };
     }
+    const isTooLarge = transaction.puts.some(({ value }) =>
+      Buffer.byteLength(value) > MAX_VALUE_BYTES
+    );
+    if (isTooLarge) {
+      throw new UnknownEffectError("Cannot use the store: status 400");
+    }
     state.revision++;
     state.transactions++;
     for (const { key, value, lease } of transaction.puts) {
