Limit payloads by their size in bytes, and reject larger ones at the entry

Callers saw: a payload of up to 4,000 characters was accepted, which may take 12,000 bytes, three times what the interface promises and what endpoints have to take. One beyond the limit was refused by the owner with 429, which reads as "come again".

Cause: the limit was compared with the number of UTF-16 code units, and only the owner checked it.

Change: `findTextError` measures in UTF-8; an entry answers 400 at once, without a call to the owner. The owner checks too.

No payload of up to 4,000 bytes is rejected: it has at most 4,000 code units.

--- a/packages/jobs/check.ts
+++ b/packages/jobs/check.ts
@@ -1,6 +1,7 @@
+import { Buffer } from "node:buffer";
 import {
   MAX_OCCURRENCES,
-  MAX_PAYLOAD_LENGTH,
+  MAX_PAYLOAD_BYTES,
   MAX_STEPS,
   MAX_TASKS_PER_STEP,
 } from "./constants.ts";
@@ -8,9 +9,8 @@
 
 /** Returns the first validation error of a job, for its caller, if any. */
 export function findJobError(job: JobSpec): string | undefined {
-  if (job.payload.length > MAX_PAYLOAD_LENGTH) {
-    return `the payload has more than ${MAX_PAYLOAD_LENGTH} characters`;
-  }
+  const textError = findTextError(job);
+  if (textError) return textError;
   if (job.steps.length === 0) return "the job has no steps";
   if (job.steps.length > MAX_STEPS) return `more than ${MAX_STEPS} steps`;
   if (job.occurrences > MAX_OCCURRENCES) {
@@ -26,6 +26,16 @@
   return undefined;
 }
 
+/** Returns the error of the texts that identify and describe a job, if any. */
+export function findTextError(
+  { payload }: Pick<JobSpec, "payload">,
+): string | undefined {
+  if (Buffer.byteLength(payload) > MAX_PAYLOAD_BYTES) {
+    return `the payload has more than ${MAX_PAYLOAD_BYTES} bytes`;
+  }
+  return undefined;
+}
+
 function findStepError(step: StepSpec, index: number): string | undefined {
   if (step.tasks < 1) return "the step has no tasks";
   if (step.tasks > MAX_TASKS_PER_STEP) {
--- a/packages/jobs/constants.ts
+++ b/packages/jobs/constants.ts
@@ -7,8 +7,8 @@
  */
 export const MAX_TASKS_PER_STEP = 10_000;
 
-/** Maximum length of a payload, in characters; the caller API promises it. */
-export const MAX_PAYLOAD_LENGTH = 4_000;
+/** Maximum size of a payload in UTF-8, in bytes; the caller API promises it. */
+export const MAX_PAYLOAD_BYTES = 4_000;
 
 /** Maximum number of occurrences of a job. */
 export const MAX_OCCURRENCES = 10_000;
--- a/packages/scheduler/caller_service.ts
+++ b/packages/scheduler/caller_service.ts
@@ -6,7 +6,7 @@
 } from "../base/mod.ts";
 import { Admission } from "../cell/mod.ts";
 import { EventCode, type EventLog } from "../events/mod.ts";
-import type { JobSpec } from "../jobs/mod.ts";
+import { findTextError, type JobSpec } from "../jobs/mod.ts";
 import { CancelReply, type SubmitReply } from "../links/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type { ConfigFeed } from "./config_feed.ts";
@@ -92,6 +92,8 @@
       if (typeof job === "string") {
         return { kind: AnswerKind.BadRequest, detail: job };
       }
+      const textError = findTextError(job);
+      if (textError) return { kind: AnswerKind.BadRequest, detail: textError };
       const spec: JobSpec = {
         ...job,
         organisation,
