Reject request bodies that are not UTF-8 instead of altering them

Callers saw: a body with bytes that are not UTF-8, such as Latin-1, was accepted, and the job ran with U+FFFD in place of each of them: another payload than the one that was sent. For an operator's configuration the same held.

Cause: bodies were decoded with replacement.

Change: `readBodyText` decodes strictly; the two interfaces for jobs, the one for direct work and the operators' interface answer 400. A byte order mark is still ignored.

--- a/packages/base/text.ts
+++ b/packages/base/text.ts
@@ -1,4 +1,7 @@
-import { assertInvariant } from "./errors.ts";
+import { Buffer, isUtf8 } from "node:buffer";
+import { assertInvariant, FormatError } from "./errors.ts";
+
+const BYTE_ORDER_MARK = "\ufeff";
 
 /** Size of the largest code point in UTF-8, in bytes. */
 const MAX_CODE_POINT_BYTES = 4;
@@ -26,3 +29,27 @@
   } while (start < text.length);
   return parts;
 }
+
+/**
+ * Decodes UTF-8, without a byte order mark. Returns undefined if the bytes are not UTF-8,
+ * instead of a text with replacement characters.
+ */
+export function decodeUtf8(bytes: Uint8Array): string | undefined {
+  if (!isUtf8(bytes)) return undefined;
+  const text = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength)
+    .toString();
+  return text.startsWith(BYTE_ORDER_MARK) ? text.slice(1) : text;
+}
+
+/**
+ * Reads the body of a request as text.
+ *
+ * @throws {FormatError} when it is not UTF-8
+ */
+export async function readBodyText(
+  request: { arrayBuffer: () => Promise<ArrayBuffer> },
+): Promise<string> {
+  const text = decodeUtf8(new Uint8Array(await request.arrayBuffer()));
+  if (text === undefined) throw new FormatError("the body is not UTF-8");
+  return text;
+}
--- a/packages/entry/caller_app.ts
+++ b/packages/entry/caller_app.ts
@@ -6,6 +6,7 @@
   makeMayHaveRunOutcome,
   makeNotRunOutcome,
   type Outcome,
+  readBodyText,
 } from "../base/mod.ts";
 import { findTeamOfKey, MAX_BODY_BYTES } from "../config/mod.ts";
 import { EventCode } from "../events/mod.ts";
@@ -53,7 +54,7 @@
 async function receiveWork(node: EntryNode, c: Context): Promise<Response> {
   let body: string;
   try {
-    body = await c.req.text();
+    body = await readBodyText(c.req);
   } catch (error) {
     const detail = `cannot read the body: ${String(error)}`;
     return sendRefusal(c, Cause.BadRequest, { detail });
--- a/packages/entry/caller_app_test.ts
+++ b/packages/entry/caller_app_test.ts
@@ -1,3 +1,4 @@
+import { Buffer } from "node:buffer";
 import test from "ava";
 import { v7 as makeUuid } from "uuid";
 import { Site } from "../../tests/virtual/site.ts";
@@ -13,7 +14,7 @@
   queue?: string;
   key?: string;
   body?: unknown;
-  rawBody?: string;
+  rawBody?: string | Uint8Array<ArrayBuffer>;
   headers?: Record<string, string>;
   status: number;
   cause: string;
@@ -29,6 +30,14 @@
     cause: "bad_request",
     detail: /not JSON/,
   },
+  {
+    // It was passed on with replacement characters in place of the bytes.
+    name: "a body that is not UTF-8",
+    rawBody: Buffer.from('{"payload": "ni\xf1o"}', "latin1"),
+    status: 400,
+    cause: "bad_request",
+    detail: /not UTF-8/,
+  },
   {
     name: "an unknown queue",
     queue: "nowhere",
--- a/packages/entry/operator_app.ts
+++ b/packages/entry/operator_app.ts
@@ -1,7 +1,7 @@
 import { type Context, Hono } from "hono";
 import { z } from "zod";
 import { bodyLimit } from "hono/body-limit";
-import { MEBIBYTE } from "../base/mod.ts";
+import { MEBIBYTE, readBodyText } from "../base/mod.ts";
 import {
   type ConfigItems,
   configurationSchema,
@@ -59,7 +59,12 @@
 }
 
 async function applyConfig(node: EntryNode, c: Context): Promise<Response> {
-  const body = await c.req.json().catch(() => undefined);
+  let body: unknown;
+  try {
+    body = JSON.parse(await readBodyText(c.req));
+  } catch (error) {
+    return c.json({ error: `cannot read the body: ${String(error)}` }, 400);
+  }
   const parsed = applySchema.safeParse(body);
   if (!parsed.success) {
     return c.json({ error: z.prettifyError(parsed.error) }, 400);
--- a/packages/scheduler/job_app.ts
+++ b/packages/scheduler/job_app.ts
@@ -1,7 +1,7 @@
 import { type Context, Hono } from "hono";
 import type { ContentfulStatusCode } from "hono/utils/http-status";
 import { z } from "zod";
-import { Verdict } from "../base/mod.ts";
+import { readBodyText, Verdict } from "../base/mod.ts";
 import { EventCode } from "../events/mod.ts";
 import { createBodyLimit } from "./body_limit.ts";
 import { MAX_JOB_BODY_BYTES } from "./constants.ts";
@@ -61,7 +61,13 @@
   const app = new Hono();
   const path = "/v1/queues/:queue/jobs/:id";
   app.put(path, createBodyLimit(MAX_JOB_BODY_BYTES), async (c) => {
-    const text = await c.req.text();
+    let text: string;
+    try {
+      text = await readBodyText(c.req);
+    } catch (error) {
+      const detail = `cannot read the body: ${String(error)}`;
+      return sendAnswer(c, { kind: AnswerKind.BadRequest, detail });
+    }
     const id = c.req.param("id");
     const parse = () => parseJob(id, text);
     return sendAnswer(
