Use no record or answer whose bytes are not UTF-8

Operators would see: tasks started on an endpoint whose record in the store has bytes that cannot be read, although such a record names no endpoint; and a checkpoint with such bytes that is sent back altered with the next start, which is another one than the task's.

Cause: values of the store and answers over HTTP were decoded with replacement characters, so that JSON with unreadable bytes inside of a string was taken.

Change: a value that is not UTF-8 is empty, as an omitted one is; each reader of records rejects that already and says so (EndpointRecordIgnored, ConfigRejected). An answer that is not UTF-8 is not JSON: it has no body, and the effect of its call is unknown.

Result: platform_store_test "a record that is not UTF-8 names no endpoint, the others hold" and http_json_test "an answer that is not UTF-8 has no body" failed with the decoding before and pass now. An endpoint that lists such text cannot be polled until it lists none; its runs end with their leases.

--- a/packages/platform/http_json.ts
+++ b/packages/platform/http_json.ts
@@ -2,6 +2,7 @@
 import { Agent, type Dispatcher } from "undici";
 import {
   BaobabheadError,
+  decodeUtf8,
   NotSentError,
   UnknownEffectError,
 } from "../base/mod.ts";
@@ -30,7 +31,7 @@
 /** Status and parsed body of an answer, whatever the status is. */
 export interface JsonAnswer {
   status: number;
-  /** `undefined` when the body is empty or is not JSON. */
+  /** `undefined` when the body is empty or is not JSON in UTF-8. */
   body: unknown;
 }
 
@@ -187,10 +188,10 @@
   #finish(): void {
     this.#isSettled = true;
     clearTimeout(this.#timer);
-    const text = this.#chunks.length === 1
-      ? this.#chunks[0].toString()
-      : Buffer.concat(this.#chunks).toString();
-    this.#resolve({ status: this.#status, text });
+    const bytes = this.#chunks.length === 1
+      ? this.#chunks[0]
+      : Buffer.concat(this.#chunks);
+    this.#resolve({ status: this.#status, text: decodeUtf8(bytes) ?? "" });
   }
 }
 
--- a/packages/platform/http_json_test.ts
+++ b/packages/platform/http_json_test.ts
@@ -1,3 +1,4 @@
+import { Buffer } from "node:buffer";
 import { createServer, type RequestListener, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { Worker } from "node:worker_threads";
@@ -48,6 +49,24 @@
   });
 });
 
+// Guards against text of an endpoint, such as a checkpoint, that is altered and sent back.
+test("an answer that is not UTF-8 has no body", async (t) => {
+  for (
+    const [encoding, body] of [["utf8", ["ni\xf1o"]], ["latin1", undefined]]
+  ) {
+    const bytes = Buffer.from(
+      '["ni\xf1o"]',
+      String(encoding) as BufferEncoding,
+    );
+    await withServer(
+      (_, response) => response.writeHead(200).end(bytes),
+      async (url, client) => {
+        t.deepEqual((await client.exchange(makeCall(url))).body, body);
+      },
+    );
+  }
+});
+
 test("a call that is queued behind an unanswered call times out too", async (t) => {
   await withServer(() => {}, async (url, client) => {
     const firstError = t.throwsAsync(client.exchange(makeCall(url)));
--- a/tests/e2e/platform_store_test.ts
+++ b/tests/e2e/platform_store_test.ts
@@ -1,7 +1,9 @@
+import { Buffer } from "node:buffer";
 import test from "ava";
 import { UnknownEffectError } from "../../packages/base/mod.ts";
 import type { KeyValueStore } from "../../packages/storage/mod.ts";
 import { PlatformStore } from "../../platform/key_value_store.ts";
+import { PlatformRecords } from "../../platform/site_records.ts";
 import { listen } from "../standins/http_server.ts";
 
 const HOST = "127.59.0.1";
@@ -84,3 +86,37 @@
   await t.notThrowsAsync(store.endLease(1));
   t.false(await store.renewLease(1));
 });
+
+// Guards against starts on an endpoint whose record has bytes that cannot be read.
+test("a record that is not UTF-8 names no endpoint, the others hold", async (t) => {
+  const record = {
+    service: "desk",
+    addr: "10.0.0.1:80",
+    zone: "norte",
+    state: "ready",
+    room: { cpu: 1_000 },
+    labels: ["ni\xf1o"],
+  };
+  const encodings = ["utf8", "latin1"] as const;
+  const items = encodings.map((encoding, index) => ({
+    key: `servers/${encoding}`,
+    value: Buffer.from(JSON.stringify(record), encoding).toString("base64"),
+    rev: index + 1,
+  }));
+  const address = { host: HOST, port: PORT + 1 };
+  const server = await listen(address, (_, response) => {
+    response.writeHead(200).end(JSON.stringify({ items, as_of: 2 }));
+  });
+  t.teardown(() => server.close());
+  const store = new PlatformStore({
+    address: `${HOST}:${PORT + 1}`,
+    localAddress: HOST,
+  });
+  t.teardown(() => store.close());
+  const records = new PlatformRecords();
+  const { items: stored } = await store.list("servers/");
+  t.deepEqual(
+    stored.map(({ key, value }) => records.decodeEndpoint(key, value)?.labels),
+    [["ni\xf1o"], undefined],
+  );
+});
