Reject job ids that cannot be part of a task's name

Callers saw: a job with an id such as `a.b` was accepted and never ended (LOST). Its tasks were started, their ends were read as those of no job, and they were started again.

Cause: names of tasks are an id and three numbers joined by dots, and an id with a dot cannot be parsed back; nothing checked ids.

Evidence: a cell of two endpoints with one job each of the ids `ab`, `a.b`, `a@b`, `a b`, `ñ`, `𠮷`, `a/b`: after 20 s all were completed but `a.b`, which was pending.

Change: an id has 1 to 64 letters, digits, `_` and `-`; others are answered with 400 at the entry.

--- a/packages/jobs/check.ts
+++ b/packages/jobs/check.ts
@@ -1,5 +1,6 @@
 import { Buffer } from "node:buffer";
 import {
+  JOB_ID,
   MAX_OCCURRENCES,
   MAX_PAYLOAD_BYTES,
   MAX_STEPS,
@@ -28,8 +29,11 @@
 
 /** Returns the error of the texts that identify and describe a job, if any. */
 export function findTextError(
-  { payload }: Pick<JobSpec, "payload">,
+  { id, payload }: Pick<JobSpec, "id" | "payload">,
 ): string | undefined {
+  if (!JOB_ID.test(id)) {
+    return "the id must be 1 to 64 letters, digits, `_` and `-`";
+  }
   if (Buffer.byteLength(payload) > MAX_PAYLOAD_BYTES) {
     return `the payload has more than ${MAX_PAYLOAD_BYTES} bytes`;
   }
--- a/packages/jobs/constants.ts
+++ b/packages/jobs/constants.ts
@@ -12,3 +12,9 @@
 
 /** Maximum number of occurrences of a job. */
 export const MAX_OCCURRENCES = 10_000;
+
+/**
+ * Ids that a job may have. Names of tasks are an id and numbers joined by dots, and
+ * records of the journal repeat them.
+ */
+export const JOB_ID = /^[\w-]{1,64}$/;
--- a/tests/virtual/caller_service_test.ts
+++ b/tests/virtual/caller_service_test.ts
@@ -44,13 +44,15 @@
 // The owner refused such a job with 429, which asks the caller to come again.
 test("a job with a text that can never be accepted is rejected without an owner", async (t) => {
   const { service, time } = await startService();
-  const pending = service.submit(REQUEST, () => ({
-    ...parseEmptyJob(),
-    payload: "牛".repeat(1_334),
-  }));
-  const { answer, elapsedMs } = await settle(time, pending);
-  t.is(answer.kind, AnswerKind.BadRequest);
-  t.true(elapsedMs <= 10);
+  for (const text of [{ payload: "牛".repeat(1_334) }, { id: "a.b" }]) {
+    const parse = () => ({ ...parseEmptyJob(), ...text });
+    const { answer, elapsedMs } = await settle(
+      time,
+      service.submit(REQUEST, parse),
+    );
+    t.is(answer.kind, AnswerKind.BadRequest);
+    t.true(elapsedMs <= 10);
+  }
 });
 
 test("an owner that stalls: the caller is told at once that the effect is unknown", async (t) => {
