--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -1,4 +1,4 @@
-import { RecordKind } from "../journal/mod.ts";
+import { RecordKind, splitRuns } from "../journal/mod.ts";
 import { findJobError, type JobSpec, JobState } from "../jobs/mod.ts";
 import { LATE_ORDER_MS } from "./constants.ts";
 import { makeAdmissionState } from "./admission_state.ts";
@@ -156,14 +156,16 @@
   collectOutput(): CellOutput {
     const { output } = this.state;
     this.state.output = makeOutput();
-    for (const [endpoint, runs] of output.placements) {
-      output.records.push({
-        kind: RecordKind.Placed,
-        endpoint,
-        bornAt: this.state.endpoints.get(endpoint)?.bornAt ?? 0,
-        at: this.state.plannedAt,
-        runs,
-      });
+    for (const [endpoint, placedRuns] of output.placements) {
+      for (const runs of splitRuns(placedRuns)) {
+        output.records.push({
+          kind: RecordKind.Placed,
+          endpoint,
+          bornAt: this.state.endpoints.get(endpoint)?.bornAt ?? 0,
+          at: this.state.plannedAt,
+          runs,
+        });
+      }
     }
     return output;
   }
--- a/packages/cell/crashes.ts
+++ b/packages/cell/crashes.ts
@@ -1,4 +1,4 @@
-import { RecordKind } from "../journal/mod.ts";
+import { RecordKind, splitRuns } from "../journal/mod.ts";
 import { JobState } from "../jobs/mod.ts";
 import { classifyCrash, type Crash, type CrashVerdict } from "./blame.ts";
 import {
@@ -93,12 +93,13 @@
     },
   });
   if (suspects.length === 0) return;
-  if (!crash.isMissing) {
+  const recordedRuns = crash.isMissing ? [] : splitRuns(suspects);
+  for (const runs of recordedRuns) {
     state.output.records.push({
       kind: RecordKind.Crashed,
       endpoint,
       bornAt,
-      runs: suspects,
+      runs,
       ...verdict,
     });
   }
--- a/packages/journal/constants.ts
+++ b/packages/journal/constants.ts
@@ -42,3 +42,9 @@
 
 /** Prefix of the keys of snapshot parts. */
 export const SNAPSHOT_PREFIX = "baobabhead/snapshot/";
+
+/**
+ * Maximum number of runs in one record. A run takes about 100 bytes with the longest
+ * id of a job, so that a record stays under `MAX_COMMIT_BYTES`.
+ */
+export const MAX_RUNS_PER_RECORD = 2_000;
--- a/packages/journal/mod.ts
+++ b/packages/journal/mod.ts
@@ -2,4 +2,5 @@
 export * from "./constants.ts";
 export * from "./journal.ts";
 export * from "./load.ts";
+export * from "./split_runs.ts";
 export * from "./types.ts";
--- a/tests/cell/take_over_test.ts
+++ b/tests/cell/take_over_test.ts
@@ -1,6 +1,12 @@
+import { Buffer } from "node:buffer";
 import test from "ava";
 import { EndKind, JobState } from "../../packages/jobs/mod.ts";
 import { LATE_ORDER_MS, MAX_LEASE_MS } from "../../packages/cell/mod.ts";
+import {
+  MAX_COMMIT_BYTES,
+  MAX_RUNS_PER_RECORD,
+  RecordKind,
+} from "../../packages/journal/mod.ts";
 import {
   CellSite,
   LEASE_MS,
@@ -165,3 +171,20 @@
   site.advance(1_000);
   t.is(site.checker.starts, 1);
 });
+
+// Guards against a record that the store refuses as too large, which stops the cell.
+test("a record of many placements is within the size of a commit", (t) => {
+  const site = new CellSite({ endpoints: 1, afterMs: 60_000 });
+  site.advance(200);
+  const demand = { milliCores: 0, memoryMb: 0, accelerators: 0 };
+  const tasks = 3 * MAX_RUNS_PER_RECORD;
+  site.submit(makeJob("x".repeat(64), [makeStep({ tasks, demand })]));
+  site.advance(1_000);
+  const placed = site.journal.flatMap((record) =>
+    record.kind === RecordKind.Placed ? record.runs : []
+  );
+  t.is(new Set(placed.map(([task]) => task)).size, tasks);
+  for (const record of site.journal) {
+    t.true(Buffer.byteLength(JSON.stringify(record)) <= MAX_COMMIT_BYTES);
+  }
+});
