Send and read text in HTTP headers as UTF-8

Callers saw: 401 for a valid key with letters outside ASCII, or, on the project's own interface, with a space.

Cause: header values are bytes that arrive, and are sent, as one character each; keys and ids were passed as text. The key of a `Bearer` header was cut at the next space.

A value that is not UTF-8 is taken as Latin-1, as before.

--- a/packages/base/text.ts
+++ b/packages/base/text.ts
@@ -53,3 +53,16 @@
   if (text === undefined) throw new FormatError("the body is not UTF-8");
   return text;
 }
+
+/**
+ * Decodes the value of a received HTTP header, in which each byte is one character. A
+ * value that is not UTF-8 is taken as Latin-1.
+ */
+export function decodeHeader(value: string): string {
+  return decodeUtf8(Buffer.from(value, "latin1")) ?? value;
+}
+
+/** Encodes a text in UTF-8 as the value of an HTTP header, one character a byte. */
+export function encodeHeader(text: string): string {
+  return Buffer.from(text).toString("latin1");
+}
--- a/packages/cli/entry_api.ts
+++ b/packages/cli/entry_api.ts
@@ -1,5 +1,6 @@
 import process from "node:process";
 import { request } from "undici";
+import { encodeHeader } from "../base/mod.ts";
 import {
   CALL_TIMEOUT_MS,
   DEFAULT_ENTRY,
@@ -89,7 +90,7 @@
       method: call.method,
       headers: {
         "content-type": "application/json",
-        authorization: `Bearer ${options.key}`,
+        authorization: encodeHeader(`Bearer ${options.key}`),
         ...call.headers,
       },
       body: call.body === undefined ? undefined : JSON.stringify(call.body),
--- a/packages/scheduler/job_app.ts
+++ b/packages/scheduler/job_app.ts
@@ -1,7 +1,7 @@
 import { type Context, Hono } from "hono";
 import type { ContentfulStatusCode } from "hono/utils/http-status";
 import { z } from "zod";
-import { readBodyText, Verdict } from "../base/mod.ts";
+import { decodeHeader, readBodyText, Verdict } from "../base/mod.ts";
 import { EventCode } from "../events/mod.ts";
 import { createBodyLimit } from "./body_limit.ts";
 import { MAX_JOB_BODY_BYTES } from "./constants.ts";
@@ -13,6 +13,9 @@
   type JobRequest,
 } from "./types.ts";
 
+/** A scheme, such as `Bearer`, and the key; a key may have spaces. */
+const AUTHORIZATION = /^\S+ +(.*)$/;
+
 const countSchema = z.int().min(0);
 
 const stepSchema = z.strictObject({
@@ -149,7 +152,8 @@
 }
 
 function readRequest(c: Context): CallerRequest {
-  const [, key = ""] = (c.req.header("authorization") ?? "").split(" ");
+  const authorization = decodeHeader(c.req.header("authorization") ?? "");
+  const [, key = ""] = AUTHORIZATION.exec(authorization) ?? [];
   return {
     queue: c.req.param("queue"),
     host: "",
