--- a/tests/e2e/header_text_test.ts
+++ b/tests/e2e/request_text_test.ts
@@ -89,3 +89,26 @@
     t.is(records.decodeEndpoint(`servers/${id}`, record), undefined);
   }
 });
+
+// Guards against a queue that is not found (404), because its prefix was compared as the
+// operator wrote it with a path that was decoded.
+test("a path begins with the prefix that it was made from", async (t) => {
+  const prefixes = [
+    "/f/",
+    "/niño/",
+    "/ni%C3%B1o/",
+    "/a b/",
+    "/a%20b/",
+    "/50%25/",
+  ];
+  const { node, requests } = makeNode();
+  const app = createCallerApp(node, { isStopping: () => false });
+  const records = new PlatformRecords();
+  for (const prefix of prefixes) {
+    const route = { name: "q", host: "h", prefix, service: "desk" };
+    const text = JSON.stringify({ version: 1, routes: [route] });
+    const [queue] = records.decodeConfig(text).queues;
+    await app.request(`http://localhost${prefix}0123456789abcdef`);
+    t.is(requests.at(-1)?.path, `${queue.prefix}0123456789abcdef`);
+  }
+});
