--- a/tests/e2e/request_text_test.ts
+++ b/tests/e2e/request_text_test.ts
@@ -112,3 +112,16 @@
     t.is(requests.at(-1)?.path, `${queue.prefix}0123456789abcdef`);
   }
 });
+
+// Guards against the address of a host that is cut at its first colon.
+test("the host of a request is read without its port", async (t) => {
+  const { node, requests } = makeNode();
+  const app = createCallerApp(node, { isStopping: () => false });
+  for (const host of ["desk", "desk:80", "[::1]", "[::1]:80"]) {
+    await app.request("/f/1", { headers: { host } });
+  }
+  t.deepEqual(
+    requests.map(({ host }) => host),
+    ["desk", "desk", "[::1]", "[::1]"],
+  );
+});
