Leave out listed checkpoints that are too large to be stored

Callers would see: one endpoint that lists a checkpoint of more than about 1 MB stops the cell. The record of the run's end is above the store's limit on a value; the commit is refused and sent again without end, and no later one is acknowledged.

Cause: the text of a checkpoint comes from the endpoint, and nothing bounded it.

Change: a checkpoint of more than 65,536 bytes is left out, which is said once a run (event 5013 CheckpointIgnored, counter checkpoints_ignored); the task resumes from its last one. Such a record stays under the size of a commit even where JSON takes six bytes for one.

Result: take_over_test "a checkpoint that is too large to be stored is left out, smaller ones are kept" failed without the limit and passes.

--- a/packages/cell/constants.ts
+++ b/packages/cell/constants.ts
@@ -239,6 +239,12 @@
 /** See `WIDESPREAD_MIN`. */
 export const WIDESPREAD_FRACTION = 0.1;
 
+/**
+ * Largest checkpoint that is stored, in bytes: the record of an end is under the size of
+ * a commit, even where JSON takes six bytes for one.
+ */
+export const MAX_CHECKPOINT_BYTES = 65_536;
+
 /** Endpoints lost within this time of each other were lost together, in ms. */
 export const SAME_MOMENT_MS = 500;
 
--- a/packages/cell/decision_types.ts
+++ b/packages/cell/decision_types.ts
@@ -10,6 +10,8 @@
   EndpointReplaced = "endpoint_replaced",
   /** A listing of runs came too late to be applied. */
   ListingIgnored = "listing_ignored",
+  /** A listed checkpoint is too large; the task keeps the last one. */
+  CheckpointIgnored = "checkpoint_ignored",
   /** The throttle of an endpoint's best-effort runs changed. */
   Throttled = "throttled",
   LeaseExpired = "lease_lapsed",
--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -1,5 +1,6 @@
 import { RecordKind } from "../journal/mod.ts";
 import { EndKind, parseTaskName } from "../jobs/mod.ts";
+import { canStoreCheckpoint, noteCheckpointIgnored } from "./checkpoints.ts";
 import { MAX_LEASE_MS } from "./constants.ts";
 import {
   type ListingTimes,
@@ -123,7 +124,12 @@
   endpoint: Endpoint,
   options: { end: ListedEnd; times: ListingTimes },
 ): void {
-  const { end, times } = options;
+  const { times } = options;
+  let { end } = options;
+  if (!canStoreCheckpoint(end.saved)) {
+    noteCheckpointIgnored(state, endpoint, end);
+    end = { ...end, saved: "" };
+  }
   const run = endpoint.runs.get(end.task);
   const runTimes = run?.number === end.run
     ? noteRunEnd(state, run, { end: end.end, now: times.now })
@@ -175,7 +181,12 @@
   }
   const taskRef = findTask(state, listedRun.task);
   if (taskRef) taskRef.stage.job.hasStarted = true;
-  if (taskRef && listedRun.saved && taskRef.task.run === run) {
+  if (!canStoreCheckpoint(listedRun.saved)) {
+    if (!run.hasLargeCheckpoint) {
+      noteCheckpointIgnored(state, endpoint, listedRun);
+    }
+    run.hasLargeCheckpoint = true;
+  } else if (taskRef && listedRun.saved && taskRef.task.run === run) {
     if (taskRef.task.checkpoint !== listedRun.saved) run.savedAt = times.now;
     setCheckpoint(taskRef, listedRun.saved);
   }
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -90,6 +90,8 @@
   startedAt: number;
   /** When a listing last showed a new checkpoint of the run. */
   savedAt?: number;
+  /** A listing showed a checkpoint of the run that is too large to be stored. */
+  hasLargeCheckpoint?: true;
   /** Lifetime of the endpoint that was known when the start was sent; 0: not sent. */
   sentToBornAt: number;
   /** When this owner sent the start order; undefined: it has not. */
--- a/packages/events/catalogue.ts
+++ b/packages/events/catalogue.ts
@@ -41,6 +41,7 @@
   EndpointCrashed = 5010,
   EndpointListingIgnored = 5011,
   EndpointRecordIgnored = 5012,
+  CheckpointIgnored = 5013,
   EndpointRoomShrunk = 5020,
   EndpointRoomGrown = 5021,
   EndpointRecordsStale = 5022,
@@ -285,6 +286,12 @@
     message: "a listing of an endpoint came too late to be applied",
     remedy: "Check the network to the endpoint if it repeats.",
   },
+  [EventCode.CheckpointIgnored]: {
+    severity: Severity.Warn,
+    message: "a listed checkpoint is too large to be stored",
+    remedy:
+      "Make the checkpoints of the task smaller: it resumes from its last one.",
+  },
   [EventCode.TaskGivenUp]: {
     severity: Severity.Warn,
     message: "too many endpoints crashed under a task; its job has failed",
--- a/tests/cell/take_over_test.ts
+++ b/tests/cell/take_over_test.ts
@@ -1,7 +1,11 @@
 import { Buffer } from "node:buffer";
 import test from "ava";
 import { EndKind, JobState } from "../../packages/jobs/mod.ts";
-import { LATE_ORDER_MS, MAX_LEASE_MS } from "../../packages/cell/mod.ts";
+import {
+  LATE_ORDER_MS,
+  MAX_CHECKPOINT_BYTES,
+  MAX_LEASE_MS,
+} from "../../packages/cell/mod.ts";
 import {
   MAX_COMMIT_BYTES,
   MAX_RUNS_PER_RECORD,
@@ -188,3 +192,25 @@
     t.true(Buffer.byteLength(JSON.stringify(record)) <= MAX_COMMIT_BYTES);
   }
 });
+
+// Guards against a text of one endpoint that makes a record too large for the store.
+test("a checkpoint that is too large to be stored is left out, smaller ones are kept", (t) => {
+  const largest = "牛".repeat(Math.floor(MAX_CHECKPOINT_BYTES / 3));
+  const tooLarge = `${largest}牛`;
+  for (const [listed, kept] of [[largest, largest], [tooLarge, ""]]) {
+    for (const isListedAtEnd of [false, true]) {
+      const site = new CellSite({ endpoints: 1 });
+      site.endRule = () => ({ afterMs: 300, endKind: EndKind.Failed });
+      const [endpoint] = site.endpoints.values();
+      if (isListedAtEnd) endpoint.checkpoint = listed;
+      else endpoint.getSaved = () => listed;
+      site.submit(makeJob("a", [makeStep({ checkpointing: true })]));
+      site.advance(isListedAtEnd ? 600 : 250);
+      const [job] = site.cell.collectSnapshot().jobs;
+      t.true(job.tasks[0].saved === kept);
+      for (const record of site.journal) {
+        t.true(Buffer.byteLength(JSON.stringify(record)) <= MAX_COMMIT_BYTES);
+      }
+    }
+  }
+});
