Reject an evacuation whose key is too large for the store

Operators saw: for the name of a failure domain with, say, 60 letters of three bytes, the request for an evacuation was answered with 504, effect unknown, however often it was made: the store refuses a key above 200 bytes, and names were measured in code points.

Change: the key is measured in bytes before the call; such a request is answered with 400.

Result: evacuation_app_test "a name whose key is too large for the store is rejected" failed without the check and passes.

--- a/packages/scheduler/evacuation_app.ts
+++ b/packages/scheduler/evacuation_app.ts
@@ -1,7 +1,12 @@
+import { Buffer } from "node:buffer";
 import { type Context, Hono } from "hono";
 import { type Clock, NotSentError } from "../base/mod.ts";
 import { type EvacuationReport, isDomainName } from "../evacuation/mod.ts";
-import { type KeyValueStore, TransactionResult } from "../storage/mod.ts";
+import {
+  type KeyValueStore,
+  MAX_KEY_BYTES,
+  TransactionResult,
+} from "../storage/mod.ts";
 import { EVACUATION_PREFIX } from "./constants.ts";
 import type { SiteRecords } from "./ports.ts";
 
@@ -37,6 +42,9 @@
     if (!isDomainName(domain)) {
       return c.json({ error: "not the name of a failure domain" }, 400);
     }
+    if (Buffer.byteLength(EVACUATION_PREFIX + domain) > MAX_KEY_BYTES) {
+      return c.json({ error: "the name is too long for a key" }, 400);
+    }
     return handleErrors(c, async () => {
       await submitEvacuation(parts, domain);
       return c.json({ domain, state: "requested" });
--- a/packages/storage/mod.ts
+++ b/packages/storage/mod.ts
@@ -1,4 +1,5 @@
 /** The store of all durable state: abstract class, metrics and types. */
+export * from "./constants.ts";
 export * from "./key_value_store.ts";
 export * from "./metered_store.ts";
 export * from "./types.ts";
--- a/tests/virtual/evacuation_app_test.ts
+++ b/tests/virtual/evacuation_app_test.ts
@@ -73,3 +73,13 @@
   t.is((await other.call("GET", "/v1/evacuations")).status, 404);
   t.is(other.state.items.size, 0);
 });
+
+// Guards against an effect that is reported as unknown because the store refuses the key.
+test("a name whose key is too large for the store is rejected", async (t) => {
+  const { state, call } = makeSite();
+  for (const [letters, expected] of [[59, 200], [60, 400]]) {
+    const path = `/v1/evacuations/${encodeURIComponent("牛".repeat(letters))}`;
+    t.is((await call("PUT", path)).status, expected);
+  }
+  t.is([...state.items.keys()].filter((key) => key.includes("牛")).length, 1);
+});
