Soak payloads with letters of one to four bytes, near the size limit

They have 3,800 bytes now, in letters of one to four bytes; the stand-in of the store refuses values above the platform's limit. The checker compares each started payload already.

--- a/tests/soak/caller.ts
+++ b/tests/soak/caller.ts
@@ -1,3 +1,4 @@
+import { Buffer } from "node:buffer";
 import { Client } from "undici";
 import type { Random } from "../../packages/base/mod.ts";
 import { sleep } from "../standins/http_server.ts";
@@ -12,6 +13,9 @@
   type SoakStep,
 } from "./types.ts";
 
+/** Size of a payload, in bytes: near the limit of 4,000, with room for a marker. */
+const PAYLOAD_BYTES = 3_800;
+const LETTERS = ["x", "ñ", "牛", "𠮷"];
 /** Time that a caller allows for an answer, in milliseconds. */
 const DEADLINE_MS = 3_000;
 /** Time after which a caller ends the wait for an answer, in milliseconds. */
@@ -199,7 +203,7 @@
         ? SHORT_TASK_MS + random.drawInt(MAX_RUN_MS - SHORT_TASK_MS)
         : 50 + random.drawInt(SHORT_TASK_MS),
     }));
-    return { id, payload: `payload of ${id}`, steps };
+    return { id, payload: makePayload(id, jobNumber), steps };
   }
 
   #chooseOtherEntry(): void {
@@ -288,6 +292,13 @@
   [CallKind.Cancel]: "DELETE",
 } as const;
 
+/** Makes a payload of about `PAYLOAD_BYTES` in letters of one to four bytes. */
+function makePayload(id: string, jobNumber: number): string {
+  const letter = LETTERS[jobNumber % LETTERS.length];
+  const count = Math.floor(PAYLOAD_BYTES / Buffer.byteLength(letter));
+  return `payload of ${id} ${letter.repeat(count)}`;
+}
+
 function encodeJob(job: { payload?: string; steps?: SoakStep[] }): string {
   return JSON.stringify({
     task_spec: job.payload,
--- a/tests/standins/job_platform.ts
+++ b/tests/standins/job_platform.ts
@@ -27,6 +27,9 @@
 
 const MAX_PAGE_ITEMS = 500;
 
+/** Largest size of a value, in bytes. */
+const MAX_VALUE_BYTES = 1_048_576;
+
 /** Stand-in for the platform's key-value store. */
 export class StoreStandIn {
   readonly items = new Map<string, StoredItem>();
@@ -192,6 +195,10 @@
     if (puts.some(({ lease }) => lease && !this.#leases.has(lease))) {
       return { status: 404 };
     }
+    const isTooLarge = puts.some(({ value }) =>
+      Buffer.from(value, "base64").length > MAX_VALUE_BYTES
+    );
+    if (isTooLarge) return { status: 400 };
     this.#revision++;
     for (const { key, value, lease } of puts) {
       this.#setItem(key, { value, lease: lease ?? 0 });
