--- a/tests/e2e/endpoint_answers_test.ts
+++ b/tests/e2e/endpoint_answers_test.ts
@@ -43,6 +43,24 @@
   }
 });
 
+// Guards against an owner that ends because it measures what is not a text.
+test("a checkpoint that is not a text counts as none", async (t) => {
+  const answer = await pollEndpoint({
+    clock_ms: 5,
+    born: BORN_AT,
+    running: [["a.0.0.0", 1, 7, 10], ["a.0.0.1", 1, "s", 10]],
+    ended: [[1, "a.0.0.2", 1, "done", { s: 1 }], [2, "a.0.0.3", 1, "done"]],
+  });
+  if (answer.kind !== PollResult.Listed) return t.fail();
+  const { running, ended } = answer.listing;
+  t.deepEqual([...running, ...ended].map(({ saved }) => saved), [
+    "",
+    "s",
+    "",
+    "",
+  ]);
+});
+
 // Guards against a restart that is seen where there was none: the start in a record is
 // compared with that in a list of runs.
 test("a record that states no whole start says nothing about the lifetime", (t) => {
--- a/tests/e2e/job_path_test.ts
+++ b/tests/e2e/job_path_test.ts
@@ -42,6 +42,42 @@
   ]);
 });
 
+/** Payloads whose text is hard to encode, to measure or to cut. */
+const TEXTS = [
+  "ni\xf1o, 牛, 𠮷, e\u0301, \u{1f468}\u200d\u{1f469}",
+  "lone surrogates \ud842 and \udfb7, reversed \udfb7\ud842",
+  '\ufeffmark, "quotes", \\, \u0000, \u001f, \u2028, \r\n',
+  "𠮷".repeat(1_000),
+];
+
+// Guards against text that is altered on its way through entries, journal and orders.
+test.serial("payloads in any script are passed on unchanged, also by the next owner", async (t) => {
+  const firstRunAt = Date.now() + 1_500;
+  const ids = TEXTS.map((_, index) => `0000000000000f0${index}`);
+  for (const [index, id] of ids.entries()) {
+    const { status } = await site.send(0, `/filings/${id}`, {
+      method: "POST",
+      body: {
+        task_spec: TEXTS[index],
+        steps: JOB.steps,
+        times: 1,
+        first_run_ms: firstRunAt,
+      },
+    });
+    t.is(status, 200);
+  }
+  const owner = site.findOwner();
+  site.entries[owner].node.handleUnexpectedError(new Error("test"));
+  for (const [index, id] of ids.entries()) {
+    const path = `/filings/${id}`;
+    await site.waitFor(async () => await findState(1, path) === "completed");
+    const payloads = site.endpoints.flatMap((endpoint) =>
+      endpoint.payloads.get(`${id}.0.1.0`) ?? []
+    );
+    t.deepEqual(payloads, [TEXTS[index]]);
+  }
+});
+
 test.serial("a job that is submitted again with the same id runs once", async (t) => {
   const path = "/filings/00000000000000a2";
   for (const entry of [0, 1, 2]) {
--- a/tests/standins/endpoint.ts
+++ b/tests/standins/endpoint.ts
@@ -16,6 +16,8 @@
   id: string;
   /** Task of each run that was started, in order. */
   readonly starts: string[] = [];
+  /** Payload of the last start of each task. */
+  readonly payloads = new Map<string, string>();
   readonly #clockRate: number;
   #lifetime: EndpointLifetime;
   #server: Server | undefined;
@@ -102,6 +104,7 @@
       onEvent: (event) => {
         if (event.kind === EndpointEventKind.Started) {
           this.starts.push(event.task);
+          this.payloads.set(event.task, event.detail);
         }
         this.onEvent(event);
       },
