Name the statuses and checkpoints that tests of text expect

Reading the diff as a newcomer: a comment stood above a table and not above its test, and two lists were hard to read. No check changes.

--- a/packages/jobs/check_test.ts
+++ b/packages/jobs/check_test.ts
@@ -6,14 +6,15 @@
   parseTaskName,
 } from "./mod.ts";
 
-// Guards against a limit in UTF-16 code units, which let three times the promised size
-// pass to endpoints.
+/** Letters, and how many of them a payload may have. */
 const LARGEST_PAYLOADS: [string, number][] = [
   ["x", 4_000],
   ["牛", 1_333],
   ["𠮷", 1_000],
 ];
 
+// Guards against a limit in UTF-16 code units, which let three times the promised size
+// pass to endpoints.
 for (const [letter, accepted] of LARGEST_PAYLOADS) {
   test(`a payload of ${letter} is limited by its size in bytes`, (t) => {
     const repeat = (count: number) => letter.repeat(count);
--- a/tests/e2e/caller_errors_test.ts
+++ b/tests/e2e/caller_errors_test.ts
@@ -40,16 +40,13 @@
 // Guards against a job that runs with U+FFFD in place of what its caller sent.
 test("a job whose body is not UTF-8 is rejected, not altered", async (t) => {
   const job = '{"task_spec": "ni\xf1o", "payload": "ni\xf1o", "steps": []}';
-  const encodings: ["utf8" | "latin1", number][] = [["utf8", 504], [
-    "latin1",
-    400,
-  ]];
+  const statuses = { utf8: 504, latin1: 400 };
   for (const { createApp, method, path } of CALLS) {
-    for (const [encoding, status] of encodings) {
+    for (const encoding of ["utf8", "latin1"] as const) {
       const body = Buffer.from(job, encoding);
       const app = createApp(brokenNode);
       const response = await app.request(path, { method, body });
-      t.is(response.status, status, `${path}, ${encoding}`);
+      t.is(response.status, statuses[encoding], `${path}, ${encoding}`);
     }
   }
 });
--- a/tests/e2e/endpoint_answers_test.ts
+++ b/tests/e2e/endpoint_answers_test.ts
@@ -53,12 +53,8 @@
   });
   if (answer.kind !== PollResult.Listed) return t.fail();
   const { running, ended } = answer.listing;
-  t.deepEqual([...running, ...ended].map(({ saved }) => saved), [
-    "",
-    "s",
-    "",
-    "",
-  ]);
+  const checkpoints = [...running, ...ended].map(({ saved }) => saved);
+  t.deepEqual(checkpoints, ["", "s", "", ""]);
 });
 
 // Guards against a restart that is seen where there was none: the start in a record is
--- a/tests/e2e/request_text_test.ts
+++ b/tests/e2e/request_text_test.ts
@@ -75,6 +75,7 @@
   t.deepEqual(received, ids);
 });
 
+// Guards against an endpoint that is listed and that no order can reach.
 test("a record under an id that no header can carry names no endpoint", (t) => {
   const records = new PlatformRecords();
   const record = JSON.stringify({
