Decode and encode ASCII text without copies

What callers pay: processor time of the entries. Cause: suspected, not shown: each answer made a second view of its bytes, and each id and key a copy, to encode and decode what is ASCII.

Change: an answer is decoded from the buffer that it came in; a header whose text is ASCII is taken as it is.

--- a/packages/base/text.ts
+++ b/packages/base/text.ts
@@ -34,10 +34,9 @@
  * Decodes UTF-8, without a byte order mark. Returns undefined if the bytes are not UTF-8,
  * instead of a text with replacement characters.
  */
-export function decodeUtf8(bytes: Uint8Array): string | undefined {
+export function decodeUtf8(bytes: Buffer): string | undefined {
   if (!isUtf8(bytes)) return undefined;
-  const text = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength)
-    .toString();
+  const text = bytes.toString();
   return text.startsWith(BYTE_ORDER_MARK) ? text.slice(1) : text;
 }
 
@@ -49,7 +48,7 @@
 export async function readBodyText(
   request: { arrayBuffer: () => Promise<ArrayBuffer> },
 ): Promise<string> {
-  const text = decodeUtf8(new Uint8Array(await request.arrayBuffer()));
+  const text = decodeUtf8(Buffer.from(await request.arrayBuffer()));
   if (text === undefined) throw new FormatError("the body is not UTF-8");
   return text;
 }
@@ -59,10 +58,15 @@
  * value that is not UTF-8 is taken as Latin-1.
  */
 export function decodeHeader(value: string): string {
+  if (isAscii(value)) return value;
   return decodeUtf8(Buffer.from(value, "latin1")) ?? value;
 }
 
 /** Encodes a text in UTF-8 as the value of an HTTP header, one character a byte. */
 export function encodeHeader(text: string): string {
-  return Buffer.from(text).toString("latin1");
+  return isAscii(text) ? text : Buffer.from(text).toString("latin1");
+}
+
+function isAscii(text: string): boolean {
+  return Buffer.byteLength(text) === text.length;
 }
