Weigh crashes as evidence against a background rate instead of counting them

Cause: each crash counted in full for every run that had been sent up to 0.5 s before the endpoint's last sign of life. Where starts are frequent and contact is lost silently, that is every restart and many tasks. A suspect started again only by one of three trials of its queue, after a delay that doubled, so that suspects came faster than trials ended; three counts ended the job. The exception for widespread crashes was decided at the first news of each crash, by the order of the news, and a sixth of the endpoints each second is often below it.

Change: for each suspect the owner estimates how likely the crash was without it, relative to a task that crashes its endpoints: by the background rate of events that no task caused, by the other endpoints lost at the same moment, and by the other suspects. A job is given up at a likelihood ratio of 100,000, which a harmless task reaches with a probability of at most 1 in 100,000. Only strong suspects are tried apart, one at a time in a queue at first, more as trials are outlived, and no unlikely cause waits for that longer than 6 s.

--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -39,13 +39,14 @@
   finishJob,
   restoreCell,
 } from "./snapshot.ts";
-import { dropCrashCounts } from "./crashes.ts";
+import { dropCrashCounts } from "./blame.ts";
 import { canInterrupt } from "./colocation.ts";
 import { buildJob, findTask, openStages } from "./stages.ts";
 import { type CellOutput, type CellState, makeOutput } from "./state.ts";
 import { sendStop, StopReason, stopRun } from "./stop_run.ts";
 import { listUnsentStarts } from "./unsent_starts.ts";
 import { noteContact, noteContactLost } from "./suspects.ts";
+import { settleCrashes } from "./settle_crashes.ts";
 import { settleTrials } from "./trials.ts";
 import {
   Admission,
@@ -110,6 +111,8 @@
       plannedAt: 0,
       suspects: new Map(),
       recentCrashes: [],
+      crashesJudgedAt: Number.NEGATIVE_INFINITY,
+      trialLimits: new Map(),
       stoppingRuns: new Set(),
       running: new RunningDemand(),
       shareMeter: new ShareMeter(),
@@ -424,6 +427,7 @@
     state.plannedAt = time.wallNow;
     expireEndpoints(state, time);
     settleTrials(state);
+    settleCrashes(state, time);
     const { mayStart } = options;
     settleUnansweredStarts(state, { now: time.now, mayStart });
     planLeaving(state, { now: time.now, mayStart });
--- a/packages/cell/constants.ts
+++ b/packages/cell/constants.ts
@@ -199,11 +199,84 @@
 export const SUSPECT_WINDOW_MS = 500;
 
 /**
- * A crash is laid to a task only if its endpoint showed no sign of life later than
- * this after the start, in milliseconds.
+ * Time after its start within which a task that crashes endpoints usually does so, in
+ * milliseconds. Covers the transit of the order and the loss of the connection.
  */
 export const MAX_CRASH_DELAY_MS = 100;
 
+/** Probability that a task that crashes endpoints does so later than that. */
+export const LATE_CRASH_LIKELIHOOD = 0.05;
+
+/**
+ * Prior odds that a task crashes each endpoint that starts it: one task in ten thousand.
+ */
+export const CRASHING_TASK_ODDS = 0.0001;
+
+/**
+ * Probability that a task that crashes endpoints outlives a probation, as in a crash
+ * that depends on its input or its progress.
+ */
+export const CLEARED_LIKELIHOOD = 0.01;
+
+/**
+ * Probability of being the cause from which a task is tried apart from other work: a
+ * trial costs a second of one endpoint, a crash the runs of one.
+ */
+export const TRIAL_PROBABILITY = 0.01;
+
+/**
+ * Largest probability that a job is given up for crashes which its task did not cause,
+ * for each task of the job.
+ */
+export const FALSE_POSITIVE_RATE = 1e-5;
+
+/** A crash that is at least this likely without the suspect says nothing of it. */
+export const NEGLIGIBLE_CHANCE = 0.5;
+
+/** Crashes that are less likely than this without a suspect are laid to it by earlier versions. */
+export const TELLING_CHANCE = 0.1;
+
+/** Shorter one of the times over which the background rate is measured, in ms. */
+export const SHORT_WINDOW_MS = 5_000;
+
+/**
+ * How long crashes are kept as evidence about others, in milliseconds; also the longer one
+ * of these times.
+ */
+export const CRASH_HISTORY_MS = 30_000;
+
+/**
+ * Endpoints whose last signs of life and losses of contact overlap within this time
+ * were lost together, in milliseconds. Covers the owner's delay in noticing.
+ */
+export const SAME_MOMENT_MS = 100;
+
+/**
+ * Time from hearing of a crash until the evidence about it is complete, in milliseconds:
+ * contact with other endpoints that were lost at the same moment has timed out by then.
+ */
+export const CRASH_SETTLE_MS = 1_500;
+
+/**
+ * Lowest chance of a crash whose owner ended before that: three of them give a job up.
+ */
+export const UNSETTLED_CHANCE = 0.01;
+
+/** Time for which blame may be taken back after that, in milliseconds. */
+export const CRASH_REVISION_MS = 10_000;
+
+/** Time between two judgements of recent crashes, in milliseconds. */
+export const JUDGE_INTERVAL_MS = 250;
+
+/** Blame that is already recorded is revised only if its chance grows by this factor. */
+export const MIN_CHANCE_GROWTH = 2;
+
+/**
+ * How long the times of an endpoint's starts are kept, in milliseconds: until crashes at
+ * the same moment have been heard of and settled.
+ */
+export const START_HISTORY_MS = 10_000;
+
 /**
  * Time for which a suspect runs apart from other starts, in milliseconds. A run that
  * is listed after it clears its task.
@@ -211,33 +284,35 @@
 export const PROBATION_MS = 1_000;
 
 /**
- * Largest number of suspects of one queue on trial at the same time: their crashes are
- * too few to count as widespread. Fewer keep work waiting after many endpoints have
- * crashed at once.
+ * Probability of being the cause from which a task starts by trial only, however long it
+ * waits, and from which the crash of its trial lowers the number of further trials.
  */
-export const MAX_TRIALS = 3;
-
-/** Delay before a suspect's first trial, in ms; doubles with each crash. */
-export const SUSPECT_RETRY_MS = 500;
+export const LIKELY_CAUSE_PROBABILITY = 0.5;
 
 /**
- * Number of crashes under a task after which its job has failed; widespread crashes
- * after the first one do not count.
+ * Longest time for which a less likely cause waits for its trial, in milliseconds, unless
+ * a trial of its queue has crashed its endpoint lately: a first trial has a result by then
+ * (`MAX_TRIAL_MS` and `CRASH_SETTLE_MS`). Load: suspects come faster than trials end.
  */
-export const MAX_TASK_CRASHES = 3;
+export const MAX_TRIAL_WAIT_MS = 6_000;
 
-/** Number of crashes under a task, of any kind, after which its job has failed. */
-export const MAX_ALL_CRASHES = 5;
+/**
+ * Longest time for which a trial without a result counts as in progress, in
+ * milliseconds: the end of a lifetime is heard of within a lease.
+ */
+export const MAX_TRIAL_MS = 4_000;
 
 /**
- * Fewest other endpoints of a service, as a number and as a fraction, whose loss at
- * the same moment makes a crash widespread. Load: a rack crashes, or a seventh of the
- * endpoints.
+ * Largest fraction of a service's endpoints on which the suspects of one queue are tried
+ * at the same time.
  */
-export const WIDESPREAD_MIN = 3;
+export const MAX_TRIAL_FRACTION = 0.25;
 
-/** See `WIDESPREAD_MIN`. */
-export const WIDESPREAD_FRACTION = 0.1;
+/** Delay after the first crash of a suspect's trial, in ms; doubles with each. */
+export const SUSPECT_RETRY_MS = 500;
+
+/** Longest delay after the crash of a suspect's trial, in milliseconds. */
+export const MAX_SUSPECT_RETRY_MS = 4_000;
 
 /**
  * Largest checkpoint that is stored, in bytes: the record of an end is under the size of
@@ -245,12 +320,19 @@
  */
 export const MAX_CHECKPOINT_BYTES = 65_536;
 
-/** Endpoints lost within this time of each other were lost together, in ms. */
-export const SAME_MOMENT_MS = 500;
-
 /**
  * A task that a former owner placed longer than this before the take-over is not
- * suspected of a crash, in milliseconds. Also how long a crash is compared with
- * later ones.
+ * suspected of a crash, in milliseconds.
  */
 export const FORMER_START_MS = 10_000;
+
+/**
+ * Chances of crashes that earlier versions recorded without one: of the first crash or
+ * one beside other suspects, of one that was laid to a single task, and of one among
+ * many. Their sums give a job up after as many crashes as those versions did.
+ */
+export const EARLIER_SINGLE_CHANCE = 10 ** -2;
+/** See `EARLIER_SINGLE_CHANCE`. */
+export const EARLIER_ATTRIBUTABLE_CHANCE = 10 ** -3.01;
+/** See `EARLIER_SINGLE_CHANCE`. */
+export const EARLIER_WIDESPREAD_CHANCE = 10 ** -1.01;
--- /dev/null
+++ b/packages/cell/crash_background.ts
@@ -0,0 +1,132 @@
+import { CRASH_HISTORY_MS, SHORT_WINDOW_MS } from "./constants.ts";
+import {
+  type CrashBackground,
+  estimateProbability,
+  isStrongSuspect,
+} from "./crash_evidence.ts";
+import type { Crash } from "./crash_types.ts";
+import {
+  hasFailed,
+  isCleared,
+  measureLosses,
+  measureWidth,
+  sumLosses,
+  type WeighedLoss,
+} from "./lost_together.ts";
+import { findTask, getStep } from "./stages.ts";
+import type { CellState } from "./state.ts";
+import type { SuspectRun } from "./suspects.ts";
+
+const NO_CRASHES = { counted: [], clearedRun: 0 };
+
+/** Evidence about one crash that is the same for all its suspects. */
+export interface CrashEvidence {
+  ratePerMs: number;
+  widthMs: number;
+  /** Number of the service's listed endpoints. */
+  listed: number;
+  losses: WeighedLoss[];
+}
+
+/**
+ * Lists the recent crashes that no task caused: no suspect of them is likely to be the
+ * cause. The others are left out: bad tasks must not excuse themselves.
+ */
+export function listBackground(state: CellState): Set<Crash> {
+  return new Set(
+    state.recentCrashes.filter(({ suspects }) =>
+      suspects.every(({ task: name, run }) => {
+        const task = findTask(state, name)?.task;
+        if (!task) return !hasFailed(state, name);
+        return isCleared(task, run) || !isStrongSuspect(task.crashes);
+      })
+    ),
+  );
+}
+
+/** Collects the evidence about a crash as it is known now, and notes its share. */
+export function collectEvidence(
+  state: CellState,
+  { crash, background, now }: {
+    crash: Crash;
+    background: ReadonlySet<Crash>;
+    now: number;
+  },
+): CrashEvidence {
+  const listed = Math.max(1, countListed(state, crash.service));
+  const losses = measureLosses(state, crash);
+  crash.eventShare = 1 / (1 + sumLosses(losses));
+  const others = [...background].filter((other) =>
+    other !== crash && other.service === crash.service
+  );
+  return {
+    ratePerMs: measureRate(others, { listed, now }),
+    widthMs: measureWidth(crash),
+    listed,
+    losses,
+  };
+}
+
+/** Describes what would have crashed the endpoint without one of its suspects. */
+export function describeBackground(
+  state: CellState,
+  { crash, evidence, suspect }: {
+    crash: Crash;
+    evidence: CrashEvidence;
+    suspect: SuspectRun;
+  },
+): CrashBackground {
+  const { ratePerMs, widthMs, listed, losses } = evidence;
+  const stage = findTask(state, suspect.task)?.stage;
+  let otherSuspicion = 0;
+  for (const [task, probability] of crash.suspicions) {
+    if (task === suspect.task) continue;
+    // The members of a gang start and fail as one.
+    const isMember = stage && getStep(stage).gang &&
+      findTask(state, task)?.stage === stage;
+    if (!isMember) otherSuspicion += probability;
+  }
+  return {
+    ratePerMs,
+    widthMs,
+    lostFraction: sumLosses(losses, stage) / Math.max(1, listed - 1),
+    otherSuspicion,
+  };
+}
+
+/** Estimates the probability that each suspect crashes endpoints. */
+export function estimateSuspicions(
+  state: CellState,
+  suspects: readonly SuspectRun[],
+): Map<string, number> {
+  return new Map(suspects.map(({ task }) => {
+    const crashes = findTask(state, task)?.task.crashes;
+    return [task, estimateProbability(crashes ?? NO_CRASHES)];
+  }));
+}
+
+/**
+ * Measures the rate of events that crash endpoints, per endpoint and millisecond: the
+ * higher one of a short time, which follows a sudden series of restarts, and of a long
+ * time, in which one event more than was seen may have been due.
+ */
+function measureRate(
+  crashes: readonly Crash[],
+  { listed, now }: { listed: number; now: number },
+): number {
+  const countWithin = (windowMs: number) =>
+    crashes.filter(({ notedAt }) => now - notedAt < windowMs)
+      .reduce((sum, { eventShare }) => sum + eventShare, 0);
+  return Math.max(
+    countWithin(SHORT_WINDOW_MS) / (listed * SHORT_WINDOW_MS),
+    (countWithin(CRASH_HISTORY_MS) + 1) / (listed * CRASH_HISTORY_MS),
+  );
+}
+
+function countListed(state: CellState, service: string): number {
+  let listed = 0;
+  for (const { info, isListed } of state.endpoints.values()) {
+    if (isListed && info.service === service) listed++;
+  }
+  return listed;
+}
--- a/packages/cell/crashes.ts
+++ b/packages/cell/crashes.ts
@@ -1,28 +1,16 @@
-import { RecordKind, splitRuns } from "../journal/mod.ts";
-import { JobState } from "../jobs/mod.ts";
-import { classifyCrash, type Crash, type CrashVerdict } from "./blame.ts";
-import {
-  FORMER_START_MS,
-  MAX_ALL_CRASHES,
-  MAX_CRASH_DELAY_MS,
-  MAX_TASK_CRASHES,
-  SUSPECT_RETRY_MS,
-  SUSPECT_WINDOW_MS,
-} from "./constants.ts";
-import { findTask } from "./stages.ts";
+import { FORMER_START_MS, SUSPECT_WINDOW_MS } from "./constants.ts";
+import { estimateSuspicions } from "./crash_background.ts";
+import { type Crash, CrashPhase } from "./crash_types.ts";
+import { hasCounted } from "./blame.ts";
 import { addDecision, type CellState } from "./state.ts";
-import { findLastSign, isLeaving, listSuspectRuns } from "./suspects.ts";
-import { type CurrentTime, endJob } from "./task_ends.ts";
 import {
-  type CountedCrash,
-  DecisionKind,
-  type Endpoint,
-  type Run,
-  type Stage,
-  type Task,
-  type TaskCrashes,
-  TaskPhase,
-} from "./types.ts";
+  describeSuspects,
+  findLastSign,
+  isLeaving,
+  listSuspectRuns,
+} from "./suspects.ts";
+import type { CurrentTime } from "./task_ends.ts";
+import { DecisionKind, type Endpoint, type Stage, type Task } from "./types.ts";
 
 /**
  * Describes the end of an endpoint's known lifetime; `undefined` if that lifetime
@@ -32,148 +20,64 @@
 export function describeCrash(
   state: CellState,
   endpoint: Endpoint,
-  { isMissing }: { isMissing: boolean },
+  { isMissing, time }: { isMissing: boolean; time: CurrentTime },
 ): Crash | undefined {
   const { bornAt, contact, info, runs } = endpoint;
   if (bornAt === 0 || contact.endedBornAt === bornAt) return undefined;
   contact.endedBornAt = bornAt;
-  const suspects = listSuspectRuns(state, endpoint);
-  const lastSignAt = findLastSign(endpoint, [...runs.values(), ...suspects]);
+  const suspects = describeSuspects(
+    endpoint,
+    listSuspectRuns(state, endpoint),
+  );
+  const aliveAt = findLastSign(endpoint);
+  const lostAt = contact.lostAt || time.now;
   contact.lapsedRuns = [];
   if (isLeaving(endpoint)) return undefined;
   return {
     endpoint: info.id,
     service: info.service,
     bornAt,
-    lostAt: contact.lostAt || lastSignAt,
-    suspects: listRunNames(suspects),
-    lastStarted: listRunNames(
-      suspects.filter(({ sentAt }) =>
-        lastSignAt <= (sentAt ?? 0) + MAX_CRASH_DELAY_MS
-      ),
-    ),
+    aliveAt,
+    lostAt,
+    lostAtUnix: time.wallNow - (time.now - lostAt),
+    notedAt: time.now,
+    suspects,
+    eventShare: 1,
+    suspicions: estimateSuspicions(state, suspects),
     runs: runs.size,
-    isCertain: !isMissing,
     isMissing,
+    phase: CrashPhase.Noted,
   };
 }
 
-function listRunNames(runs: readonly Run[]): [string, number][] {
-  return runs.map(({ task, number }) => [task, number]);
-}
-
 /**
- * Notes a crash and counts it for its suspects. The count is written to the
- * journal, so that it outlives this owner, unless it may be dropped again. Load: many endpoints crash at once; only
- * the runs that started right before are suspected, so that few tasks wait for trials.
+ * Notes a crash. Its runs are requeued at once; what it says of its suspects is judged
+ * while the evidence comes in (`settle_crashes.ts`).
  */
-export function noteCrash(
-  state: CellState,
-  crash: Crash | undefined,
-  time: CurrentTime,
-): void {
+export function noteCrash(state: CellState, crash: Crash | undefined): void {
   if (!crash) return;
-  const { endpoint, bornAt } = crash;
-  const verdict = classifyCrash(state, crash);
-  const suspects = verdict.isWidespread ? crash.lastStarted : crash.suspects;
-  state.recentCrashes = state.recentCrashes.filter(({ lostAt }) =>
-    time.now - lostAt < FORMER_START_MS
-  );
+  const { notedAt, aliveAt, lostAt } = crash;
   state.recentCrashes.push(crash);
+  // The next plan judges it before it starts anything.
+  state.crashesJudgedAt = Number.NEGATIVE_INFINITY;
   addDecision(state, {
     kind: DecisionKind.EndpointCrashed,
-    subject: endpoint,
+    subject: crash.endpoint,
     inputs: {
-      bornAt,
+      bornAt: crash.bornAt,
       runs: crash.runs,
-      suspects: suspects.map(([task]) => task),
-      ...verdict,
-      isCertain: crash.isCertain,
-      lostMsAgo: Math.round(time.now - crash.lostAt),
+      suspects: crash.suspects.map(({ task }) => task),
+      isMissing: crash.isMissing,
+      aliveMsAgo: Math.round(notedAt - aliveAt),
+      lostMsAgo: Math.round(notedAt - lostAt),
     },
   });
-  if (suspects.length === 0) return;
-  const recordedRuns = crash.isMissing ? [] : splitRuns(suspects);
-  for (const runs of recordedRuns) {
-    state.output.records.push({
-      kind: RecordKind.Crashed,
-      endpoint,
-      bornAt,
-      runs,
-      ...verdict,
-    });
-  }
-  for (const [task, run] of suspects) {
-    applyCrash(state, { task, run, endpoint, bornAt, ...verdict }, time);
-  }
 }
 
 /**
- * Counts a crash for a suspected run, once, and ends the job if too many endpoints
- * have crashed under the task. Idempotent, for journal replay.
- */
-export function applyCrash(
-  state: CellState,
-  crash: Omit<CountedCrash, "isWidespread"> & { task: string } & CrashVerdict,
-  time: CurrentTime,
-): void {
-  const taskRef = findTask(state, crash.task);
-  if (!taskRef || taskRef.stage.job.outcome) return;
-  const { task } = taskRef;
-  const { crashes } = task;
-  if (task.phase === TaskPhase.Done || hasCounted(crashes, crash)) return;
-  const { run, endpoint, bornAt, isWidespread } = crash;
-  crashes.counted.push({ run, endpoint, bornAt, isWidespread });
-  const count = crashes.counted.length;
-  crashes.retryAt = time.now + SUSPECT_RETRY_MS * 2 ** (count - 1);
-  state.suspects.set(task.name, taskRef);
-  if (isGivenUp(crashes, crash)) endSuspectJob(state, taskRef, time);
-}
-
-/** Drops what was counted for a lifetime of an endpoint that answers again. */
-export function dropCrashCounts(state: CellState, endpoint: Endpoint): void {
-  for (const [name, { task }] of state.suspects) {
-    const { crashes } = task;
-    crashes.counted = crashes.counted.filter((crash) =>
-      crash.endpoint !== endpoint.info.id || crash.bornAt !== endpoint.bornAt
-    );
-    if (crashes.counted.length === 0) state.suspects.delete(name);
-  }
-}
-
-/** Clears the crash count of a task whose run has outlived its probation. */
-export function clearCrashes(
-  state: CellState,
-  { task }: { task: Task },
-  run: Run,
-): void {
-  applyClearance(state, { task: task.name, run: run.number });
-  state.output.records.push({
-    kind: RecordKind.Cleared,
-    task: task.name,
-    run: run.number,
-  });
-}
-
-/** Applies a clearance to the state. Idempotent, for journal replay. */
-export function applyClearance(
-  state: CellState,
-  clearance: { task: string; run: number },
-): void {
-  const taskRef = findTask(state, clearance.task);
-  if (!taskRef) return;
-  const { crashes, name } = taskRef.task;
-  crashes.clearedRun = Math.max(crashes.clearedRun, clearance.run);
-  crashes.counted = crashes.counted.filter(({ run }) =>
-    run > crashes.clearedRun
-  );
-  if (crashes.counted.length === 0) state.suspects.delete(name);
-}
-
-/**
- * Counts crashes for tasks that a former owner placed on an endpoint which has
- * crashed since. Suspected are those that were placed last there, and shortly
- * before this owner restored the cell. `settled`: tasks that certainly do not run
+ * Notes crashes of endpoints on which a former owner placed tasks. Suspected are those
+ * that were placed last there, and shortly before this owner restored the cell. The
+ * endpoint was lost at some time since, so that each of them is suspected a little. `settled`: tasks that certainly do not run
  * where they were placed.
  */
 export function noteFormerCrashes(
@@ -205,17 +109,28 @@
       })
     );
     if (suspects.length === 0) continue;
+    const suspectRuns = suspects.map(({ name, lastRun }) => ({
+      task: name,
+      run: lastRun,
+      isRightBefore: true,
+    }));
+    const placedAt = time.now - Math.max(0, time.wallNow - newestAt);
+    const lostAt = Math.max(placedAt, endpoint.lifetimeSeenAt || time.now);
     noteCrash(state, {
       endpoint: endpoint.info.id,
       service: endpoint.info.service,
       bornAt,
-      lostAt: time.now,
-      suspects: suspects.map(({ name, lastRun }) => [name, lastRun]),
+      aliveAt: placedAt,
+      lostAt,
+      lostAtUnix: time.wallNow - (time.now - lostAt),
+      notedAt: time.now,
+      suspects: suspectRuns,
+      eventShare: 1,
+      suspicions: estimateSuspicions(state, suspectRuns),
       runs: tasks.length,
-      lastStarted: [],
-      isCertain: false,
       isMissing: false,
-    }, time);
+      phase: CrashPhase.Noted,
+    });
   }
 }
 
@@ -226,49 +141,3 @@
   return endpoint.isReplaced ||
     endpoint.bornAt !== 0 && endpoint.bornAt !== task.placedBornAt;
 }
-
-function hasCounted(
-  { clearedRun, counted }: TaskCrashes,
-  crash: Omit<CountedCrash, "isWidespread">,
-): boolean {
-  return crash.run <= clearedRun ||
-    counted.some(({ endpoint, bornAt }) =>
-      endpoint === crash.endpoint && bornAt === crash.bornAt
-    );
-}
-
-/**
- * Returns whether a task is given up: a second crash can be laid to it, or there were
- * too many. Widespread crashes after the first one count only to a higher limit.
- */
-function isGivenUp(
-  { counted }: TaskCrashes,
-  { isAttributable }: { isAttributable: boolean },
-): boolean {
-  const single = counted.filter((crash) => !crash.isWidespread);
-  const suspicious = counted[0].isWidespread
-    ? single.length + 1
-    : single.length;
-  return isAttributable && single.length > 1 ||
-    suspicious >= MAX_TASK_CRASHES || counted.length >= MAX_ALL_CRASHES;
-}
-
-function endSuspectJob(
-  state: CellState,
-  { stage, task }: { stage: Stage; task: Task },
-  { now }: CurrentTime,
-): void {
-  const endpoints = task.crashes.counted.map(({ endpoint }) => endpoint);
-  addDecision(state, {
-    kind: DecisionKind.TaskGivenUp,
-    subject: task.name,
-    inputs: { endpoints },
-  });
-  endJob(state, stage.job, {
-    outcome: JobState.Failed,
-    now,
-    reason: `${task.name} has crashed ${endpoints.length} endpoints: ${
-      endpoints.join(", ")
-    }`,
-  });
-}
--- a/packages/cell/decision_types.ts
+++ b/packages/cell/decision_types.ts
@@ -25,7 +25,9 @@
   /** An endpoint's record shows more room, and less of no resource. */
   RoomGrown = "room_grown",
   EndpointCrashed = "endpoint_crashed",
-  /** Too many endpoints have crashed under a task; its job has failed. */
+  /** The evidence about a crash is complete. */
+  CrashJudged = "crash_judged",
+  /** A task is proven to crash its endpoints; its job has failed. */
   TaskGivenUp = "task_given_up",
   /** A stage that fits on slow endpoints waits for faster ones. */
   StartPostponed = "start_postponed",
--- a/packages/cell/endpoints.ts
+++ b/packages/cell/endpoints.ts
@@ -47,6 +47,8 @@
     isColocated: false,
     isCordoned: false,
     contact: makeContact(),
+    lifetimeSeenAt: 0,
+    recentStarts: [],
   };
 }
 
@@ -142,7 +144,11 @@
   endpoint: Endpoint,
   time: CurrentTime,
 ): void {
-  const crash = describeCrash(state, endpoint, { isMissing: false });
+  const crash = describeCrash(state, endpoint, {
+    isMissing: false,
+    time,
+  });
+  if (!endpoint.isReplaced) endpoint.lifetimeSeenAt = time.now;
   endpoint.isReplaced = true;
   endpoint.hasAcceptedFence = false;
   endpoint.leaseEndsAt = 0;
@@ -159,7 +165,7 @@
       reason: "the endpoint was replaced",
     });
   }
-  noteCrash(state, crash, time);
+  noteCrash(state, crash);
   settleUnlocated(state, time);
 }
 
@@ -203,8 +209,11 @@
   time: CurrentTime,
 ): void {
   if (endpoint.isListed || endpoint.contact.lapsedRuns.length === 0) return;
-  const crash = describeCrash(state, endpoint, { isMissing: true });
-  noteCrash(state, crash, time);
+  const crash = describeCrash(state, endpoint, {
+    isMissing: true,
+    time,
+  });
+  noteCrash(state, crash);
 }
 
 function dropEndpoint(state: CellState, endpoint: Endpoint): void {
--- a/packages/cell/lifetimes.ts
+++ b/packages/cell/lifetimes.ts
@@ -41,8 +41,12 @@
       },
     });
   }
-  const crash = describeCrash(state, endpoint, { isMissing: false });
+  const crash = describeCrash(state, endpoint, {
+    isMissing: false,
+    time: times,
+  });
   endpoint.bornAt = bornAt;
+  endpoint.lifetimeSeenAt = times.now;
   noteLifetime(state, endpoint, times);
   endpoint.lastEndNumber = 0;
   endpoint.committedEndNumber = 0;
@@ -65,5 +69,5 @@
       reason: "the endpoint restarted",
     });
   }
-  noteCrash(state, crash, times);
+  noteCrash(state, crash);
 }
--- a/packages/cell/order_effects.ts
+++ b/packages/cell/order_effects.ts
@@ -3,6 +3,7 @@
   LATE_ORDER_MS,
   LEASE_MARGIN_MS,
   MAX_LEASE_MS,
+  START_HISTORY_MS,
 } from "./constants.ts";
 import type { Endpoint, Run } from "./types.ts";
 
@@ -45,6 +46,7 @@
   noteLeaseSent(run.endpoint, options);
   run.sentToBornAt = run.endpoint.bornAt;
   run.sentAt = now;
+  noteStartTime(run.endpoint, now);
   if (run.gangStart) run.gangStart.firstSentAt ??= now;
   run.startMayArriveUntil = Math.min(
     now + LATE_ORDER_MS,
@@ -52,6 +54,11 @@
   );
 }
 
+function noteStartTime({ recentStarts }: Endpoint, now: number): void {
+  while (now - recentStarts[0] >= START_HISTORY_MS) recentStarts.shift();
+  recentStarts.push(now);
+}
+
 /**
  * Notes that an order with a lease got no answer. `bornAt`: the endpoint's lifetime
  * when the order was sent. It may be carried out late, and its lease count from the
--- a/packages/cell/plan.ts
+++ b/packages/cell/plan.ts
@@ -30,7 +30,7 @@
 import {
   beginTrial,
   chooseTrialEndpoint,
-  isSuspect,
+  isTrialNeeded,
   mayTry,
 } from "./trials.ts";
 import type { CellState } from "./state.ts";
@@ -105,7 +105,7 @@
       break;
     }
     const preferred = selectPreferredRack(endpointsWithTicket, stage);
-    const isTrial = isSuspect(task);
+    const isTrial = isTrialNeeded(pass, { stage, task });
     const endpoint = isTrial
       ? chooseTrialEndpoint(pass, endpointsWithTicket)
       : chooseEndpoint(pass, stage, { task, endpoints: preferred, choice });
--- a/packages/cell/plan_gang.ts
+++ b/packages/cell/plan_gang.ts
@@ -19,7 +19,7 @@
 import { sortGangSlots } from "./speed_choice.ts";
 import { getStep } from "./stages.ts";
 import { startTask } from "./start_task.ts";
-import { beginTrial, isSuspect, mayTry } from "./trials.ts";
+import { beginTrial, isTrialNeeded, mayTry } from "./trials.ts";
 import { type Endpoint, type Run, type Stage, TaskPhase } from "./types.ts";
 
 /** Starts all tasks of a gang, or none. */
@@ -102,7 +102,10 @@
   for (const [index, task] of stage.tasks.entries()) {
     startTask(pass, stage, { task, endpoint: assignment[index], run });
   }
-  if (stage.tasks.some(isSuspect)) beginTrial(pass, stage, assignment);
+  const isTrial = stage.tasks.some((task) =>
+    isTrialNeeded(pass, { stage, task })
+  );
+  if (isTrial) beginTrial(pass, stage, assignment);
 }
 
 function reserveAssignment(
--- a/packages/cell/snapshot.ts
+++ b/packages/cell/snapshot.ts
@@ -2,12 +2,25 @@
 import { type JobSpec, JobState } from "../jobs/mod.ts";
 import type { RunTimesSnapshot } from "../runtimes/mod.ts";
 import { applyEnd, type CurrentTime } from "./task_ends.ts";
-import { applyClearance, applyCrash } from "./crashes.ts";
+import {
+  applyClearance,
+  applyCrashedRecord,
+  settleFormerCrashes,
+} from "./blame.ts";
+import {
+  EARLIER_SINGLE_CHANCE,
+  EARLIER_WIDESPREAD_CHANCE,
+  TELLING_CHANCE,
+} from "./constants.ts";
+import {
+  collectCrashes,
+  restoreCrash,
+  type StoredCrash,
+} from "./crash_history.ts";
 import { makeEndpoint } from "./endpoints.ts";
 import { addRemnant, addTaskRemnant, collectRemnants } from "./remnants.ts";
 import type { CellState } from "./state.ts";
 import { addUnlocated, buildJob, findTask, openStages } from "./stages.ts";
-import { isSuspect } from "./trials.ts";
 import {
   type EndedJob,
   type Endpoint,
@@ -19,6 +32,21 @@
   TaskPhase,
 } from "./types.ts";
 
+/** Stored crashes under a task. */
+interface CrashesSnapshot {
+  counted: {
+    run: number;
+    endpoint: string;
+    bornAt: number;
+    /** Missing in snapshots of earlier versions, which read `isWidespread`. */
+    chance?: number;
+    /** Missing in snapshots of earlier versions: it is. */
+    isSettled?: boolean;
+    isWidespread: boolean;
+  }[];
+  clearedRun: number;
+}
+
 /** Stored state of a task. */
 interface TaskSnapshot {
   name: string;
@@ -31,7 +59,7 @@
   /** These are missing in snapshots of earlier versions. */
   placedBornAt?: number;
   placedAt?: number;
-  crashes?: Pick<TaskCrashes, "counted" | "clearedRun">;
+  crashes?: CrashesSnapshot;
 }
 
 /** Stored state of a job. Times: Unix milliseconds. */
@@ -50,6 +78,8 @@
   endpoints: { id: string; address: string; service: string }[];
   /** Missing in snapshots of earlier versions. */
   remnants?: Remnant[];
+  /** Recent crashes; missing in snapshots of earlier versions. */
+  crashes?: StoredCrash[];
   /** What the model of run times has learned; missing unless it learns. */
   runTimes?: RunTimesSnapshot;
 }
@@ -68,6 +98,7 @@
     ended: [...state.ended],
     endpoints,
     remnants: collectRemnants(state),
+    crashes: collectCrashes(state),
     runTimes: state.runTimes.collectSnapshot(),
   };
 }
@@ -93,9 +124,13 @@
   for (const job of contents.snapshot?.jobs ?? []) {
     restoreJob(state, job, time);
   }
+  for (const crash of contents.snapshot?.crashes ?? []) {
+    restoreCrash(state, crash, time);
+  }
   const { runTimes } = contents.snapshot ?? {};
   if (runTimes) state.runTimes.restore(runTimes, time.now);
   for (const record of contents.records) applyRecord(state, record, time);
+  settleFormerCrashes(state, time);
   for (const job of state.jobs.values()) {
     restorePlacements(state, job);
     if (job.outcome) finishJob(state, job, time);
@@ -161,12 +196,37 @@
 }
 
 /** Describes the crashes under a task; `undefined`: none. */
-function describeCrashes({ crashes }: Task): TaskSnapshot["crashes"] {
-  const { counted, clearedRun } = crashes;
+function describeCrashes({ crashes }: Task): CrashesSnapshot | undefined {
+  const { clearedRun } = crashes;
+  const counted = crashes.counted
+    .filter(({ isMissing }) => !isMissing)
+    .map(({ run, endpoint, bornAt, chance, isSettled }) => ({
+      run,
+      endpoint,
+      bornAt,
+      chance,
+      isSettled,
+      isWidespread: chance >= TELLING_CHANCE,
+    }));
   if (counted.length === 0 && clearedRun === 0) return undefined;
   return { counted, clearedRun };
 }
 
+function restoreCrashes(
+  { counted, clearedRun }: CrashesSnapshot,
+  now: number,
+): TaskCrashes {
+  const restored = counted.map(({ run, endpoint, bornAt, ...crash }) => ({
+    run,
+    endpoint,
+    bornAt,
+    chance: crash.chance ??
+      (crash.isWidespread ? EARLIER_WIDESPREAD_CHANCE : EARLIER_SINGLE_CHANCE),
+    isSettled: crash.isSettled ?? true,
+  }));
+  return { counted: restored, clearedRun, suspectedAt: now, retryAt: 0 };
+}
+
 function restoreJob(
   state: CellState,
   snapshot: JobSnapshot,
@@ -183,21 +243,29 @@
     for (const task of stage.tasks) {
       const stored = byName.get(task.name);
       if (!stored) continue;
-      restoreTask(stage, task, stored);
-      if (isSuspect(task)) state.suspects.set(task.name, { stage, task });
+      restoreTask(stage, task, { stored, now: time.now });
+      if (task.crashes.counted.length > 0) {
+        state.suspects.set(task.name, { stage, task });
+      }
     }
     if (stage.remaining === 0) job.remaining--;
   }
 }
 
-function restoreTask(stage: Stage, task: Task, stored: TaskSnapshot): void {
+function restoreTask(
+  stage: Stage,
+  task: Task,
+  { stored, now }: { stored: TaskSnapshot; now: number },
+): void {
   task.lastEndedRun = stored.lastEndedRun;
   task.lastRun = Math.max(task.lastRun, stored.lastRun);
   task.placedOn = stored.placedOn;
   task.failures = stored.failures;
   task.placedBornAt = stored.placedBornAt ?? 0;
   task.placedAt = stored.placedAt ?? 0;
-  if (stored.crashes) task.crashes = { ...stored.crashes, retryAt: 0 };
+  if (stored.crashes) {
+    task.crashes = restoreCrashes(stored.crashes, now);
+  }
   task.checkpoint = stored.saved;
   if (!stored.isDone) return;
   task.phase = TaskPhase.Done;
@@ -253,12 +321,8 @@
     case RecordKind.EndpointDropped:
       state.endpoints.delete(record.endpoint);
       return;
-    case RecordKind.Crashed: {
-      for (const [task, run] of record.runs) {
-        applyCrash(state, { ...record, task, run }, time);
-      }
-      return;
-    }
+    case RecordKind.Crashed:
+      return applyCrashedRecord(state, record, time);
     case RecordKind.Cleared:
       return applyClearance(state, record);
     case RecordKind.Placed:
--- a/packages/cell/stages.ts
+++ b/packages/cell/stages.ts
@@ -187,7 +187,7 @@
     placedOn: "",
     placedBornAt: 0,
     placedAt: 0,
-    crashes: { counted: [], clearedRun: 0, retryAt: 0 },
+    crashes: { counted: [], clearedRun: 0, suspectedAt: 0, retryAt: 0 },
   }));
   return {
     name,
--- a/packages/cell/state.ts
+++ b/packages/cell/state.ts
@@ -3,7 +3,7 @@
 import type { AdmissionState } from "./admission_state.ts";
 import type { AdviceCounts } from "./advice_choice.ts";
 import type { Backlog } from "./admission.ts";
-import type { Crash } from "./blame.ts";
+import type { Crash } from "./crash_types.ts";
 import type { EvacuationState } from "../evacuation/mod.ts";
 import type { RunTimes } from "../runtimes/mod.ts";
 import type { PlacementMemory } from "./placement_memory.ts";
@@ -21,6 +21,7 @@
   Run,
   Stage,
   Task,
+  TrialLimit,
 } from "./types.ts";
 
 /** State of a cell's owner. Times: its steady clock, in milliseconds. */
@@ -60,8 +61,12 @@
   plannedAt: number;
   /** Tasks under which endpoints have crashed and that no run cleared, by name. */
   suspects: Map<string, { stage: Stage; task: Task }>;
-  /** Crashes of the last seconds. */
+  /** Crashes within `CRASH_HISTORY_MS`. */
   recentCrashes: Crash[];
+  /** When the recent crashes were judged last. */
+  crashesJudgedAt: number;
+  /** How suspects are tried, by queue; missing: as at first. */
+  trialLimits: Map<string, TrialLimit>;
   /** Runs that were ordered to stop and have not been released. */
   stoppingRuns: Set<Run>;
   /** What the runs of each organisation take in each service. */
--- a/packages/cell/suspects.ts
+++ b/packages/cell/suspects.ts
@@ -1,4 +1,8 @@
-import { PROBATION_MS, SUSPECT_WINDOW_MS } from "./constants.ts";
+import {
+  MAX_CRASH_DELAY_MS,
+  PROBATION_MS,
+  SUSPECT_WINDOW_MS,
+} from "./constants.ts";
 import type { CellState } from "./state.ts";
 import {
   type Endpoint,
@@ -8,6 +12,17 @@
   RunPhase,
 } from "./types.ts";
 
+/** A run that was sent shortly before its endpoint crashed. */
+export interface SuspectRun {
+  task: string;
+  run: number;
+  /**
+   * The endpoint showed no sign of life later than `MAX_CRASH_DELAY_MS` after the start,
+   * and was in contact until then.
+   */
+  isRightBefore: boolean;
+}
+
 /** Makes the contact of an endpoint that has not answered yet. */
 export function makeContact(): EndpointContact {
   return { lastSignAt: 0, lostAt: 0, lapsedRuns: [], endedBornAt: 0 };
@@ -59,7 +74,7 @@
  */
 export function listSuspectRuns(state: CellState, endpoint: Endpoint): Run[] {
   const runs = [...endpoint.runs.values(), ...endpoint.contact.lapsedRuns];
-  const lastSignAt = findLastSign(endpoint, runs);
+  const lastSignAt = findLastSign(endpoint);
   const { lostAt } = endpoint.contact;
   const lastAt = lostAt > 0
     ? lostAt + SUSPECT_WINDOW_MS
@@ -74,15 +89,39 @@
 }
 
 /** Finds when an endpoint was last known to be alive; 0: never. */
-export function findLastSign(
-  { contact }: Endpoint,
-  runs: Iterable<Run>,
-): number {
-  let lastSignAt = contact.lastSignAt;
-  for (const { phase, lastChangedAt } of runs) {
-    // The endpoint answered the start, or listed the run.
-    if (phase !== RunPhase.Running) continue;
-    lastSignAt = Math.max(lastSignAt, lastChangedAt);
+export function findLastSign({ contact, runs }: Endpoint): number {
+  let { lastSignAt } = contact;
+  // After its connection broke, answers may arrive that were sent before.
+  if (lastSignAt > 0 && lastSignAt === contact.lostAt) return lastSignAt;
+  for (const list of [runs.values(), contact.lapsedRuns]) {
+    for (const { phase, lastChangedAt } of list) {
+      // The endpoint answered the start, or listed the run.
+      if (phase !== RunPhase.Running) continue;
+      lastSignAt = Math.max(lastSignAt, lastChangedAt);
+    }
   }
   return lastSignAt;
 }
+
+/** Describes the runs that may have crashed their endpoint. */
+export function describeSuspects(
+  endpoint: Endpoint,
+  runs: readonly Run[],
+): SuspectRun[] {
+  const { lostAt } = endpoint.contact;
+  const lastSignAt = findLastSign(endpoint);
+  return runs.map(({ task, number, sentAt = 0 }) => ({
+    task,
+    run: number,
+    isRightBefore: lastSignAt <= sentAt + MAX_CRASH_DELAY_MS &&
+      (lostAt === 0 || sentAt <= lostAt),
+  }));
+}
+
+/** Returns whether the endpoint has answered and run the task after its probation. */
+export function hasOutlivedProbation(run: Run): boolean {
+  const { contact } = run.endpoint;
+  const startedAt = run.sentAt ?? run.startedAt;
+  return run.phase === RunPhase.Running && run.isLifetimeKnown &&
+    contact.lostAt === 0 && contact.lastSignAt >= startedAt + PROBATION_MS;
+}
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -256,6 +256,10 @@
   /** No new work: the endpoint is about to go down for maintenance. */
   isCordoned: boolean;
   contact: EndpointContact;
+  /** When this owner heard of the current lifetime, or of a replacement; 0: it has not. */
+  lifetimeSeenAt: number;
+  /** When start orders were sent to it, within `START_HISTORY_MS`. */
+  recentStarts: number[];
   /** When a listing may show the next stall; undefined: the polls need not heed it. */
   stallCheckAt?: number;
   /** When the endpoint is gone at the earliest; undefined: not known. */
@@ -278,7 +282,12 @@
   endpoint: string;
   /** Start of the lifetime that ended, in Unix milliseconds. */
   bornAt: number;
-  isWidespread: boolean;
+  /** How likely it was without the task, relative to a task that crashes endpoints. */
+  chance: number;
+  /** The evidence was complete: the journal holds the crash, unless `isMissing`. */
+  isSettled: boolean;
+  /** The endpoint is only missing from the list, and its lifetime may answer again. */
+  isMissing?: boolean;
 }
 
 /** Crashes of endpoints that a task is suspected of. */
@@ -287,10 +296,20 @@
   counted: CountedCrash[];
   /** Highest run number that outlived its probation; 0: none. */
   clearedRun: number;
+  /** Since when it waits for a trial; the owner's steady clock, in milliseconds. */
+  suspectedAt: number;
   /** Earliest time of the next start. */
   retryAt: number;
 }
 
+/** How the suspects of a queue are tried. */
+export interface TrialLimit {
+  /** How many at the same time. */
+  limit: number;
+  /** When the trial of a likely cause crashed its endpoint; steady clock, in ms. */
+  loweredAt: number;
+}
+
 /** One task of a stage. */
 export interface Task {
   name: string;
--- a/packages/events/catalogue.ts
+++ b/packages/events/catalogue.ts
@@ -39,6 +39,7 @@
   EndpointLapsed = 5008,
   EndpointThrottled = 5009,
   EndpointCrashed = 5010,
+  CrashJudged = 5014,
   EndpointListingIgnored = 5011,
   EndpointRecordIgnored = 5012,
   CheckpointIgnored = 5013,
@@ -281,6 +282,13 @@
     remedy:
       "Check the endpoint if there are no suspects, or the tasks if one of them is named again.",
   },
+  [EventCode.CrashJudged]: {
+    severity: Severity.Info,
+    message:
+      "the evidence about a crash is complete; `chances` holds its suspects",
+    remedy:
+      "None; see the endpoint if the chances are high, the task if they are low.",
+  },
   [EventCode.EndpointListingIgnored]: {
     severity: Severity.Info,
     message: "a listing of an endpoint came too late to be applied",
@@ -294,7 +302,7 @@
   },
   [EventCode.TaskGivenUp]: {
     severity: Severity.Warn,
-    message: "too many endpoints crashed under a task; its job has failed",
+    message: "a task is proven to crash its endpoints; its job has failed",
     remedy:
       "Correct the task before it is submitted again; `endpoints` names those that crashed.",
   },
--- a/packages/journal/split_runs.ts
+++ b/packages/journal/split_runs.ts
@@ -1,10 +1,8 @@
 import { MAX_RUNS_PER_RECORD } from "./constants.ts";
 
-/** Splits runs, pairs of task name and run number, into the lists of several records. */
-export function splitRuns(
-  runs: readonly [string, number][],
-): [string, number][][] {
-  const lists: [string, number][][] = [];
+/** Splits runs of one endpoint into the lists of several records. */
+export function splitRuns<Run>(runs: readonly Run[]): Run[][] {
+  const lists: Run[][] = [];
   for (let start = 0; start < runs.length; start += MAX_RUNS_PER_RECORD) {
     lists.push(runs.slice(start, start + MAX_RUNS_PER_RECORD));
   }
--- a/packages/journal/types.ts
+++ b/packages/journal/types.ts
@@ -55,8 +55,21 @@
     endpoint: string;
     /** Lifetime that ended. */
     bornAt: number;
+    /** Service of the endpoint; this and the next two: missing in earlier versions. */
+    service?: string;
+    /** Last sign of life. */
+    aliveAt?: number;
+    /** When contact was lost. */
+    lostAt?: number;
     /** Pairs of task name and run number. */
     runs: [string, number][];
+    /**
+     * How likely the crash was without each run, in their order; missing in records of
+     * earlier versions, which read the next two fields.
+     */
+    chances?: number[];
+    /** The evidence was complete; missing in records of earlier versions: it was. */
+    isSettled?: boolean;
     /** The crash can be laid to these runs: they are one task, or one gang. */
     isAttributable: boolean;
     /** Many endpoints were lost at the same moment. */
--- a/packages/scheduler/decision_log.ts
+++ b/packages/scheduler/decision_log.ts
@@ -21,6 +21,7 @@
   [DecisionKind.RoomShrunk]: EventCode.EndpointRoomShrunk,
   [DecisionKind.RoomGrown]: EventCode.EndpointRoomGrown,
   [DecisionKind.EndpointCrashed]: EventCode.EndpointCrashed,
+  [DecisionKind.CrashJudged]: EventCode.CrashJudged,
   [DecisionKind.TaskGivenUp]: EventCode.TaskGivenUp,
   [DecisionKind.StartPostponed]: EventCode.StartPostponed,
   [DecisionKind.JobRefused]: EventCode.JobRefused,
