--- a/tests/cell/preemption_test.ts
+++ b/tests/cell/preemption_test.ts
@@ -166,6 +166,7 @@
     chance: 1e-4,
     isSettled: true,
   });
+  task.crashes.suspectedAt = site.now;
   task.crashes.retryAt = site.now + 60_000;
   site.advance(1_500);
   t.is(site.calls.stops, 0);
