--- a/packages/cell/mod.ts
+++ b/packages/cell/mod.ts
@@ -5,6 +5,7 @@
 export { describePlacement } from "./describe_placement.ts";
 export { makeEndpoint } from "./endpoints.ts";
 export { describeLeaving } from "./leaving.ts";
+export { describeTrials } from "./trials.ts";
 export {
   hasStartInDoubt,
   noteLeaseSent,
--- a/packages/cell/trials.ts
+++ b/packages/cell/trials.ts
@@ -129,6 +129,34 @@
     estimateProbability(crashes) >= LIKELY_CAUSE_PROBABILITY;
 }
 
+/**
+ * Describes the strong suspects for a dump: why each waits for a trial, for how long so far
+ * and at most (`leftMs`; missing: until a trial of its own).
+ */
+export function describeTrials(
+  state: CellState,
+  now: number,
+): Record<string, unknown>[] {
+  return [...state.suspects.values()].flatMap(({ stage, task }) => {
+    const { name, crashes } = task;
+    if (!isStrongSuspect(crashes)) return [];
+    const { limit, loweredAt } = findTrialLimit(state, stage);
+    const probability = estimateProbability(crashes);
+    const waitsSince = Math.max(crashes.suspectedAt, loweredAt);
+    const leftMs = Math.max(0, waitsSince + MAX_TRIAL_WAIT_MS - now);
+    return [{
+      task: name,
+      chances: crashes.counted.map(({ chance }) => chance),
+      probability: Number(probability.toPrecision(3)),
+      trialsAtATime: limit,
+      waitsMs: Math.round(now - crashes.suspectedAt),
+      leftMs: probability < LIKELY_CAUSE_PROBABILITY
+        ? Math.round(leftMs)
+        : undefined,
+    }];
+  });
+}
+
 /**
  * Chooses the endpoint where a crash under a suspect harms the fewest runs; one
  * where a run has just started, which would be suspected as well, comes last.
--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -5,6 +5,7 @@
   describeAdmission,
   describeLeaving,
   describePlacement,
+  describeTrials,
 } from "../cell/mod.ts";
 import { EventCode, type EventLog } from "../events/mod.ts";
 import {
@@ -284,6 +285,7 @@
         ready: [...cell.ready].map((stage) => stage.name),
         runTimes: cell.runTimes.describe(now),
         leaving: describeLeaving(cell, now),
+        suspects: describeTrials(cell, now),
         placement: describePlacement(cell, now),
         endpoints: [...cell.endpoints.values()].map((endpoint) => ({
           id: endpoint.info.id,
--- a/tests/cell/crash_blame_test.ts
+++ b/tests/cell/crash_blame_test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import { JobState } from "../../packages/jobs/mod.ts";
+import { describeTrials } from "../../packages/cell/mod.ts";
 import { makeJob, makeQueue, makeStep } from "./cell_site.ts";
 import { CrashSite, Return } from "./crash_site.ts";
 
@@ -122,6 +123,20 @@
   t.deepEqual(site.checker.violations, []);
 });
 
+// Guards against a task that waits for a trial without a reason that operators can see.
+test("the dump names a task that waits for its trial, and for how long at most", (t) => {
+  const site = new CrashSite({ endpoints: 4, afterMs: 2_500 });
+  site.advance(300);
+  site.submit(makeJob("a", [makeStep()]));
+  site.advance(200);
+  site.crash(site.findPlacement("a.0.0.0").id);
+  t.deepEqual(describeTrials(site.cell.state, site.now), []);
+  while (site.cell.state.suspects.size === 0) site.advance(10);
+  const [suspect, ...others] = describeTrials(site.cell.state, site.now);
+  t.like(suspect, { task: "a.0.0.0", trialsAtATime: 1, leftMs: 6_000 });
+  t.is(others.length, 0);
+});
+
 // Guards against a suspect that is tried beside other work, which would be lost and
 // suspected with it.
 test("a suspect on probation: nothing else starts on its endpoint, and the run clears it", (t) => {
