Try up to three suspects of a queue at a time in small cells too

What callers saw (soak by hand on, five endpoints): "a job waits although there is room".

Cause: the number of trials grows up to a quarter of the endpoints, which is one of five.

Change: the number may grow to three in any cell, as it was before.

Result: the tests of crashes pass, also that a class of bad tasks crashes one endpoint at a time; the number still grows by outlived trials only.

--- a/packages/cell/constants.ts
+++ b/packages/cell/constants.ts
@@ -308,6 +308,9 @@
  */
 export const MAX_TRIAL_FRACTION = 0.25;
 
+/** That number in a cell of few endpoints. */
+export const SMALL_CELL_TRIALS = 3;
+
 /** Delay after the first crash of a suspect's trial, in ms; doubles with each. */
 export const SUSPECT_RETRY_MS = 500;
 
--- a/packages/cell/trial_limits.ts
+++ b/packages/cell/trial_limits.ts
@@ -1,6 +1,7 @@
 import {
   MAX_SUSPECT_RETRY_MS,
   MAX_TRIAL_FRACTION,
+  SMALL_CELL_TRIALS,
   SUSPECT_RETRY_MS,
 } from "./constants.ts";
 import type { CellState } from "./state.ts";
@@ -30,7 +31,8 @@
   for (const { info, isListed } of state.endpoints.values()) {
     if (isListed && info.service === service) listed++;
   }
-  const most = Math.max(1, Math.floor(listed * MAX_TRIAL_FRACTION));
+  const share = Math.floor(listed * MAX_TRIAL_FRACTION);
+  const most = Math.max(SMALL_CELL_TRIALS, share);
   const { limit, loweredAt } = findTrialLimit(state, stage);
   state.trialLimits.set(name, { limit: Math.min(most, limit + 1), loweredAt });
 }
