Let a run of a job that was given up explain the crash of its endpoint

Cause: both times a task of a bad job stood beside the healthy one. Between the start and the second crash the bad job was given up for another of its tasks, so that the owner no longer found the suspect and took it for as harmless as any.

Change: a suspect whose job has failed is taken for the cause, also before its end is committed, and its crashes never count as background.

Result: the new test of crash_blame_test; on the code before, the bad task has the suspicion of any other task, 0.0001, instead of 1. The other tests of crashes pass.

--- a/packages/cell/crash_background.ts
+++ b/packages/cell/crash_background.ts
@@ -51,9 +51,9 @@
   return new Set(
     state.recentCrashes.filter(({ suspects }) =>
       suspects.every(({ task: name, run }) => {
+        if (hasFailed(state, name)) return false;
         const task = findTask(state, name)?.task;
-        if (!task) return !hasFailed(state, name);
-        return isCleared(task, run) || !isStrongSuspect(task.crashes);
+        return !task || isCleared(task, run) || !isStrongSuspect(task.crashes);
       })
     ),
   );
@@ -105,12 +105,16 @@
   };
 }
 
-/** Estimates the probability that each suspect crashes endpoints. */
+/**
+ * Estimates the probability that each suspect crashes endpoints. The run of one that was
+ * given up may still be carried out.
+ */
 export function estimateSuspicions(
   state: CellState,
   suspects: readonly SuspectRun[],
 ): Map<string, number> {
   return new Map(suspects.map(({ task }) => {
+    if (hasFailed(state, task)) return [task, 1];
     const crashes = findTask(state, task)?.task.crashes;
     return [task, estimateProbability(crashes ?? NO_CRASHES)];
   }));
--- a/packages/cell/lost_together.ts
+++ b/packages/cell/lost_together.ts
@@ -89,10 +89,11 @@
   return phase === TaskPhase.Done || crashes.clearedRun >= run;
 }
 
-/** Returns whether a task has ended with its job, which failed. */
+/** Returns whether the job of a task has failed. */
 export function hasFailed(state: CellState, task: string): boolean {
   const job = parseTaskName(task)?.job ?? "";
-  return state.ended.get(job)?.state === JobState.Failed;
+  const outcome = state.jobs.get(job)?.outcome ?? state.ended.get(job)?.state;
+  return outcome === JobState.Failed;
 }
 
 /** Measures how long ago before the loss the last sign of life was, in ms. */
@@ -141,11 +142,9 @@
   const stages = new Set<Stage>();
   let isAfterStart = false;
   for (const { task: name, run, isRightBefore } of loss.suspects) {
+    if (hasFailed(state, name)) return { weight: 0, stages };
     const taskRef = findTask(state, name);
-    if (!taskRef) {
-      if (hasFailed(state, name)) return { weight: 0, stages };
-      continue;
-    }
+    if (!taskRef) continue;
     const { stage, task } = taskRef;
     if (isCleared(task, run)) continue;
     const prior = estimatePrior(task, loss);
--- a/tests/cell/crash_blame_test.ts
+++ b/tests/cell/crash_blame_test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import { JobState } from "../../packages/jobs/mod.ts";
+import { estimateSuspicions } from "../../packages/cell/crash_background.ts";
 import { describeTrials } from "../../packages/cell/mod.ts";
 import { makeJob, makeQueue, makeStep } from "./cell_site.ts";
 import { CrashSite, Return } from "./crash_site.ts";
@@ -197,6 +198,29 @@
   t.is(site.find("a"), JobState.Completed);
 });
 
+// Guards against a healthy job that is given up because a task of a job that was given up
+// before crashed their endpoint (soak seed 635396).
+test("a run of a job that was given up explains a crash: its neighbours are not blamed", (t) => {
+  const site = new CrashSite({ endpoints: 6, afterMs: 400 });
+  site.isDeadly = (task) => task.startsWith("bad");
+  site.watchStarts();
+  site.advance(300);
+  site.submit(makeJob("bad", [makeStep()]));
+  site.submit(makeJob("good", [makeStep({ longRunning: true })]));
+  site.advance(SETTLED_MS);
+  t.is(site.find("bad"), JobState.Failed);
+  const suspicions = estimateSuspicions(
+    site.cell.state,
+    ["bad.0.0.0", "good.0.0.0"].map((task) => ({
+      task,
+      run: 9,
+      isRightBefore: true,
+    })),
+  );
+  t.is(suspicions.get("bad.0.0.0"), 1);
+  t.true(suspicions.get("good.0.0.0")! < 0.001);
+});
+
 // Guards against an ejection of endpoints for what a task did to them.
 test("endpoints that come back after a bad task crashed them are not ejected", (t) => {
   const site = new CrashSite({ endpoints: 3, afterMs: 400 });
