Send calls from the address of the VM, not the default one of its host

Cause: undici's agent takes `localAddress` as an option of its own and overrides the one among the options of `connect`, where HttpJsonClient and HttpEndpointClient put it. All calls to endpoints, the store and the policy service left from 127.0.0.1. The policy service takes the calls of one VM one after the other and tells VMs apart by their address, so nine entries shared one queue: two seconds of advice were asked for each second, and calls timed out from the first seconds on.

The policy stand-in logged one source, 127.0.0.1, for all entries.

Ruled out: the restarts themselves (waits begin with the load), the owner's processor (ticks under 20 ms, 12 to 20 plans a second), blame (no job given up).

Also found: the caller of the soak had the same option, so that faults of links by the source address (entry to endpoint, entry to store, caller to entry) matched no connection of an entry or caller.

Test: "calls leave from the configured address" fails before with '127.0.0.1'. Whether it is all that the users saw is suspected, not shown: their network is theirs.

--- a/packages/endpoints/http_endpoint_client.ts
+++ b/packages/endpoints/http_endpoint_client.ts
@@ -57,7 +57,8 @@
     // A task occupies its connection until its answer arrives; the number of
     // connections is not limited.
     this.#taskAgent = new Agent({
-      connect: { timeout, localAddress },
+      connect: { timeout },
+      localAddress,
       pipelining: 1,
     });
     this.#controlClient = new HttpJsonClient({
--- a/packages/platform/http_json.ts
+++ b/packages/platform/http_json.ts
@@ -56,10 +56,10 @@
       localAddress?: string;
     },
   ) {
-    const { connectTimeoutMs: timeout, localAddress } = options;
     this.#agent = new Agent({
       connections: options.connections,
-      connect: { timeout, localAddress },
+      connect: { timeout: options.connectTimeoutMs },
+      localAddress: options.localAddress,
       pipelining: 1,
       keepAliveTimeout: KEEP_ALIVE_MS,
       keepAliveMaxTimeout: KEEP_ALIVE_MS,
--- a/packages/platform/http_json_test.ts
+++ b/packages/platform/http_json_test.ts
@@ -38,6 +38,24 @@
   });
 });
 
+// Guards against VMs that share a host's default address: the policy service takes the calls
+// of one address one after the other, so that the tasks of all entries wait for one queue.
+test("calls leave from the configured address", async (t) => {
+  const serveSource: RequestListener = ({ socket }, response) =>
+    response.end(JSON.stringify(socket.remoteAddress));
+  await withServer(serveSource, async (url) => {
+    const client = new HttpJsonClient({
+      connections: 1,
+      connectTimeoutMs: 500,
+      localAddress: "127.0.0.7",
+    });
+    const call = { ...makeCall(url), timeoutMs: 10_000 };
+    const { body } = await client.exchange(call);
+    await client.close();
+    t.is(body, "127.0.0.7");
+  });
+});
+
 test("a call whose answer stays incomplete times out", async (t) => {
   const servePartialAnswer: RequestListener = (_, response) => {
     response.writeHead(200, { "content-length": "100" });
--- a/tests/soak/caller.ts
+++ b/tests/soak/caller.ts
@@ -217,7 +217,8 @@
     if (known) return known;
     const { host, view } = this.#parts;
     const client = new Client(view.getUrl(entry), {
-      connect: { localAddress: host, timeout: TIMEOUT_MS },
+      connect: { timeout: TIMEOUT_MS },
+      localAddress: host,
       keepAliveTimeout: 60_000,
     });
     client.on("disconnect", () => {
