Fence off unanswered orders with a higher token instead of waiting 12.5 s

What callers saw: where endpoints restart in series under their ids, jobs wait for ten seconds and more beside endpoints that are up and idle.

Cause: each poll of a busy endpoint acknowledges ends. If it gets no answer because the endpoint restarts behind a cut, the acknowledgement may be carried out up to 12 s later and would drop ends of the next lifetime, whose numbers start over. So nothing was started there for 12.5 s (`pausedUntil`). With a sixth of the endpoints cut off each second, half of them were set aside all the time.

Change: a fencing token that rises. Each endpoint's orders carry a token of their own; after an order without an answer it becomes the revision of the owner's newest commit, which is higher than the owner's claim and lower than that of any later owner. Once a listing answers a poll with the higher token, the lifetime refuses the earlier order. A pause that was begun without a newer token ends with the next commit. A poll that was not sent (connection refused) makes no pause. An order that a higher token of its own owner overtakes is refused without effect, not taken for a deposition.

Weighed: acknowledging in polls of their own, which do not wait: twice the looks at endpoints, which are priced. Starting meanwhile and looking for gaps in the numbers of ends: a dropped end may have been `done` or `failed`, and neither may be assumed. A token with a part for each endpoint: entries of an earlier version would be refused after it.

--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -15,8 +15,8 @@
   noteReplacement,
   updateEndpoints,
 } from "./endpoints.ts";
-import { type CurrentTime, endJob, type ListingTimes } from "./task_ends.ts";
-import { applyListing } from "./listing.ts";
+import { type CurrentTime, endJob } from "./task_ends.ts";
+import { applyListing, type ListingOptions } from "./listing.ts";
 import { makePlacementMemory } from "./placement_memory.ts";
 import { checkOverShare, getJobRatio } from "./dominant_shares.ts";
 import { planLeaving } from "./leaving.ts";
@@ -54,7 +54,6 @@
   type AdviceAnswer,
   type Endpoint,
   type EndpointInfo,
-  type EndpointListing,
   type OrganisationRules,
   type PaceResult,
   type Run,
@@ -295,7 +294,7 @@
   /** Applies an endpoint's listing. */
   applyListing(
     endpoint: Endpoint,
-    options: { listing: EndpointListing; times: ListingTimes },
+    options: ListingOptions,
   ): void {
     applyListing(this.state, endpoint, options);
     const { listing, times } = options;
--- a/packages/cell/endpoints.ts
+++ b/packages/cell/endpoints.ts
@@ -1,6 +1,7 @@
 import { RecordKind } from "../journal/mod.ts";
 import { makeZeroDemand } from "../jobs/mod.ts";
 import { FULL_PACE, LATE_ORDER_MS, REPLACED_PAUSE_MS } from "./constants.ts";
+import { makeEndpointFence } from "./fences.ts";
 import { describeAge, findRunEnd } from "./order_effects.ts";
 import { type CurrentTime, releaseRun } from "./task_ends.ts";
 import { addDecision, type CellState } from "./state.ts";
@@ -31,7 +32,9 @@
     leaseEndsAt: 0,
     lastEndNumber: 0,
     committedEndNumber: 0,
+    fence: makeEndpointFence(),
     unansweredEndsAckAt: Number.NEGATIVE_INFINITY,
+    lateAckUntil: 0,
     unansweredLeaseAt: Number.NEGATIVE_INFINITY,
     lastListingAskedAt: 0,
     lastListingAt: Number.NEGATIVE_INFINITY,
--- a/packages/cell/lifetimes.ts
+++ b/packages/cell/lifetimes.ts
@@ -1,5 +1,6 @@
 import { LATE_ORDER_MS } from "./constants.ts";
 import { describeCrash, noteCrash } from "./crashes.ts";
+import { isFencedOff } from "./fences.ts";
 import { describeAge, noteNewLifetime } from "./order_effects.ts";
 import { noteLifetime } from "./run_feed.ts";
 import { addDecision, type CellState } from "./state.ts";
@@ -13,7 +14,8 @@
  * listing settles it. Stops that the former lifetime acknowledged have no effect in
  * the new one, which may still get a late start, and are ordered again. After an
  * unanswered acknowledgement of ends, starts pause until it can no longer
- * arrive: it would also acknowledge new ends, whose numbers start over.
+ * arrive, or the lifetime has accepted a higher fencing token: it would also acknowledge
+ * new ends, whose numbers start over.
  */
 export function beginLifetime(
   state: CellState,
@@ -54,8 +56,10 @@
   endpoint.failuresInRow = 0;
   endpoint.lastFailedJob = "";
   endpoint.ejectedUntil = 0;
-  const lateAckUntil = endpoint.unansweredEndsAckAt + LATE_ORDER_MS;
-  endpoint.pausedUntil = Math.max(endpoint.pausedUntil, lateAckUntil);
+  const { unansweredAck } = endpoint.fence;
+  endpoint.lateAckUntil = isFencedOff(endpoint, unansweredAck)
+    ? 0
+    : endpoint.unansweredEndsAckAt + LATE_ORDER_MS;
   if (hasRestarted) noteNewLifetime(endpoint, times.now);
   for (const run of [...endpoint.runs.values()]) {
     if (!run.isLifetimeKnown) {
--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -10,6 +10,7 @@
   setCheckpoint,
 } from "./task_ends.ts";
 import { settleUnlocated } from "./endpoints.ts";
+import { noteFenceAccepted } from "./fences.ts";
 import { beginLifetime } from "./lifetimes.ts";
 import { noteLeaseSent } from "./order_effects.ts";
 import {
@@ -38,6 +39,13 @@
   TaskPhase,
 } from "./types.ts";
 
+/** A listing, and the fencing token of the poll that it answers. */
+export interface ListingOptions {
+  listing: EndpointListing;
+  fence: number;
+  times: ListingTimes;
+}
+
 /**
  * Applies an endpoint's listing of its current and ended runs. Listings that
  * arrive out of order are ignored. A listing of another lifetime is in order if it was
@@ -47,15 +55,16 @@
 export function applyListing(
   state: CellState,
   endpoint: Endpoint,
-  options: { listing: EndpointListing; times: ListingTimes },
+  options: ListingOptions,
 ): void {
-  const { listing, times } = options;
+  const { listing, fence, times } = options;
   const { bornAt, clockMs } = listing;
   const isOtherLifetime = bornAt !== endpoint.bornAt;
   const isOutOfOrder = isOtherLifetime
     ? times.askedAt < endpoint.lastListingAt
     : clockMs < endpoint.lastListingClock;
   if (isOutOfOrder) return noteListingIgnored(state, endpoint, options);
+  noteFenceAccepted(endpoint, { token: fence, isOtherLifetime });
   if (isOtherLifetime) {
     beginLifetime(state, endpoint, { bornAt, clockMs, times });
   }
@@ -92,7 +101,7 @@
 function noteListingIgnored(
   state: CellState,
   endpoint: Endpoint,
-  { listing, times }: { listing: EndpointListing; times: ListingTimes },
+  { listing, times }: ListingOptions,
 ): void {
   addDecision(state, {
     kind: DecisionKind.ListingIgnored,
@@ -225,6 +234,7 @@
     isStopOrderInFlight: false,
     isLifetimeKnown: true,
     sentToBornAt: 0,
+    sentFence: 0,
     startMayArriveUntil: 0,
     unlistedLeaseEndsAt: 0,
     hasTicket: false,
--- a/packages/cell/mod.ts
+++ b/packages/cell/mod.ts
@@ -4,6 +4,14 @@
 export * from "./evacuated_domains.ts";
 export { describePlacement } from "./describe_placement.ts";
 export { makeEndpoint } from "./endpoints.ts";
+export {
+  canEndPause,
+  getFence,
+  isSuperseded,
+  noteFenceUnanswered,
+  OwnerFence,
+  raiseFence,
+} from "./fences.ts";
 export { describeLeaving } from "./leaving.ts";
 export { describeTrials } from "./trials.ts";
 export {
--- a/packages/cell/order_effects.ts
+++ b/packages/cell/order_effects.ts
@@ -40,10 +40,16 @@
 /** Notes that a start order is sent now: the lease, and how late it may arrive. */
 export function noteStartSent(
   run: Run,
-  options: { now: number; leaseMs: number; ticketEndsAt: number },
+  options: {
+    now: number;
+    leaseMs: number;
+    ticketEndsAt: number;
+    fence: number;
+  },
 ): void {
-  const { now, ticketEndsAt } = options;
+  const { now, ticketEndsAt, fence } = options;
   noteLeaseSent(run.endpoint, options);
+  run.sentFence = Math.max(run.sentFence, fence);
   run.sentToBornAt = run.endpoint.bornAt;
   run.sentAt = now;
   noteStartTime(run.endpoint, now);
--- a/packages/cell/order_effects_test.ts
+++ b/packages/cell/order_effects_test.ts
@@ -83,11 +83,16 @@
   const endpoint = state.endpoints.get("e0")!;
   const listing = { clockMs: 1, running: [], ended: [] };
   const times = { now: 9_000, wallNow: 9_000, askedAt: 8_990 };
-  applyListing(state, endpoint, { listing: { ...listing, bornAt: 5 }, times });
+  applyListing(state, endpoint, {
+    listing: { ...listing, bornAt: 5 },
+    fence: 1,
+    times,
+  });
   t.is(endpoint.leaseEndsAt, 0);
   // A listing that was asked for earlier may be of a former lifetime.
   const laterTimes = { ...times, askedAt: times.now };
   applyListing(state, endpoint, {
+    fence: 1,
     listing: { ...listing, bornAt: 9 },
     times: laterTimes,
   });
--- a/packages/cell/order_results.ts
+++ b/packages/cell/order_results.ts
@@ -63,7 +63,8 @@
     return;
   }
   applyRefusal(state, run, { result, now });
-  releaseRun(state, run, { now, hasFailed: true, reason: result });
+  const hasFailed = result !== StartResult.Superseded;
+  releaseRun(state, run, { now, hasFailed, reason: result });
 }
 
 /**
--- a/packages/cell/order_types.ts
+++ b/packages/cell/order_types.ts
@@ -40,6 +40,8 @@
   Started = "started",
   /** The endpoint has accepted the fencing token of a newer owner. */
   Deposed = "deposed",
+  /** It has accepted a higher token of the same owner: the order had no effect. */
+  Superseded = "superseded",
   /** The endpoint has seen this run number of the task, or a higher one. */
   OldRun = "old_run",
   /** The lease had ended when the order arrived. */
--- a/packages/cell/placement.ts
+++ b/packages/cell/placement.ts
@@ -64,7 +64,7 @@
 export function canAcceptRepeats(endpoint: Endpoint, now: number): boolean {
   return endpoint.hasAcceptedFence && endpoint.isRecorded &&
     !endpoint.isCordoned && !endpoint.isRecordOutdated &&
-    now >= endpoint.pausedUntil;
+    now >= Math.max(endpoint.pausedUntil, endpoint.lateAckUntil);
 }
 
 /**
--- a/packages/cell/start_task.ts
+++ b/packages/cell/start_task.ts
@@ -48,6 +48,7 @@
     isStopOrderInFlight: false,
     isLifetimeKnown: false,
     sentToBornAt: 0,
+    sentFence: 0,
     startMayArriveUntil: 0,
     unlistedLeaseEndsAt: 0,
     hasTicket: stage.job.spec.queue.advice !== undefined,
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -96,6 +96,8 @@
   sentToBornAt: number;
   /** When this owner sent the start order; undefined: it has not. */
   sentAt?: number;
+  /** Highest fencing token with which the start was sent; 0: not sent. */
+  sentFence: number;
   /**
    * The endpoint acknowledged a stop in its current lifetime: a run that is then
    * not listed has ended or can no longer start in this lifetime.
@@ -162,6 +164,18 @@
   endedBornAt: number;
 }
 
+/** Fencing tokens of the orders to one endpoint; 0: none. */
+export interface EndpointFence {
+  /** Token that orders carry. */
+  current: number;
+  /** Highest token that the present lifetime is known to have accepted. */
+  accepted: number;
+  /** Highest token of an order without an answer. */
+  unanswered: number;
+  /** The same of an acknowledgement of ends. */
+  unansweredAck: number;
+}
+
 /** The announced end of a draining endpoint. */
 export interface EndpointLeaving {
   /** Time left as its record says, in milliseconds. */
@@ -217,8 +231,15 @@
   lastEndNumber: number;
   /** Number of the last end that is committed to the journal. */
   committedEndNumber: number;
+  /** Fencing tokens of its orders. */
+  fence: EndpointFence;
   /** Send time of the last unanswered acknowledgement of ends. */
   unansweredEndsAckAt: number;
+  /**
+   * Time until which nothing is started there because such an acknowledgement, meant for
+   * a former lifetime, may still arrive; 0: none can.
+   */
+  lateAckUntil: number;
   /** Time of the last order with a lease that got no answer. */
   unansweredLeaseAt: number;
   /** When the newest applied listing was requested; 0: none yet. */
--- a/packages/journal/journal.ts
+++ b/packages/journal/journal.ts
@@ -24,6 +24,9 @@
   /** Called when a call to the store got no answer or was refused. */
   abstract noteCommitFailure(error: unknown): void;
 
+  /** Called with the store's revision when a commit is known to have been applied. */
+  abstract noteCommitted(revision: number): void;
+
   /** Called when a commit of `records` records has succeeded. */
   abstract noteCommitSuccess(elapsedMs: number, records: number): void;
 }
@@ -198,7 +201,7 @@
     let backoffMs = FIRST_RETRY_MS;
     for (let attempt = 1; !this.#isClosed; attempt++) {
       try {
-        const { result } = await this.#store.commit({
+        const { result, revision } = await this.#store.commit({
           expected: [
             { key: this.#claim.key, revision: this.#claim.revision },
             { key: write.key, revision: 0 },
@@ -206,7 +209,10 @@
           puts: [{ key: write.key, value: write.value }],
           deletes: write.deletes,
         });
-        if (result === TransactionResult.Applied) return true;
+        if (result === TransactionResult.Applied) {
+          this.#host.noteCommitted(revision);
+          return true;
+        }
         return await this.#settleConflict(write.key, attempt > 1);
       } catch (error) {
         this.#host.noteCommitFailure(error);
--- a/packages/scheduler/endpoint_session.ts
+++ b/packages/scheduler/endpoint_session.ts
@@ -1,9 +1,14 @@
 import { type Clock, NotSentError } from "../base/mod.ts";
 import {
+  canEndPause,
   type Endpoint,
   hasStartInDoubt,
+  isSuperseded,
+  noteFenceUnanswered,
   noteLeaseSent,
   noteLeaseUnanswered,
+  type OwnerFence,
+  raiseFence,
   RunPhase,
   START_CONFIRM_MS,
 } from "../cell/mod.ts";
@@ -41,7 +46,7 @@
   /** Called when the endpoint has answered a poll. */
   abstract handlePollAnswer(
     endpoint: Endpoint,
-    poll: { answer: PollAnswer; askedAt: number },
+    poll: { answer: PollAnswer; askedAt: number; fence: number },
   ): void;
 
   /** Called when a poll has failed. */
@@ -59,7 +64,7 @@
   readonly #control: EndpointControl;
   readonly #clock: Clock;
   readonly #host: SessionHost;
-  readonly #fence: number;
+  readonly #fence: OwnerFence;
   readonly #leaseMs: number;
   #resume: () => void = () => {};
   #isIdle = false;
@@ -76,7 +81,7 @@
     control: EndpointControl;
     clock: Clock;
     host: SessionHost;
-    fence: number;
+    fence: OwnerFence;
     leaseMs: number;
   }) {
     this.#endpoint = options.endpoint;
@@ -146,12 +151,18 @@
     const { hasAcceptedFence, isReplaced, isListed, isRecorded } =
       this.#endpoint;
     if (isReplaced) return false;
-    if (this.#endpoint.runs.size > 0) return true;
+    if (this.#endpoint.runs.size > 0 || this.#canEndPause()) return true;
     return hasAcceptedFence
       ? this.#hasUnacknowledgedEnds()
       : isListed || isRecorded;
   }
 
+  /** Returns whether a poll with a higher fencing token ends a pause of starts. */
+  #canEndPause(): boolean {
+    const now = this.#clock.now();
+    return canEndPause(this.#endpoint, { owner: this.#fence, now });
+  }
+
   /**
    * Returns whether ends of the endpoint are committed but not acknowledged.
    */
@@ -203,6 +214,23 @@
     return isDueNow ? 0 : this.#host.getPollInterval() - elapsedMs;
   }
 
+  /** Notes that a poll got no answer and may be carried out later. */
+  #noteUnanswered(
+    now: number,
+    { fence, acknowledgedEnd, leaseUntil, bornAt }: PollRequest & {
+      bornAt: number;
+    },
+  ): void {
+    const endpoint = this.#endpoint;
+    noteFenceUnanswered(endpoint, fence);
+    if (acknowledgedEnd > 0) {
+      endpoint.unansweredEndsAckAt = now;
+      endpoint.fence.unansweredAck = fence;
+    }
+    if (leaseUntil === undefined) return;
+    noteLeaseUnanswered(endpoint, { bornAt, now, leaseMs: this.#leaseMs });
+  }
+
   async #waitForWork(): Promise<void> {
     this.#isIdle = true;
     await new Promise<void>((resolve) => this.#resume = resolve);
@@ -224,9 +252,11 @@
       ? endpoint.committedEndNumber
       : 0;
     this.#noteWithheld(now, acknowledgedEnd);
-    const mayWait = renewsLeases && !this.#isAcknowledgementOverdue(now);
+    const mayWait = renewsLeases && !this.#isAcknowledgementOverdue(now) &&
+      !this.#canEndPause();
+    const fence = raiseFence(endpoint, this.#fence);
     const request: PollRequest = {
-      fence: this.#fence,
+      fence,
       acknowledgedEnd,
       // An endpoint that did not answer may have restarted and have no run that could end.
       waitMs: mayWait ? options.waitMs : 0,
@@ -249,25 +279,23 @@
       // An endpoint that has moved: its former address says nothing about it.
       const isFormerAddress = address !== endpoint.info.address;
       if (answer.kind === PollResult.Replaced && isFormerAddress) return true;
+      // A poll with a higher token has overtaken this one.
+      const isOvertaken = answer.kind === PollResult.Deposed &&
+        isSuperseded(endpoint, fence);
+      if (isOvertaken) return false;
       this.#isUnresponsive = false;
       if (request.acknowledgedEnd > 0) {
         this.#acknowledgedEnd = request.acknowledgedEnd;
         this.#acknowledgedBornAt = bornAt;
       }
-      this.#host.handlePollAnswer(endpoint, { answer, askedAt: now });
+      this.#host.handlePollAnswer(endpoint, { answer, askedAt: now, fence });
       return true;
     } catch (error) {
       this.#isUnresponsive = true;
-      if (request.acknowledgedEnd > 0) endpoint.unansweredEndsAckAt = now;
-      if (
-        request.leaseUntil !== undefined && !(error instanceof NotSentError)
-      ) {
-        const leaseMs = this.#leaseMs;
-        noteLeaseUnanswered(endpoint, { bornAt, now, leaseMs });
-      }
+      const isSent = !(error instanceof NotSentError);
+      if (isSent) this.#noteUnanswered(now, { ...request, bornAt });
       const elapsedMs = this.#clock.now() - now;
-      const isBroken = !(error instanceof NotSentError) &&
-        elapsedMs < timeoutMs;
+      const isBroken = isSent && elapsedMs < timeoutMs;
       if (!this.#isStopped) {
         const failure = { error, elapsedMs, isBroken };
         this.#host.handlePollFailure(endpoint, failure);
--- a/packages/scheduler/order_sender.ts
+++ b/packages/scheduler/order_sender.ts
@@ -2,9 +2,13 @@
 import type { Clock } from "../base/mod.ts";
 import {
   type Cell,
+  getFence,
+  isSuperseded,
+  noteFenceUnanswered,
   noteStartSent,
   type Order,
   OrderKind,
+  type OwnerFence,
   PaceResult,
   type Run,
   type Stage,
@@ -34,8 +38,8 @@
   clock: Clock;
   log: EventLog;
   metrics: Metrics;
-  /** Fencing token of this owner. */
-  fence: number;
+  /** Fencing tokens of this owner. */
+  fence: OwnerFence;
   /** Duration of the lease that a start gives, in milliseconds. */
   leaseMs: number;
   load: OwnerLoad;
@@ -73,14 +77,20 @@
   }
 
   async #start(order: StartOrder): Promise<void> {
-    const { cell, control, clock, fence, leaseMs, log } = this.#parts;
+    const { cell, control, clock, leaseMs, log } = this.#parts;
     const { run } = order;
     const { endpoint } = run;
     const now = clock.now();
+    const fence = getFence(endpoint, this.#parts.fence);
     let result = StartResult.Unavailable;
     let detail = "order not sent: owner stopped or lease not confirmed";
     if (this.#parts.mayOrder(now)) {
-      noteStartSent(run, { now, leaseMs, ticketEndsAt: order.ticketEndsAt });
+      noteStartSent(run, {
+        now,
+        leaseMs,
+        ticketEndsAt: order.ticketEndsAt,
+        fence,
+      });
       ({ result, detail } = await control.start(
         makeEndpointTarget(run),
         {
@@ -95,6 +105,10 @@
         { timeoutMs: ORDER_TIMEOUT_MS },
       ));
     }
+    if (result === StartResult.Unknown) noteFenceUnanswered(endpoint, fence);
+    if (result === StartResult.Deposed && isSuperseded(endpoint, fence)) {
+      result = StartResult.Superseded;
+    }
     const answeredAt = clock.now();
     const durationMs = answeredAt - now;
     this.#parts.metrics.observeDuration("task_start", durationMs, { result });
@@ -130,9 +144,10 @@
   }
 
   async #stop(run: Run): Promise<void> {
-    const { control, clock, fence, log } = this.#parts;
+    const { control, clock, log } = this.#parts;
     const mayOrder = this.#parts.mayOrder(clock.now());
     const target = makeEndpointTarget(run);
+    const fence = getFence(run.endpoint, this.#parts.fence);
     const { result, detail } = mayOrder
       ? await control.stop(target, {
         task: run.task,
@@ -152,7 +167,7 @@
         detail,
       });
     }
-    if (result === StopResult.Deposed) {
+    if (result === StopResult.Deposed && !isSuperseded(run.endpoint, fence)) {
       const { id } = run.endpoint.info;
       return this.#parts.onDeposed(`${id} serves a newer owner`);
     }
@@ -165,7 +180,8 @@
   }
 
   async #setPace({ run, percent }: PaceOrder): Promise<void> {
-    const { cell, control, clock, fence, log } = this.#parts;
+    const { cell, control, clock, log } = this.#parts;
+    const fence = getFence(run.endpoint, this.#parts.fence);
     const { result, detail } = this.#parts.mayOrder(clock.now())
       ? await control.setPace(makeEndpointTarget(run), {
         task: run.task,
@@ -187,7 +203,7 @@
         detail,
       });
     }
-    if (result === PaceResult.Deposed) {
+    if (result === PaceResult.Deposed && !isSuperseded(run.endpoint, fence)) {
       const { id } = run.endpoint.info;
       return this.#parts.onDeposed(`${id} serves a newer owner`);
     }
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -9,6 +9,7 @@
   type Endpoint,
   type EndpointInfo,
   LEASE_MARGIN_MS,
+  OwnerFence,
   type PolicyNames,
 } from "../cell/mod.ts";
 import type { EvacuationReport } from "../evacuation/mod.ts";
@@ -111,6 +112,7 @@
   readonly cell: Cell;
   readonly advice: AdvicePool;
   readonly #parts: OwnerRoleParts;
+  readonly #fence: OwnerFence;
   readonly #sessions: SessionPool;
   readonly #endpointFeed: EndpointFeed;
   readonly #orderSender: OrderSender;
@@ -128,6 +130,7 @@
     super();
     this.ownership = ownership;
     this.#parts = parts;
+    this.#fence = new OwnerFence(ownership.revision);
     const { store, records, clock, log, listLinks } = parts;
     ownership.confirmation.onSuspended = () =>
       log.record(EventCode.LoopPaused, { wasSuspended: true });
@@ -155,7 +158,7 @@
       control: parts.control,
       clock,
       host: this,
-      fence: ownership.revision,
+      fence: this.#fence,
       leaseMs: parts.leaseMs,
     });
     this.#upkeepRole = parts.vms && new UpkeepRole({
@@ -185,7 +188,7 @@
       clock,
       log,
       metrics: parts.metrics,
-      fence: ownership.revision,
+      fence: this.#fence,
       leaseMs: parts.leaseMs,
       load: this.#pace.load,
       mayOrder: (now) => this.mayOrder(now),
@@ -373,7 +376,11 @@
   /** Applies an endpoint's answer to a poll. */
   handlePollAnswer(
     endpoint: Endpoint,
-    { answer, askedAt }: { answer: PollAnswer; askedAt: number },
+    { answer, askedAt, fence }: {
+      answer: PollAnswer;
+      askedAt: number;
+      fence: number;
+    },
   ): void {
     if (this.#isClosing) return;
     if (answer.kind === PollResult.Replaced) {
@@ -384,7 +391,8 @@
       return this.endOwnership(`${endpoint.info.id} serves a newer owner`);
     }
     const times = { ...this.#getCurrentTime(), askedAt };
-    this.cell.applyListing(endpoint, { listing: answer.listing, times });
+    const { listing } = answer;
+    this.cell.applyListing(endpoint, { listing, fence, times });
     this.#pace.load.note(
       LoadKind.Listing,
       this.#parts.clock.now() - times.now,
@@ -425,6 +433,10 @@
     this.#parts.log.record(EventCode.CommitFailed, { reason: String(error) });
   }
 
+  override noteCommitted(revision: number): void {
+    this.#fence.noteCommit(revision);
+  }
+
   override noteCommitSuccess(elapsedMs: number, recordCount: number): void {
     this.#parts.metrics.observeDuration("commit", elapsedMs, {});
     this.#pace.load.note(LoadKind.Commit, elapsedMs);
--- a/packages/scheduler/session_pool.ts
+++ b/packages/scheduler/session_pool.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "../base/mod.ts";
-import type { Endpoint } from "../cell/mod.ts";
+import type { Endpoint, OwnerFence } from "../cell/mod.ts";
 import { EndpointSession, type SessionHost } from "./endpoint_session.ts";
 import type { EndpointControl } from "./ports.ts";
 
@@ -9,7 +9,7 @@
     control: EndpointControl;
     clock: Clock;
     host: SessionHost;
-    fence: number;
+    fence: OwnerFence;
     leaseMs: number;
   };
   readonly #sessions = new Map<Endpoint, EndpointSession>();
@@ -19,7 +19,7 @@
       control: EndpointControl;
       clock: Clock;
       host: SessionHost;
-      fence: number;
+      fence: OwnerFence;
       leaseMs: number;
     },
   ) {
--- a/tests/cell/cell_site.ts
+++ b/tests/cell/cell_site.ts
@@ -342,7 +342,7 @@
       }, this.now);
       if (!listing) continue;
       const times = { ...this.time, askedAt: this.now };
-      this.cell.applyListing(endpoint, { listing, times });
+      this.cell.applyListing(endpoint, { listing, fence: this.fence, times });
     }
   }
 
@@ -396,7 +396,12 @@
     }
     this.calls.starts++;
     const { ticketEndsAt } = order;
-    noteStartSent(run, { now: this.now, leaseMs: LEASE_MS, ticketEndsAt });
+    noteStartSent(run, {
+      now: this.now,
+      leaseMs: LEASE_MS,
+      ticketEndsAt,
+      fence,
+    });
     const leaseUntil = this.now + run.endpoint.clockOffset + LEASE_MS;
     const start = (isDelayed: boolean) => {
       // A delayed order has already reached the endpoint's VM.
--- a/tests/cell/restart_under_id_test.ts
+++ b/tests/cell/restart_under_id_test.ts
@@ -51,6 +51,7 @@
   const endpoint = site.cell.state.endpoints.get(id)!;
   site.cell.applyListing(endpoint, {
     listing,
+    fence: site.fence,
     times: { ...site.time, askedAt },
   });
 }
--- a/tests/virtual/journal_test.ts
+++ b/tests/virtual/journal_test.ts
@@ -34,6 +34,8 @@
     this.commitFailures++;
   }
 
+  override noteCommitted(): void {}
+
   override noteCommitSuccess(): void {}
 }
 
--- a/tests/virtual/session_test.ts
+++ b/tests/virtual/session_test.ts
@@ -3,6 +3,7 @@
 import {
   type Endpoint,
   makeEndpoint,
+  OwnerFence,
   PaceResult,
   type Run,
   RunPhase,
@@ -131,12 +132,13 @@
     isDraining: false,
     bornAt: 0,
   });
+  const fence = new OwnerFence(1);
   const session = new EndpointSession({
     endpoint,
     control,
     clock,
     host,
-    fence: 1,
+    fence,
     leaseMs: LEASE_MS,
   });
   const addRun = (overrides: Partial<Run> = {}) => {
@@ -153,6 +155,7 @@
       isStopAcknowledged: false,
       isLifetimeKnown: true,
       sentToBornAt: 0,
+      sentFence: 0,
       startMayArriveUntil: 0,
       unlistedLeaseEndsAt: 0,
       hasTicket: false,
@@ -167,7 +170,7 @@
     session.checkNow();
   };
   void session.run();
-  return { time, control, host, endpoint, session, addRun };
+  return { time, control, host, endpoint, session, fence, addRun };
 }
 
 test("failed polls do not extend the end of the lease", async (t) => {
