--- a/tests/soak/entry_process.ts
+++ b/tests/soak/entry_process.ts
@@ -25,6 +25,8 @@
   vms: string;
   /** File with the program. */
   bundle: string;
+  /** Further sections of the settings file. */
+  settings?: string;
 }
 
 const NODE_ARGS = ["--max-old-space-size=220", "--max-semi-space-size=8"];
@@ -89,7 +91,7 @@
 ended_jobs_ms = 120000
 [log]
 level = ${logLevel}
-`,
+${place.settings ?? ""}`,
     );
   }
 
--- a/tests/standins/endpoint.ts
+++ b/tests/standins/endpoint.ts
@@ -25,8 +25,8 @@
   #timer: NodeJS.Timeout | undefined;
   /** Duration of each run, in milliseconds. */
   runMs = 100;
-  /** Returns the duration of a task's run, in milliseconds. */
-  measureDuration: (task: string) => number = () => this.runMs;
+  /** Returns the duration of a run, in milliseconds, by its task and payload. */
+  measureDuration: (task: string, payload: string) => number = () => this.runMs;
   /**
    * Returns the progress in percent and the gauge of a task's run; by default
    * the progress is the elapsed part of the run's duration.
@@ -34,6 +34,9 @@
   measureRun: ((task: string) => [percent: number, gauge: number]) | undefined;
   /** Refuses starts without the ticket of the policy service. */
   needsTicket = false;
+  /** Returns whether the endpoint accepts the ticket of a start. */
+  isTicketValid: (order: OrderBody, now: number) => boolean = ({ ticket }) =>
+    !this.needsTicket || ticket === `t-${this.id}`;
   /** Time until a stopped run ends, in milliseconds. */
   stopMs = 0;
   /** Answers no call, and carries each out after this time, in ms. */
@@ -160,8 +163,8 @@
     if ((body.fence ?? 0) < lifetime.fence) return "fence";
     lifetime.fence = body.fence ?? 0;
     if (call === "run-start") {
-      if (this.needsTicket && body.ticket !== `t-${this.id}`) return "ticket";
-      const durationMs = this.measureDuration(body.task);
+      if (!this.isTicketValid(body, now)) return "ticket";
+      const durationMs = this.measureDuration(body.task, body.task_spec ?? "");
       const reason = lifetime.startRun(body, { now, durationMs, isLate });
       if (!reason) this.#scheduleCrash(lifetime, body.task_spec ?? "");
       return reason;
