Write log lines in writes that a pipe takes whole, and count those that don't fit

What operators saw: 30 of 19,764 lines of an owner's log were not JSON; the end of one was missing and the next followed in the same line, with no 7008. Starts, ends and requeues could not be paired.

Cause: the log was written in parts of up to 16 KB. Lines beyond the buffer of 1 MB were dropped whole, but not counted.

Change: one write is at most PIPE_BUF (4,096 bytes), which a pipe takes as a whole; lines dropped for want of buffer are counted in the next 7008 (`unwritten`).

--- a/packages/events/catalogue.ts
+++ b/packages/events/catalogue.ts
@@ -518,7 +518,8 @@
   [EventCode.LinesDropped]: {
     severity: Severity.Warn,
     message: "log lines beyond the rate limit were dropped",
-    remedy: "None; `counts` gives the dropped lines per event code.",
+    remedy:
+      "None; `counts` gives the dropped lines per event code, `unwritten` those that a slow reader of the log left no room for.",
   },
   [EventCode.CallRepeated]: {
     severity: Severity.Info,
--- a/packages/events/log.ts
+++ b/packages/events/log.ts
@@ -1,5 +1,5 @@
 import { pino } from "pino";
-import { EVENT_CATALOGUE, type EventCode } from "./catalogue.ts";
+import { EVENT_CATALOGUE, EventCode } from "./catalogue.ts";
 
 /** Structured fields of one log line. */
 export type EventFields = Record<string, unknown>;
@@ -10,6 +10,12 @@
  */
 const MAX_BUFFERED_BYTES = 1024 * 1024;
 
+/**
+ * Maximum size of one write of an asynchronous log, in bytes: up to `PIPE_BUF` of Linux, a
+ * write to a pipe is done as a whole. Longer ones are cut off where the reader takes parts.
+ */
+const MAX_WRITE_BYTES = 4_096;
+
 /** File descriptor to which a process writes its log. */
 export enum LogTarget {
   Stdout = 1,
@@ -26,6 +32,8 @@
 export class PinoEventLog extends EventLog {
   readonly #logger: pino.Logger;
   readonly #destination: ReturnType<typeof pino.destination>;
+  /** Lines that did not fit into the buffer since the last report of them. */
+  #droppedCount = 0;
 
   /**
    * @param base fields that are added to every line
@@ -44,16 +52,33 @@
     this.#destination = pino.destination({
       dest: options.target,
       sync: !options.isAsync,
-      ...options.isAsync ? { maxLength: MAX_BUFFERED_BYTES } : {},
+      ...options.isAsync
+        ? { maxLength: MAX_BUFFERED_BYTES, maxWrite: MAX_WRITE_BYTES }
+        : {},
     });
+    this.#destination.on("drop", () => this.#droppedCount++);
     this.#logger = pino({ level, base }, this.#destination);
   }
 
   override record(code: EventCode, fields: EventFields = {}): void {
+    this.#reportDropped();
     const { severity, message } = EVENT_CATALOGUE[code];
     this.#logger[severity]({ event: code, ...fields }, message);
   }
 
+  /** Reports lines that were dropped; if the report does not fit, it is repeated. */
+  #reportDropped(): void {
+    const unwritten = this.#droppedCount;
+    if (unwritten === 0) return;
+    const { message, severity } = EVENT_CATALOGUE[EventCode.LinesDropped];
+    this.#logger[severity](
+      { event: EventCode.LinesDropped, unwritten },
+      message,
+    );
+    if (this.#droppedCount === unwritten) this.#droppedCount = 0;
+    else this.#droppedCount = unwritten;
+  }
+
   /** Writes all buffered lines synchronously; for use at process exit. */
   writeBuffered(): void {
     this.#destination.flushSync();
