Tell what each stage that waits for a second waits for, and which room is usable

What operators saw: 1010 counted ready stages beside "free" cores, which included endpoints that accept no starts, so that nobody could tell whether room, advice, pauses or trials held the work.

Change: once a second the owner explains each ready stage of which nothing has started for a second by one of twelve reasons (`WaitReason`). 1010 has the counts, the longest wait and the usable cores; the metrics have `waiting_stages` by reason, the state dump the same. The cost is one look at the ready stages a second, apart from the plans.

--- a/packages/cell/mod.ts
+++ b/packages/cell/mod.ts
@@ -27,3 +27,4 @@
 export * from "./snapshot.ts";
 export { StopReason } from "./stop_run.ts";
 export * from "./types.ts";
+export { WaitMonitor, WaitReason, type WaitReport } from "./wait_reasons.ts";
--- a/packages/scheduler/owner_load.ts
+++ b/packages/scheduler/owner_load.ts
@@ -1,4 +1,4 @@
-import type { Cell } from "../cell/mod.ts";
+import { type Cell, WaitMonitor, type WaitReport } from "../cell/mod.ts";
 
 /** Kinds of events of an owner that are counted and timed. */
 export enum LoadKind {
@@ -31,7 +31,7 @@
 const REPORT_INTERVAL_MS = 1_000;
 
 /** What an owner was busy with, for the log. */
-export type OwnerLoadReport = Record<string, number>;
+export type OwnerLoadReport = Record<string, number | WaitReport["stages"]>;
 
 /**
  * Counts and times what an owner does, and reports it once a second: it shows which work
@@ -39,7 +39,10 @@
  */
 export class OwnerLoad {
   readonly #totals = new Map<LoadKind, LoadTotal>();
+  readonly #waitMonitor = new WaitMonitor();
   #reportedAt: number | undefined;
+  /** What waited at the last report; undefined: there was none. */
+  waits: WaitReport | undefined;
 
   /** Adds an event; see `LoadKind` for the meaning of the time, in milliseconds. */
   note(kind: LoadKind, ms: number): void {
@@ -66,12 +69,22 @@
     }
     this.#totals.clear();
     this.#reportedAt = now;
-    return { ...report, ...describeRoom(state, now) };
+    this.waits = this.#waitMonitor.observe(state, now);
+    return {
+      ...report,
+      ...describeRoom(state, now),
+      usableMilliCores: this.waits.usableMilliCores,
+      waits: this.waits.stages,
+      longestWaitMs: this.waits.longestMs,
+    };
   }
 }
 
 /** Describes the room of all endpoints, and how many of them are set aside. */
-function describeRoom(state: Cell["state"], now: number): OwnerLoadReport {
+function describeRoom(
+  state: Cell["state"],
+  now: number,
+): Record<string, number> {
   const report = {
     readyStages: state.ready.size,
     freeMilliCores: 0,
@@ -87,7 +100,8 @@
       info.capacity.milliCores - used.milliCores,
     );
     if (endpoint.unresponsiveUntil > now) report.unresponsive++;
-    if (endpoint.pausedUntil > now) report.paused++;
+    const { pausedUntil, lateAckUntil } = endpoint;
+    if (Math.max(pausedUntil, lateAckUntil) > now) report.paused++;
     if (endpoint.ejectedUntil > now) report.ejected++;
   }
   return report;
--- a/packages/scheduler/owner_pace.ts
+++ b/packages/scheduler/owner_pace.ts
@@ -1,4 +1,4 @@
-import { Admission, type Cell } from "../cell/mod.ts";
+import { Admission, type Cell, WaitReason } from "../cell/mod.ts";
 import { EventCode, type EventLog } from "../events/mod.ts";
 import type { JobSpec } from "../jobs/mod.ts";
 import type { SubmitReply } from "../links/mod.ts";
@@ -83,6 +83,10 @@
   #recordLoad(now: number): void {
     const report = this.load.collectReport(this.#parts.cell.state, now);
     if (!report) return;
+    for (const reason of Object.values(WaitReason)) {
+      const stages = this.load.waits?.stages[reason] ?? 0;
+      this.#parts.metrics.setGauge("waiting_stages", stages, { reason });
+    }
     this.#parts.log.record(EventCode.OwnerLoad, {
       ...report,
       usualLagMs: Math.round(this.#monitor.measureUsualLag()),
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -11,6 +11,7 @@
   LEASE_MARGIN_MS,
   OwnerFence,
   type PolicyNames,
+  type WaitReport,
 } from "../cell/mod.ts";
 import type { EvacuationReport } from "../evacuation/mod.ts";
 import { EventCode, type EventLog } from "../events/mod.ts";
@@ -221,6 +222,11 @@
     return !this.#isStopped;
   }
 
+  /** What waited at the last report of the load, for a dump. */
+  get waits(): WaitReport | undefined {
+    return this.#pace.load.waits;
+  }
+
   /** Describes the upkeep waves for a dump. */
   describeUpkeep(): unknown {
     return this.#upkeepRole?.describe();
--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -283,6 +283,7 @@
         unlocated: cell.unlocated.size,
         admission: describeAdmission(cell),
         ready: [...cell.ready].map((stage) => stage.name),
+        waits: this.#ownerRole?.waits,
         runTimes: cell.runTimes.describe(now),
         leaving: describeLeaving(cell, now),
         suspects: describeTrials(cell, now),
