Reserve the room for which tickets are asked until the call is answered

Cause: a stage with long calls asks for tickets of the endpoints with room. Less urgent stages with tickets take that room during the call, the new tickets expire after 1.5 s, and the stage asks again.

Change: as a gang does, a stage reserves in each plan the room that its call in flight is about, for as many tasks as wait.

Test: "room for which tickets are asked is not given to less urgent work" in tests/cell/advice_test.ts; 'pending' after 6 s before.

Result: the starvation of the test ends.

--- a/packages/cell/plan.ts
+++ b/packages/cell/plan.ts
@@ -17,7 +17,7 @@
 } from "./headroom.ts";
 import { planPreemptions, settlePreemptions } from "./preemption.ts";
 import { sortReadyStages } from "./learned_order.ts";
-import { planGang } from "./plan_gang.ts";
+import { planGang, reserveCapacity } from "./plan_gang.ts";
 import { sortByShares } from "./dominant_shares.ts";
 import type { EndpointChoice } from "./policies.ts";
 import { findEndpointChoice } from "./speed_choice.ts";
@@ -119,6 +119,29 @@
   }
   if (isTicketMissing) {
     askAdvice(pass, stage, selectForTickets(stage, slots));
+    reserveForTickets(pass, stage, { slots, allowance });
+  }
+}
+
+/**
+ * Reserves the room for which the tickets of a stage are asked, so that less urgent stages
+ * do not take it before the answer.
+ */
+function reserveForTickets(
+  pass: PlacementPass,
+  stage: Stage,
+  { slots, allowance }: {
+    slots: ReadonlyMap<Endpoint, number>;
+    allowance: number;
+  },
+): void {
+  if (stage.advice.callsInFlight === 0) return;
+  let missing = Math.min(stage.waitingTasks, allowance);
+  const demand = getCapacityDemand(getStep(stage));
+  for (const [endpoint, count] of slots) {
+    for (let slot = 0; slot < count && missing > 0; slot++, missing--) {
+      reserveCapacity(pass, endpoint, { demand });
+    }
   }
 }
 
--- a/tests/cell/advice_test.ts
+++ b/tests/cell/advice_test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { JobState } from "../../packages/jobs/mod.ts";
+import { EndKind, JobState } from "../../packages/jobs/mod.ts";
 import { CellSite, makeJob, makeQueue, makeStep } from "./cell_site.ts";
 
 const longCallQueue = makeQueue({
@@ -52,3 +52,23 @@
     `busy for ${busyMs} ms with ${totalCallMs} ms of calls`,
   );
 });
+
+// Guards against work that asks for tickets again and again: less urgent work takes the
+// room meanwhile, and every entry is busy with calls that lead to nothing (LOST).
+test("room for which tickets are asked is not given to less urgent work", (t) => {
+  const capacity = { milliCores: 1_000, memoryMb: 8_000, accelerators: 0 };
+  const site = new CellSite({ endpoints: 1, capacity });
+  site.endRule = ({ task }) => ({
+    afterMs: task.startsWith("late") ? 4_000 : 100,
+    endKind: EndKind.Done,
+  });
+  site.advance(300);
+  const queue = makeQueue({ name: "late", priority: 2 });
+  for (let n = 0; n < 5; n++) {
+    site.submit(makeJob(`late${n}`, [makeStep()], { queue }));
+  }
+  site.advance(200);
+  site.submit(makeJob("a", [makeStep()], { queue: longCallQueue }));
+  site.advance(6_000);
+  t.is(site.find("a"), JobState.Completed);
+});
