--- a/packages/events/log.ts
+++ b/packages/events/log.ts
@@ -61,13 +61,13 @@
   }
 
   override record(code: EventCode, fields: EventFields = {}): void {
-    this.#reportDropped();
+    this.#recordDropped();
     const { severity, message } = EVENT_CATALOGUE[code];
     this.#logger[severity]({ event: code, ...fields }, message);
   }
 
   /** Reports lines that were dropped; if the report does not fit, it is repeated. */
-  #reportDropped(): void {
+  #recordDropped(): void {
     const unwritten = this.#droppedCount;
     if (unwritten === 0) return;
     const { message, severity } = EVENT_CATALOGUE[EventCode.LinesDropped];
