--- a/tools/series.ts
+++ b/tools/series.ts
@@ -4,17 +4,19 @@
  *
  * Usage: node dist/tools/series.js [--seeds N] [--seed S] [--seconds T] [--entries E]
  * [--endpoints W] [--jobs-per-second R] [--cut-share X] [--same-id X]
- * [--processor-share X] [--bundle FILE]
+ * [--processor-share X] [--bundle FILE] [--case NAME]
+ * `--case`: the settings of a case of tests/soak/series_cases.ts, unless others are given.
  */
 import process from "node:process";
 import { parseArgs } from "node:util";
 import { runSeries } from "../tests/soak/series/run_series.ts";
 import { SERIES_DEFAULTS } from "../tests/soak/series/types.ts";
+import { SERIES_CASES } from "../tests/soak/series_cases.ts";
 
 const { values } = parseArgs({
   options: {
     seeds: { type: "string", default: "1" },
-    seed: { type: "string", default: "1" },
+    seed: { type: "string" },
     seconds: { type: "string" },
     entries: { type: "string" },
     endpoints: { type: "string" },
@@ -23,14 +25,17 @@
     "same-id": { type: "string" },
     "processor-share": { type: "string" },
     bundle: { type: "string" },
+    case: { type: "string" },
   },
 });
 for (const signal of ["SIGINT", "SIGTERM"]) {
   process.on(signal, () => process.exit(1));
 }
-const defaults = SERIES_DEFAULTS;
+const seriesCase = SERIES_CASES.find(({ name }) => name === values.case);
+if (values.case && !seriesCase) throw new Error(`No case ${values.case}`);
+const defaults = seriesCase?.options ?? SERIES_DEFAULTS;
 const failedSeeds: number[] = [];
-const firstSeed = Number(values.seed);
+const firstSeed = Number(values.seed ?? defaults.seed);
 for (let seed = firstSeed; seed < firstSeed + Number(values.seeds); seed++) {
   const report = await runSeries({
     ...defaults,
