--- a/packages/cell/fences.ts
+++ b/packages/cell/fences.ts
@@ -57,6 +57,19 @@
   fence.unanswered = Math.max(fence.unanswered, token);
 }
 
+/**
+ * Notes that an acknowledgement of ends, sent at `now` with this token, got no answer. Of
+ * two polls, the one that was sent later may fail first.
+ */
+export function noteAckUnanswered(
+  endpoint: Endpoint,
+  { now, token }: { now: number; token: number },
+): void {
+  const { fence } = endpoint;
+  fence.unansweredAck = Math.max(fence.unansweredAck, token);
+  endpoint.unansweredEndsAckAt = Math.max(endpoint.unansweredEndsAckAt, now);
+}
+
 /** Returns whether a refusal of this token is due to a higher one of the same owner. */
 export function isSuperseded({ fence }: Endpoint, token: number): boolean {
   return token < fence.current;
--- a/packages/cell/mod.ts
+++ b/packages/cell/mod.ts
@@ -8,6 +8,7 @@
   canEndPause,
   getFence,
   isSuperseded,
+  noteAckUnanswered,
   noteFenceUnanswered,
   OwnerFence,
   raiseFence,
--- a/packages/scheduler/endpoint_session.ts
+++ b/packages/scheduler/endpoint_session.ts
@@ -4,6 +4,7 @@
   type Endpoint,
   hasStartInDoubt,
   isSuperseded,
+  noteAckUnanswered,
   noteFenceUnanswered,
   noteLeaseSent,
   noteLeaseUnanswered,
@@ -223,10 +224,7 @@
   ): void {
     const endpoint = this.#endpoint;
     noteFenceUnanswered(endpoint, fence);
-    if (acknowledgedEnd > 0) {
-      endpoint.unansweredEndsAckAt = now;
-      endpoint.fence.unansweredAck = fence;
-    }
+    if (acknowledgedEnd > 0) noteAckUnanswered(endpoint, { now, token: fence });
     if (leaseUntil === undefined) return;
     noteLeaseUnanswered(endpoint, { bornAt, now, leaseMs: this.#leaseMs });
   }
