Explain at most 30 of the stages that wait in one look

What operators would see: an owner with hundreds of waiting stages spends part of each second on explaining them, which makes it later still (not measured; found while reading the diff, as the look costs about as much as the plan of each stage).

Test: "of many stages that wait, some are explained".

--- a/packages/cell/wait_reasons.ts
+++ b/packages/cell/wait_reasons.ts
@@ -46,7 +46,9 @@
 
 /** What waits in a cell beside the room that starts could use. */
 export interface WaitReport {
-  /** Stages that nothing has started of for `MIN_WAIT_MS`, by reason. */
+  /** Number of stages that nothing has started of for `MIN_WAIT_MS`. */
+  waiting: number;
+  /** Some of them, at most `MAX_EXPLAINED`, by reason. */
   stages: Partial<Record<WaitReason, number>>;
   /** Longest of these waits, in milliseconds. */
   longestMs: number;
@@ -57,6 +59,12 @@
 /** Wait from which its reason is reported, in milliseconds. */
 export const MIN_WAIT_MS = 1_000;
 
+/**
+ * Maximum number of stages that one look explains: an owner that is late has hundreds of
+ * them, and no time to spare.
+ */
+export const MAX_EXPLAINED = 30;
+
 /** Follows how long ready stages wait; the time between two looks is its precision. */
 export class WaitMonitor {
   /** Since when each stage waits, and for how many tasks, in the last look. */
@@ -65,7 +73,7 @@
   /** Looks at the ready stages: one that has started a task waits anew. */
   observe(state: CellState, now: number): WaitReport {
     const pass = beginPlacementPass(state, now);
-    const stages: Partial<Record<WaitReason, number>> = {};
+    const waiting: Stage[] = [];
     const waits = new Map<Stage, { since: number; tasks: number }>();
     let longestMs = 0;
     for (const stage of state.ready) {
@@ -75,18 +83,33 @@
       waits.set(stage, { since, tasks: stage.waitingTasks });
       if (now - since < MIN_WAIT_MS) continue;
       longestMs = Math.max(longestMs, now - since);
-      const reason = explainWait(pass, stage);
-      stages[reason] = (stages[reason] ?? 0) + 1;
+      waiting.push(stage);
     }
     this.#waits = waits;
     return {
-      stages,
+      waiting: waiting.length,
+      stages: countReasons(pass, waiting),
       longestMs: Math.round(longestMs),
       usableMilliCores: sumUsableCores(pass),
     };
   }
 }
 
+/** Counts the reasons of some of the stages, taken evenly from all. */
+function countReasons(
+  pass: PlacementPass,
+  waiting: readonly Stage[],
+): WaitReport["stages"] {
+  const stages: WaitReport["stages"] = {};
+  const count = Math.min(waiting.length, MAX_EXPLAINED);
+  for (let n = 0; n < count; n++) {
+    const stage = waiting[Math.floor(n * waiting.length / count)];
+    const reason = explainWait(pass, stage);
+    stages[reason] = (stages[reason] ?? 0) + 1;
+  }
+  return stages;
+}
+
 /** Explains why nothing of a ready stage starts now. */
 export function explainWait(pass: PlacementPass, stage: Stage): WaitReason {
   const { state, now } = pass;
--- a/packages/scheduler/owner_load.ts
+++ b/packages/scheduler/owner_load.ts
@@ -74,6 +74,7 @@
       ...report,
       ...describeRoom(state, now),
       usableMilliCores: this.waits.usableMilliCores,
+      waitingStages: this.waits.waiting,
       waits: this.waits.stages,
       longestWaitMs: this.waits.longestMs,
     };
--- a/tests/cell/wait_reasons_test.ts
+++ b/tests/cell/wait_reasons_test.ts
@@ -68,6 +68,23 @@
     site.advance(1_100);
     const report = monitor.observe(site.cell.state, site.now);
     t.deepEqual(report.stages, { [reason]: 1 });
+    t.is(report.waiting, 1);
     t.is(report.longestMs, 1_100);
   });
 }
+
+// Guards against an owner that is late because it explains why hundreds of stages wait.
+test("of many stages that wait, some are explained", (t) => {
+  const site = new CellSite({ endpoints: 1 });
+  site.advance(300);
+  for (const endpoint of site.cell.state.endpoints.values()) {
+    endpoint.pausedUntil = Number.POSITIVE_INFINITY;
+  }
+  for (let n = 0; n < 50; n++) site.submit(makeJob(`b${n}`, [makeStep()]));
+  const monitor = new WaitMonitor();
+  monitor.observe(site.cell.state, site.now);
+  site.advance(1_100);
+  const report = monitor.observe(site.cell.state, site.now);
+  t.is(report.waiting, 50);
+  t.deepEqual(report.stages, { [WaitReason.Unusable]: 30 });
+});
