--- a/review/standins-2/endpoint-lost.mjs
+++ b/review/standins-2/endpoint-lost.mjs
@@ -12,7 +12,7 @@
 const SHORT_INTERVAL_MS = 100;
 const SHORT_MS = 300;
 
-runCase("review/8", async (site, { hasTrouble, record }) => {
+runCase("review/7", async (site, { hasTrouble, record }) => {
   const running = new Map();
   const startedAt = new Map();
   await site.start({
--- a/review/standins-2/id-of-another-tenant.mjs
+++ b/review/standins-2/id-of-another-tenant.mjs
@@ -5,7 +5,7 @@
 const OTHER_ID = "0000000000000002";
 const VISIBLE_MS = 3_000;
 
-runCase("review/10", async (site, { hasTrouble, record }) => {
+runCase("review/8", async (site, { hasTrouble, record }) => {
   const payloads = [];
   await site.start({
     entries: 3,
--- a/review/standins-2/site.mjs
+++ b/review/standins-2/site.mjs
@@ -60,8 +60,14 @@
   });
 }
 
+/** Ports that were given out; one that is not listened on yet could be found again. */
+const usedPorts = new Set();
+
 async function findAddress(host) {
-  return { host, port: await findFreePort(host) };
+  let port;
+  do port = await findFreePort(host); while (usedPorts.has(port));
+  usedPorts.add(port);
+  return { host, port };
 }
 
 function format({ host, port }) {
--- a/review/standins-2/upkeep-at-take-over.mjs
+++ b/review/standins-2/upkeep-at-take-over.mjs
@@ -10,7 +10,7 @@
 const NOTICE_MS = 4_500;
 const JOB = "00000000000000bb";
 
-runCase("review/9", async (site, { hasTrouble, record }) => {
+runCase("review/10", async (site, { hasTrouble, record }) => {
   /** Since when each task runs, and when it was last at work. */
   const running = new Map();
   const lastAtWork = new Map();
