--- a/packages/cell/constants.ts
+++ b/packages/cell/constants.ts
@@ -21,9 +21,6 @@
  */
 export const MAX_LEASE_MS = 6_000;
 
-/** Largest number of ends in one listing; the platform's limit. */
-export const MAX_LISTED_ENDS = 500;
-
 /** Added to the end of a lease to cover message delay, in milliseconds. */
 export const LEASE_MARGIN_MS = 250;
 
--- a/packages/cell/endpoints.ts
+++ b/packages/cell/endpoints.ts
@@ -36,6 +36,7 @@
     unansweredEndsAckAt: Number.NEGATIVE_INFINITY,
     lateAckUntil: 0,
     unansweredLeaseAt: Number.NEGATIVE_INFINITY,
+    proof: undefined,
     lastListingAskedAt: 0,
     lastListingAt: Number.NEGATIVE_INFINITY,
     runs: new Map(),
@@ -108,9 +109,10 @@
     if (time.now < endpoint.leaseEndsAt) continue;
     if (endpoint.runs.size > 0) expireRuns(state, endpoint, time);
     noteMissing(state, endpoint, time);
-    const isSafeToDrop = time.now >= state.unlocatedUntil ||
-      endpoint.hasAcceptedFence ||
-      endpoint.isReplaced;
+    const isSafeToDrop = !mayHideRuns(state, {
+      endpointId: endpoint.info.id,
+      now: time.now,
+    });
     const unansweredAt = Math.max(
       endpoint.unansweredLeaseAt,
       endpoint.unansweredEndsAckAt,
--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -71,6 +71,8 @@
   endpoint.lastListingAt = times.now;
   endpoint.lastListingClock = listing.clockMs;
   endpoint.lastListingAskedAt = times.askedAt;
+  const proof = { extent: listing.extent, bornAt, askedAt: times.askedAt };
+  endpoint.proof = proof;
   endpoint.unresponsiveUntil = 0;
   endpoint.clockOffset = listing.clockMs - times.now;
   recordEndpoint(state, endpoint);
@@ -90,7 +92,7 @@
     applyListedRun(state, endpoint, { listedRun, times });
   }
   for (const run of [...endpoint.runs.values()]) {
-    if (!listed.has(run.task)) settleUnlistedRun(state, run, options);
+    if (!listed.has(run.task)) settleUnlistedRun(state, run, { proof, times });
   }
   endpoint.hasAcceptedFence = true;
   noteStallCheck(state, endpoint, times);
@@ -236,6 +238,7 @@
     sentToBornAt: 0,
     sentFence: 0,
     startMayArriveUntil: 0,
+    startSettledAt: 0,
     unlistedLeaseEndsAt: 0,
     hasTicket: false,
     percent: listedRun.percent,
--- a/packages/cell/order_effects.ts
+++ b/packages/cell/order_effects.ts
@@ -5,6 +5,7 @@
   MAX_LEASE_MS,
   START_HISTORY_MS,
 } from "./constants.ts";
+import { isOfListedLifetime } from "./listing_proof.ts";
 import type { Endpoint, Run } from "./types.ts";
 
 /**
@@ -58,6 +59,7 @@
     now + LATE_ORDER_MS,
     ticketEndsAt + LEASE_MARGIN_MS,
   );
+  run.startSettledAt = run.startMayArriveUntil;
 }
 
 function noteStartTime({ recentStarts }: Endpoint, now: number): void {
@@ -122,6 +124,7 @@
  */
 export function noteStartCarriedOut(run: Run, now: number): void {
   run.startMayArriveUntil = 0;
+  run.startSettledAt = now;
   run.unlistedLeaseEndsAt = computeLatestLeaseEnd(run.endpoint, now);
 }
 
@@ -148,7 +151,7 @@
  */
 export function hasStartInDoubt(endpoint: Endpoint): boolean {
   return [...endpoint.runs.values()].some((run) =>
-    run.sentToBornAt > 0 && !run.isLifetimeKnown
+    run.sentToBornAt > 0 && !run.isLifetimeKnown && !isOfListedLifetime(run)
   );
 }
 
--- a/packages/cell/order_effects_test.ts
+++ b/packages/cell/order_effects_test.ts
@@ -10,7 +10,7 @@
   noteStartCarriedOut,
 } from "./order_effects.ts";
 import { Cell } from "./cell.ts";
-import type { EndpointInfo, Run } from "./types.ts";
+import { type EndpointInfo, ListingExtent, type Run } from "./types.ts";
 
 const LEASE_MS = 4_000;
 
@@ -81,7 +81,12 @@
   const { state } = new Cell({ term: 1, retentionMs: 1, leaseMs: LEASE_MS });
   updateEndpoints(state, [makeInfo()]);
   const endpoint = state.endpoints.get("e0")!;
-  const listing = { clockMs: 1, running: [], ended: [] };
+  const listing = {
+    clockMs: 1,
+    running: [],
+    ended: [],
+    extent: ListingExtent.Whole,
+  };
   const times = { now: 9_000, wallNow: 9_000, askedAt: 8_990 };
   applyListing(state, endpoint, {
     listing: { ...listing, bornAt: 5 },
--- a/packages/cell/remnants.ts
+++ b/packages/cell/remnants.ts
@@ -1,21 +1,28 @@
 import { addDemand, getCapacityDemand, parseTaskName } from "../jobs/mod.ts";
 import { UNKNOWN_DEMAND } from "./constants.ts";
+import { hasHiddenEnds } from "./listing_proof.ts";
 import { MAX_GRANTED_LEASE_MS } from "./order_effects.ts";
 import { type CellState, getUsage } from "./state.ts";
 import { findTask, getStep, removeUnlocated } from "./stages.ts";
 import type { Remnant, Run, Stage, Task } from "./types.ts";
 
 /**
- * Returns whether an endpoint may still have runs of former owners that this
- * owner has not seen. An endpoint that is not known was dropped: it had none.
+ * Returns whether an endpoint may still have runs of former owners, or their ends, that
+ * this owner has not seen. An endpoint that is not known was dropped: it had none. Ends
+ * that were cut off count until all leases have lapsed without contact: an end that is
+ * taken note of after that does not count ("unless the worker's lease lapsed between the
+ * two").
  */
 export function mayHideRuns(
   state: CellState,
   { endpointId, now }: { endpointId: string; now: number },
 ): boolean {
   const endpoint = state.endpoints.get(endpointId);
-  return endpoint !== undefined && !endpoint.hasAcceptedFence &&
-    !endpoint.isReplaced && now < state.unlocatedUntil;
+  if (!endpoint || endpoint.isReplaced) return false;
+  if (!endpoint.hasAcceptedFence) return now < state.unlocatedUntil;
+  if (!hasHiddenEnds(endpoint)) return false;
+  const leasesEndAt = Math.max(state.unlocatedUntil, endpoint.leaseEndsAt);
+  return endpoint.contact.lostAt === 0 || now < leasesEndAt;
 }
 
 /**
--- a/packages/cell/start_task.ts
+++ b/packages/cell/start_task.ts
@@ -50,6 +50,7 @@
     sentToBornAt: 0,
     sentFence: 0,
     startMayArriveUntil: 0,
+    startSettledAt: 0,
     unlistedLeaseEndsAt: 0,
     hasTicket: stage.job.spec.queue.advice !== undefined,
     percent: 0,
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -119,6 +119,11 @@
    * lifetime of the endpoint; 0: not sent, or carried out.
    */
   startMayArriveUntil: number;
+  /**
+   * Time from which the start order has been carried out or can't be any more, by any
+   * lifetime of the endpoint; 0: not sent.
+   */
+  startSettledAt: number;
   /** The start order carries a ticket, which no later lifetime accepts. */
   hasTicket: boolean;
   /** Progress as last listed, in percent. */
@@ -242,6 +247,11 @@
   lateAckUntil: number;
   /** Time of the last order with a lease that got no answer. */
   unansweredLeaseAt: number;
+  /**
+   * What the newest applied listing proves of runs that it does not show; undefined:
+   * there is none yet.
+   */
+  proof: ListingProof | undefined;
   /** When the newest applied listing was requested; 0: none yet. */
   lastListingAskedAt: number;
   /** When the newest applied listing arrived. */
@@ -484,6 +494,23 @@
   saved: string;
 }
 
+/** How many of an endpoint's unacknowledged ends a listing shows. */
+export enum ListingExtent {
+  /** All of them. */
+  Whole = "whole",
+  /** The oldest ones; the others follow once these are acknowledged. */
+  CutOff = "cut_off",
+}
+
+/** What a listing proves of the runs that it does not show. */
+export interface ListingProof {
+  extent: ListingExtent;
+  /** Lifetime that wrote the listing, by its start, in Unix milliseconds. */
+  bornAt: number;
+  /** When the listing was asked for; the owner's steady clock, in milliseconds. */
+  askedAt: number;
+}
+
 /** An endpoint's report of its running tasks and unacknowledged ends. */
 export interface EndpointListing {
   bornAt: number;
@@ -491,4 +518,6 @@
   clockMs: number;
   running: ListedRun[];
   ended: ListedEnd[];
+  /** Whether `ended` was cut off; `running` never is. */
+  extent: ListingExtent;
 }
--- a/packages/cell/unlisted_runs.ts
+++ b/packages/cell/unlisted_runs.ts
@@ -1,29 +1,32 @@
-import { MAX_LISTED_ENDS } from "./constants.ts";
 import { isFencedOff } from "./fences.ts";
 import { isStartPending } from "./gang_starts.ts";
-import type { ListingOptions } from "./listing.ts";
+import type { ListingTimes } from "./task_ends.ts";
+import { hasNoTrace } from "./listing_proof.ts";
 import { mayStartLater } from "./order_effects.ts";
 import type { CellState } from "./state.ts";
 import { sendStop, StopReason, stopRun } from "./stop_run.ts";
 import { releaseRun } from "./task_ends.ts";
-import { type EndpointListing, type Run, RunPhase } from "./types.ts";
+import { type ListingProof, type Run, RunPhase } from "./types.ts";
 
-/** Releases or stops a run that is missing from the listing. */
+/**
+ * Releases or stops a run that is missing from its endpoint's newest listing, as far as
+ * that proves anything of it.
+ */
 export function settleUnlistedRun(
   state: CellState,
   run: Run,
-  { listing, times }: ListingOptions,
+  { proof, times }: { proof: ListingProof; times: ListingTimes },
 ): void {
-  if (times.askedAt <= run.lastChangedAt) return;
+  if (!hasNoTrace(proof, run)) return;
   if (run.phase === RunPhase.Starting) return;
-  if (hasBeenLost(run, listing)) {
+  if (hasBeenLost(run)) {
     return releaseRun(state, run, {
       now: times.now,
       hasFailed: false,
       reason: "started by a former lifetime",
     });
   }
-  if (hasNeverStarted(run, { listing, askedAt: times.askedAt })) {
+  if (hasNeverStarted(run, times)) {
     return releaseRun(state, run, {
       now: times.now,
       hasFailed: false,
@@ -52,22 +55,21 @@
 /**
  * Returns whether the start of an unlisted run, which got no answer, was not carried out
  * and can't be any more: a higher fencing token has been accepted since, and no later
- * lifetime can carry it out either. A run that has ended would be listed as such.
+ * lifetime can carry it out either.
  */
 function hasNeverStarted(
   run: Run,
-  { listing, askedAt }: { listing: EndpointListing; askedAt: number },
+  { askedAt }: { askedAt: number },
 ): boolean {
   return run.phase === RunPhase.Unacknowledged &&
     isFencedOff(run.endpoint, run.sentFence) &&
-    !mayStartLater(run, askedAt) && listing.ended.length < MAX_LISTED_ENDS;
+    !mayStartLater(run, askedAt);
 }
 
 /**
  * Returns whether a run that was started before an endpoint was asked for this listing,
  * and that no listing has shown, has been lost with a former lifetime.
  */
-function hasBeenLost(run: Run, { ended }: EndpointListing): boolean {
-  const isStarted = run.phase === RunPhase.Running && !run.isLifetimeKnown;
-  return isStarted && ended.length < MAX_LISTED_ENDS;
+function hasBeenLost({ phase, isLifetimeKnown }: Run): boolean {
+  return phase === RunPhase.Running && !isLifetimeKnown;
 }
--- a/packages/scheduler/endpoint_session.ts
+++ b/packages/scheduler/endpoint_session.ts
@@ -2,6 +2,7 @@
 import {
   canEndPause,
   type Endpoint,
+  hasHiddenEnds,
   hasStartInDoubt,
   isSuperseded,
   noteAckUnanswered,
@@ -56,9 +57,9 @@
 
 /**
  * Polls one endpoint: renews its leases and reads its lists of running and
- * ended runs. Polls only while the endpoint has runs, has ends that are
- * committed but not acknowledged, or has not accepted this owner's fencing
- * token.
+ * ended runs. Polls only while the endpoint has runs, has ends that are not
+ * acknowledged, or has not accepted this owner's fencing token. Ends that were cut off
+ * from a listing are asked for as soon as those before them may be acknowledged.
  */
 export class EndpointSession {
   readonly #endpoint: Endpoint;
@@ -68,6 +69,7 @@
   readonly #fence: OwnerFence;
   readonly #leaseMs: number;
   #resume: () => void = () => {};
+  #endPause: () => void = () => {};
   #isIdle = false;
   #isStopped = false;
   #isExtraPollInFlight = false;
@@ -108,10 +110,22 @@
       const pauseMs = isAnswered
         ? this.#computePause(startedAt + elapsedMs, elapsedMs)
         : POLL_RETRY_PAUSE_MS;
-      if (pauseMs > 0) await this.#clock.sleep(pauseMs);
+      if (pauseMs > 0) await this.#waitBetweenPolls(pauseMs);
     }
   }
 
+  /** Waits between two polls; the next page of a listing ends the pause early. */
+  async #waitBetweenPolls(pauseMs: number): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const cancel = this.#clock.schedule(resolve, pauseMs);
+      this.#endPause = () => {
+        cancel();
+        resolve();
+      };
+    });
+    this.#endPause = () => {};
+  }
+
   /**
    * Checks at once whether a poll is due. If a start was left unanswered a moment
    * ago, sends a poll that does not wait even while a long poll is in flight.
@@ -121,6 +135,7 @@
       if (this.#isStopped || this.#isPollDue()) this.#resume();
       return;
     }
+    if (this.#isNextPageReady()) this.#endPause();
     if (this.#isExtraPollInFlight) return;
     const now = this.#clock.now();
     // A start that was left unanswered is an unanswered lease too.
@@ -154,7 +169,7 @@
     if (isReplaced) return false;
     if (this.#endpoint.runs.size > 0 || this.#canEndPause()) return true;
     return hasAcceptedFence
-      ? this.#hasUnacknowledgedEnds()
+      ? this.#hasUnacknowledgedEnds() || hasHiddenEnds(this.#endpoint)
       : isListed || isRecorded;
   }
 
@@ -183,6 +198,11 @@
       !hasStartInDoubt(this.#endpoint);
   }
 
+  /** Returns whether the next poll can list ends that were cut off so far. */
+  #isNextPageReady(): boolean {
+    return hasHiddenEnds(this.#endpoint) && this.#mayAcknowledge();
+  }
+
   /** Computes for how long the endpoint may delay its answer to a poll. */
   #computeWait(now: number): number {
     const { isColocated, stallCheckAt = 0 } = this.#endpoint;
@@ -210,8 +230,8 @@
    * a listing.
    */
   #computePause(now: number, elapsedMs: number): number {
-    const isDueNow = this.#isAcknowledgementOverdue(now) &&
-      this.#mayAcknowledge();
+    const isDueNow = this.#isNextPageReady() ||
+      this.#isAcknowledgementOverdue(now) && this.#mayAcknowledge();
     return isDueNow ? 0 : this.#host.getPollInterval() - elapsedMs;
   }
 
@@ -251,7 +271,7 @@
       : 0;
     this.#noteWithheld(now, acknowledgedEnd);
     const mayWait = renewsLeases && !this.#isAcknowledgementOverdue(now) &&
-      !this.#canEndPause();
+      !this.#canEndPause() && !hasHiddenEnds(endpoint);
     const fence = raiseFence(endpoint, this.#fence);
     const request: PollRequest = {
       fence,
--- a/tests/cell/cell_site.ts
+++ b/tests/cell/cell_site.ts
@@ -6,6 +6,7 @@
   type CurrentTime,
   DEFAULT_POLICIES,
   type Endpoint,
+  hasHiddenEnds,
   noteLeaseSent,
   noteStartSent,
   type Order,
@@ -319,7 +320,7 @@
   #pollEndpoints(): void {
     for (const endpoint of this.cell.state.endpoints.values()) {
       const lastPolledAt = this.#polledAt.get(endpoint) ?? 0;
-      const isDue = !endpoint.hasAcceptedFence ||
+      const isDue = !endpoint.hasAcceptedFence || hasHiddenEnds(endpoint) ||
         this.now - lastPolledAt >= this.pollIntervalMs;
       if (!isDue) continue;
       this.#polledAt.set(endpoint, this.now);
--- a/tests/cell/fake_endpoint.ts
+++ b/tests/cell/fake_endpoint.ts
@@ -1,6 +1,7 @@
 import {
   type EndpointListing,
   type ListedEnd,
+  ListingExtent,
   PaceResult,
   StartResult,
   StopResult,
@@ -64,6 +65,8 @@
   getSaved: (run: FakeRun) => string = () => "";
   /** Checkpoint that every run has saved when it ends. */
   checkpoint = "";
+  /** Largest number of ends that it lists at a time. */
+  pageLength = 500;
   /** Called when a run ends. */
   onEnd: (run: FakeRun, endKind: EndKind) => void = () => {};
   /**
@@ -164,7 +167,10 @@
         percent: this.isStalled ? 1 : this.getPercent(run),
         gauge: this.getGauge(run),
       })),
-      ended: [...this.unacknowledgedEnds],
+      ended: this.unacknowledgedEnds.slice(0, this.pageLength),
+      extent: this.unacknowledgedEnds.length < this.pageLength
+        ? ListingExtent.Whole
+        : ListingExtent.CutOff,
     };
   }
 
--- a/tests/cell/restart_under_id_test.ts
+++ b/tests/cell/restart_under_id_test.ts
@@ -3,6 +3,7 @@
   type EndpointListing,
   hasStartInDoubt,
   type ListedRun,
+  ListingExtent,
   RunPhase,
 } from "../../packages/cell/mod.ts";
 import { JobState } from "../../packages/jobs/mod.ts";
@@ -31,6 +32,7 @@
     clockMs: fake.readClock(site.now),
     running: [],
     ended: [],
+    extent: ListingExtent.Whole,
     ...overrides,
   };
 }
--- a/tests/virtual/session_test.ts
+++ b/tests/virtual/session_test.ts
@@ -2,6 +2,7 @@
 import { type Clock } from "../../packages/base/mod.ts";
 import {
   type Endpoint,
+  ListingExtent,
   makeEndpoint,
   OwnerFence,
   PaceResult,
@@ -73,7 +74,13 @@
     }
     return {
       kind: PollResult.Listed,
-      listing: { bornAt: 1, clockMs: 0, running: [], ended: [] },
+      listing: {
+        bornAt: 1,
+        clockMs: 0,
+        running: [],
+        ended: [],
+        extent: ListingExtent.Whole,
+      },
     };
   }
 
@@ -157,6 +164,7 @@
       sentToBornAt: 0,
       sentFence: 0,
       startMayArriveUntil: 0,
+      startSettledAt: 0,
       unlistedLeaseEndsAt: 0,
       hasTicket: false,
       isStopOrderInFlight: false,
