--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -54,6 +54,7 @@
   type AdviceAnswer,
   type Endpoint,
   type EndpointInfo,
+  type Order,
   type OrganisationRules,
   type PaceResult,
   type Run,
@@ -311,16 +312,16 @@
   }
 
   /**
-   * Lists the start orders of a committed output that may be sent; requeues the
+   * Lists the start orders among committed ones that may be sent; requeues the
    * tasks of the others. `mayStart`: whether the list of endpoints is current.
    */
   listStarts(
-    output: CellOutput,
+    orders: readonly Order[],
     time: CurrentTime,
     options: { mayStart: boolean },
   ): StartOrder[] {
     return listUnsentStarts(this.state, {
-      orders: output.orders,
+      orders,
       now: time.now,
       ...options,
     });
--- a/packages/cell/constants.ts
+++ b/packages/cell/constants.ts
@@ -21,6 +21,24 @@
  */
 export const MAX_LEASE_MS = 6_000;
 
+/**
+ * Remaining lease of an endpoint from which starts there name a short one, in
+ * milliseconds: longer than such a lease by the timeout of an order.
+ */
+export const MIN_FRESH_LEASE_MS = 1_500;
+
+/**
+ * Lease that a start with a ticket names beside a fresh one, in milliseconds. The start
+ * can't arrive after its ticket (1.5 s), so that this adds nothing to the fresh lease.
+ */
+export const TICKETED_LEASE_MS = 1_000;
+
+/**
+ * The same without a ticket, in milliseconds: 100 times the usual latency of an order.
+ * `MAX_PENDING_STARTS` such leases come on top of the renewed one if the endpoint is lost.
+ */
+export const SHORT_LEASE_MS = 500;
+
 /** Added to the end of a lease to cover message delay, in milliseconds. */
 export const LEASE_MARGIN_MS = 250;
 
--- a/packages/cell/endpoints.ts
+++ b/packages/cell/endpoints.ts
@@ -2,6 +2,7 @@
 import { makeZeroDemand } from "../jobs/mod.ts";
 import { FULL_PACE, LATE_ORDER_MS, REPLACED_PAUSE_MS } from "./constants.ts";
 import { makeEndpointFence } from "./fences.ts";
+import { findLeaseEnd, makeLeases } from "./leases.ts";
 import { describeAge, findRunEnd } from "./order_effects.ts";
 import { type CurrentTime, releaseRun } from "./task_ends.ts";
 import { addDecision, type CellState } from "./state.ts";
@@ -29,7 +30,7 @@
     hasAcceptedFence: false,
     isReplaced: false,
     clockOffset: 0,
-    leaseEndsAt: 0,
+    leases: makeLeases(),
     lastEndNumber: 0,
     committedEndNumber: 0,
     fence: makeEndpointFence(),
@@ -106,7 +107,7 @@
       // again: contact is retried after the pause.
       endpoint.isReplaced = time.now < endpoint.pausedUntil;
     }
-    if (time.now < endpoint.leaseEndsAt) continue;
+    if (time.now < findLeaseEnd(endpoint)) continue;
     if (endpoint.runs.size > 0) expireRuns(state, endpoint, time);
     noteMissing(state, endpoint, time);
     const isSafeToDrop = !mayHideRuns(state, {
@@ -156,7 +157,7 @@
   if (!endpoint.isReplaced) endpoint.lifetimeSeenAt = time.now;
   endpoint.isReplaced = true;
   endpoint.hasAcceptedFence = false;
-  endpoint.leaseEndsAt = 0;
+  endpoint.leases = makeLeases();
   endpoint.pausedUntil = time.now + REPLACED_PAUSE_MS;
   addDecision(state, {
     kind: DecisionKind.EndpointReplaced,
@@ -194,7 +195,7 @@
     inputs: {
       runs: endedRuns.length,
       unsettledRuns: endpoint.runs.size - endedRuns.length,
-      leaseEndedMsAgo: Math.round(now - endpoint.leaseEndsAt),
+      leaseEndedMsAgo: Math.round(now - findLeaseEnd(endpoint)),
       unansweredMsAgo: describeAge(endpoint.unansweredLeaseAt, now),
     },
   });
--- a/packages/cell/lifetimes.ts
+++ b/packages/cell/lifetimes.ts
@@ -1,7 +1,8 @@
 import { LATE_ORDER_MS } from "./constants.ts";
 import { describeCrash, noteCrash } from "./crashes.ts";
 import { isFencedOff } from "./fences.ts";
-import { describeAge, noteNewLifetime } from "./order_effects.ts";
+import { noteNewLifetime } from "./leases.ts";
+import { describeAge } from "./order_effects.ts";
 import { noteLifetime } from "./run_feed.ts";
 import { addDecision, type CellState } from "./state.ts";
 import { sendStop } from "./stop_run.ts";
--- a/packages/cell/listing.ts
+++ b/packages/cell/listing.ts
@@ -12,7 +12,7 @@
 import { settleUnlocated } from "./endpoints.ts";
 import { noteFenceAccepted } from "./fences.ts";
 import { beginLifetime } from "./lifetimes.ts";
-import { noteLeaseSent } from "./order_effects.ts";
+import { noteLeaseGranted, noteOrdersFencedOff } from "./leases.ts";
 import {
   addDecision,
   addRun,
@@ -65,6 +65,9 @@
     : clockMs < endpoint.lastListingClock;
   if (isOutOfOrder) return noteListingIgnored(state, endpoint, options);
   noteFenceAccepted(endpoint, { token: fence, isOtherLifetime });
+  if (!isOtherLifetime) {
+    noteOrdersFencedOff(endpoint, { token: fence, now: times.now });
+  }
   if (isOtherLifetime) {
     beginLifetime(state, endpoint, { bornAt, clockMs, times });
   }
@@ -256,7 +259,7 @@
   addRun(state, run);
   // A former owner may have granted a lease just now, with an old estimate of the
   // endpoint's clock.
-  noteLeaseSent(endpoint, { now: times.now, leaseMs: MAX_LEASE_MS });
+  noteLeaseGranted(endpoint, { now: times.now, leaseMs: MAX_LEASE_MS });
   const isExpected = taskRef?.task.phase === TaskPhase.Unlocated &&
     taskRef.task.placedOn === endpoint.info.id;
   addDecision(state, {
--- a/packages/cell/mod.ts
+++ b/packages/cell/mod.ts
@@ -17,11 +17,15 @@
 export { describeLeaving } from "./leaving.ts";
 export { describeTrials } from "./trials.ts";
 export {
-  hasStartInDoubt,
-  noteLeaseSent,
-  noteLeaseUnanswered,
-  noteStartSent,
-} from "./order_effects.ts";
+  beginLeaseOrder,
+  chooseStartLease,
+  findLeaseEnd,
+  hasFreshLease,
+  LeaseOutcome,
+  noteLeaseGranted,
+  settleLeaseOrder,
+} from "./leases.ts";
+export { hasStartInDoubt, noteStartSent } from "./order_effects.ts";
 export type { CellOutput } from "./state.ts";
 export type { CurrentTime } from "./task_ends.ts";
 export * from "./policies.ts";
--- a/packages/cell/order_effects.ts
+++ b/packages/cell/order_effects.ts
@@ -1,42 +1,20 @@
+import { match, P } from "ts-pattern";
 import {
-  CLOCK_DRIFT,
   LATE_ORDER_MS,
   LEASE_MARGIN_MS,
-  MAX_LEASE_MS,
   START_HISTORY_MS,
 } from "./constants.ts";
+import {
+  beginLeaseOrder,
+  findLeaseEnd,
+  findUnlistedLeaseEnd,
+  LeaseOutcome,
+  MAX_GRANTED_LEASE_MS,
+  noteUnlistedLease,
+  settleLeaseOrder,
+} from "./leases.ts";
 import { isOfListedLifetime } from "./listing_proof.ts";
-import type { Endpoint, Run } from "./types.ts";
-
-/**
- * Longest time for which a run goes on after an order with any lease was carried
- * out, by the owner's clock, in milliseconds.
- */
-export const MAX_GRANTED_LEASE_MS = MAX_LEASE_MS * (1 + CLOCK_DRIFT) +
-  LEASE_MARGIN_MS;
-
-/**
- * Extends `leaseEndsAt` of an endpoint to cover the lease granted by an order
- * that is sent now. The endpoint's clock may have fallen behind the estimate since
- * the last listing, so that the lease ends later than ordered.
- */
-export function noteLeaseSent(
-  endpoint: Endpoint,
-  options: { now: number; leaseMs: number },
-): void {
-  raiseLeaseEnd(endpoint, options.now + computeLongestLease(endpoint, options));
-}
-
-/** Computes how long the lease of an order sent now lasts at most, in milliseconds. */
-function computeLongestLease(
-  { lastListingAskedAt }: Endpoint,
-  { now, leaseMs }: { now: number; leaseMs: number },
-): number {
-  const estimateAgeMs = lastListingAskedAt > 0 ? now - lastListingAskedAt : 0;
-  const maxLeaseMs = (leaseMs + estimateAgeMs * CLOCK_DRIFT) *
-      (1 + CLOCK_DRIFT) + LEASE_MARGIN_MS;
-  return Math.min(maxLeaseMs, MAX_GRANTED_LEASE_MS);
-}
+import { type Endpoint, type Run, StartResult } from "./types.ts";
 
 /** Notes that a start order is sent now: the lease, and how late it may arrive. */
 export function noteStartSent(
@@ -48,8 +26,7 @@
     fence: number;
   },
 ): void {
-  const { now, ticketEndsAt, fence } = options;
-  noteLeaseSent(run.endpoint, options);
+  const { now, leaseMs, ticketEndsAt, fence } = options;
   run.sentFence = Math.max(run.sentFence, fence);
   run.sentToBornAt = run.endpoint.bornAt;
   run.sentAt = now;
@@ -60,6 +37,12 @@
     ticketEndsAt + LEASE_MARGIN_MS,
   );
   run.startSettledAt = run.startMayArriveUntil;
+  run.leaseOrder = beginLeaseOrder(run.endpoint, {
+    now,
+    leaseMs,
+    fence,
+    latestArrivalAt: run.startMayArriveUntil,
+  });
 }
 
 function noteStartTime({ recentStarts }: Endpoint, now: number): void {
@@ -68,54 +51,24 @@
 }
 
 /**
- * Notes that an order with a lease got no answer. `bornAt`: the endpoint's lifetime
- * when the order was sent. It may be carried out late, and its lease count from the
- * arrival: it extends leases that have not ended by then. Any other lifetime grants
- * the longest lease: one found meanwhile, or one that is not listed yet.
- */
-export function noteLeaseUnanswered(
-  endpoint: Endpoint,
-  { bornAt, now, leaseMs }: { bornAt: number; now: number; leaseMs: number },
-): void {
-  endpoint.unansweredLeaseAt = Math.max(endpoint.unansweredLeaseAt, now);
-  const latestEndsAt = now + LATE_ORDER_MS + MAX_GRANTED_LEASE_MS;
-  for (const run of endpoint.runs.values()) {
-    if (run.isLifetimeKnown || run.unlistedLeaseEndsAt === 0) continue;
-    const endsAt = run.unlistedLeaseEndsAt + MAX_GRANTED_LEASE_MS;
-    run.unlistedLeaseEndsAt = Math.min(endsAt, latestEndsAt);
-  }
-  const extendedEndsAt = endpoint.leaseEndsAt +
-    computeLongestLease(endpoint, { now, leaseMs });
-  raiseLeaseEnd(
-    endpoint,
-    bornAt === endpoint.bornAt
-      ? Math.min(extendedEndsAt, latestEndsAt)
-      : latestEndsAt,
-  );
-}
-
-/**
- * Extends `leaseEndsAt` when a new lifetime of the endpoint is found. Orders that
- * name times on the former lifetime's clock may get the longest lease that the endpoint
- * grants: the poll that found the lifetime, and unanswered orders that may still arrive.
+ * Settles the lease of a start order. The lease is also taken "from a start that receives
+ * `old` or `room`", and from no other that was refused.
  */
-export function noteNewLifetime(
-  endpoint: Endpoint,
-  now: number,
+export function settleStartLease(
+  run: Run,
+  { result, now }: { result: StartResult; now: number },
 ): void {
-  raiseLeaseEnd(endpoint, computeLatestLeaseEnd(endpoint, now));
-}
-
-/**
- * Computes by when every lease has ended that another lifetime than the listed one was
- * given, or will be given by unanswered orders that may still arrive.
- */
-function computeLatestLeaseEnd(
-  { unansweredLeaseAt }: Endpoint,
-  now: number,
-): number {
-  const lastArrivalAt = Math.max(now, unansweredLeaseAt + LATE_ORDER_MS);
-  return lastArrivalAt + MAX_GRANTED_LEASE_MS;
+  const { endpoint, leaseOrder } = run;
+  if (!leaseOrder) return;
+  run.leaseOrder = undefined;
+  const outcome = match(result)
+    .with(
+      P.union(StartResult.Started, StartResult.OldRun, StartResult.NoRoom),
+      () => LeaseOutcome.Granted,
+    )
+    .with(StartResult.Unknown, () => LeaseOutcome.Unanswered)
+    .otherwise(() => LeaseOutcome.Refused);
+  settleLeaseOrder(endpoint, leaseOrder, { outcome, now });
 }
 
 /**
@@ -125,7 +78,7 @@
 export function noteStartCarriedOut(run: Run, now: number): void {
   run.startMayArriveUntil = 0;
   run.startSettledAt = now;
-  run.unlistedLeaseEndsAt = computeLatestLeaseEnd(run.endpoint, now);
+  run.unlistedLeaseEndsAt = noteUnlistedLease(run.endpoint, now);
 }
 
 /**
@@ -133,16 +86,16 @@
  * on the owner's steady clock.
  */
 export function findRunEnd(run: Run): number {
-  const { endpoint, isLifetimeKnown, startMayArriveUntil } = run;
-  if (isLifetimeKnown) return endpoint.leaseEndsAt;
+  const { endpoint, startMayArriveUntil, unlistedLeaseEndsAt } = run;
+  const leaseEndsAt = findLeaseEnd(endpoint);
+  if (run.isLifetimeKnown) return leaseEndsAt;
   const lateStartEndsAt = startMayArriveUntil === 0
     ? 0
     : startMayArriveUntil + MAX_GRANTED_LEASE_MS;
-  return Math.max(
-    endpoint.leaseEndsAt,
-    run.unlistedLeaseEndsAt,
-    lateStartEndsAt,
-  );
+  const unlistedEndsAt = unlistedLeaseEndsAt === 0
+    ? 0
+    : findUnlistedLeaseEnd(endpoint, unlistedLeaseEndsAt);
+  return Math.max(leaseEndsAt, unlistedEndsAt, lateStartEndsAt);
 }
 
 /**
@@ -169,7 +122,3 @@
 export function mayStartLater(run: Run, now: number): boolean {
   return !run.hasTicket && now < run.startMayArriveUntil;
 }
-
-function raiseLeaseEnd(endpoint: Endpoint, endsAt: number): void {
-  endpoint.leaseEndsAt = Math.max(endpoint.leaseEndsAt, endsAt);
-}
--- a/packages/cell/order_effects_test.ts
+++ b/packages/cell/order_effects_test.ts
@@ -4,11 +4,12 @@
 import { makeEndpoint, updateEndpoints } from "./endpoints.ts";
 import { applyListing } from "./listing.ts";
 import {
-  findRunEnd,
-  noteLeaseSent,
-  noteLeaseUnanswered,
-  noteStartCarriedOut,
-} from "./order_effects.ts";
+  beginLeaseOrder,
+  findLeaseEnd,
+  LeaseOutcome,
+  settleLeaseOrder,
+} from "./leases.ts";
+import { findRunEnd, noteStartCarriedOut } from "./order_effects.ts";
 import { Cell } from "./cell.ts";
 import { type EndpointInfo, ListingExtent, type Run } from "./types.ts";
 
@@ -35,11 +36,13 @@
   const endpoint = makeEndpoint(makeInfo());
   endpoint.lastListingAskedAt = 1_000;
   const now = 31_000;
-  noteLeaseSent(endpoint, { now, leaseMs: LEASE_MS });
+  const order = beginLeaseOrder(endpoint, { now, leaseMs: LEASE_MS, fence: 1 });
+  const outcome = LeaseOutcome.Granted;
+  settleLeaseOrder(endpoint, order, { outcome, now });
   const driftMs = (now - endpoint.lastListingAskedAt) * CLOCK_DRIFT;
   const latestEndsAt = now + (LEASE_MS + driftMs) * (1 + CLOCK_DRIFT);
-  t.true(endpoint.leaseEndsAt >= latestEndsAt);
-  t.true(endpoint.leaseEndsAt < now + MAX_LEASE_MS);
+  t.true(findLeaseEnd(endpoint) >= latestEndsAt);
+  t.true(findLeaseEnd(endpoint) < now + MAX_LEASE_MS);
 });
 
 // Guards against orders of a former owner that an idle endpoint carries out after it
@@ -93,7 +96,7 @@
     fence: 1,
     times,
   });
-  t.is(endpoint.leaseEndsAt, 0);
+  t.is(findLeaseEnd(endpoint), 0);
   // A listing that was asked for earlier may be of a former lifetime.
   const laterTimes = { ...times, askedAt: times.now };
   applyListing(state, endpoint, {
@@ -101,7 +104,7 @@
     listing: { ...listing, bornAt: 9 },
     times: laterTimes,
   });
-  t.true(endpoint.leaseEndsAt > times.now + MAX_LEASE_MS);
+  t.true(findLeaseEnd(endpoint) > times.now + MAX_LEASE_MS);
 });
 
 // Guards against a second run of a task that an unlisted lifetime started: an order that
@@ -109,11 +112,13 @@
 test("the lease of an unlisted run covers orders that were unanswered before its start", (t) => {
   const endpoint = makeEndpoint(makeInfo());
   const unansweredAt = 1_000;
-  noteLeaseUnanswered(endpoint, {
-    bornAt: endpoint.bornAt,
+  const order = beginLeaseOrder(endpoint, {
     now: unansweredAt,
     leaseMs: LEASE_MS,
+    fence: 1,
   });
+  const outcome = LeaseOutcome.Unanswered;
+  settleLeaseOrder(endpoint, order, { outcome, now: unansweredAt });
   const run = { endpoint, isLifetimeKnown: false } as Run;
   noteStartCarriedOut(run, unansweredAt + 2_000);
   t.true(findRunEnd(run) >= unansweredAt + LATE_ORDER_MS + MAX_LEASE_MS);
--- a/packages/cell/order_results.ts
+++ b/packages/cell/order_results.ts
@@ -7,7 +7,7 @@
 } from "./constants.ts";
 import { noteAdviceCounts } from "./advice_choice.ts";
 import { applyRepeatAnswer } from "./gang_starts.ts";
-import { noteLeaseUnanswered, noteStartCarriedOut } from "./order_effects.ts";
+import { noteStartCarriedOut, settleStartLease } from "./order_effects.ts";
 import { type CurrentTime, releaseRun } from "./task_ends.ts";
 import type { CellState } from "./state.ts";
 import { findTask } from "./stages.ts";
@@ -32,14 +32,7 @@
 ): void {
   const { result } = options;
   const { now } = options.time;
-  if (result === StartResult.Unknown) {
-    const { leaseMs } = state;
-    noteLeaseUnanswered(run.endpoint, {
-      bornAt: run.sentToBornAt,
-      now,
-      leaseMs,
-    });
-  }
+  settleStartLease(run, { result, now });
   if (run.endpoint.runs.get(run.task) !== run) return;
   run.lastChangedAt = now;
   if (applyRepeatAnswer(run, result)) {
--- a/packages/cell/remnants.ts
+++ b/packages/cell/remnants.ts
@@ -1,7 +1,7 @@
 import { addDemand, getCapacityDemand, parseTaskName } from "../jobs/mod.ts";
 import { UNKNOWN_DEMAND } from "./constants.ts";
 import { hasHiddenEnds } from "./listing_proof.ts";
-import { MAX_GRANTED_LEASE_MS } from "./order_effects.ts";
+import { findLeaseEnd, MAX_GRANTED_LEASE_MS } from "./leases.ts";
 import { type CellState, getUsage } from "./state.ts";
 import { findTask, getStep, removeUnlocated } from "./stages.ts";
 import type { Remnant, Run, Stage, Task } from "./types.ts";
@@ -21,7 +21,7 @@
   if (!endpoint || endpoint.isReplaced) return false;
   if (!endpoint.hasAcceptedFence) return now < state.unlocatedUntil;
   if (!hasHiddenEnds(endpoint)) return false;
-  const leasesEndAt = Math.max(state.unlocatedUntil, endpoint.leaseEndsAt);
+  const leasesEndAt = Math.max(state.unlocatedUntil, findLeaseEnd(endpoint));
   return endpoint.contact.lostAt === 0 || now < leasesEndAt;
 }
 
--- a/packages/cell/start_task.ts
+++ b/packages/cell/start_task.ts
@@ -1,7 +1,7 @@
 import { getCapacityDemand } from "../jobs/mod.ts";
 import { FULL_PACE } from "./constants.ts";
 import { measureFreeCores, type PlacementPass } from "./placement_pass.ts";
-import { noteLeaseSent } from "./order_effects.ts";
+import { reserveLease } from "./leases.ts";
 import { describeSpeed } from "./speed_tiers.ts";
 import { getStep } from "./stages.ts";
 import {
@@ -62,7 +62,7 @@
   };
   addRun(state, run);
   addPlacement(state, run);
-  noteLeaseSent(endpoint, { now, leaseMs: state.leaseMs });
+  reserveLease(endpoint, { now, leaseMs: state.leaseMs });
   task.placedOn = endpoint.info.id;
   task.placedBornAt = endpoint.bornAt;
   task.placedAt = state.plannedAt;
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -126,6 +126,8 @@
   startSettledAt: number;
   /** The start order carries a ticket, which no later lifetime accepts. */
   hasTicket: boolean;
+  /** The lease of the start order that is on its way; undefined: none is. */
+  leaseOrder?: LeaseOrder;
   /** Progress as last listed, in percent. */
   percent: number;
   /** The run resumes from a checkpoint, so its progress began above 0. */
@@ -191,6 +193,39 @@
   leavesAt: number;
 }
 
+/**
+ * An order with a lease that is on its way or got no answer. Times: the owner's steady
+ * clock, in milliseconds.
+ */
+export interface LeaseOrder {
+  sentAt: number;
+  /** Lifetime of the endpoint that was known then, by its start. */
+  bornAt: number;
+  /** Fencing token that it carries. */
+  fence: number;
+  /** Lease that it names. */
+  namedMs: number;
+  /** Longest lease that it grants, by the owner's clock. */
+  leaseMs: number;
+  /** When it may be carried out at the latest, by any lifetime. */
+  latestArrivalAt: number;
+  /** When the lifetime in `bornAt` had accepted a higher token; infinite: it has not. */
+  fencedOffAt: number;
+}
+
+/** Leases of an endpoint. Times: the owner's steady clock, in milliseconds; 0: none. */
+export interface EndpointLeases {
+  /** When the leases that were granted in time have ended. */
+  grantedUntil: number;
+  /** Until when they don't count as ended, for starts that are planned. */
+  reservedUntil: number;
+  /** When the leases have ended that a lifetime not listed yet may have granted. */
+  unlistedUntil: number;
+  /** When the newest answered renewal to the present lifetime was sent. */
+  renewedAt: number;
+  orders: Set<LeaseOrder>;
+}
+
 /** An endpoint in the view of the cell's owner. */
 export interface Endpoint {
   info: EndpointInfo;
@@ -230,8 +265,7 @@
    * bound, because the network delay of the listing is not known.
    */
   clockOffset: number;
-  /** Time by which every lease given to the endpoint has certainly ended. */
-  leaseEndsAt: number;
+  leases: EndpointLeases;
   /** Number of the last listed end that was applied. */
   lastEndNumber: number;
   /** Number of the last end that is committed to the journal. */
--- a/packages/scheduler/constants.ts
+++ b/packages/scheduler/constants.ts
@@ -158,6 +158,21 @@
  */
 export const TASK_LEASE_MS = 4_000;
 
+/**
+ * Longest time between two renewals of an endpoint's leases, in milliseconds: one poll
+ * that waits, and the pause after it. The rest of a lease outlasts the loss of an owner.
+ */
+export const LEASE_RENEWAL_MS = 1_100;
+
+/**
+ * Largest number of start orders without a ticket that are on their way to one endpoint
+ * at a time. If it is lost, its leases end at the latest 3.1 s (the rest of a lease when
+ * it is renewed) + 4.1 s (that renewal, carried out late) + 0.3 s (margin) + this number
+ * times 0.5 s (starts, carried out late) after that: less than the 9 s after which a task
+ * that lasts has to run ("from 6 s after its last run", "for 3 s").
+ */
+export const MAX_PENDING_STARTS = 2;
+
 /** Timeout of an order to an endpoint, in ms: 100 times the usual latency. */
 export const ORDER_TIMEOUT_MS = 500;
 
--- a/packages/scheduler/endpoint_session.ts
+++ b/packages/scheduler/endpoint_session.ts
@@ -1,21 +1,23 @@
 import { type Clock, NotSentError } from "../base/mod.ts";
 import {
+  beginLeaseOrder,
   canEndPause,
   type Endpoint,
   hasHiddenEnds,
   hasStartInDoubt,
   isSuperseded,
+  LeaseOutcome,
   noteAckUnanswered,
   noteFenceUnanswered,
-  noteLeaseSent,
-  noteLeaseUnanswered,
   type OwnerFence,
   raiseFence,
   RunPhase,
+  settleLeaseOrder,
   START_CONFIRM_MS,
 } from "../cell/mod.ts";
 import {
   COLOCATED_POLL_WAIT_MS,
+  LEASE_RENEWAL_MS,
   MAX_WITHHELD_MS,
   POLL_INTERVAL_MS,
   POLL_RETRY_PAUSE_MS,
@@ -105,6 +107,7 @@
       const startedAt = this.#clock.now();
       const isAnswered = await this.#pollOnce(startedAt, {
         waitMs: this.#computeWait(startedAt),
+        mayRenew: true,
       });
       const elapsedMs = this.#clock.now() - startedAt;
       const pauseMs = isAnswered
@@ -148,11 +151,14 @@
     }
   }
 
-  /** Polls without waiting, to find out whether unanswered starts succeeded. */
+  /**
+   * Polls without waiting, to find out whether unanswered starts succeeded. Renews no
+   * leases: another poll that does may be on its way.
+   */
   async #pollWithoutWait(): Promise<void> {
     if (this.#isExtraPollInFlight || this.#isStopped) return;
     this.#isExtraPollInFlight = true;
-    await this.#pollOnce(this.#clock.now(), { waitMs: 0 });
+    await this.#pollOnce(this.#clock.now(), { waitMs: 0, mayRenew: false });
     await this.#clock.sleep(POLL_INTERVAL_MS);
     this.#isExtraPollInFlight = false;
   }
@@ -206,12 +212,26 @@
   /** Computes for how long the endpoint may delay its answer to a poll. */
   #computeWait(now: number): number {
     const { isColocated, stallCheckAt = 0 } = this.#endpoint;
-    const waitMs = isColocated ? COLOCATED_POLL_WAIT_MS : POLL_WAIT_MS;
+    let waitMs = isColocated ? COLOCATED_POLL_WAIT_MS : POLL_WAIT_MS;
+    if (!this.#isRenewalDue(now)) {
+      const renewalAt = this.#endpoint.leases.renewedAt + LEASE_RENEWAL_MS;
+      waitMs = Math.min(waitMs, Math.ceil(renewalAt - now));
+    }
     return stallCheckAt > now
       ? Math.min(waitMs, Math.ceil(stallCheckAt - now))
       : waitMs;
   }
 
+  /**
+   * Returns whether to renew leases now. Each renewal that gets no answer may extend the
+   * leases of a lost endpoint by its whole length, so that one is sent only once the last
+   * one has lost some of its own.
+   */
+  #isRenewalDue(now: number): boolean {
+    const ageMs = now - this.#endpoint.leases.renewedAt;
+    return ageMs >= LEASE_RENEWAL_MS - POLL_INTERVAL_MS;
+  }
+
   /** Notes whether a poll that is sent now leaves ends unacknowledged. */
   #noteWithheld(now: number, acknowledgedEnd: number): void {
     const isWithheld = acknowledgedEnd === 0 && this.#hasUnacknowledgedEnds();
@@ -236,17 +256,10 @@
   }
 
   /** Notes that a poll got no answer and may be carried out later. */
-  #noteUnanswered(
-    now: number,
-    { fence, acknowledgedEnd, leaseUntil, bornAt }: PollRequest & {
-      bornAt: number;
-    },
-  ): void {
+  #noteUnanswered(now: number, { fence, acknowledgedEnd }: PollRequest): void {
     const endpoint = this.#endpoint;
     noteFenceUnanswered(endpoint, fence);
     if (acknowledgedEnd > 0) noteAckUnanswered(endpoint, { now, token: fence });
-    if (leaseUntil === undefined) return;
-    noteLeaseUnanswered(endpoint, { bornAt, now, leaseMs: this.#leaseMs });
   }
 
   async #waitForWork(): Promise<void> {
@@ -258,19 +271,21 @@
   /** Sends one poll; returns whether the endpoint answered. */
   async #pollOnce(
     now: number,
-    options: { waitMs: number },
+    options: { waitMs: number; mayRenew: boolean },
   ): Promise<boolean> {
     const endpoint = this.#endpoint;
     if (!this.#host.mayOrder(now)) return false;
     const { id, address } = endpoint.info;
     const hasRuns = endpoint.runs.size > 0;
     const hasContact = endpoint.hasAcceptedFence && hasRuns;
-    const renewsLeases = hasContact && !this.#isUnresponsive;
+    const isAnswering = hasContact && !this.#isUnresponsive;
+    const renewsLeases = isAnswering && options.mayRenew &&
+      this.#isRenewalDue(now);
     const acknowledgedEnd = this.#mayAcknowledge()
       ? endpoint.committedEndNumber
       : 0;
     this.#noteWithheld(now, acknowledgedEnd);
-    const mayWait = renewsLeases && !this.#isAcknowledgementOverdue(now) &&
+    const mayWait = isAnswering && !this.#isAcknowledgementOverdue(now) &&
       !this.#canEndPause() && !hasHiddenEnds(endpoint);
     const fence = raiseFence(endpoint, this.#fence);
     const request: PollRequest = {
@@ -285,14 +300,26 @@
     if (renewsLeases) {
       request.leaseUntil = Math.floor(now + endpoint.clockOffset) +
         this.#leaseMs;
-      noteLeaseSent(endpoint, { now, leaseMs: this.#leaseMs });
     }
+    const leaseOrder = renewsLeases
+      ? beginLeaseOrder(endpoint, { now, leaseMs: this.#leaseMs, fence })
+      : undefined;
+    const settleLease = (outcome: LeaseOutcome) => {
+      if (!leaseOrder) return;
+      const settledAt = this.#clock.now();
+      settleLeaseOrder(endpoint, leaseOrder, { outcome, now: settledAt });
+    };
     const { bornAt } = endpoint;
     const target = { id, address, bornAt: 0 };
     const timeoutMs = (hasContact ? options.waitMs : 0) +
       POLL_TIMEOUT_MARGIN_MS;
     try {
       const answer = await this.#control.poll(target, request, { timeoutMs });
+      settleLease(
+        answer.kind === PollResult.Listed
+          ? LeaseOutcome.Granted
+          : LeaseOutcome.Refused,
+      );
       if (this.#isStopped) return true;
       // An endpoint that has moved: its former address says nothing about it.
       const isFormerAddress = address !== endpoint.info.address;
@@ -311,7 +338,8 @@
     } catch (error) {
       this.#isUnresponsive = true;
       const isSent = !(error instanceof NotSentError);
-      if (isSent) this.#noteUnanswered(now, { ...request, bornAt });
+      settleLease(isSent ? LeaseOutcome.Unanswered : LeaseOutcome.Refused);
+      if (isSent) this.#noteUnanswered(now, request);
       const elapsedMs = this.#clock.now() - now;
       const isBroken = isSent && elapsedMs < timeoutMs;
       if (!this.#isStopped) {
--- a/packages/scheduler/order_sender.ts
+++ b/packages/scheduler/order_sender.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "../base/mod.ts";
 import {
   type Cell,
+  chooseStartLease,
   getFence,
   isSuperseded,
   noteFenceUnanswered,
@@ -62,10 +63,10 @@
   /** Sends one order without waiting for its answer. */
   send(order: Order): void {
     match(order)
-      .with({ kind: OrderKind.Start }, (start) => void this.#start(start))
+      .with({ kind: OrderKind.Start }, (start) => void this.start(start))
       .with(
         { kind: OrderKind.RepeatStart },
-        ({ start }) => void this.#start(start),
+        ({ start }) => void this.start(start),
       )
       .with({ kind: OrderKind.Stop }, ({ run }) => void this.#stop(run))
       .with({ kind: OrderKind.Pace }, (pace) => void this.#setPace(pace))
@@ -76,11 +77,17 @@
       .exhaustive();
   }
 
-  async #start(order: StartOrder): Promise<void> {
-    const { cell, control, clock, leaseMs, log } = this.#parts;
+  /** Sends a start order; resolves once its answer has been applied. */
+  async start(order: StartOrder): Promise<void> {
+    const { cell, control, clock, log } = this.#parts;
     const { run } = order;
     const { endpoint } = run;
     const now = clock.now();
+    const leaseMs = chooseStartLease(endpoint, {
+      now,
+      leaseMs: this.#parts.leaseMs,
+      hasTicket: run.hasTicket,
+    });
     const fence = getFence(endpoint, this.#parts.fence);
     let result = StartResult.Unavailable;
     let detail = "order not sent: owner stopped or lease not confirmed";
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -8,6 +8,8 @@
   describeEvacuations,
   type Endpoint,
   type EndpointInfo,
+  findLeaseEnd,
+  hasFreshLease,
   LEASE_MARGIN_MS,
   OwnerFence,
   type PolicyNames,
@@ -53,6 +55,7 @@
 } from "./ports.ts";
 import { setCalibrationGauges } from "./run_time_metrics.ts";
 import { SessionPool } from "./session_pool.ts";
+import { StartPacer } from "./start_pacer.ts";
 import type { SiteConfig } from "./types.ts";
 import { UpkeepRole } from "./upkeep_role.ts";
 
@@ -196,7 +199,13 @@
       onDeposed: (reason) => this.endOwnership(reason),
       onAnswered: () => this.#planLoop.schedulePlan(),
     });
+    const startPacer = new StartPacer({
+      send: (order) => this.#orderSender.start(order),
+      isFresh: (endpoint) =>
+        hasFreshLease(endpoint, { now: clock.now(), leaseMs: parts.leaseMs }),
+    });
     this.#planLoop = new PlanLoop({
+      startPacer,
       cell: this.cell,
       advice: this.advice,
       orderSender: this.#orderSender,
@@ -423,7 +432,7 @@
     log.record(EventCode.EndpointUnreachable, {
       endpoint: endpoint.info.id,
       reason: String(error),
-      leaseLeftMs: Math.round(endpoint.leaseEndsAt - clock.now()),
+      leaseLeftMs: Math.round(findLeaseEnd(endpoint) - clock.now()),
     });
   }
 
--- a/packages/scheduler/plan_loop.ts
+++ b/packages/scheduler/plan_loop.ts
@@ -3,7 +3,9 @@
   type Cell,
   type CellOutput,
   type CurrentTime,
+  type Order,
   OrderKind,
+  type StartOrder,
 } from "../cell/mod.ts";
 import type { EventLog } from "../events/mod.ts";
 import type { Journal } from "../journal/mod.ts";
@@ -19,6 +21,7 @@
 import { countDecisions, recordDecisions } from "./decision_log.ts";
 import type { OrderSender } from "./order_sender.ts";
 import { LoadKind, type OwnerLoad } from "./owner_load.ts";
+import type { StartPacer } from "./start_pacer.ts";
 import type { SessionPool } from "./session_pool.ts";
 import { measureElapsed } from "./suspension_guard.ts";
 
@@ -27,6 +30,7 @@
   cell: Cell;
   advice: AdvicePool;
   orderSender: OrderSender;
+  startPacer: StartPacer;
   sessions: SessionPool;
   clock: Clock;
   log: EventLog;
@@ -165,8 +169,21 @@
     }
   }
 
+  /** Lists the start orders, planned at `plannedAt`, that may be sent now. */
+  #listStarts(
+    orders: readonly Order[],
+    plannedAt: CurrentTime,
+  ): StartOrder[] {
+    if (this.#isStopped) return [];
+    const time = this.#getCurrentTime();
+    const isInTime = measureElapsed(plannedAt, time) <= MAX_PLACEMENT_AGE_MS;
+    return this.#parts.cell.listStarts(orders, time, {
+      mayStart: isInTime && this.#hasCurrentRecords(),
+    });
+  }
+
   #commit(output: CellOutput, onCommitted?: () => void): void {
-    const { cell, clock, orderSender } = this.#parts;
+    const { cell, clock, startPacer } = this.#parts;
     const isEmpty = output.records.length === 0 &&
       output.committedEnds.size === 0 &&
       output.finished.size === 0;
@@ -175,12 +192,11 @@
     this.#journal?.add(output.records, () => {
       if (this.#isStopped) return;
       cell.noteCommitted(output, clock.readWallTime());
-      const time = this.#getCurrentTime();
-      const isInTime = measureElapsed(plannedAt, time) <= MAX_PLACEMENT_AGE_MS;
-      const starts = cell.listStarts(output, time, {
-        mayStart: isInTime && this.#hasCurrentRecords(),
-      });
-      for (const order of starts) orderSender.send(order);
+      const mayStart = (orders: readonly Order[]) =>
+        this.#listStarts(orders, plannedAt);
+      for (const order of mayStart(output.orders)) {
+        startPacer.add(order, () => mayStart([order]).length > 0);
+      }
       onCommitted?.();
       if (!isEmpty) this.schedulePlan();
     });
--- a/tests/cell/cell_site.ts
+++ b/tests/cell/cell_site.ts
@@ -1,5 +1,6 @@
 import { type Random, SeededRandom } from "../../packages/base/mod.ts";
 import {
+  beginLeaseOrder,
   Cell,
   type CellOutput,
   type CellSnapshot,
@@ -7,12 +8,13 @@
   DEFAULT_POLICIES,
   type Endpoint,
   hasHiddenEnds,
-  noteLeaseSent,
+  LeaseOutcome,
   noteStartSent,
   type Order,
   OrderKind,
   PaceResult,
   type PolicyNames,
+  settleLeaseOrder,
   StartResult,
   StopResult,
 } from "../../packages/cell/mod.ts";
@@ -307,9 +309,13 @@
       this.journal.push(...structuredClone(commit.output.records));
       commit.owner.noteCommitted(commit.output, this.now);
       for (
-        const start of commit.owner.listStarts(commit.output, this.time, {
-          mayStart: true,
-        })
+        const start of commit.owner.listStarts(
+          commit.output.orders,
+          this.time,
+          {
+            mayStart: true,
+          },
+        )
       ) {
         this.#sendOrder(commit.owner, start);
       }
@@ -331,9 +337,10 @@
       }
       this.calls.polls++;
       const hasLease = endpoint.hasAcceptedFence && endpoint.runs.size > 0;
-      if (hasLease) {
-        noteLeaseSent(endpoint, { now: this.now, leaseMs: LEASE_MS });
-      }
+      const { now, fence } = this;
+      const lease = hasLease
+        ? beginLeaseOrder(endpoint, { now, leaseMs: LEASE_MS, fence })
+        : undefined;
       const listing = fake.hold({
         fence: this.fence,
         acknowledgedEnd: endpoint.committedEndNumber,
@@ -342,6 +349,10 @@
           : undefined,
       }, this.now);
       if (!listing) continue;
+      if (lease) {
+        const outcome = LeaseOutcome.Granted;
+        settleLeaseOrder(endpoint, lease, { outcome, now });
+      }
       const times = { ...this.time, askedAt: this.now };
       this.cell.applyListing(endpoint, { listing, fence: this.fence, times });
     }
--- a/tests/cell/late_order_test.ts
+++ b/tests/cell/late_order_test.ts
@@ -1,5 +1,10 @@
 import test from "ava";
-import { noteLeaseSent, noteLeaseUnanswered } from "../../packages/cell/mod.ts";
+import {
+  beginLeaseOrder,
+  type Endpoint,
+  LeaseOutcome,
+  settleLeaseOrder,
+} from "../../packages/cell/mod.ts";
 import { JobState } from "../../packages/jobs/mod.ts";
 import {
   CellSite,
@@ -13,6 +18,18 @@
 const ALL_ORDERS_SETTLED_MS = 30_000;
 const TASK = "a.0.0.0";
 
+/** Notes a renewal that is sent now; returns what notes that it got no answer. */
+function sendRenewal(site: CellSite, endpoint: Endpoint): () => void {
+  const { fence } = site;
+  const order = beginLeaseOrder(endpoint, {
+    now: site.now,
+    leaseMs: LEASE_MS,
+    fence,
+  });
+  const outcome = LeaseOutcome.Unanswered;
+  return () => settleLeaseOrder(endpoint, order, { outcome, now: site.now });
+}
+
 // Guards against a second run of a task beside a start order that was taken as settled
 // by a stop, and that the endpoint carries out after a restart.
 test("a task is not started again while its unanswered start may be carried out after a restart", (t) => {
@@ -143,15 +160,11 @@
   const endpoint = site.cell.state.endpoints.get(target.id);
   if (!endpoint) return t.fail();
   // A renewal is sent and gets no answer, as the endpoint is cut off.
-  noteLeaseSent(endpoint, { now: site.now, leaseMs: LEASE_MS });
+  const noteUnanswered = sendRenewal(site, endpoint);
   const leaseUntil = site.now + endpoint.clockOffset + LEASE_MS;
   target.isUnreachable = true;
   site.advance(500);
-  noteLeaseUnanswered(endpoint, {
-    bornAt: endpoint.bornAt,
-    now: site.now,
-    leaseMs: LEASE_MS,
-  });
+  noteUnanswered();
   site.advance(4_500);
   target.hold({ fence: site.fence, acknowledgedEnd: 0, leaseUntil }, site.now);
   site.advance(ALL_ORDERS_SETTLED_MS);
@@ -168,12 +181,10 @@
   const target = site.findPlacement(TASK);
   const endpoint = site.cell.state.endpoints.get(target.id);
   if (!endpoint) return t.fail();
-  const sentAt = site.now;
-  noteLeaseSent(endpoint, { now: sentAt, leaseMs: LEASE_MS });
+  const noteUnanswered = sendRenewal(site, endpoint);
   target.isUnreachable = true;
   site.advance(500);
-  const { bornAt } = endpoint;
-  noteLeaseUnanswered(endpoint, { bornAt, now: sentAt, leaseMs: LEASE_MS });
+  noteUnanswered();
   site.advance(3_000);
   const leaseUntil = target.readClock(site.now) + LEASE_MS;
   target.hold({ fence: site.fence, acknowledgedEnd: 0, leaseUntil }, site.now);
@@ -225,12 +236,7 @@
   t.is(site.find("a"), JobState.Completed);
   const endpoint = site.cell.state.endpoints.get("e0");
   if (!endpoint) return t.fail();
-  noteLeaseSent(endpoint, { now: site.now, leaseMs: LEASE_MS });
-  noteLeaseUnanswered(endpoint, {
-    bornAt: endpoint.bornAt,
-    now: site.now,
-    leaseMs: LEASE_MS,
-  });
+  sendRenewal(site, endpoint)();
   endpoint.unansweredEndsAckAt = site.now;
   site.endpoints.clear();
   site.applyEndpointList();
--- a/tests/cell/take_over_test.ts
+++ b/tests/cell/take_over_test.ts
@@ -2,6 +2,7 @@
 import test from "ava";
 import { EndKind, JobState } from "../../packages/jobs/mod.ts";
 import {
+  findLeaseEnd,
   LATE_ORDER_MS,
   MAX_CHECKPOINT_BYTES,
   MAX_LEASE_MS,
@@ -41,7 +42,7 @@
   site.advance(300);
   const [endpoint] = site.cell.state.endpoints.values();
   t.is(endpoint.runs.size, 1);
-  t.true(endpoint.leaseEndsAt >= site.now + LEASE_MS / 2);
+  t.true(findLeaseEnd(endpoint) >= site.now + LEASE_MS / 2);
 });
 
 test("tasks with tickets wait while an unreachable endpoint may still run them", (t) => {
--- a/tests/cell/unsent_starts_test.ts
+++ b/tests/cell/unsent_starts_test.ts
@@ -92,7 +92,10 @@
   );
   t.is(starts.length, 16);
   starts[9].ticketEndsAt = site.now;
-  t.deepEqual(cell.listStarts(output, site.time, { mayStart: true }), []);
+  t.deepEqual(
+    cell.listStarts(output.orders, site.time, { mayStart: true }),
+    [],
+  );
   const { orders, decisions } = cell.collectOutput();
   t.deepEqual(orders, []);
   t.is(decisions.length, 16);
--- a/tests/virtual/fake_endpoint_control.ts
+++ b/tests/virtual/fake_endpoint_control.ts
@@ -157,7 +157,7 @@
       addressee.id === target.id
         ? handle(addressee, { now: time.now, lateMs })
         : options.otherEndpoint;
-    const delivery = this.#site.drawDelivery();
+    const delivery = this.#site.drawDelivery(fakeEndpoint);
     if (delivery === "late") {
       const { min, max } = LATE_ORDER_MS;
       const delayMs = min + this.#site.random.drawInt(max - min);
--- a/tests/virtual/owner_site.ts
+++ b/tests/virtual/owner_site.ts
@@ -296,7 +296,7 @@
   }
 
   /** Draws whether an order is answered, loses its answer or arrives late. */
-  drawDelivery(): "answered" | "lost" | "late" {
+  drawDelivery(_endpoint: FakeEndpoint): "answered" | "lost" | "late" {
     if (this.random.drawFloat() >= this.orderFaultRate) return "answered";
     return this.random.drawFloat() < 0.5 ? "lost" : "late";
   }
--- a/tests/virtual/session_test.ts
+++ b/tests/virtual/session_test.ts
@@ -2,6 +2,7 @@
 import { type Clock } from "../../packages/base/mod.ts";
 import {
   type Endpoint,
+  findLeaseEnd,
   ListingExtent,
   makeEndpoint,
   OwnerFence,
@@ -23,7 +24,10 @@
   type StopAnswer,
 } from "../../packages/scheduler/mod.ts";
 import { NotSentError } from "../../packages/base/mod.ts";
-import { MAX_POLL_INTERVAL_MS } from "../../packages/scheduler/constants.ts";
+import {
+  LEASE_RENEWAL_MS,
+  MAX_POLL_INTERVAL_MS,
+} from "../../packages/scheduler/constants.ts";
 import { computePollInterval } from "../../packages/scheduler/loop_monitor.ts";
 import { ProcessClock, VirtualTime } from "./virtual_time.ts";
 
@@ -190,9 +194,9 @@
   await time.advance(3_000);
   control.isReachable = false;
   await time.advance(2_500);
-  const endsAt = endpoint.leaseEndsAt;
+  const endsAt = findLeaseEnd(endpoint);
   await time.advance(10_000);
-  t.is(endpoint.leaseEndsAt, endsAt);
+  t.is(findLeaseEnd(endpoint), endsAt);
   t.true(endsAt < time.now);
   t.is(control.polls.at(-1)?.leaseUntil, undefined);
 });
@@ -205,7 +209,7 @@
   await time.advance(3_000);
   control.isReachable = true;
   await time.advance(3_000);
-  t.true(endpoint.leaseEndsAt > time.now + LEASE_MS / 2);
+  t.true(findLeaseEnd(endpoint) > time.now + LEASE_MS / 2);
 });
 
 // Guards against tasks of a crashed endpoint that wait although it is back: a poll waits
@@ -333,7 +337,12 @@
   host.pollIntervalMs = computePollInterval(1_000);
   t.is(host.pollIntervalMs, MAX_POLL_INTERVAL_MS);
   t.true(await countPolls() <= 6);
-  t.true(endpoint.leaseEndsAt - time.now > LEASE_MS - MAX_POLL_INTERVAL_MS);
+  const unrenewedMs = LEASE_RENEWAL_MS + MAX_POLL_INTERVAL_MS;
+  for (let ms = 0; ms < 2_000; ms += 10) {
+    await time.advance(10);
+    const ageMs = time.now - endpoint.leases.renewedAt;
+    t.true(ageMs <= unrenewedMs, `${ageMs} ms`);
+  }
   host.pollIntervalMs = computePollInterval(0);
   t.true(await countPolls() >= 18);
 });
