Read every list of the store through one function that refuses a page without progress

Cause: four loops over pages ended a list at a page without items, although it said that more follow.

Change: `listAll` replaces the four loops. Looked at, and left: the owner's keys and the configuration are read as one page of one or two keys; the VMs end their list with an empty token; what `advise` does not name is not taken as refused (`askedEndpoints`); jobs are not listed to callers.

Result: list_all_test; its last two tests fail with the old condition.

--- a/packages/journal/load.ts
+++ b/packages/journal/load.ts
@@ -1,5 +1,10 @@
 import { FormatError } from "../base/mod.ts";
-import type { ItemPage, KeyValueStore, StoredItem } from "../storage/mod.ts";
+import {
+  type KeyValueStore,
+  listAll,
+  type ListAllOptions,
+  type StoredItem,
+} from "../storage/mod.ts";
 import { LOG_PREFIX, SNAPSHOT_PREFIX } from "./constants.ts";
 import type { JournalContents, JournalRecord } from "./types.ts";
 
@@ -22,17 +27,6 @@
   return `${SNAPSHOT_PREFIX}${digits}/${part}-${parts}`;
 }
 
-/** How the pages of the journal are read. */
-export interface ReadJournalOptions {
-  /** Timeout of the read of one page, in milliseconds. */
-  timeoutMs: number;
-  /**
-   * Called when the read of a page has failed; resolves to whether to read the
-   * page again. The pages before it are kept.
-   */
-  onFailure: (error: unknown) => Promise<boolean>;
-}
-
 /**
  * Reads the newest complete snapshot and all segments after it.
  *
@@ -40,13 +34,13 @@
  */
 export async function readJournal<Snapshot>(
   store: KeyValueStore,
-  options: ReadJournalOptions,
+  options: ListAllOptions,
 ): Promise<JournalContents<Snapshot>> {
   // Segments are read before snapshots: a segment is deleted only after its
   // snapshot is complete, so a snapshot read later covers any segment that was
   // deleted in the meantime.
-  const segments = await listAll(store, LOG_PREFIX, options);
-  const parts = await listAll(store, SNAPSHOT_PREFIX, options);
+  const { items: segments } = await listAll(store, LOG_PREFIX, options);
+  const { items: parts } = await listAll(store, SNAPSHOT_PREFIX, options);
   const snapshot = findCompleteSnapshot(parts);
   const obsolete = parts.map(({ key }) => key)
     .filter((key) => !snapshot?.keys.includes(key));
@@ -71,25 +65,6 @@
   };
 }
 
-async function listAll(
-  store: KeyValueStore,
-  prefix: string,
-  { timeoutMs, onFailure }: ReadJournalOptions,
-): Promise<StoredItem[]> {
-  const items: StoredItem[] = [];
-  for (;;) {
-    let page: ItemPage;
-    try {
-      page = await store.list(prefix, { after: items.at(-1)?.key, timeoutMs });
-    } catch (error) {
-      if (await onFailure(error)) continue;
-      throw error;
-    }
-    items.push(...page.items);
-    if (!page.hasMore || page.items.length === 0) return items;
-  }
-}
-
 function findCompleteSnapshot(
   items: StoredItem[],
 ): { segment: number; text: string; keys: string[] } | undefined {
--- a/packages/scheduler/endpoint_feed.ts
+++ b/packages/scheduler/endpoint_feed.ts
@@ -2,7 +2,12 @@
 import type { CurrentTime, EndpointInfo } from "../cell/mod.ts";
 import { EventCode, type EventLog } from "../events/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
-import type { KeyValueStore, StoreChange, StoredItem } from "../storage/mod.ts";
+import {
+  type KeyValueStore,
+  listAll,
+  type StoreChange,
+  type StoredItem,
+} from "../storage/mod.ts";
 import {
   ENDPOINT_RECORDS_RETURN_MS,
   ENDPOINT_WATCH_INTERVAL_MS,
@@ -113,33 +118,21 @@
   }
 
   async #list(): Promise<number> {
-    const items: StoredItem[] = [];
     const sentAt = this.#getCurrentTime();
-    let firstRevision: number | undefined;
-    for (;;) {
-      const prefix = this.#records.endpointPrefix;
-      const page = await this.#store.list(prefix, {
-        after: items.at(-1)?.key,
-      });
-      items.push(...page.items);
-      firstRevision ??= page.revision;
-      if (page.hasMore && page.items.length > 0) continue;
-      this.#noteUnconfirmed(items, sentAt);
-      this.#heardAt = sentAt;
-      this.#heardRevision = firstRevision;
-      this.#endpoints.clear();
-      this.#revisions.clear();
-      for (const { key, value, revision } of items) {
-        this.#setEndpoint({ key, value, revision });
-        this.#revisions.set(key, revision);
-      }
-      this.#dropIgnored(items);
-      this.#callOnChanged();
-      // The pages are read at different revisions. The watch continues from that
-      // of the first, so that no change to an earlier page is missed: an
-      // endpoint that left meanwhile would count as listed.
-      return firstRevision;
+    const { endpointPrefix } = this.#records;
+    const { items, revision } = await listAll(this.#store, endpointPrefix);
+    this.#noteUnconfirmed(items, sentAt);
+    this.#heardAt = sentAt;
+    this.#heardRevision = revision;
+    this.#endpoints.clear();
+    this.#revisions.clear();
+    for (const item of items) {
+      this.#setEndpoint(item);
+      this.#revisions.set(item.key, item.revision);
     }
+    this.#dropIgnored(items);
+    this.#callOnChanged();
+    return revision;
   }
 
   async #watch(after: number): Promise<number> {
--- a/packages/scheduler/evacuation_feed.ts
+++ b/packages/scheduler/evacuation_feed.ts
@@ -6,7 +6,7 @@
   isDomainName,
 } from "../evacuation/mod.ts";
 import { EventCode, type EventLog } from "../events/mod.ts";
-import type { KeyValueStore } from "../storage/mod.ts";
+import { type KeyValueStore, listAll } from "../storage/mod.ts";
 import {
   ENDPOINT_WATCH_MARGIN_MS,
   EVACUATION_PREFIX,
@@ -118,21 +118,11 @@
   async #list(state: SourceState): Promise<number> {
     const { store } = this.#parts;
     const sentAt = this.#getCurrentTime();
-    const items = [];
-    let firstRevision: number | undefined;
-    for (;;) {
-      const after = items.at(-1)?.key;
-      const page = await store.list(state.prefix, { after });
-      items.push(...page.items);
-      // The pages are read at different revisions. The watch continues from that of
-      // the first, so that no change to an earlier page is missed.
-      firstRevision ??= page.revision;
-      if (!page.hasMore || page.items.length === 0) break;
-    }
+    const { items, revision } = await listAll(store, state.prefix);
     state.records.adoptList(items);
     this.#noteAnswer(state, sentAt);
     this.#callOnChanged();
-    return firstRevision;
+    return revision;
   }
 
   async #watch(state: SourceState, after: number): Promise<number> {
--- a/packages/scheduler/upkeep_role.ts
+++ b/packages/scheduler/upkeep_role.ts
@@ -3,7 +3,7 @@
 import { EventCode, type EventLog } from "../events/mod.ts";
 import {
   type KeyValueStore,
-  type StoredItem,
+  listAll,
   TransactionResult,
 } from "../storage/mod.ts";
 import {
@@ -108,39 +108,23 @@
 
   async #readWaves(): Promise<number> {
     const { records } = this.#parts;
-    const upkeepRecords = await this.#listAll(UPKEEP_PREFIX);
+    const upkeepRecords = await listAll(this.#parts.store, UPKEEP_PREFIX);
     const begun = new Map(
       upkeepRecords.items.map(({ key, value }) => [key, JSON.parse(value)]),
     );
-    const reports = await this.#listAll(records.waveStatusPrefix);
+    const reports = await listAll(this.#parts.store, records.waveStatusPrefix);
     for (const { key, value } of reports.items) {
       const report = records.decodeWaveStatus(key, value);
       if (report?.isCompleted) this.#completedWaves.add(report.number);
     }
-    const { items, revision } = await this.#listAll(records.wavePrefix);
+    const { items, revision } = await listAll(
+      this.#parts.store,
+      records.wavePrefix,
+    );
     for (const { key, value } of items) this.#adoptWave({ key, value, begun });
     return revision;
   }
 
-  async #listAll(
-    prefix: string,
-  ): Promise<{ items: StoredItem[]; revision: number }> {
-    const items: StoredItem[] = [];
-    let oldestRevision = 0;
-    for (;;) {
-      const page = await this.#parts.store.list(prefix, {
-        after: items.at(-1)?.key,
-      });
-      // The pages are read at different revisions; a watch that starts at the
-      // revision of the first page misses no change.
-      oldestRevision ||= page.revision;
-      items.push(...page.items);
-      if (!page.hasMore || page.items.length === 0) {
-        return { items, revision: oldestRevision };
-      }
-    }
-  }
-
   async #watchWaves(after: number): Promise<number> {
     const { store, records } = this.#parts;
     const { changes, revision } = await store.watch(records.wavePrefix, {
