--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -175,7 +175,17 @@
 
   /** Returns whether a job with this id was accepted, committed or not. */
   hasJob(id: string): boolean {
-    return this.state.jobs.has(id) || this.state.ended.has(id);
+    return this.findOrganisation(id) !== undefined;
+  }
+
+  /**
+   * Finds the organisation whose job with this id was accepted, committed or not;
+   * undefined: there is none. Ids are unique among all organisations, since the names of
+   * tasks at endpoints consist of them.
+   */
+  findOrganisation(id: string): string | undefined {
+    const { jobs, ended } = this.state;
+    return jobs.get(id)?.spec.organisation ?? ended.get(id)?.organisation;
   }
 
   /** Returns whether the work of a job's organisation is beyond its dominant share. */
@@ -183,14 +193,23 @@
     return getJobRatio(this.state, { organisation, queue }) > 0;
   }
 
-  /** Accepts or refuses a job. Idempotent: the id identifies a repeated job. */
+  /**
+   * Accepts or refuses a job. Idempotent: the id identifies a repeated job of the same
+   * organisation.
+   */
   submit(spec: JobSpec, time: CurrentTime): AdmissionOutcome {
     const { state } = this;
-    if (this.hasJob(spec.id)) {
-      return {
-        admission: Admission.Known,
-        reason: "a job with this id was accepted before",
-      };
+    const holder = this.findOrganisation(spec.id);
+    if (holder !== undefined) {
+      return holder === spec.organisation
+        ? {
+          admission: Admission.Known,
+          reason: "a job with this id was accepted before",
+        }
+        : {
+          admission: Admission.IdTaken,
+          reason: "another organisation has a job with this id",
+        };
     }
     const error = findJobError(spec);
     if (error) return { admission: Admission.Refused, reason: error };
--- a/packages/cell/order_types.ts
+++ b/packages/cell/order_types.ts
@@ -89,6 +89,8 @@
   Known = "known",
   /** The job can't be served and never runs. */
   Refused = "refused",
+  /** Another organisation has a job with this id: this one can't be stored. */
+  IdTaken = "id_taken",
   /** The entry that was asked does not own the cell, or not yet. */
   NotOwner = "not_owner",
   /** The job can't be stored now; it never runs. */
--- a/packages/scheduler/caller_requests.ts
+++ b/packages/scheduler/caller_requests.ts
@@ -24,7 +24,12 @@
   return match(reply.admission)
     .with(Admission.Accepted, Admission.Known, () => ReplyKind.Final)
     .with(Admission.NotOwner, () => ReplyKind.NotOwner)
-    .with(Admission.Refused, Admission.StoreStalled, () => ReplyKind.Refused)
+    .with(
+      Admission.Refused,
+      Admission.IdTaken,
+      Admission.StoreStalled,
+      () => ReplyKind.Refused,
+    )
     .exhaustive();
 }
 
--- a/packages/scheduler/caller_service.ts
+++ b/packages/scheduler/caller_service.ts
@@ -298,6 +298,9 @@
     if (admission === Admission.Refused) {
       return { kind: AnswerKind.Refused, detail: reason, retryAfterMs };
     }
+    if (admission === Admission.IdTaken) {
+      return { kind: AnswerKind.IdTaken, detail: reason };
+    }
     this.#parts.log.record(EventCode.JobAccepted, {
       subject: spec.id,
       queue: spec.queue.name,
@@ -319,6 +322,7 @@
     metrics.countEvent("requests", labels);
     metrics.observeDuration("request", durationMs, labels);
     const isRefused = answer.kind === AnswerKind.Refused ||
+      answer.kind === AnswerKind.IdTaken ||
       answer.kind === AnswerKind.Unavailable ||
       answer.kind === AnswerKind.Unauthenticated;
     if (!isRefused) return;
--- a/packages/scheduler/job_app.ts
+++ b/packages/scheduler/job_app.ts
@@ -55,6 +55,7 @@
   [AnswerKind.Unauthenticated]: 401,
   [AnswerKind.BadRequest]: 400,
   [AnswerKind.Refused]: 429,
+  [AnswerKind.IdTaken]: 409,
   [AnswerKind.Unavailable]: 503,
   [AnswerKind.Unknown]: 504,
 };
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -351,7 +351,9 @@
     if (refusal) return refusal;
     const outcome = this.cell.submit(job, this.#getCurrentTime());
     this.#pace.load.note(LoadKind.Submission, this.#parts.clock.now() - now);
-    if (outcome.admission === Admission.Refused) return outcome;
+    const isRefused = outcome.admission === Admission.Refused ||
+      outcome.admission === Admission.IdTaken;
+    if (isRefused) return outcome;
     const isCommitted = await this.#planLoop.commitNow();
     if (!isCommitted) return { isUnknown: true };
     return outcome;
--- a/packages/scheduler/types.ts
+++ b/packages/scheduler/types.ts
@@ -45,6 +45,8 @@
   BadRequest = "bad_request",
   /** The request has no effect: the cell does not admit the job now. */
   Refused = "refused",
+  /** The request has no effect: another organisation has a job with this id. */
+  IdTaken = "id_taken",
   /** The request has no effect: this entry cannot serve it now. */
   Unavailable = "unavailable",
   /**
