--- a/packages/scheduler/upkeep_role.ts
+++ b/packages/scheduler/upkeep_role.ts
@@ -65,18 +65,23 @@
   #vms = new Map<string, EndpointVm>();
   #vmsListedAt = Number.NEGATIVE_INFINITY;
   #isListingVms = false;
+  /** No orders are sent to VMs before this time, in milliseconds. */
+  #ordersFrom = Number.POSITIVE_INFINITY;
   #isStopped = false;
 
   constructor(parts: UpkeepRoleParts) {
     this.#parts = parts;
   }
 
-  /** Watches the operators' wave requests and runs the waves until stopped. */
+  /**
+   * Watches the operators' wave requests and runs the waves until stopped. Endpoints whose
+   * upkeep a former owner has recorded are cordoned from the start.
+   */
   async run(): Promise<void> {
     const { clock, log, takeOverPauseMs } = this.#parts;
     // Orders of the former owner may still be in flight; they must not
     // interleave with this owner's orders to the same VM.
-    await clock.sleep(takeOverPauseMs);
+    this.#ordersFrom = clock.now() + takeOverPauseMs;
     while (!this.#isStopped) {
       try {
         let revision = await this.#readWaves();
@@ -281,7 +286,8 @@
 
   async #sendOrder(wave: number, upkeep: VmUpkeep): Promise<void> {
     const { clock, log, vms, ownership } = this.#parts;
-    if (!this.#mayOrder(clock.now())) return;
+    const now = clock.now();
+    if (now < this.#ordersFrom || !this.#mayOrder(now)) return;
     upkeep.isCallInFlight = true;
     const { result, detail } = await vms.beginUpkeep({
       vm: upkeep.vm,
--- a/packages/upkeep/plan.ts
+++ b/packages/upkeep/plan.ts
@@ -74,19 +74,24 @@
     if (isInProgress(upkeep)) {
       plan.cordonedEndpoints.push(upkeep.formerEndpoint);
     }
-    if (upkeep.phase === UpkeepPhase.Draining) {
-      if (view.isEmpty(upkeep.formerEndpoint)) {
-        setPhase(upkeep, { phase: UpkeepPhase.Recording, now: view.now });
-      } else if (view.now - upkeep.phaseBeganAt >= drainTimeoutMs) {
-        plan.endpointsToStop.push(upkeep.formerEndpoint);
-      }
+    // A former owner may have recorded an upkeep, and work may have been started since.
+    const isDraining = upkeep.phase === UpkeepPhase.Draining ||
+      upkeep.phase === UpkeepPhase.Ordered;
+    const isDown = view.vms.get(upkeep.vm)?.isUp === false;
+    const isEmpty = isDown || view.isEmpty(upkeep.formerEndpoint);
+    const isOverdue = view.now - upkeep.phaseBeganAt >= drainTimeoutMs;
+    if (isDraining && !isEmpty && isOverdue) {
+      plan.endpointsToStop.push(upkeep.formerEndpoint);
+    }
+    if (upkeep.phase === UpkeepPhase.Draining && isEmpty) {
+      setPhase(upkeep, { phase: UpkeepPhase.Recording, now: view.now });
     }
     if (upkeep.isCallInFlight) continue;
     if (upkeep.phase === UpkeepPhase.Recording) {
       plan.upkeepsToRecord.push(upkeep);
     }
     const isDue = view.now >= upkeep.retryAt;
-    if (upkeep.phase === UpkeepPhase.Ordered && isDue) {
+    if (upkeep.phase === UpkeepPhase.Ordered && isDue && isEmpty) {
       plan.upkeepsToOrder.push(upkeep);
     }
   }
--- a/packages/upkeep/plan_test.ts
+++ b/packages/upkeep/plan_test.ts
@@ -157,6 +157,26 @@
   t.is(fake.maxDown, 1);
 });
 
+// Guards against an upkeep that ends tasks at work: the former owner recorded it when the
+// endpoint was empty, and tasks were started there before the next owner ordered it.
+test("a recorded upkeep is ordered only once its endpoint is empty again", (t) => {
+  const fake = new FakeVms(2);
+  const { request } = makeTestWave(2);
+  const begun = { m0: "e0", m1: "e1" };
+  const wave = makeWave(request, { begun, now: 0 });
+  fake.busyEndpoints.add("e0");
+  const plan = fake.step(wave);
+  t.deepEqual(plan.cordonedEndpoints, ["e0", "e1"]);
+  t.deepEqual(plan.upkeepsToOrder.map(({ vm }) => vm), ["m1"]);
+  while (fake.busyEndpoints.has("e0")) {
+    t.false(fake.begun.has("m0"));
+    fake.step(wave);
+  }
+  t.true(fake.now >= computeDrainTimeout(request));
+  runWave(fake, wave);
+  t.true(fake.begun.has("m0"));
+});
+
 test("VMs that the platform no longer lists do not block a wave", (t) => {
   const fake = new FakeVms(3);
   const wave = makeTestWave(5);
--- a/packages/upkeep/types.ts
+++ b/packages/upkeep/types.ts
@@ -26,7 +26,7 @@
   Recording = "recording",
   /**
    * The upkeep is recorded and may have begun: the VM counts as down until the
-   * platform lists it as up again.
+   * platform lists it as up again. It is ordered while its endpoint is empty.
    */
   Ordered = "ordered",
   /** The platform has confirmed that the upkeep has begun. */
--- a/tests/virtual/suspension_test.ts
+++ b/tests/virtual/suspension_test.ts
@@ -50,6 +50,27 @@
   return { site, owner };
 }
 
+/** Starts the role for upkeep of an owner, beside what the owner runs. */
+function startUpkeepRole(
+  site: OwnerSite,
+  { name, role, store }: OwnerEntry,
+  options: { vms: CountingVms; takeOverPauseMs: number },
+): UpkeepRole {
+  const upkeepRole = new UpkeepRole({
+    ...options,
+    ownership: role!.ownership,
+    cell: role!.cell,
+    store,
+    records: new OneWaveRecords(),
+    clock: new ProcessClock(site.time, name),
+    log: new SilentEventLog(),
+    onChanged: () => {},
+    onDeposed: () => {},
+  });
+  void upkeepRole.run();
+  return upkeepRole;
+}
+
 /** Returns whether the owner may send orders, by its own clock. */
 function mayOrder(site: OwnerSite, { name, role }: OwnerEntry): boolean {
   return role?.mayOrder(site.time.now - site.time.getSuspendedTime(name)) ??
@@ -125,6 +146,28 @@
   t.true(mayOrder(site, owner));
 });
 
+// Guards against tasks that are started on endpoints which go down for an upkeep that the
+// former owner recorded: they were cordoned only after the pause of orders to VMs.
+test("a new owner cordons endpoints of recorded upkeeps before it may order them", async (t) => {
+  const { site, owner } = startOwner(0);
+  site.state.put("waves/1", "", 0);
+  const record = JSON.stringify({ vm1: "w0" });
+  site.state.put("baobabhead/upkeep/1", record, 0);
+  await site.time.advance(1_000);
+  const vms = new CountingVms();
+  const upkeepRole = startUpkeepRole(site, owner, {
+    vms,
+    takeOverPauseMs: 3_000,
+  });
+  await site.time.advance(100);
+  t.true(owner.role!.cell.state.endpoints.get("w0")?.isCordoned);
+  await site.time.advance(2_800);
+  t.is(vms.orders, 0);
+  await site.time.advance(500);
+  t.true(vms.orders > 0);
+  upkeepRole.stop();
+});
+
 // Guards against upkeep orders on an expired permission: the upkeep of VMs had no
 // check for suspensions of its own.
 test("no upkeep is ordered after a suspension until the lease is confirmed again", async (t) => {
@@ -133,19 +176,7 @@
   await site.time.advance(1_000);
   const role = owner.role!;
   const vms = new CountingVms();
-  const upkeepRole = new UpkeepRole({
-    ownership: role.ownership,
-    cell: role.cell,
-    store: owner.store,
-    records: new OneWaveRecords(),
-    vms,
-    clock: new ProcessClock(site.time, owner.name),
-    log: new SilentEventLog(),
-    takeOverPauseMs: 0,
-    onChanged: () => {},
-    onDeposed: () => {},
-  });
-  void upkeepRole.run();
+  const upkeepRole = startUpkeepRole(site, owner, { vms, takeOverPauseMs: 0 });
   await site.time.advance(5_000);
   t.true(vms.orders > 1);
   // Otherwise this role's checks could note the suspension first.
