--- a/packages/cell/colocation.ts
+++ b/packages/cell/colocation.ts
@@ -135,9 +135,13 @@
     .endpoint;
 }
 
-/** Returns whether a long-running task runs and has started up. */
+/**
+ * Returns whether a long-running task runs, has started up, and its endpoint answers. One
+ * that does not may hold a lease for long, but nobody knows whether the task works.
+ */
 export function isServing({ run }: Task): boolean {
-  return run?.phase === RunPhase.Running && run.percent >= SERVING_PERCENT;
+  return run?.phase === RunPhase.Running && run.percent >= SERVING_PERCENT &&
+    run.endpoint.contact.lostAt === 0;
 }
 
 /**
--- a/tests/cell/colocation_test.ts
+++ b/tests/cell/colocation_test.ts
@@ -150,6 +150,28 @@
   t.is(site.calls.stops, 2, "all tasks are running again");
 });
 
+// Guards against a task that is stopped for an upkeep while another one of its step is
+// away: its endpoint has crashed, and its lease has not ended yet.
+test("a task whose endpoint does not answer counts towards the disruption budget", (t) => {
+  const site = makeSite(4);
+  const step = makeServingStep({ tasks: 3, maxAway: 1, maxPerEndpoint: 1 });
+  site.submit(makeJob("desk", [step]));
+  site.advance(1_000);
+  const [first, second] = [...site.endpoints.values()].filter(({ runs }) =>
+    runs.size > 0
+  );
+  first.isUnreachable = true;
+  site.advance(200);
+  site.cell.stopRunsOn(second.id, site.time);
+  site.advance(100);
+  t.is(site.calls.stops, 0);
+  first.isUnreachable = false;
+  site.advance(200);
+  site.cell.stopRunsOn(second.id, site.time);
+  site.advance(100);
+  t.is(site.calls.stops, 1);
+});
+
 test("a cordoned endpoint gets no tasks until it is uncordoned", (t) => {
   const site = makeSite(2);
   site.advance(200);
