Skip the chain of orders where a granted lease is enough, and name what sends starts

What operators would see: each plan sorted the orders of each endpoint (not measured), and a reader of the plan loop met a list of starts named `mayStart`.

Change, from reading the diff: `mayHoldLease` looks at the granted lease first; the doc of the lease beside a ticket says what it bounds. No decision changes; the tests of leases and lost endpoints pass as before.

--- a/packages/cell/constants.ts
+++ b/packages/cell/constants.ts
@@ -28,8 +28,9 @@
 export const MIN_FRESH_LEASE_MS = 1_500;
 
 /**
- * Lease that a start with a ticket names beside a fresh one, in milliseconds. The start
- * can't arrive after its ticket (1.5 s), so that this adds nothing to the fresh lease.
+ * Lease that a start with a ticket names beside a fresh one, in milliseconds. However many
+ * such starts are on their way, they extend the leases of a lost endpoint at most until the
+ * end of a ticket (1.5 s) and this lease.
  */
 export const TICKETED_LEASE_MS = 1_000;
 
--- a/packages/cell/leases.ts
+++ b/packages/cell/leases.ts
@@ -90,8 +90,8 @@
     return raiseGrantedLease(leases, now + MAX_LEASE_BY_OWNER_MS);
   }
   raiseGrantedLease(leases, order.sentAt + order.leaseMs);
-  const newest = Math.max(leases.renewedAt, order.sentAt);
-  if (isRenewal(order)) leases.renewedAt = newest;
+  if (!isRenewal(order)) return;
+  leases.renewedAt = Math.max(leases.renewedAt, order.sentAt);
 }
 
 /**
@@ -170,6 +170,13 @@
     : Math.max(reservedUntil, endsAt + LEASE_MARGIN_MS);
 }
 
+/** Returns whether the listed lifetime of an endpoint may still hold a lease. */
+export function mayHoldLease(endpoint: Endpoint, now: number): boolean {
+  const { grantedUntil, reservedUntil } = endpoint.leases;
+  return now < Math.max(grantedUntil, reservedUntil) ||
+    now < findLeaseEnd(endpoint);
+}
+
 /**
  * Returns by when a lease has certainly ended that a lifetime which has not been listed
  * yet had until `endsAt`. It knows no fencing token, and orders that name a time on
--- a/packages/scheduler/plan_loop.ts
+++ b/packages/scheduler/plan_loop.ts
@@ -192,10 +192,9 @@
     this.#journal?.add(output.records, () => {
       if (this.#isStopped) return;
       cell.noteCommitted(output, clock.readWallTime());
-      const mayStart = (orders: readonly Order[]) =>
-        this.#listStarts(orders, plannedAt);
-      for (const order of mayStart(output.orders)) {
-        startPacer.add(order, () => mayStart([order]).length > 0);
+      for (const order of this.#listStarts(output.orders, plannedAt)) {
+        const mayStart = () => this.#listStarts([order], plannedAt).length > 0;
+        startPacer.add(order, mayStart);
       }
       onCommitted?.();
       if (!isEmpty) this.schedulePlan();
