--- a/tools/series.ts
+++ b/tools/series.ts
@@ -13,8 +13,15 @@
 import { SERIES_DEFAULTS } from "../tests/soak/series/types.ts";
 import { SERIES_CASES } from "../tests/soak/series_cases.ts";
 
+const USAGE =
+  `usage: node dist/tools/series.js [--seeds N] [--seed S] [--seconds T] [--entries E]
+  [--endpoints W] [--jobs-per-second R] [--cut-share X] [--same-id X]
+  [--processor-share X] [--bundle FILE] [--case NAME]
+Cases: ${SERIES_CASES.map(({ name }) => name).join(", ")}`;
+
 const { values } = parseArgs({
   options: {
+    help: { type: "boolean" },
     seeds: { type: "string", default: "1" },
     seed: { type: "string" },
     seconds: { type: "string" },
@@ -28,6 +35,10 @@
     case: { type: "string" },
   },
 });
+if (values.help) {
+  print(USAGE);
+  process.exit(0);
+}
 for (const signal of ["SIGINT", "SIGTERM"]) {
   process.on(signal, () => process.exit(1));
 }
