--- a/packages/cell/constants.ts
+++ b/packages/cell/constants.ts
@@ -35,8 +35,8 @@
 export const TICKETED_LEASE_MS = 1_000;
 
 /**
- * The same without a ticket, in milliseconds: 100 times the usual latency of an order.
- * `MAX_PENDING_STARTS` such leases come on top of the renewed one if the endpoint is lost.
+ * The same without a ticket, in milliseconds: 100 times the usual latency of an order. It
+ * comes on top of the renewed lease if the endpoint is lost while the start is on its way.
  */
 export const SHORT_LEASE_MS = 500;
 
--- a/packages/cell/leases.ts
+++ b/packages/cell/leases.ts
@@ -194,7 +194,7 @@
 }
 
 /** Returns whether the leases of an endpoint outlast a start with a short lease by far. */
-export function hasFreshLease(
+function hasFreshLease(
   { leases }: Endpoint,
   { now, leaseMs }: { now: number; leaseMs: number },
 ): boolean {
--- a/packages/cell/mod.ts
+++ b/packages/cell/mod.ts
@@ -20,7 +20,6 @@
   beginLeaseOrder,
   chooseStartLease,
   findLeaseEnd,
-  hasFreshLease,
   LeaseOutcome,
   noteLeaseGranted,
   settleLeaseOrder,
--- a/packages/scheduler/constants.ts
+++ b/packages/scheduler/constants.ts
@@ -168,10 +168,10 @@
  * Largest number of start orders without a ticket that are on their way to one endpoint
  * at a time. If it is lost, its leases end at the latest 3.1 s (the rest of a lease when
  * it is renewed) + 4.1 s (that renewal, carried out late) + 0.3 s (margin) + this number
- * times 0.5 s (starts, carried out late) after that: less than the 9 s after which a task
- * that lasts has to run ("from 6 s after its last run", "for 3 s").
+ * times 0.5 s (starts, carried out late) after that: a second less than the 9 s after which
+ * a task that lasts has to run ("from 6 s after its last run", "for 3 s").
  */
-export const MAX_PENDING_STARTS = 2;
+export const MAX_PENDING_STARTS = 1;
 
 /** Timeout of an order to an endpoint, in ms: 100 times the usual latency. */
 export const ORDER_TIMEOUT_MS = 500;
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -9,7 +9,6 @@
   type Endpoint,
   type EndpointInfo,
   findLeaseEnd,
-  hasFreshLease,
   LEASE_MARGIN_MS,
   OwnerFence,
   type PolicyNames,
@@ -199,11 +198,9 @@
       onDeposed: (reason) => this.endOwnership(reason),
       onAnswered: () => this.#planLoop.schedulePlan(),
     });
-    const startPacer = new StartPacer({
-      send: (order) => this.#orderSender.start(order),
-      isFresh: (endpoint) =>
-        hasFreshLease(endpoint, { now: clock.now(), leaseMs: parts.leaseMs }),
-    });
+    const startPacer = new StartPacer((order) =>
+      this.#orderSender.start(order)
+    );
     this.#planLoop = new PlanLoop({
       startPacer,
       cell: this.cell,
--- a/packages/scheduler/start_pacer.ts
+++ b/packages/scheduler/start_pacer.ts
@@ -21,17 +21,11 @@
  */
 export class StartPacer {
   readonly #send: (order: StartOrder) => Promise<void>;
-  readonly #isFresh: (endpoint: Endpoint) => boolean;
   readonly #starts = new Map<Endpoint, EndpointStarts>();
 
-  constructor(options: {
-    /** Sends an order; resolves once it is answered or has timed out. */
-    send: (order: StartOrder) => Promise<void>;
-    /** Returns whether starts to an endpoint name a short lease. */
-    isFresh: (endpoint: Endpoint) => boolean;
-  }) {
-    this.#send = options.send;
-    this.#isFresh = options.isFresh;
+  /** `send`: sends an order; resolves once it is answered or has timed out. */
+  constructor(send: (order: StartOrder) => Promise<void>) {
+    this.#send = send;
   }
 
   /** Sends a start order now, or once earlier ones to the endpoint are answered. */
@@ -47,9 +41,7 @@
 
   #sendDue(endpoint: Endpoint, starts: EndpointStarts): void {
     while (starts.waiting.length > 0) {
-      // A start that names a whole lease is the only one on its way.
-      const limit = this.#isFresh(endpoint) ? MAX_PENDING_STARTS : 1;
-      if (starts.pending >= limit) return;
+      if (starts.pending >= MAX_PENDING_STARTS) return;
       const next = starts.waiting.shift();
       if (next?.mayStart()) void this.#sendOne(endpoint, starts, next.order);
     }
