--- a/packages/cell/endpoints.ts
+++ b/packages/cell/endpoints.ts
@@ -2,7 +2,7 @@
 import { makeZeroDemand } from "../jobs/mod.ts";
 import { FULL_PACE, LATE_ORDER_MS, REPLACED_PAUSE_MS } from "./constants.ts";
 import { makeEndpointFence } from "./fences.ts";
-import { findLeaseEnd, makeLeases, mayHoldLease } from "./leases.ts";
+import { findLeaseEnd, makeLeases } from "./leases.ts";
 import { describeAge, findRunEnd } from "./order_effects.ts";
 import { type CurrentTime, releaseRun } from "./task_ends.ts";
 import { addDecision, type CellState } from "./state.ts";
@@ -107,7 +107,7 @@
       // again: contact is retried after the pause.
       endpoint.isReplaced = time.now < endpoint.pausedUntil;
     }
-    if (mayHoldLease(endpoint, time.now)) continue;
+    if (time.now < findLeaseEnd(endpoint)) continue;
     if (endpoint.runs.size > 0) expireRuns(state, endpoint, time);
     noteMissing(state, endpoint, time);
     const isSafeToDrop = !mayHideRuns(state, {
--- a/packages/cell/leases.ts
+++ b/packages/cell/leases.ts
@@ -62,6 +62,7 @@
     fencedOffAt: Number.POSITIVE_INFINITY,
   };
   endpoint.leases.orders.add(order);
+  endpoint.leases.end = undefined;
   return order;
 }
 
@@ -75,6 +76,7 @@
   { outcome, now }: { outcome: LeaseOutcome; now: number },
 ): void {
   const { leases } = endpoint;
+  leases.end = undefined;
   const isOtherLifetime = order.bornAt !== endpoint.bornAt;
   if (outcome === LeaseOutcome.Unanswered) {
     endpoint.unansweredLeaseAt = Math.max(
@@ -104,8 +106,9 @@
   { token, now }: { token: number; now: number },
 ): void {
   for (const order of leases.orders) {
-    if (order.fence >= token) continue;
-    order.fencedOffAt = Math.min(order.fencedOffAt, now);
+    if (order.fence >= token || order.fencedOffAt <= now) continue;
+    order.fencedOffAt = now;
+    leases.end = undefined;
   }
 }
 
@@ -127,6 +130,7 @@
   { now, leaseMs }: { now: number; leaseMs: number },
 ): void {
   leases.reservedUntil = Math.max(leases.reservedUntil, now + leaseMs);
+  leases.end = undefined;
 }
 
 /**
@@ -157,24 +161,12 @@
  * ended; 0: none was given.
  */
 export function findLeaseEnd(endpoint: Endpoint): number {
-  const { grantedUntil, reservedUntil, orders } = endpoint.leases;
-  const pending = [...orders]
-    .filter(({ bornAt }) => bornAt === endpoint.bornAt)
-    .map((order) => ({
-      ...order,
-      latestArrivalAt: Math.min(order.latestArrivalAt, order.fencedOffAt),
-    }));
-  const endsAt = computeLatestEnd(grantedUntil, pending);
-  return endsAt === 0
-    ? reservedUntil
-    : Math.max(reservedUntil, endsAt + LEASE_MARGIN_MS);
-}
-
-/** Returns whether the listed lifetime of an endpoint may still hold a lease. */
-export function mayHoldLease(endpoint: Endpoint, now: number): boolean {
-  const { grantedUntil, reservedUntil } = endpoint.leases;
-  return now < Math.max(grantedUntil, reservedUntil) ||
-    now < findLeaseEnd(endpoint);
+  const { bornAt, leases } = endpoint;
+  // Each plan asks for all endpoints; few leases change between two plans.
+  if (leases.end?.bornAt !== bornAt) {
+    leases.end = { bornAt, at: computeLeaseEnd(leases, bornAt) };
+  }
+  return leases.end.at;
 }
 
 /**
@@ -219,6 +211,22 @@
   return hasTicket ? TICKETED_LEASE_MS : SHORT_LEASE_MS;
 }
 
+function computeLeaseEnd(
+  { grantedUntil, reservedUntil, orders }: EndpointLeases,
+  lifetime: number,
+): number {
+  const pending = [...orders]
+    .filter(({ bornAt }) => bornAt === lifetime)
+    .map((order) => ({
+      ...order,
+      latestArrivalAt: Math.min(order.latestArrivalAt, order.fencedOffAt),
+    }));
+  const endsAt = computeLatestEnd(grantedUntil, pending);
+  return endsAt === 0
+    ? reservedUntil
+    : Math.max(reservedUntil, endsAt + LEASE_MARGIN_MS);
+}
+
 /**
  * Computes the latest end of a lease that unanswered orders extend. Each is carried out at
  * most once, and may count its lease from its arrival (docs/QUESTIONS.md). It extends only
@@ -278,4 +286,5 @@
 
 function raiseGrantedLease(leases: EndpointLeases, endsAt: number): void {
   leases.grantedUntil = Math.max(leases.grantedUntil, endsAt);
+  leases.end = undefined;
 }
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -224,6 +224,8 @@
   /** When the newest answered renewal to the present lifetime was sent. */
   renewedAt: number;
   orders: Set<LeaseOrder>;
+  /** The end of all leases of a lifetime, once computed; undefined: they have changed. */
+  end?: { bornAt: number; at: number };
 }
 
 /** An endpoint in the view of the cell's owner. */
