Send the starts that wait before a planned stop of the owner ends

Cause: since starts without tickets wait for each other, the owner stopped with committed starts that were not sent. The next owner waits 13.5 s for each of them, queue without tickets, as it can't know that it was not sent.

Change: after the last commit of a planned stop, all starts that wait are sent.

--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -119,6 +119,7 @@
   readonly #sessions: SessionPool;
   readonly #endpointFeed: EndpointFeed;
   readonly #orderSender: OrderSender;
+  readonly #startPacer: StartPacer;
   readonly #planLoop: PlanLoop;
   readonly #upkeepRole: UpkeepRole | undefined;
   readonly #evacuationRole: EvacuationRole | undefined;
@@ -198,11 +199,11 @@
       onDeposed: (reason) => this.endOwnership(reason),
       onAnswered: () => this.#planLoop.schedulePlan(),
     });
-    const startPacer = new StartPacer((order) =>
+    this.#startPacer = new StartPacer((order) =>
       this.#orderSender.start(order)
     );
     this.#planLoop = new PlanLoop({
-      startPacer,
+      startPacer: this.#startPacer,
       cell: this.cell,
       advice: this.advice,
       orderSender: this.#orderSender,
@@ -297,8 +298,8 @@
   }
 
   /**
-   * Stops the role. With `isPlanned`, accepts nothing more, plans once more and
-   * waits until the journal has committed the pending decisions.
+   * Stops the role. With `isPlanned`, accepts nothing more, plans once more, waits until
+   * the journal has committed the pending decisions, and sends the starts among them.
    */
   async stop(options: { isPlanned: boolean }): Promise<void> {
     if (this.#isStopped) return;
@@ -310,6 +311,7 @@
         this.#journal?.drain(),
         this.#parts.clock.sleep(MAX_DRAIN_MS),
       ]);
+      this.#startPacer.sendWaiting();
     }
     this.#isClosing = true;
     this.#isStopped = true;
--- a/packages/scheduler/start_pacer.ts
+++ b/packages/scheduler/start_pacer.ts
@@ -39,6 +39,18 @@
     this.#sendDue(endpoint, starts);
   }
 
+  /**
+   * Sends the starts that wait, however many are on their way. The next owner would wait
+   * for each of them, as it can't know that it was not sent.
+   */
+  sendWaiting(): void {
+    for (const [endpoint, starts] of [...this.#starts]) {
+      for (const { order, mayStart } of starts.waiting.splice(0)) {
+        if (mayStart()) void this.#sendOne(endpoint, starts, order);
+      }
+    }
+  }
+
   #sendDue(endpoint: Endpoint, starts: EndpointStarts): void {
     while (starts.waiting.length > 0) {
       if (starts.pending >= MAX_PENDING_STARTS) return;
--- a/packages/scheduler/start_pacer_test.ts
+++ b/packages/scheduler/start_pacer_test.ts
@@ -28,7 +28,7 @@
   };
   const add = (order: StartOrder, mayStart = () => true) =>
     pacer.add(order, mayStart);
-  return { sent, answer, add };
+  return { sent, answer, add, pacer };
 }
 
 // Guards against tasks of a lost endpoint that wait for one lease after the other, as many
@@ -58,6 +58,18 @@
   t.deepEqual(sent, ["a0", "b"]);
 });
 
+// Guards against tasks that wait for 13.5 s after a planned stop of the owner: their starts
+// had been committed, and waited for the answers of others.
+test("the starts that wait are sent before the owner stops", async (t) => {
+  const { sent, answer, add, pacer } = makePacer();
+  for (let n = 0; n < 3; n++) add(makeOrder(`a${n}`));
+  add(makeOrder("b"), () => false);
+  pacer.sendWaiting();
+  t.deepEqual(sent, ["a0", "a1", "a2"]);
+  for (let n = 0; n < 3; n++) await answer();
+  t.is(sent.length, 3);
+});
+
 // Guards against a gang whose members wait in vain for the others.
 test("members of a gang and starts with a ticket are sent at once", (t) => {
   const { sent, add } = makePacer();
