Bound callers' connections of direct work, and end its planned stop beside them

What callers saw: the same crowds ended or silenced an entry of direct work; its planned stop did not end while headers without their end stayed connected.

The stop waited until every connection was closed, and only idle ones were. The time for a whole request was unlimited (requestTimeout: 0).

Change: the guard of packages/connections on the callers' address, with defaults for requests that wait until their work has ended (4,000). Only operators, by their key, may send more than 1 MB, and that is not counted. Refusals are problem documents with the new cause entry_busy. A stop closes what is left of callers' connections after 5 s, when all work has ended.

--- a/packages/base/types.ts
+++ b/packages/base/types.ts
@@ -20,6 +20,8 @@
   DeadlinePassed = "deadline_passed",
   DeadlineUnreachable = "deadline_unreachable",
   QueueFull = "queue_full",
+  /** The entry has no room for another request. */
+  EntryBusy = "entry_busy",
   Draining = "draining",
   NoEndpoint = "no_endpoint",
   NotReady = "not_ready",
--- a/packages/entry/caller_app.ts
+++ b/packages/entry/caller_app.ts
@@ -7,8 +7,15 @@
   makeNotRunOutcome,
   type Outcome,
   readBodyText,
+  SECOND_MS,
 } from "../base/mod.ts";
 import { findTeamOfKey, MAX_BODY_BYTES } from "../config/mod.ts";
+import {
+  LimitName,
+  type RefusalAnswer,
+  RefusalFormat,
+  type RefusedRequest,
+} from "../connections/mod.ts";
 import { EventCode } from "../events/mod.ts";
 import { WorkState, type WorkView } from "../peers/mod.ts";
 import { renderOutcome } from "../pipeline/mod.ts";
@@ -51,6 +58,24 @@
   return app;
 }
 
+const CAUSE_BY_LIMIT: Partial<Record<LimitName, Cause>> = {
+  [LimitName.BodyBytes]: Cause.BodyTooLarge,
+  [LimitName.BodyChunks]: Cause.BodyTooLarge,
+  [LimitName.Expectation]: Cause.BadRequest,
+};
+
+/** Refusals in the form of the interface for direct work. */
+export class WorkRefusals extends RefusalFormat {
+  override renderRefusal({ limit, detail }: RefusedRequest): RefusalAnswer {
+    const cause = CAUSE_BY_LIMIT[limit] ?? Cause.EntryBusy;
+    const outcome = makeNotRunOutcome(cause, detail, {
+      retryAfterMs: cause === Cause.EntryBusy ? SECOND_MS : undefined,
+    });
+    const { status, headers, body } = renderOutcome("", outcome);
+    return { status, headers, body };
+  }
+}
+
 async function receiveWork(node: EntryNode, c: Context): Promise<Response> {
   let body: string;
   try {
--- a/packages/entry/constants.ts
+++ b/packages/entry/constants.ts
@@ -82,6 +82,12 @@
 /** Interval at which a stopping daemon closes idle connections, in ms. */
 export const CLOSE_INTERVAL_MS = 50;
 
+/**
+ * Longest time for which a stopping daemon waits for its callers' connections, in
+ * milliseconds. All work has ended by then; what is left is to send the answers.
+ */
+export const CLOSE_TIMEOUT_MS = 5_000;
+
 /** Longest time that registering a key at its home is retried, in ms. */
 export const KEY_HOME_WAIT_MS = 2_500;
 
--- a/packages/entry/daemon.ts
+++ b/packages/entry/daemon.ts
@@ -1,13 +1,31 @@
+import type { IncomingMessage, Server } from "node:http";
 import type { AddressInfo } from "node:net";
-import { createAdaptorServer, type ServerType } from "@hono/node-server";
+import { createAdaptorServer } from "@hono/node-server";
 import { BaobabheadError } from "../base/mod.ts";
+import { MAX_BODY_BYTES } from "../config/mod.ts";
+import {
+  type BodyAllowance,
+  ConnectionGuard,
+  createGuardedServer,
+  readDescriptorLimit,
+  restrictConnections,
+} from "../connections/mod.ts";
 import { EventCode } from "../events/mod.ts";
 import { createPeerApp } from "../peers/mod.ts";
 import { type Address, formatAddress } from "../settings/mod.ts";
-import { createCallerApp } from "./caller_app.ts";
-import { CLOSE_INTERVAL_MS, IDLE_CONNECTION_MS } from "./constants.ts";
+import { createCallerApp, WorkRefusals } from "./caller_app.ts";
+import {
+  CLOSE_INTERVAL_MS,
+  CLOSE_TIMEOUT_MS,
+  IDLE_CONNECTION_MS,
+} from "./constants.ts";
 import type { EntryNode } from "./entry_node.ts";
-import { createOperatorApp } from "./operator_app.ts";
+import {
+  createOperatorApp,
+  isOperator,
+  MAX_CONFIG_BYTES,
+  OPERATOR_PATH,
+} from "./operator_app.ts";
 import { createPeerHandlers } from "./peer_handlers.ts";
 
 /** Listening on a configured address failed. */
@@ -16,7 +34,8 @@
 /** One entry with its listening sockets. */
 export class Daemon {
   readonly #node: EntryNode;
-  readonly #servers: ServerType[] = [];
+  readonly #servers: Server[] = [];
+  #guard: ConnectionGuard | undefined;
   readonly #onStopped: () => void;
   #stopPromise: Promise<void> | undefined;
 
@@ -36,11 +55,15 @@
     const node = this.#node;
     const { listen, peers } = node.parts.settings;
     const peerApp = createPeerApp(createPeerHandlers(node), peers.token);
-    await this.#listen(peerApp.fetch, listen.peers);
-    const callerApp = createCallerApp(node);
-    const onDrain = () => void this.stop();
-    callerApp.route("/v1/admin", createOperatorApp(node, onDrain));
-    await this.#listen(callerApp.fetch, listen.callers);
+    const peerServer = createAdaptorServer({
+      fetch: peerApp.fetch,
+      serverOptions: {
+        keepAliveTimeout: IDLE_CONNECTION_MS,
+        requestTimeout: 0,
+      },
+    }) as Server;
+    await this.#listen(peerServer, listen.peers);
+    await this.#listen(this.#createCallerServer(), listen.callers);
     node.start();
   }
 
@@ -53,21 +76,48 @@
   async #stop(): Promise<void> {
     await this.#node.drain();
     await Promise.all(this.#servers.map(closeServer));
+    this.#guard?.close();
     await this.#node.stop();
     this.#onStopped();
   }
 
-  async #listen(
-    fetch: Parameters<typeof createAdaptorServer>[0]["fetch"],
-    address: Address,
-  ): Promise<AddressInfo> {
-    const server = createAdaptorServer({
-      fetch,
-      serverOptions: {
-        keepAliveTimeout: IDLE_CONNECTION_MS,
-        requestTimeout: 0,
-      },
+  #createCallerServer(): Server {
+    const { settings, clock, log, metrics } = this.#node.parts;
+    const app = createCallerApp(this.#node);
+    const onDrain = () => void this.stop();
+    app.route(OPERATOR_PATH, createOperatorApp(this.#node, onDrain));
+    const limits = {
+      ...settings.callers,
+      connections: restrictConnections(
+        settings.callers.connections,
+        readDescriptorLimit(),
+      ),
+    };
+    this.#guard = new ConnectionGuard({
+      name: "callers",
+      limits,
+      getBodyAllowance: (request) => this.#getBodyAllowance(request),
+      refusals: new WorkRefusals(),
+      clock,
+      log,
+      metrics,
     });
+    return createGuardedServer(app.fetch, {
+      guard: this.#guard,
+      limits,
+      idleMs: IDLE_CONNECTION_MS,
+    });
+  }
+
+  /** Only operators send more than work may have. */
+  #getBodyAllowance({ url, headers }: IncomingMessage): BodyAllowance {
+    const { key_hash } = this.#node.parts.settings.operators;
+    const isTrusted = url?.startsWith(`${OPERATOR_PATH}/`) === true &&
+      isOperator(headers.authorization ?? "", key_hash);
+    return { bytes: isTrusted ? MAX_CONFIG_BYTES : MAX_BODY_BYTES, isTrusted };
+  }
+
+  async #listen(server: Server, address: Address): Promise<AddressInfo> {
     this.#servers.push(server);
     return await new Promise((resolve, reject) => {
       server.once("error", (error: Error) => {
@@ -86,17 +136,21 @@
 }
 
 /**
- * Closes a server, and its connections as they become idle. Resolves when all
- * connections are closed.
+ * Closes a server, and its connections as they become idle; after `CLOSE_TIMEOUT_MS`
+ * also those of callers that send no whole request or read no answers. Resolves when
+ * all connections are closed.
  */
-function closeServer(server: ServerType): Promise<void> {
-  const closeIdle = () => {
-    if ("closeIdleConnections" in server) server.closeIdleConnections();
-  };
+function closeServer(server: Server): Promise<void> {
+  const closeIdle = () => server.closeIdleConnections();
   const timer = setInterval(closeIdle, CLOSE_INTERVAL_MS);
+  const timeout = setTimeout(
+    () => server.closeAllConnections(),
+    CLOSE_TIMEOUT_MS,
+  );
   return new Promise((resolve) => {
     server.close(() => {
       clearInterval(timer);
+      clearTimeout(timeout);
       resolve();
     });
   });
--- a/packages/entry/operator_app.ts
+++ b/packages/entry/operator_app.ts
@@ -14,7 +14,11 @@
 import { describeStatus, dumpState } from "./dump.ts";
 import type { EntryNode } from "./entry_node.ts";
 
-const MAX_CONFIG_BYTES = 32 * MEBIBYTE;
+/** Path of the operators' interface on the callers' address. */
+export const OPERATOR_PATH = "/v1/admin";
+
+/** Largest body of an operator's request, in bytes. */
+export const MAX_CONFIG_BYTES = 32 * MEBIBYTE;
 
 const applySchema = z.strictObject({
   base: z.number().int().min(0),
@@ -22,7 +26,13 @@
   configuration: configurationSchema,
 });
 
-/** Creates the HTTP application for operators, mounted at `/v1/admin`. */
+/** Returns whether an `Authorization` header has the operators' key. */
+export function isOperator(authorization: string, keyHash: string): boolean {
+  const [, key = ""] = authorization.split(" ");
+  return matchesHash(key.split(".")[2] ?? "", keyHash);
+}
+
+/** Creates the HTTP application for operators, mounted at `OPERATOR_PATH`. */
 export function createOperatorApp(
   node: EntryNode,
   onDrain: () => void,
@@ -30,9 +40,7 @@
   const app = new Hono();
   const { key_hash } = node.parts.settings.operators;
   app.use("*", async (c, next) => {
-    const [, key = ""] = (c.req.header("authorization") ?? "").split(" ");
-    const secret = key.split(".")[2] ?? "";
-    if (!matchesHash(secret, key_hash)) {
+    if (!isOperator(c.req.header("authorization") ?? "", key_hash)) {
       return c.json({ error: "A valid operator key is required" }, 401);
     }
     await next();
--- a/packages/pipeline/filters/8_answer.ts
+++ b/packages/pipeline/filters/8_answer.ts
@@ -20,6 +20,7 @@
   [Cause.WorkFails]: 502,
   [Cause.DeadlineUnreachable]: 503,
   [Cause.QueueFull]: 503,
+  [Cause.EntryBusy]: 503,
   [Cause.Draining]: 503,
   [Cause.NoEndpoint]: 503,
   [Cause.NotReady]: 503,
--- a/packages/settings/constants.ts
+++ b/packages/settings/constants.ts
@@ -1,3 +1,18 @@
+import {
+  type ConnectionLimits,
+  DEFAULT_CONNECTION_LIMITS,
+} from "../connections/mod.ts";
+
+/**
+ * Default limits of callers' connections for direct work: requests wait here until their
+ * work has ended.
+ */
+export const DEFAULT_DIRECT_LIMITS: ConnectionLimits = {
+  ...DEFAULT_CONNECTION_LIMITS,
+  connections: 4_000,
+  requests: 4_000,
+};
+
 /** Default maximum lag of the platform's VM list, in milliseconds. */
 export const DEFAULT_VM_LIST_LAG_MS = 5_000;
 
--- a/packages/settings/settings.ts
+++ b/packages/settings/settings.ts
@@ -11,7 +11,9 @@
   nameSchema,
   parseIni,
 } from "../config/mod.ts";
+import { createConnectionSchema } from "./connection_settings.ts";
 import {
+  DEFAULT_DIRECT_LIMITS,
   DEFAULT_HEARTBEAT_MS,
   DEFAULT_PLATFORM_TIMEOUT_MS,
   DEFAULT_POLL_MS,
@@ -55,6 +57,7 @@
     peers: addressSchema,
     advertise_peers: addressSchema.optional(),
   }),
+  callers: createConnectionSchema(DEFAULT_DIRECT_LIMITS),
   platform: z.strictObject({
     store: urlSchema,
     vm_list: urlSchema,
--- a/packages/settings/types.ts
+++ b/packages/settings/types.ts
@@ -1,3 +1,5 @@
+import type { ConnectionLimits } from "../connections/mod.ts";
+
 /** An IP address and a port. */
 export interface Address {
   host: string;
@@ -13,6 +15,7 @@
     /** Address at which peers reach this entry; defaults to `peers`. */
     advertise_peers?: Address;
   };
+  callers: ConnectionLimits;
   platform: {
     store: string;
     vm_list: string;
--- a/tests/virtual/site.ts
+++ b/tests/virtual/site.ts
@@ -23,7 +23,10 @@
 } from "../../packages/events/mod.ts";
 import { Metrics } from "../../packages/metrics/mod.ts";
 import { type Vm, VmRole, VmState } from "../../packages/platform/mod.ts";
-import type { Settings } from "../../packages/settings/mod.ts";
+import {
+  DEFAULT_DIRECT_LIMITS,
+  type Settings,
+} from "../../packages/settings/mod.ts";
 import { FakeEndpointClient, FakeEndpoints } from "./fake_endpoints.ts";
 import { FakeNetwork, FakePeerClient } from "./fake_network.ts";
 import {
@@ -457,6 +460,7 @@
       callers: { host: vm, port: 1 },
       peers: { host: vm, port: 2 },
     },
+    callers: DEFAULT_DIRECT_LIMITS,
     platform: { store: "", vm_list: "", vm_list_lag_ms: 1_000, timeout_ms: 1 },
     operators: { key_hash: "" },
     peers: { token: "", heartbeat_ms: 500 },
