Forget the outcome of a request without a team at once

What callers saw: nothing yet.

Cause: the registry keeps outcomes for the team that asks for them later; a request that was not authenticated has none, and nobody can ask.

Result: work_registry_test fails without the change (two records). Still open: outcomes of requests with a key, or on an open queue, are kept for ten minutes without a bound on their number.

--- a/packages/entry/work_registry.ts
+++ b/packages/entry/work_registry.ts
@@ -34,10 +34,18 @@
     this.#pending += 1;
   }
 
-  /** Records the outcome of a request. */
+  /**
+   * Records the outcome of a request. That of a request without a team is dropped:
+   * nobody can ask for it.
+   */
   finish(id: string, outcome: Outcome, options: { now: number }): void {
     const record = this.#records.get(id);
     if (!record || record.outcome) return;
+    if (record.context?.team === undefined) {
+      this.#records.delete(id);
+      this.#pending -= 1;
+      return;
+    }
     record.outcome = outcome;
     record.team = record.context?.team;
     if (outcome.cause !== Cause.Started) record.context = undefined;
--- /dev/null
+++ b/packages/entry/work_registry_test.ts
@@ -0,0 +1,20 @@
+import test from "ava";
+import { Cause, makeNotRunOutcome } from "../base/mod.ts";
+import type { RequestContext } from "../pipeline/mod.ts";
+import { WorkRegistry } from "./work_registry.ts";
+
+function makeContext(id: string, team?: string): RequestContext {
+  return { raw: { id }, team } as unknown as RequestContext;
+}
+
+// Guards against memory that callers without a key fill for ten minutes.
+test("a refused request without a team is forgotten at once", (t) => {
+  const registry = new WorkRegistry();
+  const outcome = makeNotRunOutcome(Cause.Unauthenticated, "");
+  registry.add(makeContext("1"));
+  registry.add(makeContext("2", "norte"));
+  for (const id of ["1", "2"]) registry.finish(id, outcome, { now: 0 });
+  t.is(registry.size, 1);
+  t.is(registry.pending, 0);
+  t.deepEqual(registry.describe("2", "norte")?.outcome, outcome);
+});
