Bound the calls for callers that an owner has in process

Cause: an entry bounds its own callers, but nothing bounds what all entries together make their owner hold; each submission and cancellation stays until its commit.

Change: [limits] owner_calls, 2,000 by default. A call beyond it is refused with a JSON-RPC error of its own, which proves that it was not run: the caller is answered 503 at once, or 504 if an earlier attempt may have run. Reads are answered at once and hold nothing.

No run with hundreds of entries.

--- a/packages/links/constants.ts
+++ b/packages/links/constants.ts
@@ -10,6 +10,9 @@
 /** Time without received data after which a link is closed, in milliseconds. */
 export const LINK_TIMEOUT_MS = 700;
 
+/** Code of the JSON-RPC error that says that a call had no effect for lack of room. */
+export const BUSY_CODE = -32_001;
+
 /** Maximum length of a line in characters; far above the largest job. */
 export const MAX_LINE_LENGTH = 4 * 1024 * 1024;
 
--- a/packages/links/link.ts
+++ b/packages/links/link.ts
@@ -16,6 +16,7 @@
   LINK_TIMEOUT_MS,
   MAX_LINE_LENGTH,
 } from "./constants.ts";
+import { encodeError, isBusy, LinkBusyError } from "./errors.ts";
 import type {
   Heartbeat,
   HeartbeatReply,
@@ -91,6 +92,7 @@
    * Calls a method of the peer.
    *
    * @throws {NotSentError} when the link was already closed
+   * @throws {LinkBusyError} when the peer had no room for the call
    * @throws {UnknownEffectError} when the call fails or times out
    */
   async call<M extends LinkMethod>(
@@ -103,6 +105,7 @@
       return await this.#rpc.timeout(options.timeoutMs).request(method, params);
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
+      if (isBusy(error)) throw new LinkBusyError(reason);
       throw new UnknownEffectError(`Cannot call ${method}: ${reason}`);
     }
   }
@@ -132,7 +135,11 @@
       const handle = handler as (params: unknown) => unknown;
       rpc.addMethod(name, async (params: unknown) => {
         if (name === "link.heartbeat") this.#notePeer(params as Heartbeat);
-        return await handle(params);
+        try {
+          return await handle(params);
+        } catch (error) {
+          throw encodeError(error);
+        }
       });
     }
     return rpc;
--- a/packages/links/link_test.ts
+++ b/packages/links/link_test.ts
@@ -4,6 +4,7 @@
 import { MonotonicClock, UnknownEffectError } from "../base/mod.ts";
 import {
   type HeartbeatReply,
+  LinkBusyError,
   type LinkHandlers,
   LinkServer,
   MAX_LINE_LENGTH,
@@ -16,10 +17,11 @@
 /** Opens a link that sends `heartbeat` to a new server; returns both. */
 async function connect(
   port: number,
-  options: { heartbeat: object; reply: unknown },
+  options: { heartbeat: object; reply: unknown; error?: Error },
 ) {
   const handlers = {
     "link.heartbeat": () => options.reply,
+    "job.find": () => Promise.reject(options.error),
   } as unknown as LinkHandlers;
   const server = new LinkServer({ handlers, clock });
   await server.listen({ host: HOST, port });
@@ -76,6 +78,22 @@
   }
 });
 
+test("a call that the peer has no room for is told from one that may have run", async (t) => {
+  const outcomes = [
+    { error: new LinkBusyError("no room"), instanceOf: LinkBusyError },
+    { error: new Error("failed"), instanceOf: UnknownEffectError },
+  ];
+  for (const [n, { error, instanceOf }] of outcomes.entries()) {
+    const options = { heartbeat: {}, reply: true, error };
+    const { link, server } = await connect(7_330 + n, options);
+    const params = { id: "1", organisation: "" };
+    const find = () => link.call("job.find", params, { timeoutMs: 5_000 });
+    await t.throwsAsync(find, { instanceOf });
+    link.close("test");
+    server.close();
+  }
+});
+
 // Guards against a malformed message that ends the process or that leaves the link
 // of its sender open; an unhandled rejection would fail this file.
 test("malformed messages end at most the link on which they came", async (t) => {
--- a/packages/scheduler/owner_calls.ts
+++ b/packages/scheduler/owner_calls.ts
@@ -1,6 +1,10 @@
 import { type Clock, NotSentError, UnknownEffectError } from "../base/mod.ts";
 import { EventCode, type EventLog } from "../events/mod.ts";
-import type { LinkMethod, LinkMethods } from "../links/mod.ts";
+import {
+  LinkBusyError,
+  type LinkMethod,
+  type LinkMethods,
+} from "../links/mod.ts";
 import { CallTimes } from "./call_times.ts";
 import {
   MAX_HELD_CALLS,
@@ -125,6 +129,7 @@
       reason = outcome.reason;
       if (outcome.kind === ReplyKind.Final) return outcome.reply!;
       if (outcome.kind === ReplyKind.Refused) {
+        if (outcome.reply === undefined) break;
         if (isProofOfNoEffect(unsettled, owner)) return outcome.reply!;
         reason = "refused, but an earlier attempt may have had an effect";
         break;
@@ -146,7 +151,10 @@
     throw new NotSentError(reason);
   }
 
-  /** Sends the call once. An attempt without a reply throws nothing. */
+  /**
+   * Sends the call once. An attempt without a reply throws nothing. A refusal without a
+   * reply says nothing of earlier attempts.
+   */
   async #sendOnce<M extends LinkMethod>(
     call: RepeatableCall<M>,
     timeoutMs: number,
@@ -172,6 +180,9 @@
         reason: `the entry that was asked answered ${kind}`,
       };
     } catch (error) {
+      if (error instanceof LinkBusyError) {
+        return { kind: ReplyKind.Refused, reason: error.message };
+      }
       const hasNoEffect = call.isRead || error instanceof NotSentError;
       return {
         kind: hasNoEffect ? ReplyKind.NotOwner : ReplyKind.Unknown,
--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -17,6 +17,7 @@
 import type { Metrics } from "../metrics/mod.ts";
 import type { SchedulerSettings } from "../settings/mod.ts";
 import type { KeyValueStore } from "../storage/mod.ts";
+import { CallLimit } from "./call_limit.ts";
 import { CallerService } from "./caller_service.ts";
 import { ConfigFeed } from "./config_feed.ts";
 import { computeClaimDelay } from "./claim_rules.ts";
@@ -307,6 +308,9 @@
   }
 
   #createHandlers(): LinkHandlers {
+    const { log, metrics } = this.parts;
+    const getMax = () => this.parts.settings.limits.owner_calls;
+    const calls = new CallLimit({ getMax, log, metrics });
     return {
       "link.heartbeat": () => ({
         largestCores: Math.max(this.#cores, this.#linkServer.largestPeerCores),
@@ -317,14 +321,19 @@
         this.gateway.noteOwnerReady(true);
         return true;
       },
-      "job.submit": async ({ job }) =>
-        await this.#ownerRole?.submit(job) ?? {
-          admission: Admission.NotOwner,
-          reason: "the entry that was asked does not own the cell",
-          retryAfterMs: NO_OWNER_RETRY_MS,
-        },
-      "job.cancel": async ({ id, organisation }) =>
-        await this.#ownerRole?.cancel(id, organisation) ?? CancelReply.Unknown,
+      "job.submit": ({ job }) =>
+        calls.run(async () =>
+          await this.#ownerRole?.submit(job) ?? {
+            admission: Admission.NotOwner,
+            reason: "the entry that was asked does not own the cell",
+            retryAfterMs: NO_OWNER_RETRY_MS,
+          }
+        ),
+      "job.cancel": ({ id, organisation }) =>
+        calls.run(async () =>
+          await this.#ownerRole?.cancel(id, organisation) ??
+            CancelReply.Unknown
+        ),
       "job.find": ({ id, organisation }) => {
         const role = this.#requireOwnerRole();
         return role.find(id, organisation) ?? null;
--- a/packages/settings/constants.ts
+++ b/packages/settings/constants.ts
@@ -27,3 +27,9 @@
 
 /** Default duration of a task lease, in milliseconds. */
 export const DEFAULT_TASK_LEASE_MS = 30_000;
+
+/**
+ * Default number of calls for callers that an owner has in process: with a job of the
+ * largest payload each, some 20 MB.
+ */
+export const DEFAULT_OWNER_CALLS = 2_000;
--- a/packages/settings/scheduler_settings.ts
+++ b/packages/settings/scheduler_settings.ts
@@ -16,6 +16,7 @@
 } from "../cell/mod.ts";
 import { makeIntegerSchema, nameSchema } from "../config/mod.ts";
 import { createConnectionSchema } from "./connection_settings.ts";
+import { DEFAULT_OWNER_CALLS } from "./constants.ts";
 import { addressSchema, parseWithSchema } from "./settings.ts";
 
 const hostSchema = z.string().min(1, "must be an IP address");
@@ -71,6 +72,10 @@
     /** Absent: the platform offers no evacuation of failure domains. */
     evacuation_ms: makeIntegerSchema(1_000, 600_000).optional(),
   }),
+  limits: z.strictObject({
+    /** Calls for callers that an owner has in process, from all entries. */
+    owner_calls: makeIntegerSchema(1, 1_000_000).default(DEFAULT_OWNER_CALLS),
+  }).prefault({}),
   log: z.strictObject({
     level: z.enum(["debug", "info", "warn", "error"]).default("info"),
   }).prefault({}),
--- a/tests/virtual/caller_service_test.ts
+++ b/tests/virtual/caller_service_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { UnknownEffectError } from "../../packages/base/mod.ts";
 import { Admission } from "../../packages/cell/mod.ts";
+import { LinkBusyError } from "../../packages/links/mod.ts";
 import {
   AnswerKind,
   OWNER_CALL_TIMEOUT_MS,
@@ -55,6 +56,25 @@
   }
 });
 
+// Guards against a promise "not run" for a submission of which an earlier attempt may run.
+test("a busy owner: refused at once as not run, unless an attempt may have run", async (t) => {
+  const { service, time, handlers } = await startService();
+  const submit = () => settle(time, service.submit(REQUEST, parseEmptyJob));
+  const refuse = () =>
+    service.refuse(REQUEST, { isSubmission: true, reason: "no room" }).kind;
+  handlers["job.submit"] = () => Promise.reject(new LinkBusyError("busy"));
+  const { answer, elapsedMs } = await submit();
+  t.is(answer.kind, AnswerKind.Unavailable);
+  t.true(answer.retryAfterMs! > 0);
+  t.true(elapsedMs <= 10, `${elapsedMs} ms`);
+  t.is(refuse(), AnswerKind.Unavailable);
+  delete handlers["job.submit"];
+  t.is((await submit()).answer.kind, AnswerKind.Unknown);
+  handlers["job.submit"] = () => Promise.reject(new LinkBusyError("busy"));
+  t.is((await submit()).answer.kind, AnswerKind.Unknown);
+  t.is(refuse(), AnswerKind.Unknown);
+});
+
 test("an owner that stalls: the caller is told at once that the effect is unknown", async (t) => {
   const { service, time, handlers } = await startService();
   handlers["job.submit"] = () => new Promise(() => {});
