Refuse a job whose tasks have no room, and let a stored one wait

Cause: each task becomes an object when its job is admitted or restored, about 400 bytes, for every step and occurrence; only the tasks of one step were bounded.

Change: [limits] held_tasks, 80,000 over all jobs, each stage counting four more. A job beyond it is refused, 429, not run, with both figures.

Ruled out for now: tasks that are made when they are placed, which changes most of the cell. A job of which tasks were placed is restored whole, since a forgotten start would run twice.

--- a/packages/cell/admission.ts
+++ b/packages/cell/admission.ts
@@ -23,9 +23,11 @@
  */
 const OVER_SHARE_SLACK_RATIO = 0.5;
 
-/** Bounds of the suggested retry delay, in milliseconds. */
+/** Shortest suggested retry delay, in milliseconds. */
 const MIN_RETRY_MS = 1_000;
-const MAX_RETRY_MS = 8_000;
+
+/** Longest suggested retry delay, in milliseconds. */
+export const MAX_RETRY_MS = 8_000;
 
 /** Capacity and waiting work of one service. */
 export interface Backlog {
--- a/packages/cell/cell.ts
+++ b/packages/cell/cell.ts
@@ -2,7 +2,12 @@
 import { findJobError, type JobSpec, JobState } from "../jobs/mod.ts";
 import { LATE_ORDER_MS } from "./constants.ts";
 import { makeAdmissionState } from "./admission_state.ts";
-import { addBacklog, admitJob, measureBacklogs } from "./admission.ts";
+import {
+  addBacklog,
+  admitJob,
+  MAX_RETRY_MS,
+  measureBacklogs,
+} from "./admission.ts";
 import {
   applyAdvice,
   applyPaceAnswer,
@@ -17,6 +22,11 @@
 } from "./endpoints.ts";
 import { type CurrentTime, endJob } from "./task_ends.ts";
 import { applyListing, type ListingOptions } from "./listing.ts";
+import {
+  beginDeferredJobs,
+  DEFAULT_HELD_TASKS,
+  explainHeldTasks,
+} from "./held_tasks.ts";
 import { makePlacementMemory } from "./placement_memory.ts";
 import { checkOverShare, getJobRatio } from "./dominant_shares.ts";
 import { planLeaving } from "./leaving.ts";
@@ -90,6 +100,8 @@
       retentionMs: number;
       leaseMs: number;
       policies?: PolicyNames;
+      /** Tasks that all jobs together may count while they are held. */
+      maxHeldTasks?: number;
     },
   ) {
     this.#retentionMs = options.retentionMs;
@@ -98,6 +110,9 @@
       term: options.term,
       jobs: new Map(),
       ended: new Map(),
+      deferred: new Set(),
+      heldTasks: 0,
+      maxHeldTasks: options.maxHeldTasks ?? DEFAULT_HELD_TASKS,
       endpoints: new Map(),
       organisations: undefined,
       usage: new Map(),
@@ -213,6 +228,14 @@
     }
     const error = findJobError(spec);
     if (error) return { admission: Admission.Refused, reason: error };
+    const budgetReason = explainHeldTasks(state, spec);
+    if (budgetReason) {
+      return {
+        admission: Admission.Refused,
+        reason: budgetReason,
+        retryAfterMs: MAX_RETRY_MS,
+      };
+    }
     const isOverShare = checkOverShare(state, spec, { now: time.now });
     const refused = state.admission.refused.find(spec.id, time.now);
     const outcome = admitJob(state, spec, { isOverShare, now: time.now });
@@ -457,6 +480,7 @@
     for (const { job } of [...state.awaitingStartTime]) {
       openStages(state, job, time);
     }
+    beginDeferredJobs(state, time);
     if (mayStart) planStarts(state, time.now);
     if (state.policies.names.admission === AdmissionName.Predicted) {
       state.backlogs = measureBacklogs(state);
--- a/packages/cell/decision_types.ts
+++ b/packages/cell/decision_types.ts
@@ -33,6 +33,8 @@
   StartPostponed = "start_postponed",
   /** The forecast shows that a new job cannot finish while it has value. */
   JobRefused = "job_refused",
+  /** A stored job waits for room among the tasks that are held. */
+  JobDeferred = "job_deferred",
   /** The forecast shows that a new job can finish while it has value. */
   JobAdmitted = "job_admitted",
   /** An organisation wants more than its share of scarce capacity. */
--- a/packages/cell/mod.ts
+++ b/packages/cell/mod.ts
@@ -13,6 +13,7 @@
   OwnerFence,
   raiseFence,
 } from "./fences.ts";
+export { DEFAULT_HELD_TASKS } from "./held_tasks.ts";
 export { hasHiddenEnds } from "./listing_proof.ts";
 export { describeLeaving } from "./leaving.ts";
 export { describeTrials } from "./trials.ts";
--- a/packages/cell/snapshot.ts
+++ b/packages/cell/snapshot.ts
@@ -1,5 +1,5 @@
 import { type JournalRecord, RecordKind } from "../journal/mod.ts";
-import { type JobSpec, JobState } from "../jobs/mod.ts";
+import { type JobSpec, JobState, parseTaskName } from "../jobs/mod.ts";
 import type { RunTimesSnapshot } from "../runtimes/mod.ts";
 import { applyEnd, type CurrentTime } from "./task_ends.ts";
 import {
@@ -18,9 +18,10 @@
   type StoredCrash,
 } from "./crash_history.ts";
 import { makeEndpoint } from "./endpoints.ts";
+import { restoreStages } from "./held_tasks.ts";
 import { addRemnant, addTaskRemnant, collectRemnants } from "./remnants.ts";
 import type { CellState } from "./state.ts";
-import { addUnlocated, buildJob, findTask, openStages } from "./stages.ts";
+import { addUnlocated, findTask, makeJob, openStages } from "./stages.ts";
 import {
   type EndedJob,
   type Endpoint,
@@ -121,15 +122,18 @@
   for (const remnant of contents.snapshot?.remnants ?? []) {
     addRemnant(state, remnant);
   }
+  const usedJobs = collectUsedJobs(contents.records);
   for (const job of contents.snapshot?.jobs ?? []) {
-    restoreJob(state, job, time);
+    restoreJob(state, job, { time, usedJobs });
   }
   for (const crash of contents.snapshot?.crashes ?? []) {
     restoreCrash(state, crash, time);
   }
   const { runTimes } = contents.snapshot ?? {};
   if (runTimes) state.runTimes.restore(runTimes, time.now);
-  for (const record of contents.records) applyRecord(state, record, time);
+  for (const record of contents.records) {
+    applyRecord(state, record, { time, usedJobs });
+  }
   settleFormerCrashes(state, time);
   for (const job of state.jobs.values()) {
     restorePlacements(state, job);
@@ -138,6 +142,31 @@
   }
 }
 
+/** What is known while the journal is restored. */
+interface RestoreOptions {
+  time: CurrentTime;
+  /** Ids of the jobs of which records name tasks. */
+  usedJobs: ReadonlySet<string>;
+}
+
+/** Collects the ids of the jobs of which records name tasks. */
+function collectUsedJobs(records: readonly JournalRecord[]): Set<string> {
+  const names = records.flatMap((record) => {
+    switch (record.kind) {
+      case RecordKind.Placed:
+        return record.runs.map(([task]) => task);
+      case RecordKind.Ended:
+      case RecordKind.Cleared:
+        return [record.task];
+      case RecordKind.Crashed:
+        return record.runs.map(([task]) => task);
+      default:
+        return [];
+    }
+  });
+  return new Set(names.flatMap((name) => parseTaskName(name)?.job ?? []));
+}
+
 /**
  * Marks the placed tasks of a job as possibly running: as unlocated if they need
  * to run, otherwise as remnants.
@@ -161,6 +190,9 @@
   if (!job.outcome) return;
   job.reportedOutcome = job.outcome;
   state.jobs.delete(job.spec.id);
+  state.deferred.delete(job);
+  state.heldTasks -= job.heldTasks;
+  job.heldTasks = 0;
   state.ended.set(job.spec.id, {
     organisation: job.spec.organisation,
     state: job.outcome,
@@ -230,11 +262,12 @@
 function restoreJob(
   state: CellState,
   snapshot: JobSnapshot,
-  time: CurrentTime,
+  { time, usedJobs }: RestoreOptions,
 ): void {
   const job = addStoredJob(state, snapshot.spec, {
     acceptedAt: snapshot.acceptedAt,
     time,
+    isUsed: snapshot.tasks.length > 0 || usedJobs.has(snapshot.spec.id),
   });
   job.outcome = snapshot.outcome;
   const byName = new Map(snapshot.tasks.map((task) => [task.name, task]));
@@ -276,17 +309,18 @@
 function addStoredJob(
   state: CellState,
   spec: JobSpec,
-  options: { acceptedAt: number; time: CurrentTime },
+  options: { acceptedAt: number; time: CurrentTime; isUsed: boolean },
 ): Job {
-  const { acceptedAt, time } = options;
+  const { acceptedAt, time, isUsed } = options;
   // Two VMs' clocks may differ, and a clock may be set back: the age must not
   // become negative.
   const age = Math.max(0, time.wallNow - acceptedAt);
-  const job = buildJob(state, spec, {
+  const job = makeJob(spec, {
     acceptedAt,
     now: time.now - age,
     isOverShare: false,
   });
+  restoreStages(state, job, { isUsed });
   job.isCommitted = true;
   state.jobs.set(spec.id, job);
   return job;
@@ -295,14 +329,18 @@
 function applyRecord(
   state: CellState,
   record: JournalRecord,
-  time: CurrentTime,
+  { time, usedJobs }: RestoreOptions,
 ): void {
   switch (record.kind) {
     case RecordKind.Accepted:
       if (state.jobs.has(record.job.id) || state.ended.has(record.job.id)) {
         return;
       }
-      addStoredJob(state, record.job, { acceptedAt: record.at, time });
+      addStoredJob(state, record.job, {
+        acceptedAt: record.at,
+        time,
+        isUsed: usedJobs.has(record.job.id),
+      });
       return;
     case RecordKind.Ended:
       return applyEnd(state, record, time);
--- a/packages/cell/stages.ts
+++ b/packages/cell/stages.ts
@@ -18,6 +18,9 @@
 /** Assumed number of endpoints per advice call, to estimate its duration. */
 const TYPICAL_ADVICE_ENDPOINTS = 30;
 
+/** What a stage counts besides its tasks, in tasks: it takes about as much memory. */
+export const STAGE_WEIGHT = 4;
+
 /** Multiple of its objective after which a job's result has no value. */
 export const EXPIRY_FACTOR = 3;
 
@@ -26,19 +29,36 @@
   state: CellState,
   spec: JobSpec,
   options: { acceptedAt: number; now: number; isOverShare: boolean },
+): Job {
+  const job = makeJob(spec, options);
+  buildStages(state, job);
+  return job;
+}
+
+/** Makes a job without its stages, which has no tasks yet. */
+export function makeJob(
+  spec: JobSpec,
+  options: { acceptedAt: number; now: number; isOverShare: boolean },
 ): Job {
   const objectiveMs = computeObjective(spec);
-  const job: Job = {
+  return {
     spec,
     acceptedAt: options.acceptedAt,
     isOverShare: options.isOverShare,
     dueAt: options.now + objectiveMs,
     expiresAt: options.now + objectiveMs * EXPIRY_FACTOR,
     stages: [],
-    remaining: 0,
+    heldTasks: 0,
+    // Its stages count once they are built.
+    remaining: 1,
     hasStarted: false,
     isCommitted: false,
   };
+}
+
+/** Builds all stages of a job, none of them ready. */
+export function buildStages(state: CellState, job: Job): void {
+  const { spec } = job;
   for (
     let occurrenceIndex = 0;
     occurrenceIndex < Math.max(1, spec.occurrences);
@@ -56,7 +76,15 @@
     }
   }
   job.remaining = job.stages.length;
-  return job;
+  job.heldTasks = countHeldTasks(spec);
+  state.heldTasks += job.heldTasks;
+}
+
+/** Computes what a job counts while it is held, in tasks. */
+export function countHeldTasks({ steps, occurrences }: JobSpec): number {
+  let tasks = 0;
+  for (const step of steps) tasks += step.tasks + STAGE_WEIGHT;
+  return tasks * Math.max(1, occurrences);
 }
 
 /** Returns the step that a stage runs. */
--- a/packages/cell/state.ts
+++ b/packages/cell/state.ts
@@ -32,6 +32,12 @@
   term: number;
   jobs: Map<string, Job>;
   ended: Map<string, EndedJob>;
+  /** Stored jobs without room among the held tasks, by acceptance; see `restoreStages`. */
+  deferred: Set<Job>;
+  /** What all jobs count in the budget of held tasks. */
+  heldTasks: number;
+  /** The budget of held tasks. */
+  maxHeldTasks: number;
   endpoints: Map<string, Endpoint>;
   /** Rules of the organisations; `undefined` until they are known. */
   organisations: Map<string, OrganisationRules> | undefined;
--- a/packages/cell/types.ts
+++ b/packages/cell/types.ts
@@ -482,7 +482,12 @@
   dueAt: number;
   /** When the result loses its value, on this process's steady clock. */
   expiresAt: number;
+  /** None while the job is deferred. */
   stages: Stage[];
+  /** What the job counts in the budget of held tasks; 0 while it is deferred. */
+  heldTasks: number;
+  /** The log says that the job is deferred. */
+  isDeferralLogged?: boolean;
   /** Number of stages that are not done. */
   remaining: number;
   hasStarted: boolean;
--- a/packages/events/catalogue.ts
+++ b/packages/events/catalogue.ts
@@ -67,6 +67,7 @@
   StartPostponed = 6230,
   JobRefused = 6220,
   JobAdmitted = 6221,
+  JobDeferred = 6225,
   ShareExceeded = 6222,
   ShareKept = 6223,
   JobShed = 6224,
@@ -318,6 +319,13 @@
     message: "a stage that fits on slow endpoints waits for faster ones",
     remedy: "None, unless it repeats while fast endpoints are idle.",
   },
+  [EventCode.JobDeferred]: {
+    severity: Severity.Warn,
+    message:
+      "a stored job waits: its tasks have no room among those that the owner holds",
+    remedy:
+      "Cancel it, or raise `[limits] held_tasks` if the VM has the memory; `reason` gives the figures.",
+  },
   [EventCode.JobRefused]: {
     severity: Severity.Info,
     message:
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -71,6 +71,8 @@
   log: EventLog;
   metrics: Metrics;
   policies: PolicyNames;
+  /** Tasks that all jobs together may count while they are held. */
+  maxHeldTasks?: number;
   /** Duration of a task's lease, in milliseconds. */
   leaseMs: number;
   /**
@@ -143,6 +145,7 @@
       retentionMs: parts.retentionMs,
       leaseMs: parts.leaseMs,
       policies: parts.policies,
+      maxHeldTasks: parts.maxHeldTasks,
     });
     this.#pace = new OwnerPace({ ...parts, cell: this.cell });
     this.advice = new AdvicePool({ service: parts.advice, listLinks });
--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -215,6 +215,7 @@
       endpointRecordsMs: settings.bounds.endpoint_records_ms,
       evacuationMs: settings.bounds.evacuation_ms,
       policies: settings.scheduling,
+      maxHeldTasks: settings.limits.held_tasks,
       takeOverPauseMs: settings.vms.take_over_pause_ms,
       listLinks: () => this.#linkServer.listIdentified(),
       listUnresponsive: () => this.#linkServer.listUnresponsive(),
--- a/packages/settings/scheduler_settings.ts
+++ b/packages/settings/scheduler_settings.ts
@@ -3,6 +3,7 @@
 import {
   AdmissionName,
   ChoiceName,
+  DEFAULT_HELD_TASKS,
   DEFAULT_POLICIES,
   EjectionName,
   GangStartsName,
@@ -75,6 +76,8 @@
   limits: z.strictObject({
     /** Calls for callers that an owner has in process, from all entries. */
     owner_calls: makeIntegerSchema(1, 1_000_000).default(DEFAULT_OWNER_CALLS),
+    /** Tasks that all jobs together may count while an owner holds them. */
+    held_tasks: makeIntegerSchema(1, 100_000_000).default(DEFAULT_HELD_TASKS),
   }).prefault({}),
   log: z.strictObject({
     level: z.enum(["debug", "info", "warn", "error"]).default("info"),
--- a/tests/cell/cell_site.ts
+++ b/tests/cell/cell_site.ts
@@ -116,6 +116,8 @@
   readonly journal: JournalRecord[] = [];
   readonly random: Random;
   readonly policies: PolicyNames;
+  /** Tasks that an owner holds; of the next owner, if it changes. */
+  maxHeldTasks: number | undefined;
   readonly checker = new InvariantChecker();
   cell: Cell;
   fence = 1;
@@ -295,6 +297,7 @@
       retentionMs: 120_000,
       leaseMs: LEASE_MS,
       policies,
+      maxHeldTasks: this.maxHeldTasks,
     });
   }
 
--- a/tests/harness/job_site.ts
+++ b/tests/harness/job_site.ts
@@ -205,7 +205,7 @@
           ended_jobs_ms: 120_000,
           endpoint_records_ms: 3_000,
         },
-        limits: { owner_calls: 2_000 },
+        limits: { owner_calls: 2_000, held_tasks: 80_000 },
         log: { level: "info" },
       },
       store: new PlatformStore({
