Keep room for callers that send one request at a time

What callers saw: nothing yet.

Change: from half of the requests in process on, each connection may have one. The log of limits and the choice of unread answers are apart from the guard.

Result: the new test of connection_guard_test fails without it (the ordinary request is refused) and passes with it.

--- a/packages/connections/connection_guard.ts
+++ b/packages/connections/connection_guard.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { Clock } from "../base/mod.ts";
-import { EventCode, type EventLog } from "../events/mod.ts";
+import type { EventLog } from "../events/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import { CallerConnection } from "./caller_connection.ts";
 import {
@@ -12,7 +12,9 @@
   CHECK_INTERVAL_MS,
   IMMEDIATE_SLICES,
   PARTIAL_FRACTION,
+  SENT_AHEAD_FRACTION,
 } from "./constants.ts";
+import { LimitLog } from "./limit_log.ts";
 import { ParseTurns } from "./parse_turns.ts";
 import {
   type BodyRefusal,
@@ -26,6 +28,7 @@
   LimitName,
   type RefusalFormat,
 } from "./types.ts";
+import { listUnread } from "./unread_answers.ts";
 
 /** Passes a request on; resolves once its answer has been written. */
 export type RequestListener = (
@@ -65,12 +68,13 @@
   #heldBytes = 0;
   /** Bytes of incomplete requests. */
   #partialBytes = 0;
-  #metCounts: Partial<Record<LimitName, number>> = {};
+  readonly #limits: LimitLog;
   #cancelCheck: () => void = () => {};
 
   constructor(parts: ConnectionGuardParts) {
     this.#parts = parts;
     this.#turns = new ParseTurns(parts.clock);
+    this.#limits = new LimitLog(parts);
   }
 
   /** Number of requests that were passed on and are not answered. */
@@ -105,7 +109,7 @@
   }
 
   /** Describes the use of the limits for a dump. */
-  describe(): Record<string, number> {
+  describe(): { connections: number; requests: number; requestBytes: number } {
     return {
       connections: this.#connections.size,
       requests: this.#requestCount,
@@ -116,7 +120,7 @@
   #open(socket: Socket, now: number): CallerConnection | undefined {
     const { limits } = this.#parts;
     if (this.#connections.size >= limits.connections) {
-      this.#noteMet(LimitName.Connections);
+      this.#limits.note(LimitName.Connections);
       const oldest = chooseConnectionToReplace(this.#connections);
       if (!oldest) return void socket.destroy();
       this.#close(oldest);
@@ -124,9 +128,7 @@
     const connection: CallerConnection = new CallerConnection(socket, {
       now,
       listener: {
-        mayForward: () =>
-          !connection.isClosing &&
-          connection.answers.size < limits.requests_per_connection,
+        mayForward: () => this.#mayForward(connection),
         onWaiting: () => this.#forward(connection),
       },
     });
@@ -136,6 +138,17 @@
     return connection;
   }
 
+  /**
+   * Returns whether more of what a caller sent may be parsed. Part of the requests in
+   * process is kept for callers that send one at a time.
+   */
+  #mayForward({ isClosing, answers }: CallerConnection): boolean {
+    const { requests, requests_per_connection } = this.#parts.limits;
+    const isShared = this.#requestCount < requests * SENT_AHEAD_FRACTION;
+    return !isClosing &&
+      answers.size < (isShared ? requests_per_connection : 1);
+  }
+
   #drop(connection: CallerConnection): void {
     connection.isClosing = true;
     connection.answers.clear();
@@ -174,7 +187,7 @@
       const largest = chooseLargestRequest(this.#connections);
       // A single request is received, up to the limit of its body.
       if (!largest || largest.chargedBytes === this.#partialBytes) return;
-      this.#noteMet(LimitName.RequestBytes);
+      this.#limits.note(LimitName.RequestBytes);
       this.#close(largest);
     }
   }
@@ -306,7 +319,7 @@
       `this entry has no room for more (${name}, ${limit})`;
     const connection = this.#byStream.get(request.socket);
     if (connection) connection.isClosing = true;
-    this.#noteMet(limit);
+    this.#limits.note(limit);
     const answer = refusals.renderRefusal({ request, limit, detail });
     const body = JSON.stringify(answer.body);
     response.writeHead(answer.status, {
@@ -326,60 +339,21 @@
   }
 
   #scheduleCheck(): void {
-    const { clock } = this.#parts;
+    const { clock, limits } = this.#parts;
     this.#cancelCheck = clock.schedule(() => {
-      this.#checkAnswers(clock.now());
-      this.#recordLimits();
-      this.#scheduleCheck();
-    }, CHECK_INTERVAL_MS);
-  }
-
-  /** Closes connections whose answers wait too long, or hold too much. */
-  #checkAnswers(now: number): void {
-    const { answer_bytes, answer_ms } = this.#parts.limits;
-    const sizes: { connection: CallerConnection; bytes: number }[] = [];
-    let total = 0;
-    for (const connection of [...this.#connections]) {
-      const bytes = connection.measureUnsent();
-      if (connection.noteUnsent(bytes, now) > answer_ms) {
-        this.#noteMet(LimitName.AnswerTime);
+      const now = clock.now();
+      for (
+        const { connection, limit } of listUnread(this.#connections, {
+          limits,
+          now,
+        })
+      ) {
+        this.#limits.note(limit);
         this.#close(connection);
-      } else if (bytes > 0) {
-        total += bytes;
-        sizes.push({ connection, bytes });
       }
-    }
-    sizes.sort((a, b) => b.bytes - a.bytes);
-    // A single answer is sent, however large it is.
-    sizes.pop();
-    for (const { connection, bytes } of sizes) {
-      if (total <= answer_bytes) return;
-      total -= bytes;
-      this.#noteMet(LimitName.AnswerBytes);
-      this.#close(connection);
-    }
-  }
-
-  #noteMet(limit: LimitName): void {
-    const { metrics, name } = this.#parts;
-    metrics.countEvent("limits_met", { address: name, limit });
-    this.#metCounts[limit] = (this.#metCounts[limit] ?? 0) + 1;
-  }
-
-  /** Logs which limits were met since the last check. */
-  #recordLimits(): void {
-    const { name, metrics, log } = this.#parts;
-    const labels = { address: name };
-    metrics.setGauge("connections", this.#connections.size, labels);
-    metrics.setGauge("requests_in_process", this.#requestCount, labels);
-    metrics.setGauge("request_bytes", this.describe().requestBytes, labels);
-    if (Object.keys(this.#metCounts).length === 0) return;
-    log.record(EventCode.LimitsMet, {
-      address: name,
-      ...this.#metCounts,
-      use: this.describe(),
-    });
-    this.#metCounts = {};
+      this.#limits.record(this.describe());
+      this.#scheduleCheck();
+    }, CHECK_INTERVAL_MS);
   }
 }
 
--- a/packages/connections/connection_guard_test.ts
+++ b/packages/connections/connection_guard_test.ts
@@ -186,6 +186,21 @@
   for (const socket of sockets) socket.destroy();
 });
 
+// Guards against a crowd that sends ahead and takes the room of ordinary callers.
+test("callers that send ahead leave room for those that do not", async (t) => {
+  const served = await serve(t, { requests: 400, requests_per_connection: 16 });
+  const crowd = Array.from({ length: 100 }, () => open(served));
+  for (const socket of crowd) {
+    socket.write(get("/held", `x: ${"x".repeat(400)}\r\n`).repeat(50));
+  }
+  await waitUntil(() => served.guard.requestCount >= 200);
+  await new Promise((resolve) => setTimeout(resolve, 200));
+  t.true(served.guard.requestCount < 400, `${served.guard.requestCount}`);
+  t.regex(await exchange(served, get("/other", LAST)), /200 OK/);
+  served.release();
+  for (const socket of crowd) socket.destroy();
+});
+
 test("a request whose caller has left counts until it is done", async (t) => {
   const served = await serve(t, { requests: 1 });
   const socket = open(served);
--- a/packages/connections/constants.ts
+++ b/packages/connections/constants.ts
@@ -18,6 +18,12 @@
   answer_ms: 30_000,
 };
 
+/**
+ * Part of the requests in process from which each connection may have one only: callers
+ * that send ahead cause no refusals of those that don't.
+ */
+export const SENT_AHEAD_FRACTION = 0.5;
+
 /**
  * Largest part of the bytes of requests that incomplete ones may hold, so that callers
  * who never finish theirs cause no refusals.
--- a/tests/clients/direct_clients_test.ts
+++ b/tests/clients/direct_clients_test.ts
@@ -20,7 +20,7 @@
 import {
   countDescriptors,
   isRunning,
-  measurePeakMemory,
+  measureMemoryPeak,
 } from "./process_state.ts";
 import { formatChunk, formatRequest } from "./requests.ts";
 import { waitUntil } from "./wait_until.ts";
@@ -148,7 +148,7 @@
       t.true(await canServe(entry), "an ordinary request");
       await sleep(SETTLE_MS);
       t.true(isRunning(pid), "the process runs later");
-      const memoryMb = measurePeakMemory(pid);
+      const memoryMb = measureMemoryPeak(pid);
       t.log(`${Math.round(memoryMb)} MB`);
       t.true(memoryMb <= MEMORY_MB, `${memoryMb} MB of memory`);
       t.true(countDescriptors(pid) <= MAX_IDLE_DESCRIPTORS);
--- a/tests/clients/job_clients_site.ts
+++ b/tests/clients/job_clients_site.ts
@@ -9,7 +9,7 @@
 import {
   countDescriptors,
   isRunning,
-  measurePeakMemory,
+  measureMemoryPeak,
 } from "./process_state.ts";
 import { waitUntil } from "./wait_until.ts";
 
@@ -92,7 +92,7 @@
 
   /** Returns the largest memory that an entry's process has had, in MB. */
   measureLargestMemory(): number {
-    return Math.max(...this.#pids.filter(isRunning).map(measurePeakMemory));
+    return Math.max(...this.#pids.filter(isRunning).map(measureMemoryPeak));
   }
 
   /** Returns the largest number of descriptors that an entry has open. */
--- a/tests/clients/process_state.ts
+++ b/tests/clients/process_state.ts
@@ -10,7 +10,7 @@
 }
 
 /** Returns the largest resident memory that a process has had, in MB. */
-export function measurePeakMemory(pid: number): number {
+export function measureMemoryPeak(pid: number): number {
   const status = readFileSync(`/proc/${pid}/status`, "utf8");
   const [, kilobytes = "0"] = /^VmHWM:\s+(\d+) kB/m.exec(status) ?? [];
   return Number(kilobytes) / 1_024;
