Bound the outcomes of direct work that are kept

What callers saw: nothing yet.

Change: [work] kept_outcomes, 20,000 by default; the oldest final one is dropped for another, counted, and logged once a second (1011). Started services stay, as they can still be cancelled.

--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -57,7 +57,7 @@
   readonly driver: EngineDriver;
   readonly peers: PeerTable;
   readonly heartbeats: Heartbeats;
-  readonly workRegistry = new WorkRegistry();
+  readonly workRegistry: WorkRegistry;
   readonly keyService: KeyService;
   readonly controlLoop: ControlLoop;
   readonly #pause: PauseGuard;
@@ -67,12 +67,14 @@
   readonly #loops: Loop[];
   readonly #controlStepLoop: Loop;
   #hasLeft = false;
+  #recordedDropCount = 0;
   #drainPromise: Promise<void> | undefined;
 
   constructor(parts: EntryParts, services: EntryServices) {
     super();
     const { clock, metrics, log } = parts;
     this.parts = parts;
+    this.workRegistry = new WorkRegistry(parts.settings.work.kept_outcomes);
     this.member = services.control.self;
     this.control = services.control;
     this.config = services.config;
@@ -272,9 +274,21 @@
     this.#poller.pollDue();
   }
 
+  /** Records once a second how many outcomes were dropped for lack of room. */
+  #recordDroppedOutcomes(): void {
+    const { metrics, log } = this.parts;
+    const { droppedCount } = this.workRegistry;
+    const added = droppedCount - this.#recordedDropCount;
+    if (added === 0) return;
+    this.#recordedDropCount = droppedCount;
+    metrics.setGauge("outcomes_dropped", droppedCount);
+    log.record(EventCode.LimitsMet, { address: "work", kept_outcomes: added });
+  }
+
   #expire(): void {
     const now = this.parts.clock.now();
     this.workRegistry.expire(now - WORK_RETENTION_MS);
+    this.#recordDroppedOutcomes();
     this.keyService.expire(now);
   }
 
--- a/packages/entry/work_registry.ts
+++ b/packages/entry/work_registry.ts
@@ -15,8 +15,18 @@
 
 /** The requests that this entry has received, by id of their work. */
 export class WorkRegistry {
+  readonly #maxOutcomes: number;
   readonly #records = new Map<string, WorkRecord>();
+  /** Ids of the requests with a final outcome, oldest first. */
+  readonly #ended = new Set<string>();
   #pending = 0;
+  /** Number of outcomes that were dropped for lack of room. */
+  droppedCount = 0;
+
+  /** `maxOutcomes`: final outcomes that are kept; the oldest is dropped for another. */
+  constructor(maxOutcomes: number) {
+    this.#maxOutcomes = maxOutcomes;
+  }
 
   /** Number of requests without an outcome. */
   get pending(): number {
@@ -48,9 +58,21 @@
     }
     record.outcome = outcome;
     record.team = record.context?.team;
-    if (outcome.cause !== Cause.Started) record.context = undefined;
     record.endedAt = options.now;
     this.#pending -= 1;
+    // A started service can still be cancelled.
+    if (outcome.cause === Cause.Started) return;
+    record.context = undefined;
+    this.#ended.add(id);
+    this.#dropOldest();
+  }
+
+  #dropOldest(): void {
+    if (this.#ended.size <= this.#maxOutcomes) return;
+    const [oldest] = this.#ended;
+    this.#ended.delete(oldest);
+    this.#records.delete(oldest);
+    this.droppedCount++;
   }
 
   /** Returns the context of a team's request if it can still be cancelled. */
@@ -77,6 +99,7 @@
     for (const [id, record] of this.#records) {
       if (record.endedAt !== undefined && record.endedAt < endedBefore) {
         this.#records.delete(id);
+        this.#ended.delete(id);
       }
     }
   }
--- a/packages/settings/constants.ts
+++ b/packages/settings/constants.ts
@@ -33,3 +33,6 @@
  * largest payload each, some 20 MB.
  */
 export const DEFAULT_OWNER_CALLS = 2_000;
+
+/** Default number of final outcomes of direct work that are kept: some 20 MB. */
+export const DEFAULT_KEPT_OUTCOMES = 20_000;
--- a/packages/settings/settings.ts
+++ b/packages/settings/settings.ts
@@ -15,6 +15,7 @@
 import {
   DEFAULT_DIRECT_LIMITS,
   DEFAULT_HEARTBEAT_MS,
+  DEFAULT_KEPT_OUTCOMES,
   DEFAULT_PLATFORM_TIMEOUT_MS,
   DEFAULT_POLL_MS,
   DEFAULT_TASK_LEASE_MS,
@@ -58,6 +59,11 @@
     advertise_peers: addressSchema.optional(),
   }),
   callers: createConnectionSchema(DEFAULT_DIRECT_LIMITS),
+  work: z.strictObject({
+    kept_outcomes: makeIntegerSchema(1, 10_000_000).default(
+      DEFAULT_KEPT_OUTCOMES,
+    ),
+  }).prefault({}),
   platform: z.strictObject({
     store: urlSchema,
     vm_list: urlSchema,
--- a/packages/settings/types.ts
+++ b/packages/settings/types.ts
@@ -16,6 +16,8 @@
     advertise_peers?: Address;
   };
   callers: ConnectionLimits;
+  /** `kept_outcomes`: final outcomes of work that can still be asked for. */
+  work: { kept_outcomes: number };
   platform: {
     store: string;
     vm_list: string;
--- a/tests/virtual/site.ts
+++ b/tests/virtual/site.ts
@@ -25,6 +25,7 @@
 import { type Vm, VmRole, VmState } from "../../packages/platform/mod.ts";
 import {
   DEFAULT_DIRECT_LIMITS,
+  DEFAULT_KEPT_OUTCOMES,
   type Settings,
 } from "../../packages/settings/mod.ts";
 import { FakeEndpointClient, FakeEndpoints } from "./fake_endpoints.ts";
@@ -461,6 +462,7 @@
       peers: { host: vm, port: 2 },
     },
     callers: DEFAULT_DIRECT_LIMITS,
+    work: { kept_outcomes: DEFAULT_KEPT_OUTCOMES },
     platform: { store: "", vm_list: "", vm_list_lag_ms: 1_000, timeout_ms: 1 },
     operators: { key_hash: "" },
     peers: { token: "", heartbeat_ms: 500 },
