--- a/packages/connections/constants.ts
+++ b/packages/connections/constants.ts
@@ -8,7 +8,7 @@
  */
 export const DEFAULT_CONNECTION_LIMITS: ConnectionLimits = {
   connections: 1_000,
-  requests_per_connection: 16,
+  requests_per_connection: 4,
   requests: 1_000,
   request_bytes: 8 * MEBIBYTE,
   body_chunks: 4_096,
