--- a/review/standins-3/site.mjs
+++ b/review/standins-3/site.mjs
@@ -19,7 +19,7 @@
 import { join } from "node:path";
 import process from "node:process";
 
-const STORE_PORT = 8182;
+export const STORE_PORT = 8182;
 const WORKER_PORT = 8300;
 const FRONT_PORT = 8183;
 const READY_PORT = 8184;
@@ -678,6 +678,14 @@
     });
   }
 
+  /** Starts the next worker of a machine. */
+  async replaceWorker(n, options) {
+    const worker = new Worker(this, options);
+    await worker.start();
+    this.workers[n] = worker;
+    this.note(`${worker.id} is up`);
+  }
+
   /** Returns the entry that holds the owner's key. */
   findOwner() {
     const name = this.store.read("baobabhead/cell/owner")?.entry;
