--- a/review/standins-3/site.mjs
+++ b/review/standins-3/site.mjs
@@ -788,11 +788,13 @@
 
 /**
  * Runs a case and ends the process: 1 if the rule was broken, 0 if it held, 2 if the case
- * couldn't run. `run` returns the breaches that it saw.
+ * couldn't run. `run` returns the breaches that it saw. The first argument of the command is
+ * the record, the second is 0 for a run without the disruption.
  */
 export async function runCase(record, run) {
   const site = new Site(record);
-  const hasTrouble = process.env.TROUBLE !== "0";
+  const hasTrouble = process.argv[3] !== "0";
+  site.note(hasTrouble ? "with the disruption" : "without the disruption");
   const watchdog = setTimeout(() => {
     site.note("the case took too long");
     process.exit(2);
