Keep a byte order mark at the beginning of a stored text

Cause: a value of the store was encoded as it is and decoded without a byte order mark at its beginning (`decodeUtf8`).

Evidence: the new property test writes texts in parts of 4 to 9 bytes to each `KeyValueStore` and reads them by get, list and watch.

Change: `decodeUtf8` decodes exactly. Per path: a value of the store and a header are data, a mark in them stays; a JSON document over HTTP (an answer, a caller's or an operator's body) may begin with a mark that tells its encoding, and `decodeDocument` leaves it out there, as before. A mark inside of a JSON text was never dropped.

Ruled out: the split itself (the parts joined in the test are the text), the JSON encoder, the order to the endpoint (the payload is already altered in the restored cell).

--- a/packages/base/text.ts
+++ b/packages/base/text.ts
@@ -31,24 +31,32 @@
 }
 
 /**
- * Decodes UTF-8, without a byte order mark. Returns undefined if the bytes are not UTF-8,
- * instead of a text with replacement characters.
+ * Decodes a text as it was encoded: a byte order mark is data. Returns undefined if the
+ * bytes are not UTF-8, instead of a text with replacement characters.
  */
 export function decodeUtf8(bytes: Buffer): string | undefined {
-  if (!isUtf8(bytes)) return undefined;
-  const text = bytes.toString();
-  return text.startsWith(BYTE_ORDER_MARK) ? text.slice(1) : text;
+  return isUtf8(bytes) ? bytes.toString() : undefined;
 }
 
 /**
- * Reads the body of a request as text.
+ * Decodes a JSON document that was received over HTTP: a byte order mark at its start
+ * tells the encoding and is left out (RFC 8259, section 8.1). Returns undefined if the
+ * bytes are not UTF-8.
+ */
+export function decodeDocument(bytes: Buffer): string | undefined {
+  const text = decodeUtf8(bytes);
+  return text?.startsWith(BYTE_ORDER_MARK) ? text.slice(1) : text;
+}
+
+/**
+ * Reads the body of a request, a JSON document, as text.
  *
  * @throws {FormatError} when it is not UTF-8
  */
 export async function readBodyText(
   request: { arrayBuffer: () => Promise<ArrayBuffer> },
 ): Promise<string> {
-  const text = decodeUtf8(Buffer.from(await request.arrayBuffer()));
+  const text = decodeDocument(Buffer.from(await request.arrayBuffer()));
   if (text === undefined) throw new FormatError("the body is not UTF-8");
   return text;
 }
--- a/packages/platform/http_json.ts
+++ b/packages/platform/http_json.ts
@@ -2,7 +2,7 @@
 import { Agent, type Dispatcher } from "undici";
 import {
   BaobabheadError,
-  decodeUtf8,
+  decodeDocument,
   NotSentError,
   UnknownEffectError,
 } from "../base/mod.ts";
@@ -191,7 +191,7 @@
     const bytes = this.#chunks.length === 1
       ? this.#chunks[0]
       : Buffer.concat(this.#chunks);
-    this.#resolve({ status: this.#status, text: decodeUtf8(bytes) ?? "" });
+    this.#resolve({ status: this.#status, text: decodeDocument(bytes) ?? "" });
   }
 }
 
--- /dev/null
+++ b/tests/e2e/stored_text_test.ts
@@ -0,0 +1,125 @@
+import { Buffer } from "node:buffer";
+import test from "ava";
+import fc from "fast-check";
+import {
+  decodeHeader,
+  encodeHeader,
+  readBodyText,
+  splitText,
+} from "../../packages/base/mod.ts";
+import {
+  type KeyValueStore,
+  MeteredStore,
+} from "../../packages/storage/mod.ts";
+import { Metrics } from "../../packages/metrics/mod.ts";
+import { PlatformStore } from "../../platform/key_value_store.ts";
+import { StoreStandIn } from "../standins/job_platform.ts";
+import { MemoryStore, MemoryStoreState } from "../virtual/memory_store.ts";
+import { ProcessClock, VirtualTime } from "../virtual/virtual_time.ts";
+
+const HOST = "127.59.2.1";
+const PORT = 7_400;
+
+/** Texts that a decoder may take for something else than data. */
+const SPECIAL = ["\ufeff", "𠮷", "\u0000", "\u2028", "\ufffd", "é", "\n"];
+
+/** Well-formed texts, often with special code points at each place. */
+const anyText = fc.array(
+  fc.oneof(fc.constantFrom(...SPECIAL), fc.string({ unit: "binary" })),
+  { maxLength: 12 },
+).map((pieces) => pieces.join(""));
+
+/** Any text that callers can send in JSON, also with halves of surrogate pairs. */
+const anyPayload = fc.array(
+  fc.oneof(anyText, fc.constantFrom("\ud800", "\udc00")),
+  { maxLength: 6 },
+).map((pieces) => pieces.join(""));
+
+/** Writes parts below a prefix of their own, and reads them in each way. */
+async function copyParts(
+  store: KeyValueStore,
+  { prefix, parts }: { prefix: string; parts: string[] },
+) {
+  const { revision: after } = await store.list(prefix);
+  const puts = parts.map((value, n) => ({
+    key: `${prefix}${String(n).padStart(4, "0")}`,
+    value,
+  }));
+  await store.commit({ expected: [], deletes: [], puts });
+  const read = puts.map(async ({ key }) => (await store.get(key))?.value);
+  const { changes } = await store.watch(prefix, { after, waitMs: 100 });
+  return {
+    got: await Promise.all(read),
+    listed: (await store.list(prefix)).items.map(({ value }) => value),
+    watched: changes.map(({ value }) => value),
+  };
+}
+
+async function openPlatformStore(): Promise<
+  { store: KeyValueStore; close: () => Promise<void> }
+> {
+  const standIn = new StoreStandIn();
+  await standIn.start({ host: HOST, port: PORT });
+  const address = `${HOST}:${PORT}`;
+  const platformStore = new PlatformStore({ address, localAddress: HOST });
+  const store = new MeteredStore(platformStore, {
+    metrics: new Metrics(),
+    now: () => performance.now(),
+  });
+  const close = async () => {
+    await store.close();
+    standIn.stop();
+  };
+  return { store, close };
+}
+
+function openMemoryStore() {
+  const time = new VirtualTime();
+  const clock = new ProcessClock(time, "a");
+  const store = new MemoryStore(new MemoryStoreState(), clock);
+  const timer = setInterval(() => void time.advance(20), 1);
+  const close = () => Promise.resolve(clearInterval(timer));
+  return Promise.resolve({ store, close });
+}
+
+// Guards against a stored text that lacks a byte order mark after it was read: a part of
+// a snapshot that began with one altered the payload of a job after a change of owner.
+for (
+  const [name, open] of Object.entries({
+    "the platform's store": openPlatformStore,
+    "the store of the tests": openMemoryStore,
+  })
+) {
+  test(`${name} returns each text as it was written`, async (t) => {
+    const { store, close } = await open();
+    t.teardown(close);
+    let runs = 0;
+    await fc.assert(
+      fc.asyncProperty(
+        fc.oneof(anyText, anyPayload.map((text) => JSON.stringify([text]))),
+        fc.integer({ min: 4, max: 9 }),
+        async (text, maxBytes) => {
+          // A transaction holds at most 32 entries.
+          const parts = splitText(text, maxBytes).slice(0, 30);
+          const copies = await copyParts(store, {
+            prefix: `parts-${runs++}/`,
+            parts,
+          });
+          t.deepEqual(copies.got, parts);
+          t.deepEqual(copies.listed, parts);
+          t.deepEqual(copies.watched, parts);
+        },
+      ),
+      { numRuns: 150, examples: [["\ufeffa\ufeff\ufeffb", 4], ["", 4]] },
+    );
+  });
+}
+
+// Guards against a key that another one is taken for, because a mark in it was dropped.
+test("a byte order mark in a header is data, at the start of a body it is not", async (t) => {
+  const key = "\ufeffkey";
+  t.is(decodeHeader(encodeHeader(key)), key);
+  const bytes = Buffer.from('\ufeff{"a":"\ufeffb"}');
+  const arrayBuffer = () => Promise.resolve(Uint8Array.from(bytes).buffer);
+  t.is(await readBodyText({ arrayBuffer }), '{"a":"\ufeffb"}');
+});
