Name the key of an item of the store that cannot be read

Callers would see: jobs that were accepted are unknown after a change of owner, or end twice.

Cause: a value that is not UTF-8 was read as an empty text (`decodeItem`). A segment or a part that was empty or cut off was an error without a key, one that was another document (`{}`) an error of the iteration. An unreadable term was read as 0, so that run numbers would repeat.

Change: an item whose bytes are not UTF-8 is marked; `requireText` and `requireJson` name its key. A segment may lack up to 11 before it, the commits that were in flight at a take-over; a larger step is an error. Records of endpoints, the configuration and requests of operators are judged one by one, as before: an empty value is no document there.

--- a/packages/journal/constants.ts
+++ b/packages/journal/constants.ts
@@ -10,6 +10,12 @@
  */
 export const MAX_COMMITS_IN_FLIGHT = 12;
 
+/**
+ * Largest difference between the numbers of two stored segments in a row: of the commits
+ * that were in flight at a take-over, only the last may have been applied.
+ */
+export const MAX_SEGMENT_STEP = MAX_COMMITS_IN_FLIGHT;
+
 /** Initial backoff before a failed commit is sent again, in milliseconds. */
 export const FIRST_RETRY_MS = 100;
 
--- a/packages/journal/load.ts
+++ b/packages/journal/load.ts
@@ -3,9 +3,11 @@
   type KeyValueStore,
   listAll,
   type ListAllOptions,
+  requireJson,
+  requireText,
   type StoredItem,
 } from "../storage/mod.ts";
-import { LOG_PREFIX, SNAPSHOT_PREFIX } from "./constants.ts";
+import { LOG_PREFIX, MAX_SEGMENT_STEP, SNAPSHOT_PREFIX } from "./constants.ts";
 import type { JournalContents, JournalRecord } from "./types.ts";
 
 const SEGMENT_DIGITS = 12;
@@ -31,6 +33,7 @@
  * Reads the newest complete snapshot and all segments after it.
  *
  * @throws the error of a page that is not read again
+ * @throws {FormatError} when an item cannot be read or segments are missing; names a key
  */
 export async function readJournal<Snapshot>(
   store: KeyValueStore,
@@ -46,18 +49,18 @@
     .filter((key) => !snapshot?.keys.includes(key));
   const records: JournalRecord[] = [];
   let lastSegment = snapshot?.segment ?? 0;
-  for (const { key, value } of segments) {
-    const segmentNumber = Number(key.slice(LOG_PREFIX.length));
+  for (const item of segments) {
+    const segmentNumber = Number(item.key.slice(LOG_PREFIX.length));
     if (segmentNumber <= (snapshot?.segment ?? 0)) {
-      obsolete.push(key);
+      obsolete.push(item.key);
       continue;
     }
-    records.push(...JSON.parse(value) as JournalRecord[]);
+    requireStep(lastSegment, item.key);
+    records.push(...decodeSegment(item));
     lastSegment = segmentNumber;
   }
-  const parsedSnapshot = snapshot && JSON.parse(snapshot.text) as Snapshot;
   return {
-    snapshot: parsedSnapshot,
+    snapshot: snapshot && decodeSnapshot<Snapshot>(snapshot),
     records,
     lastSegment,
     snapshotSegment: snapshot?.segment ?? 0,
@@ -65,9 +68,37 @@
   };
 }
 
+/**
+ * Requires that no segment before one with this key is missing, apart from those of
+ * which no record was acknowledged.
+ */
+function requireStep(lastSegment: number, key: string): void {
+  const segmentNumber = Number(key.slice(LOG_PREFIX.length));
+  if (segmentNumber - lastSegment <= MAX_SEGMENT_STEP) return;
+  const first = formatSegmentKey(lastSegment + 1);
+  throw new FormatError(`Cannot read ${first}: missing, but ${key} is stored`);
+}
+
+function decodeSegment(item: StoredItem): JournalRecord[] {
+  const records = requireJson<JournalRecord[]>(item);
+  if (Array.isArray(records)) return records;
+  throw new FormatError(`Cannot read ${item.key}: not a list of records`);
+}
+
+function decodeSnapshot<Snapshot>(
+  { parts }: { parts: StoredItem[] },
+): Snapshot {
+  const text = parts.map(requireText).join("");
+  try {
+    return JSON.parse(text) as Snapshot;
+  } catch (cause) {
+    throw new FormatError(`Cannot read ${parts[0].key}: not JSON`, { cause });
+  }
+}
+
 function findCompleteSnapshot(
   items: StoredItem[],
-): { segment: number; text: string; keys: string[] } | undefined {
+): { segment: number; parts: StoredItem[]; keys: string[] } | undefined {
   const bySegment = new Map<string, StoredItem[]>();
   for (const item of items) {
     const [segment] = item.key.slice(SNAPSHOT_PREFIX.length).split("/");
@@ -83,7 +114,7 @@
     parts.sort((a, b) => parsePartIndex(a.key) - parsePartIndex(b.key));
     return {
       segment: Number(segment),
-      text: parts.map(({ value }) => value).join(""),
+      parts,
       keys: parts.map(({ key }) => key),
     };
   }
--- a/packages/scheduler/election.ts
+++ b/packages/scheduler/election.ts
@@ -1,8 +1,15 @@
-import { type Clock, HistoryGoneError, type Random } from "../base/mod.ts";
+import {
+  type Clock,
+  FormatError,
+  HistoryGoneError,
+  type Random,
+} from "../base/mod.ts";
 import type { CurrentTime } from "../cell/mod.ts";
 import { EventCode, type EventLog } from "../events/mod.ts";
 import {
   type KeyValueStore,
+  requireJson,
+  requireText,
   type StoredItem,
   TransactionResult,
 } from "../storage/mod.ts";
@@ -175,7 +182,7 @@
   async #findOwner(): Promise<void> {
     const page = await this.#store.list(CELL_PREFIX);
     const item = page.items.find(({ key }) => key === OWNER_KEY);
-    const record = item && JSON.parse(item.value) as OwnerRecord;
+    const record = item && requireJson<OwnerRecord>(item);
     if (item && record) {
       if (record.incarnation === this.#self.incarnation) {
         return item.revision === this.#lastRevision
@@ -247,7 +254,7 @@
     const currentItem = items.find(({ key }) => key === OWNER_KEY);
     if (currentItem?.revision !== ownerItem?.revision) return;
     const termItem = items.find(({ key }) => key === TERM_KEY);
-    const term = Number(termItem?.value ?? "0") + 1;
+    const term = parseTerm(termItem) + 1;
     const sentAt = this.#getCurrentTime();
     const lease = await this.#store.createLease(OWNER_LEASE_MS);
     const record: OwnerRecord = { ...this.#self, term, lease };
@@ -277,7 +284,7 @@
     const now = this.#clock.now();
     if (!isProofOfExit({ storeFailedAt, isOwnerReachable }, now)) return;
     if (!item) return;
-    const currentOwner = JSON.parse(item.value) as OwnerRecord;
+    const currentOwner = requireJson<OwnerRecord>(item);
     // The claim is safe even if the owner still runs: the new owner has a
     // higher fencing token.
     if (currentOwner.incarnation === deadOwner.incarnation) {
@@ -369,3 +376,16 @@
     this.#host.endOwnership(reason);
   }
 }
+
+/**
+ * Parses the last term; 0: there was none.
+ *
+ * @throws {FormatError} when it is not a count: a term that is used again would repeat
+ *   the numbers of runs
+ */
+function parseTerm(item: StoredItem | undefined): number {
+  if (!item) return 0;
+  const term = requireText(item);
+  if (/^\d+$/.test(term)) return Number(term);
+  throw new FormatError(`Cannot read ${item.key}: not a count`);
+}
--- a/packages/scheduler/upkeep_role.ts
+++ b/packages/scheduler/upkeep_role.ts
@@ -4,6 +4,7 @@
 import {
   type KeyValueStore,
   listAll,
+  requireJson,
   TransactionResult,
 } from "../storage/mod.ts";
 import {
@@ -115,7 +116,10 @@
     const { records } = this.#parts;
     const upkeepRecords = await listAll(this.#parts.store, UPKEEP_PREFIX);
     const begun = new Map(
-      upkeepRecords.items.map(({ key, value }) => [key, JSON.parse(value)]),
+      upkeepRecords.items.map((item) => [
+        item.key,
+        requireJson<Record<string, string>>(item),
+      ]),
     );
     const reports = await listAll(this.#parts.store, records.waveStatusPrefix);
     for (const { key, value } of reports.items) {
--- a/packages/storage/types.ts
+++ b/packages/storage/types.ts
@@ -22,6 +22,8 @@
   value: string;
   /** Revision of the last write to this key. */
   revision: number;
+  /** The stored bytes are not UTF-8, and `value` is empty. */
+  isUnreadable?: boolean;
 }
 
 /** One page of items, sorted by key. */
--- a/tests/e2e/stored_text_test.ts
+++ b/tests/e2e/stored_text_test.ts
@@ -10,6 +10,7 @@
 import {
   type KeyValueStore,
   MeteredStore,
+  requireText,
 } from "../../packages/storage/mod.ts";
 import { Metrics } from "../../packages/metrics/mod.ts";
 import { PlatformStore } from "../../platform/key_value_store.ts";
@@ -55,12 +56,10 @@
   };
 }
 
-async function openPlatformStore(): Promise<
-  { store: KeyValueStore; close: () => Promise<void> }
-> {
+async function openPlatformStore(port: number) {
   const standIn = new StoreStandIn();
-  await standIn.start({ host: HOST, port: PORT });
-  const address = `${HOST}:${PORT}`;
+  await standIn.start({ host: HOST, port });
+  const address = `${HOST}:${port}`;
   const platformStore = new PlatformStore({ address, localAddress: HOST });
   const store = new MeteredStore(platformStore, {
     metrics: new Metrics(),
@@ -70,7 +69,7 @@
     await store.close();
     standIn.stop();
   };
-  return { store, close };
+  return { standIn, store, close };
 }
 
 function openMemoryStore() {
@@ -86,7 +85,7 @@
 // a snapshot that began with one altered the payload of a job after a change of owner.
 for (
   const [name, open] of Object.entries({
-    "the platform's store": openPlatformStore,
+    "the platform's store": () => openPlatformStore(PORT),
     "the store of the tests": openMemoryStore,
   })
 ) {
@@ -123,3 +122,15 @@
   const arrayBuffer = () => Promise.resolve(Uint8Array.from(bytes).buffer);
   t.is(await readBodyText({ arrayBuffer }), '{"a":"\ufeffb"}');
 });
+
+// Guards against a record that is taken for an empty one.
+test("a stored value that is not UTF-8 is marked, and its key is named", async (t) => {
+  const { standIn, store, close } = await openPlatformStore(PORT + 1);
+  t.teardown(close);
+  const key = "records/a";
+  const value = Buffer.from([0x7b, 0xff]).toString("base64");
+  standIn.items.set(key, { key, value, rev: 5, create_rev: 5, lease: 0 });
+  const item = await store.get(key);
+  t.true(item?.isUnreadable);
+  t.throws(() => requireText(item!), { message: /records\/a/ });
+});
