--- a/packages/events/catalogue.ts
+++ b/packages/events/catalogue.ts
@@ -94,6 +94,7 @@
   CommitFailed = 7007,
   LinesDropped = 7008,
   CallRepeated = 7009,
+  SnapshotDamaged = 7010,
 }
 
 /** Severity, message and remedy of each event. */
@@ -541,6 +542,12 @@
     message: "the owner did not settle a caller's request; it is sent again",
     remedy: "None; check the owner if it repeats without a change of owner.",
   },
+  [EventCode.SnapshotDamaged]: {
+    severity: Severity.Error,
+    message:
+      "the newest snapshot in the store cannot be read; the cell is restored from an older one and all segments after it",
+    remedy: "None for the jobs; find out what altered the key in `reason`.",
+  },
   [EventCode.EndpointRecordIgnored]: {
     severity: Severity.Warn,
     message: "a record in the list of endpoints names no usable endpoint",
--- a/packages/journal/journal.ts
+++ b/packages/journal/journal.ts
@@ -1,5 +1,5 @@
 import { Buffer } from "node:buffer";
-import { type Clock, splitText } from "../base/mod.ts";
+import type { Clock } from "../base/mod.ts";
 import { type KeyValueStore, TransactionResult } from "../storage/mod.ts";
 import {
   COMMIT_INTERVAL_MS,
@@ -10,7 +10,8 @@
   SEGMENTS_PER_SNAPSHOT,
   SNAPSHOT_PART_BYTES,
 } from "./constants.ts";
-import { formatSegmentKey, formatSnapshotKey } from "./load.ts";
+import { formatSegmentKey } from "./keys.ts";
+import { splitSnapshot } from "./snapshot_parts.ts";
 import type { JournalRecord, OwnerClaim } from "./types.ts";
 
 /** Callbacks from the journal to the owner of the cell. */
@@ -254,11 +255,8 @@
     // are replayed on top of it, which is idempotent.
     const segment = this.#lastSegment - this.#inFlight.length;
     const text = JSON.stringify(this.#host.collectSnapshot());
-    const parts = splitText(text, SNAPSHOT_PART_BYTES);
-    const keys: string[] = [];
-    for (const [part, value] of parts.entries()) {
-      const key = formatSnapshotKey({ segment, part, parts: parts.length });
-      keys.push(key);
+    const parts = splitSnapshot({ segment, text }, SNAPSHOT_PART_BYTES);
+    for (const { key, value } of parts) {
       if (!await this.#commit({ key, value, deletes: [] })) return;
     }
     for (
@@ -269,7 +267,7 @@
       this.#obsoleteKeys.push(formatSegmentKey(covered));
     }
     this.#obsoleteKeys.push(...this.#snapshotKeys);
-    this.#snapshotKeys = keys;
+    this.#snapshotKeys = parts.map(({ key }) => key);
     this.#lastSnapshotSegment = segment;
     this.#isWritingSnapshot = false;
   }
--- a/packages/journal/load.ts
+++ b/packages/journal/load.ts
@@ -4,33 +4,27 @@
   listAll,
   type ListAllOptions,
   requireJson,
-  requireText,
   type StoredItem,
 } from "../storage/mod.ts";
 import { LOG_PREFIX, MAX_SEGMENT_STEP, SNAPSHOT_PREFIX } from "./constants.ts";
+import { formatSegmentKey } from "./keys.ts";
+import {
+  decodeSnapshot,
+  findSnapshots,
+  parsePartKey,
+  type StoredSnapshot,
+} from "./snapshot_parts.ts";
 import type { JournalContents, JournalRecord } from "./types.ts";
 
-const SEGMENT_DIGITS = 12;
-
-/** Formats the key of a segment; keys sort by segment number. */
-export function formatSegmentKey(segment: number): string {
-  return `${LOG_PREFIX}${String(segment).padStart(SEGMENT_DIGITS, "0")}`;
+/** Items of the store that belong to the journal, sorted by key. */
+interface JournalItems {
+  segments: StoredItem[];
+  parts: StoredItem[];
 }
 
 /**
- * Formats the key of one part of a snapshot. `segment`: the last segment that
- * the snapshot covers; `part`: index of the part; `parts`: number of parts.
- */
-export function formatSnapshotKey(
-  location: { segment: number; part: number; parts: number },
-): string {
-  const { segment, part, parts } = location;
-  const digits = String(segment).padStart(SEGMENT_DIGITS, "0");
-  return `${SNAPSHOT_PREFIX}${digits}/${part}-${parts}`;
-}
-
-/**
- * Reads the newest complete snapshot and all segments after it.
+ * Reads the newest complete snapshot and all segments after it. If the snapshot is
+ * damaged, an older one is taken, provided that all segments after it are stored.
  *
  * @throws the error of a page that is not read again
  * @throws {FormatError} when an item cannot be read or segments are missing; names a key
@@ -44,14 +38,36 @@
   // deleted in the meantime.
   const { items: segments } = await listAll(store, LOG_PREFIX, options);
   const { items: parts } = await listAll(store, SNAPSHOT_PREFIX, options);
-  const snapshot = findCompleteSnapshot(parts);
+  let damage: FormatError | undefined;
+  for (const snapshot of [...findSnapshots(parts), undefined]) {
+    try {
+      const contents = assembleContents<Snapshot>(snapshot, {
+        segments,
+        parts,
+      });
+      return damage ? { ...contents, damage: damage.message } : contents;
+    } catch (error) {
+      if (!(error instanceof FormatError)) throw error;
+      damage ??= error;
+    }
+  }
+  throw damage;
+}
+
+/** Assembles the state that begins with one of the snapshots, or with none. */
+function assembleContents<Snapshot>(
+  snapshot: StoredSnapshot | undefined,
+  { segments, parts }: JournalItems,
+): JournalContents<Snapshot> {
+  const snapshotSegment = snapshot?.segment ?? 0;
+  const snapshotKeys = new Set(snapshot?.parts.map(({ key }) => key));
   const obsolete = parts.map(({ key }) => key)
-    .filter((key) => !snapshot?.keys.includes(key));
+    .filter((key) => !snapshotKeys.has(key));
   const records: JournalRecord[] = [];
-  let lastSegment = snapshot?.segment ?? 0;
+  let lastSegment = snapshotSegment;
   for (const item of segments) {
     const segmentNumber = Number(item.key.slice(LOG_PREFIX.length));
-    if (segmentNumber <= (snapshot?.segment ?? 0)) {
+    if (segmentNumber <= snapshotSegment) {
       obsolete.push(item.key);
       continue;
     }
@@ -59,15 +75,26 @@
     records.push(...decodeSegment(item));
     lastSegment = segmentNumber;
   }
+  for (const { key } of parts) requireCovered(lastSegment, key);
   return {
     snapshot: snapshot && decodeSnapshot<Snapshot>(snapshot),
     records,
     lastSegment,
-    snapshotSegment: snapshot?.segment ?? 0,
+    snapshotSegment,
     obsolete,
   };
 }
 
+/**
+ * Requires that what is restored covers what a snapshot with this part covers: a
+ * snapshot is written after its segments, and only the next one replaces it.
+ */
+function requireCovered(lastSegment: number, key: string): void {
+  if (parsePartKey(key).segment <= lastSegment) return;
+  const first = formatSegmentKey(lastSegment + 1);
+  throw new FormatError(`Cannot read ${first}: missing, but ${key} is stored`);
+}
+
 /**
  * Requires that no segment before one with this key is missing, apart from those of
  * which no record was acknowledged.
@@ -84,43 +111,3 @@
   if (Array.isArray(records)) return records;
   throw new FormatError(`Cannot read ${item.key}: not a list of records`);
 }
-
-function decodeSnapshot<Snapshot>(
-  { parts }: { parts: StoredItem[] },
-): Snapshot {
-  const text = parts.map(requireText).join("");
-  try {
-    return JSON.parse(text) as Snapshot;
-  } catch (cause) {
-    throw new FormatError(`Cannot read ${parts[0].key}: not JSON`, { cause });
-  }
-}
-
-function findCompleteSnapshot(
-  items: StoredItem[],
-): { segment: number; parts: StoredItem[]; keys: string[] } | undefined {
-  const bySegment = new Map<string, StoredItem[]>();
-  for (const item of items) {
-    const [segment] = item.key.slice(SNAPSHOT_PREFIX.length).split("/");
-    bySegment.set(segment, [...bySegment.get(segment) ?? [], item]);
-  }
-  const newestFirst = [...bySegment].sort(([a], [b]) => a < b ? 1 : -1);
-  for (const [segment, parts] of newestFirst) {
-    const partCount = Number(parts[0].key.split("-").at(-1));
-    if (Number.isNaN(partCount)) {
-      throw new FormatError(`Cannot parse the snapshot key ${parts[0].key}`);
-    }
-    if (parts.length !== partCount) continue;
-    parts.sort((a, b) => parsePartIndex(a.key) - parsePartIndex(b.key));
-    return {
-      segment: Number(segment),
-      parts,
-      keys: parts.map(({ key }) => key),
-    };
-  }
-  return undefined;
-}
-
-function parsePartIndex(key: string): number {
-  return Number(key.split("/").at(-1)?.split("-")[0]);
-}
--- a/packages/journal/types.ts
+++ b/packages/journal/types.ts
@@ -96,4 +96,6 @@
   snapshotSegment: number;
   /** Keys of superseded segments and snapshot parts, to be deleted. */
   obsolete: string[];
+  /** Why a newer snapshot was not taken; names its key. Absent: there is none. */
+  damage?: string;
 }
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -266,6 +266,9 @@
           onFailure: (error) => this.#waitAfterFailedRead(error),
         });
         if (this.#isStopped) return;
+        if (contents.damage) {
+          log.record(EventCode.SnapshotDamaged, { reason: contents.damage });
+        }
         this.cell.restore(contents, {
           formerRunsEndAt: startedAt + this.#computeTakeOverWait(),
           formerStartsEndAt: startedAt + MAX_PLACEMENT_AGE_MS,
--- a/tests/e2e/stored_text_test.ts
+++ b/tests/e2e/stored_text_test.ts
@@ -12,6 +12,13 @@
   MeteredStore,
   requireText,
 } from "../../packages/storage/mod.ts";
+import {
+  decodeSnapshot,
+  findSnapshots,
+  formatSegmentNumber,
+  SNAPSHOT_PREFIX,
+  splitSnapshot,
+} from "../../packages/journal/mod.ts";
 import { Metrics } from "../../packages/metrics/mod.ts";
 import { PlatformStore } from "../../platform/key_value_store.ts";
 import { StoreStandIn } from "../standins/job_platform.ts";
@@ -114,6 +121,39 @@
   });
 }
 
+// Guards against a snapshot that is altered between its encoder and its decoder, and
+// against keys that the version before reads in another way.
+test("a snapshot in parts of a few bytes is what was written", async (t) => {
+  const { store, close } = await openPlatformStore(PORT + 2);
+  t.teardown(close);
+  let segment = 0;
+  await fc.assert(
+    fc.asyncProperty(
+      fc.array(anyPayload, { maxLength: 4 }),
+      fc.integer({ min: 4, max: 9 }),
+      async (payloads, maxBytes) => {
+        segment++;
+        const text = JSON.stringify(payloads);
+        const parts = splitSnapshot({ segment, text }, maxBytes);
+        for (const put of parts) {
+          await store.commit({ expected: [], puts: [put], deletes: [] });
+        }
+        const keyText = formatSegmentNumber(segment);
+        const prefix = `${SNAPSHOT_PREFIX}${keyText}/`;
+        const { items } = await store.list(prefix);
+        const [snapshot] = findSnapshots(items);
+        t.is(snapshot.segment, segment);
+        t.deepEqual(decodeSnapshot(snapshot), payloads);
+        for (const [n, { key }] of parts.entries()) {
+          t.is(Number(key.split("-").at(-1)), parts.length);
+          t.is(Number(key.split("/").at(-1)?.split("-")[0]), n);
+        }
+      },
+    ),
+    { numRuns: 60, examples: [[["\ufeff\ufeffa\ud800\ufeff"], 4], [[""], 4]] },
+  );
+});
+
 // Guards against a key that another one is taken for, because a mark in it was dropped.
 test("a byte order mark in a header is data, at the start of a body it is not", async (t) => {
   const key = "\ufeffkey";
--- a/tests/virtual/damaged_journal_test.ts
+++ b/tests/virtual/damaged_journal_test.ts
@@ -3,10 +3,12 @@
 import { EventCode, EventLog } from "../../packages/events/mod.ts";
 import {
   formatSegmentKey,
-  formatSnapshotKey,
+  formatSegmentNumber,
   MAX_SEGMENT_STEP,
   readJournal,
   RecordKind,
+  SNAPSHOT_PREFIX,
+  splitSnapshot,
 } from "../../packages/journal/mod.ts";
 import {
   Election,
@@ -31,8 +33,9 @@
   state.put(formatSegmentKey(segment), JSON.stringify([record]), 0);
 }
 
-function makePartKey(part: number): string {
-  return formatSnapshotKey({ segment: SNAPSHOT_SEGMENT, part, parts: 2 });
+/** Makes the key of a part in the form of earlier versions, without a digest. */
+function makePartKey(part: number, segment = SNAPSHOT_SEGMENT): string {
+  return `${SNAPSHOT_PREFIX}${formatSegmentNumber(segment)}/${part}-2`;
 }
 
 /** Makes a store with a snapshot of two parts and the two segments after it. */
@@ -88,12 +91,70 @@
   });
 }
 
+test("a snapshot of an earlier version, without a digest, is read as before", async (t) => {
+  t.like(await read(makeJournal()), {
+    snapshot: JSON.parse(SNAPSHOT_TEXT),
+    snapshotSegment: SNAPSHOT_SEGMENT,
+    lastSegment: SNAPSHOT_SEGMENT + 2,
+  });
+});
+
+/** Adds the snapshot that covers the segments of `makeJournal`, in small parts. */
+function addSnapshot(state: MemoryStoreState) {
+  const segment = SNAPSHOT_SEGMENT + 2;
+  const text = JSON.stringify({ jobs: ["a", "b", "c"] });
+  const parts = splitSnapshot({ segment, text }, 8);
+  for (const { key, value } of parts) state.put(key, value, 0);
+  return parts;
+}
+
+// Guards against an altered payload that nothing notices: the text is still JSON.
+test("a snapshot whose text was altered gives way to an older one and its segments", async (t) => {
+  const site = makeJournal();
+  const [{ key, value }] = addSnapshot(site.state);
+  site.state.put(key, value.replace("jobs", "job_"), 0);
+  const contents = await read(site);
+  t.like(contents, {
+    snapshot: JSON.parse(SNAPSHOT_TEXT),
+    lastSegment: SNAPSHOT_SEGMENT + 2,
+  });
+  t.regex(String((contents as { damage?: string }).damage), new RegExp(key));
+});
+
+test("a snapshot whose text was altered is an error once its segments are deleted", async (t) => {
+  const site = makeJournal();
+  const [{ key, value }] = addSnapshot(site.state);
+  site.state.put(key, value.replace("jobs", "job_"), 0);
+  for (const step of [1, 2]) {
+    site.state.items.delete(formatSegmentKey(SNAPSHOT_SEGMENT + step));
+  }
+  t.regex(String(await read(site)), new RegExp(`${key}.*digest`));
+});
+
+test("parts of two snapshots of the same segment are not joined", async (t) => {
+  const site = makeJournal();
+  const parts = addSnapshot(site.state);
+  const other = splitSnapshot({ segment: SNAPSHOT_SEGMENT + 2, text: "{}" }, 8);
+  site.state.put(other[0].key.replace(/-1$/, "-2"), "{", 0);
+  t.like(await read(site), { snapshotSegment: SNAPSHOT_SEGMENT + 2 });
+  t.true(parts.length > 2);
+});
+
 test("segments without the snapshot before them are an error that names a key", async (t) => {
   const site = makeJournal();
   site.state.items.delete(makePartKey(1));
   t.regex(String(await read(site)), new RegExp(formatSegmentKey(1)));
 });
 
+test("parts of a snapshot without anything that they cover are an error", async (t) => {
+  const site = makeJournal();
+  site.state.items.delete(makePartKey(1));
+  for (const step of [1, 2]) {
+    site.state.items.delete(formatSegmentKey(SNAPSHOT_SEGMENT + step));
+  }
+  t.regex(String(await read(site)), new RegExp(makePartKey(0)));
+});
+
 test("a missing segment is an error, unless none of its records was acknowledged", async (t) => {
   const site = makeJournal();
   const next = SNAPSHOT_SEGMENT + 2 + MAX_SEGMENT_STEP;
