Name the key of a record of direct work that is not UTF-8

`EtcdStore` decoded values with replacement characters, so that a damaged record that is still JSON would be taken with altered names. It now decodes as the other store does and throws an error that names the key; the read is repeated, as after any other answer that cannot be used. The new test fails before the change (the altered value is returned) and passes with it. A byte order mark was kept before as well.

--- a/packages/platform/etcd_store.ts
+++ b/packages/platform/etcd_store.ts
@@ -1,6 +1,6 @@
 import { Buffer } from "node:buffer";
 import { z } from "zod";
-import { FormatError } from "../base/mod.ts";
+import { decodeUtf8, FormatError } from "../base/mod.ts";
 import { HttpJsonClient } from "./http_json.ts";
 import { Store } from "./store.ts";
 import type {
@@ -96,11 +96,10 @@
 }
 
 function decodeRecord(kv: z.infer<typeof kvSchema>): StoreRecord {
-  return {
-    key: Buffer.from(kv.key, "base64").toString(),
-    value: Buffer.from(kv.value, "base64").toString(),
-    modRevision: kv.mod_revision,
-  };
+  const key = Buffer.from(kv.key, "base64").toString();
+  const value = decodeUtf8(Buffer.from(kv.value, "base64"));
+  if (value !== undefined) return { key, value, modRevision: kv.mod_revision };
+  throw new FormatError(`Cannot read ${key}: the value is not UTF-8`);
 }
 
 function encodeText(text: string): string {
--- a/tests/e2e/stored_text_test.ts
+++ b/tests/e2e/stored_text_test.ts
@@ -4,6 +4,7 @@
 import {
   decodeHeader,
   encodeHeader,
+  FormatError,
   readBodyText,
   splitText,
 } from "../../packages/base/mod.ts";
@@ -20,7 +21,9 @@
   splitSnapshot,
 } from "../../packages/journal/mod.ts";
 import { Metrics } from "../../packages/metrics/mod.ts";
+import { EtcdStore } from "../../packages/platform/mod.ts";
 import { PlatformStore } from "../../platform/key_value_store.ts";
+import { listen, sendJson } from "../standins/http_server.ts";
 import { StoreStandIn } from "../standins/job_platform.ts";
 import { MemoryStore, MemoryStoreState } from "../virtual/memory_store.ts";
 import { ProcessClock, VirtualTime } from "../virtual/virtual_time.ts";
@@ -174,3 +177,28 @@
   t.true(item?.isUnreadable);
   t.throws(() => requireText(item!), { message: /records\/a/ });
 });
+
+// Guards against a record of direct work that is taken with replacement characters.
+test("EtcdStore returns values as they were written, or names the key", async (t) => {
+  const encode = (bytes: Buffer) => bytes.toString("base64");
+  let value = Buffer.from("\ufeffa");
+  const server = await listen({ host: HOST, port: PORT + 3 }, (_, response) => {
+    const key = encode(Buffer.from("/t/a"));
+    const kvs = [{ key, value: encode(value), mod_revision: "7" }];
+    sendJson(response, {
+      header: { revision: "7" },
+      responses: [{ response_range: { kvs } }],
+    });
+  });
+  t.teardown(() => server.close());
+  const url = `http://${HOST}:${PORT + 3}`;
+  const store = new EtcdStore({ url, timeoutMs: 500 });
+  t.teardown(() => store.close());
+  const { ranges } = await store.read([{ prefix: "/t/" }]);
+  t.is(ranges[0][0].value, "\ufeffa");
+  value = Buffer.from([0x7b, 0xff, 0x7d]);
+  await t.throwsAsync(store.read([{ prefix: "/t/" }]), {
+    instanceOf: FormatError,
+    message: /\/t\/a/,
+  });
+});
