Let an owner leave the cell only to entries that answer in the store

The owner reached the store and all endpoints.

Cause: an owner gave the cell up when more links had gone silent than were open. Silence comes from dead, frozen and cut off entries alike. Nobody took the cell; the owner claimed it after its pause, and the list of the silent entries, kept for 10 s, made it give up again in its first tick, before a lease was renewed.

Why the rule is there: a failure domain that is cut off still reaches the store, so that an owner in it renews its lease while most entries can't reach it.

Change: while more entries are silent than linked, the owner asks in the store. An entry that has tried in vain to reach it answers there, under the owner's lease, if it may claim the cell. The owner leaves it when more have answered than it reaches. Entries linked to it claim 0.4 s later, so that the cell doesn't stay on the smaller side. It also asks once 1.5 s after a change of owner: a new owner knows only entries that were linked to it. If nobody took the cell, the same silence does not count again. 7003 has the cause and the counts, 7011 to 7013 the steps; `baobabhead_ownerships_ended_total` counts by cause.

Cost: nothing while most entries are linked, but one write and one list after a change of owner; up to 48 entries are asked, of more a share.

Ruled out: dropping the rule (the cut failure domain above); never counting oneself as cut off until the store fails (it does not fail there); judging by the endpoints (both sides reach them).

--- a/packages/events/catalogue.ts
+++ b/packages/events/catalogue.ts
@@ -95,6 +95,9 @@
   LinesDropped = 7008,
   CallRepeated = 7009,
   SnapshotDamaged = 7010,
+  IsolationSuspected = 7011,
+  IsolationAnswered = 7012,
+  IsolationDisproved = 7013,
 }
 
 /** Severity, message and remedy of each event. */
@@ -548,6 +551,22 @@
       "the newest snapshot in the store cannot be read; the cell is restored from an older one and all segments after it",
     remedy: "None for the jobs; find out what altered the key in `reason`.",
   },
+  [EventCode.IsolationSuspected]: {
+    severity: Severity.Warn,
+    message:
+      "most entries are silent; the owner asks in the store which of them do not reach it",
+    remedy: "Check the VMs of the silent entries and the network to them.",
+  },
+  [EventCode.IsolationAnswered]: {
+    severity: Severity.Warn,
+    message: "told the owner in the store that this entry does not reach it",
+    remedy: "Check the network between the two entries.",
+  },
+  [EventCode.IsolationDisproved]: {
+    severity: Severity.Info,
+    message: "most entries are linked to the owner again, or are gone",
+    remedy: "None.",
+  },
   [EventCode.EndpointRecordIgnored]: {
     severity: Severity.Warn,
     message: "a record in the list of endpoints names no usable endpoint",
--- a/packages/links/link_server.ts
+++ b/packages/links/link_server.ts
@@ -45,9 +45,13 @@
     return this.#largestPeerCores;
   }
 
-  /** Lists entries whose link timed out recently and that have no link now. */
-  listUnresponsive(): string[] {
-    const cutoff = this.#clock.now() - UNRESPONSIVE_RETENTION_MS;
+  /**
+   * Lists entries whose link timed out recently, after the time `since` in milliseconds,
+   * and that have no link now.
+   */
+  listUnresponsive(since: number): string[] {
+    const now = this.#clock.now();
+    const cutoff = Math.max(since, now - UNRESPONSIVE_RETENTION_MS);
     const linked = new Set(this.listIdentified().map(({ peer }) => peer));
     return [...this.#timedOutAt]
       .filter(([peer, closedAt]) => closedAt > cutoff && !linked.has(peer))
--- a/packages/scheduler/claim_rules.ts
+++ b/packages/scheduler/claim_rules.ts
@@ -55,6 +55,35 @@
   return !isOwnerReachable && now - storeFailedAt > OWNER_LEASE_MS;
 }
 
+/** Entries as an owner sees them over its links. */
+export interface LinkCounts {
+  /** Number of entries that are linked to the owner, and itself. */
+  reachable: number;
+  /** Number of entries whose links went silent: cut off, frozen or dead. */
+  silent: number;
+}
+
+/** What an owner knows of the entries that it may be cut off from. */
+export interface IsolationView extends LinkCounts {
+  /** Number of entries that wrote to the store that they do not reach the owner. */
+  answers: number;
+  /** Share of the entries that was asked, above 0, up to 1. */
+  share: number;
+}
+
+/**
+ * Returns why the owner should leave the cell to the entries that it does not reach;
+ * `undefined` if it should keep it. Load: a failure domain is cut off with the owner in
+ * it, and the larger part could serve. Silence alone is no evidence: the entries may be
+ * dead or frozen, and then nobody takes the cell.
+ */
+export function explainIsolation(view: IsolationView): string | undefined {
+  const { reachable, silent, answers, share } = view;
+  if (answers / share <= reachable) return undefined;
+  return `reaches ${reachable}, ${silent} are silent, ` +
+    `${answers} that it does not reach answered in the store`;
+}
+
 /**
  * Returns why the owner should hand the cell over to a capable entry that is
  * linked to it; `undefined` if it should keep the cell. A new owner keeps the
--- a/packages/scheduler/claim_rules_test.ts
+++ b/packages/scheduler/claim_rules_test.ts
@@ -1,5 +1,9 @@
 import test from "ava";
-import { computeClaimDelay, explainHandover } from "./claim_rules.ts";
+import {
+  computeClaimDelay,
+  explainHandover,
+  explainIsolation,
+} from "./claim_rules.ts";
 import {
   HANDOVER_AFTER_MS,
   MIN_OWNERSHIP_MS,
@@ -40,6 +44,18 @@
   t.is(explainHandover(withSmallPeers, 1e6), undefined);
 });
 
+// Guards against an owner that takes dead or frozen peers for evidence that it is cut off.
+test("an owner leaves the cell only to more entries than it reaches, whatever share it asked", (t) => {
+  const alone = { reachable: 1, silent: 96, share: 0.5 };
+  t.is(explainIsolation({ ...alone, answers: 0 }), undefined);
+  t.truthy(explainIsolation({ ...alone, answers: 1 }));
+  const third = { reachable: 33, silent: 64, share: 0.75 };
+  t.is(explainIsolation({ ...third, answers: 24 }), undefined);
+  t.truthy(explainIsolation({ ...third, answers: 25 }));
+  const half = { reachable: 3, silent: 3, share: 1 };
+  t.is(explainIsolation({ ...half, answers: 3 }), undefined);
+});
+
 // After a freeze of the VM an owner would shed submissions for seconds.
 test("one long stop makes a loop not usually late; ticks that are all late do", (t) => {
   const slow = new LoopMonitor();
--- a/packages/scheduler/constants.ts
+++ b/packages/scheduler/constants.ts
@@ -36,6 +36,33 @@
  */
 export const MAX_PLACEMENT_AGE_MS = 1_000;
 
+/**
+ * Key of the question of an owner that does not reach most entries, under its lease. It
+ * has the prefix of the keys that the entries watch.
+ */
+export const ISOLATION_CHECK_KEY = "baobabhead/cell/isolation-check";
+
+/** Key prefix of the answers to it, one per entry that does not reach the owner. */
+export const CUT_OFF_PREFIX = "baobabhead/cut-off/";
+
+/**
+ * Time between two questions while most entries are silent, in milliseconds: entries may
+ * lose and regain the store meanwhile.
+ */
+export const ISOLATION_CHECK_INTERVAL_MS = 1_000;
+
+/**
+ * Time from the beginning of an ownership to its first question, in milliseconds: by then
+ * the entries have linked to the owner, or a second attempt to do so has failed.
+ */
+export const FIRST_ISOLATION_CHECK_MS = 1_500;
+
+/**
+ * Number of silent entries up to which each one is asked; of more, a share is. An eighth
+ * of the writes that the store takes in a second.
+ */
+export const MAX_ASKED_ENTRIES = 48;
+
 /** Time for which an entry that stepped down makes no claim, in ms. */
 export const STEP_DOWN_PAUSE_MS = 2_000;
 
@@ -54,6 +81,12 @@
  */
 export const SMALL_VM_CLAIM_DELAY_MS = 400;
 
+/**
+ * Time for which entries that reached an owner leave its cell to those that did not, in
+ * milliseconds, if it asked for these last: as for VMs that are not capable.
+ */
+export const NEAR_CLAIM_DELAY_MS = SMALL_VM_CLAIM_DELAY_MS;
+
 /**
  * Time after which an owner on a VM that is not capable hands over to a capable
  * entry, in milliseconds: all entries have linked to the owner by then.
--- a/packages/scheduler/election.ts
+++ b/packages/scheduler/election.ts
@@ -15,7 +15,10 @@
 } from "../storage/mod.ts";
 import {
   CELL_PREFIX,
+  CUT_OFF_PREFIX,
+  ISOLATION_CHECK_KEY,
   MAX_CLAIM_DELAY_MS,
+  NEAR_CLAIM_DELAY_MS,
   OWNER_KEY,
   OWNER_LEASE_MS,
   OWNER_READ_INTERVAL_MS,
@@ -27,7 +30,12 @@
 } from "./constants.ts";
 import { isProofOfExit } from "./claim_rules.ts";
 import { LeaseConfirmation } from "./lease_confirmation.ts";
-import type { OwnerRecord } from "./types.ts";
+import {
+  type IsolationQuestion,
+  type OwnerRecord,
+  type OwnershipEnd,
+  OwnershipEndCause,
+} from "./types.ts";
 
 /** This entry's ownership of the cell, from a won election. */
 export interface Ownership {
@@ -36,6 +44,8 @@
   revision: number;
   /** The last confirmed renewal of the lease. */
   confirmation: LeaseConfirmation;
+  /** This entry left the cell to others that it did not reach, and none took it. */
+  isUntaken?: boolean;
 }
 
 /** Receives the results of an `Election`. */
@@ -47,7 +57,7 @@
   abstract beginOwnership(ownership: Ownership): void;
 
   /** Called when this entry's ownership has ended. */
-  abstract endOwnership(reason: string): void;
+  abstract endOwnership(end: OwnershipEnd): void;
 }
 
 /**
@@ -64,6 +74,11 @@
   #ownership: Ownership | undefined;
   readonly #getClaimDelay: () => number;
   readonly #isOwnerReachable: () => boolean;
+  readonly #isOwnerUnreachable: () => boolean;
+  /** This entry reached an owner that may have left the cell to others. */
+  #isNear = false;
+  /** Id of the last question of an owner that this entry has read. */
+  #lastQuestion = "";
   /** When a call of the election to the store failed last, in ms. */
   #storeFailedAt = Number.NEGATIVE_INFINITY;
   /** Revision of the last ownership that began in this process. */
@@ -71,6 +86,8 @@
   #isStopped = false;
   /** When the cell was found without an owner; `undefined`: it has one. */
   #ownerMissingSince: number | undefined;
+  /** Last term in which this entry left the cell as it was cut off; -1: none. */
+  #isolatedTerm = -1;
   #mayClaim = true;
   #noClaimBefore = 0;
   #isOwnerSuspected = false;
@@ -91,6 +108,8 @@
     getClaimDelay?: () => number;
     /** Returns whether the owner that this entry follows is connected to it. */
     isOwnerReachable?: () => boolean;
+    /** Returns whether this entry tried in vain to reach the owner that it follows. */
+    isOwnerUnreachable?: () => boolean;
   }) {
     this.#store = options.store;
     this.#clock = options.clock;
@@ -100,6 +119,7 @@
     this.#self = options.self;
     this.#getClaimDelay = options.getClaimDelay ?? (() => 0);
     this.#isOwnerReachable = options.isOwnerReachable ?? (() => false);
+    this.#isOwnerUnreachable = options.isOwnerUnreachable ?? (() => false);
   }
 
   /**
@@ -121,24 +141,33 @@
   /** Releases the ownership, if any, and never claims the cell again. */
   async releaseOwnership(): Promise<void> {
     this.#mayClaim = false;
-    await this.#releaseLease("this entry stops");
+    await this.#releaseLease({
+      cause: OwnershipEndCause.Stopped,
+      reason: "this entry stops",
+    });
   }
 
   /**
    * Releases the ownership and makes no claim for `STEP_DOWN_PAUSE_MS`, so that
    * another entry can take over.
    */
-  async stepDown(reason: string): Promise<void> {
+  async stepDown(
+    reason: string,
+    cause = OwnershipEndCause.HandedOver,
+  ): Promise<void> {
     if (!this.#ownership || !this.#mayClaim) return;
+    if (cause === OwnershipEndCause.Isolated) {
+      this.#isolatedTerm = this.#ownership.record.term;
+    }
     this.#noClaimBefore = this.#clock.now() + STEP_DOWN_PAUSE_MS;
-    await this.#releaseLease(reason);
+    await this.#releaseLease({ cause, reason });
   }
 
   /** Ends the ownership, then its lease, so that others can claim at once. */
-  async #releaseLease(reason: string): Promise<void> {
+  async #releaseLease(end: OwnershipEnd): Promise<void> {
     const ownership = this.#ownership;
     if (!ownership) return;
-    this.#clearOwnership(reason);
+    this.#clearOwnership(end);
     try {
       await this.#store.endLease(ownership.record.lease);
     } catch (error) {
@@ -171,7 +200,7 @@
 
   /** Ends this entry's ownership after it was found to be lost. */
   noteDeposed(reason: string): void {
-    this.#clearOwnership(reason);
+    this.#clearOwnership({ cause: OwnershipEndCause.Superseded, reason });
   }
 
   /** Stops the election; a lease that is still held then expires. */
@@ -194,6 +223,11 @@
       if (record.entry === this.#self.entry) return await this.#claim(item);
       this.#ownerMissingSince = undefined;
       this.#host.handleOwnerChange(record);
+      const question = page.items.find(({ key }) =>
+        key === ISOLATION_CHECK_KEY
+      );
+      this.#isNear = false;
+      if (question) this.#handleQuestion(question, { item, record });
       return await this.#waitForChange(page.revision);
     }
     this.#host.handleOwnerChange(undefined);
@@ -202,12 +236,52 @@
     if (!this.#mayClaim || now < this.#noClaimBefore) {
       return await this.#clock.sleep(STORE_RETRY_MS);
     }
-    const waitMs = this.#ownerMissingSince + this.#getClaimDelay() - now;
+    const delayMs = this.#getClaimDelay() +
+      (this.#isNear ? NEAR_CLAIM_DELAY_MS : 0);
+    const waitMs = this.#ownerMissingSince + delayMs - now;
     if (waitMs > 0) return await this.#clock.sleep(waitMs);
     await this.#clock.sleep(this.#random.drawInt(MAX_CLAIM_DELAY_MS));
     await this.#claim(undefined);
   }
 
+  /**
+   * Tells an owner that asks for it that this entry does not reach it, if the entry could
+   * take over the cell.
+   */
+  #handleQuestion(
+    questionItem: StoredItem,
+    owner: { item: StoredItem; record: OwnerRecord },
+  ): void {
+    const question = requireJson<IsolationQuestion>(questionItem);
+    this.#isNear = question.isSuspected && this.#isOwnerReachable();
+    const now = this.#clock.now();
+    if (!this.#mayClaim || now < this.#noClaimBefore) return;
+    if (!this.#isOwnerUnreachable()) return;
+    if (question.id === this.#lastQuestion) return;
+    this.#lastQuestion = question.id;
+    if (this.#random.drawFloat() >= question.share) return;
+    this.#sendAnswer(question, owner)
+      .catch((error) => this.#noteStoreFailure(error));
+  }
+
+  /** Writes the answer under the owner's lease: it ends with the ownership. */
+  async #sendAnswer(
+    { id }: IsolationQuestion,
+    { item, record }: { item: StoredItem; record: OwnerRecord },
+  ): Promise<void> {
+    const key = `${CUT_OFF_PREFIX}${this.#self.entry}`;
+    const { result } = await this.#store.commit({
+      expected: [{ key: OWNER_KEY, revision: item.revision }],
+      puts: [{ key, value: id, lease: record.lease }],
+      deletes: [],
+    });
+    this.#log.record(EventCode.IsolationAnswered, {
+      owner: record.entry,
+      question: id,
+      isWritten: result === TransactionResult.Applied,
+    });
+  }
+
   /** Waits until the owner's key changes or `checkOwner` is called. */
   async #waitForChange(revision: number): Promise<void> {
     if (this.#isOwnerSuspected) {
@@ -332,6 +406,7 @@
       );
       return;
     }
+    ownership.isUntaken = this.#isolatedTerm === ownership.record.term - 1;
     this.#ownership = ownership;
     this.#lastRevision = ownership.revision;
     this.#ownerMissingSince = undefined;
@@ -349,9 +424,16 @@
       this.#store.renewLease(ownership.record.lease),
       this.#store.get(OWNER_KEY),
     ]);
-    if (!isRenewed) this.#clearOwnership("the lease has expired");
-    else if (item?.revision !== ownership.revision) {
-      this.#clearOwnership("another entry has claimed the cell");
+    if (!isRenewed) {
+      this.#clearOwnership({
+        cause: OwnershipEndCause.LeaseExpired,
+        reason: "the lease has expired",
+      });
+    } else if (item?.revision !== ownership.revision) {
+      this.#clearOwnership({
+        cause: OwnershipEndCause.Superseded,
+        reason: "another entry has claimed the cell",
+      });
     } else ownership.confirmation.noteRenewal(sentAt);
     await this.#clock.sleep(OWNER_RENEWAL_INTERVAL_MS);
   }
@@ -365,15 +447,15 @@
     return { now: this.#clock.now(), wallNow: this.#clock.readWallTime() };
   }
 
-  #clearOwnership(reason: string): void {
+  #clearOwnership(end: OwnershipEnd): void {
     const ownership = this.#ownership;
     if (!ownership) return;
     this.#ownership = undefined;
     this.#log.record(EventCode.OwnershipEnded, {
       term: ownership.record.term,
-      reason,
+      ...end,
     });
-    this.#host.endOwnership(reason);
+    this.#host.endOwnership(end);
   }
 }
 
--- a/packages/scheduler/mod.ts
+++ b/packages/scheduler/mod.ts
@@ -11,6 +11,7 @@
 export * from "./evacuation_app.ts";
 export * from "./evacuation_feed.ts";
 export * from "./evacuation_role.ts";
+export * from "./isolation_check.ts";
 export * from "./owner_gateway.ts";
 export * from "./owner_role.ts";
 export * from "./ports.ts";
--- a/packages/scheduler/owner_gateway.ts
+++ b/packages/scheduler/owner_gateway.ts
@@ -26,6 +26,7 @@
   /** The owner behind the link has restored the cell, as far as is known. */
   #isOwnerReady = false;
   #isConnecting = false;
+  #isUnreachable = false;
   #isStopped = false;
   readonly #waiting = new Set<() => void>();
   /** The owner said in its last reply that it reaches the store. */
@@ -75,6 +76,14 @@
     return this.#link?.isOpen === true;
   }
 
+  /**
+   * True while the owner cannot be reached: its link went silent, or none could be opened.
+   * False while a first link is being opened.
+   */
+  get isOwnerUnreachable(): boolean {
+    return this.#isUnreachable && !this.isLinked;
+  }
+
   /** Notes whether the owner behind the link serves callers. */
   noteOwnerReady(isReady: boolean): void {
     this.#isOwnerReady = isReady;
@@ -97,6 +106,7 @@
     this.#link?.close("the owner of the cell has changed");
     this.#link = undefined;
     this.#isOwnerReady = false;
+    this.#isUnreachable = false;
     this.isOwnerAtStore = false;
     if (this.canReachOwner) this.releaseWaiting();
     if (owner && !isLocal) void this.#openLink(owner);
@@ -190,6 +200,7 @@
           owner: owner.entry,
           reason: String(error),
         });
+        this.#isUnreachable = this.#owner === owner;
         if (error instanceof LinkRefusedError) this.onOwnerProcessGone(owner);
         else this.onOwnerUnreachable();
         await this.#clock.sleep(LINK_RETRY_MS);
@@ -207,6 +218,7 @@
       return link.close("the owner changed while the link was opened");
     }
     this.#link = link;
+    this.#isUnreachable = false;
     if (this.canReachOwner) this.releaseWaiting();
     this.#log.record(EventCode.OwnerFollowed, {
       owner: owner.entry,
@@ -215,6 +227,7 @@
     link.onClosed = (reason) => {
       if (this.#link !== link) return;
       this.#link = undefined;
+      this.#isUnreachable = link.hasTimedOut;
       this.#log.record(EventCode.OwnerLost, {
         owner: owner.entry,
         reason,
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -40,6 +40,7 @@
 import { EndpointFeed } from "./endpoint_feed.ts";
 import { EvacuationRole } from "./evacuation_role.ts";
 import type { PollFailure, SessionHost } from "./endpoint_session.ts";
+import { IsolationCheck } from "./isolation_check.ts";
 import { OrderSender } from "./order_sender.ts";
 import { LoadKind } from "./owner_load.ts";
 import { OwnerPace } from "./owner_pace.ts";
@@ -91,9 +92,12 @@
   retentionMs: number;
   /** Lists the open links to other entries. */
   listLinks: () => Link[];
-  /** Lists entries whose link timed out recently and that have no link now. */
-  listUnresponsive: () => string[];
-  /** Called when more entries are unreachable than reachable. */
+  /**
+   * Lists entries whose link timed out recently, after the time `since` in milliseconds,
+   * and that have no link now.
+   */
+  listUnresponsive: (since: number) => string[];
+  /** Called when more entries reach the store without this one than with it. */
   onIsolated: (reason: string) => void;
   /** Processor speed of this VM, in cores. */
   cores: number;
@@ -123,6 +127,7 @@
   readonly #orderSender: OrderSender;
   readonly #startPacer: StartPacer;
   readonly #planLoop: PlanLoop;
+  readonly #isolationCheck: IsolationCheck;
   readonly #upkeepRole: UpkeepRole | undefined;
   readonly #evacuationRole: EvacuationRole | undefined;
   #journal: Journal | undefined;
@@ -161,6 +166,11 @@
       onChanged: (endpoints, unconfirmed) =>
         this.#updateEndpoints(endpoints, unconfirmed),
     });
+    this.#isolationCheck = new IsolationCheck({
+      ...parts,
+      ownership,
+      listLinked: () => listLinks().map(({ peer }) => peer),
+    });
     this.#sessions = new SessionPool({
       control: parts.control,
       clock,
@@ -323,6 +333,7 @@
     this.#isStopped = true;
     this.#planLoop.stop();
     this.#cancelTick();
+    this.#isolationCheck.stop();
     this.#endpointFeed.stop();
     this.#upkeepRole?.stop();
     this.#evacuationRole?.stop();
@@ -495,16 +506,6 @@
     this.#planLoop.schedulePlan();
   }
 
-  /** Releases the cell if more entries are unreachable than reachable. */
-  #checkIsolation(): void {
-    const unreachableCount = this.#parts.listUnresponsive().length;
-    const reachableCount = this.#parts.listLinks().length + 1;
-    if (unreachableCount <= reachableCount) return;
-    this.#parts.onIsolated(
-      `reaches ${reachableCount}, cut off from ${unreachableCount}`,
-    );
-  }
-
   /** Hands the cell over if another entry would carry it better. */
   #checkHandover(now: number): void {
     const reason = explainHandover({
@@ -526,7 +527,7 @@
       this.#planLoop.planIfIdle();
       this.#evacuationRole?.updateReports();
       this.cell.dropEnded(this.#parts.clock.readWallTime());
-      this.#checkIsolation();
+      this.#isolationCheck.step(now);
       this.#scheduleTick();
     }, PLAN_INTERVAL_MS);
   }
--- a/packages/scheduler/scheduler_node.ts
+++ b/packages/scheduler/scheduler_node.ts
@@ -36,7 +36,11 @@
   EndpointVms,
   SiteRecords,
 } from "./ports.ts";
-import type { OwnerRecord } from "./types.ts";
+import {
+  type OwnerRecord,
+  type OwnershipEnd,
+  OwnershipEndCause,
+} from "./types.ts";
 
 /** The dependencies and settings of a `SchedulerNode`. */
 export interface SchedulerParts {
@@ -118,6 +122,7 @@
       },
       getClaimDelay: () => computeClaimDelay(this.#cores, this.#largestCores),
       isOwnerReachable: () => this.gateway.isLinked,
+      isOwnerUnreachable: () => this.gateway.isOwnerUnreachable,
     });
     this.gateway.onOwnerProcessGone = (owner) =>
       this.#election.claimFromDeadOwner(owner);
@@ -178,7 +183,10 @@
       stack: error instanceof Error ? error.stack : undefined,
       isOwner: this.#ownerRole !== undefined,
     });
-    void this.#election.stepDown("an unexpected error");
+    void this.#election.stepDown(
+      "an unexpected error",
+      OwnershipEndCause.Failed,
+    );
   }
 
   /** Applies changed settings; new addresses take effect only at a restart. */
@@ -218,8 +226,9 @@
       maxHeldTasks: settings.limits.held_tasks,
       takeOverPauseMs: settings.vms.take_over_pause_ms,
       listLinks: () => this.#linkServer.listIdentified(),
-      listUnresponsive: () => this.#linkServer.listUnresponsive(),
-      onIsolated: (reason) => void this.#election.stepDown(reason),
+      listUnresponsive: (since) => this.#linkServer.listUnresponsive(since),
+      onIsolated: (reason) =>
+        void this.#election.stepDown(reason, OwnershipEndCause.Isolated),
       cores: this.#cores,
       getLargestPeerCores: () => this.#linkServer.largestPeerCores,
       onReady: () => this.#sendReady(ownership.record.term),
@@ -232,7 +241,8 @@
     void role.start();
   }
 
-  endOwnership(_reason: string): void {
+  endOwnership({ cause }: OwnershipEnd): void {
+    this.parts.metrics.countEvent("ownerships_ended", { cause });
     const role = this.#ownerRole;
     this.#ownerRole = undefined;
     void role?.stop({ isPlanned: false });
--- a/packages/scheduler/types.ts
+++ b/packages/scheduler/types.ts
@@ -33,6 +33,36 @@
   lease: number;
 }
 
+/** Question of an owner to the entries that it does not reach. */
+export interface IsolationQuestion {
+  id: string;
+  /** Share of the entries that shall answer, above 0, up to 1. */
+  share: number;
+  /** The owner may leave the cell: entries that reach it shall not claim it first. */
+  isSuspected: boolean;
+}
+
+/** Why an entry no longer owns the cell. */
+export enum OwnershipEndCause {
+  LeaseExpired = "lease_expired",
+  /** Another entry owns the cell. */
+  Superseded = "superseded",
+  /** More entries reach the store without the owner than with it. */
+  Isolated = "isolated",
+  /** Another entry carries the cell better. */
+  HandedOver = "handed_over",
+  /** An unexpected error. */
+  Failed = "failed",
+  /** The entry stops. */
+  Stopped = "stopped",
+}
+
+/** The end of an ownership. */
+export interface OwnershipEnd {
+  cause: OwnershipEndCause;
+  reason: string;
+}
+
 /** Outcome of a caller's request. */
 export enum AnswerKind {
   Accepted = "accepted",
--- a/tests/virtual/owner_site.ts
+++ b/tests/virtual/owner_site.ts
@@ -13,8 +13,11 @@
   Election,
   ElectionHost,
   type EndpointTarget,
+  type OwnerRecord,
   OwnerRole,
   type Ownership,
+  type OwnershipEnd,
+  OwnershipEndCause,
   type SiteConfig,
   type StartRequest,
 } from "../../packages/scheduler/mod.ts";
@@ -64,6 +67,11 @@
   readonly election: Election;
   /** Role as the owner; undefined while this entry does not own the cell. */
   role: OwnerRole | undefined;
+  /** The owner that this entry follows, and since when, in milliseconds. */
+  followed: OwnerRecord | undefined;
+  followedAt = 0;
+  /** Why its ownerships ended, the oldest first. */
+  readonly ends: OwnershipEndCause[] = [];
   readonly #site: OwnerSite;
   readonly #clock: ProcessClock;
 
@@ -83,11 +91,17 @@
       log: new SilentEventLog(),
       host: this,
       self: { entry: name, incarnation: `${name}/1`, host: name, port: 1 },
+      isOwnerReachable: () => site.isOwnerReachable(this),
+      isOwnerUnreachable: () => site.isOwnerUnreachable(this),
     });
     void this.election.run();
   }
 
-  override handleOwnerChange(): void {}
+  override handleOwnerChange(record: OwnerRecord | undefined): void {
+    if (record?.term === this.followed?.term) return;
+    this.followed = record;
+    this.followedAt = this.#site.time.now;
+  }
 
   override beginOwnership(ownership: Ownership): void {
     const { config, configDelayMs } = this.#site;
@@ -106,9 +120,10 @@
       retentionMs: 1e9,
       takeOverPauseMs: 0,
       policies: this.#site.policies,
-      listLinks: () => this.#site.listLinks(),
-      listUnresponsive: () => [],
-      onIsolated: () => {},
+      listLinks: () => this.#site.listLinks(this),
+      listUnresponsive: (since) => this.#site.listUnresponsive(this, since),
+      onIsolated: (reason) =>
+        void this.election.stepDown(reason, OwnershipEndCause.Isolated),
       cores: 1,
       getLargestPeerCores: () => 1,
       onReady: () => {},
@@ -122,7 +137,8 @@
     this.#clock.schedule(() => role.updateConfig(config), configDelayMs);
   }
 
-  override endOwnership(): void {
+  override endOwnership({ cause }: OwnershipEnd): void {
+    this.ends.push(cause);
     void this.role?.stop({ isPlanned: false });
     this.role = undefined;
   }
@@ -247,11 +263,26 @@
     return new NoAdviceService();
   }
 
-  /** Lists the links of the owner to other entries. */
-  listLinks(): Link[] {
+  /** Lists the links of an owner to other entries. */
+  listLinks(_owner: OwnerEntry): Link[] {
+    return [];
+  }
+
+  /** Lists entries whose links to an owner went silent after the time `since`. */
+  listUnresponsive(_owner: OwnerEntry, _since: number): string[] {
     return [];
   }
 
+  /** Tells whether an entry is linked to the owner that it follows. */
+  isOwnerReachable(_entry: OwnerEntry): boolean {
+    return false;
+  }
+
+  /** Tells whether an entry tried in vain to reach the owner that it follows. */
+  isOwnerUnreachable(_entry: OwnerEntry): boolean {
+    return false;
+  }
+
   /** Adds an entry, which takes part in the election at once. */
   addEntry(): OwnerEntry {
     const entry = new OwnerEntry(this, `e${this.entries.length}`);
