Refuse callers at an owner that neither the store nor most entries answer

Change: an owner whose lease was last confirmed longer ago than it lasts, while more entries are silent than linked, is not ready for callers: another entry may own the cell. The load balancer avoids its entries and its followers refuse at once. The runs that it reaches keep their leases for the grace period, which giving the cell up had ended. It stays so until the store confirms the lease, as silent entries are forgotten after 10 s. 7014 tells both.

An owner that is linked to most entries serves through an outage of the store as before, also one whose peers have been dead for 10 s.

--- a/packages/events/catalogue.ts
+++ b/packages/events/catalogue.ts
@@ -98,6 +98,7 @@
   IsolationSuspected = 7011,
   IsolationAnswered = 7012,
   IsolationDisproved = 7013,
+  OwnerCutOff = 7014,
 }
 
 /** Severity, message and remedy of each event. */
@@ -567,6 +568,12 @@
     message: "most entries are linked to the owner again, or are gone",
     remedy: "None.",
   },
+  [EventCode.OwnerCutOff]: {
+    severity: Severity.Warn,
+    message:
+      "neither the store nor most entries answer the owner, or the store does again; meanwhile it serves no callers",
+    remedy: "Check the network between the owner, the entries and the store.",
+  },
   [EventCode.EndpointRecordIgnored]: {
     severity: Severity.Warn,
     message: "a record in the list of endpoints names no usable endpoint",
--- a/packages/scheduler/isolation_check.ts
+++ b/packages/scheduler/isolation_check.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "../base/mod.ts";
+import type { CurrentTime } from "../cell/mod.ts";
 import { EventCode, type EventLog } from "../events/mod.ts";
 import { type KeyValueStore, listAll } from "../storage/mod.ts";
 import { explainIsolation, type LinkCounts } from "./claim_rules.ts";
@@ -9,6 +10,7 @@
   ISOLATION_CHECK_KEY,
   MAX_ASKED_ENTRIES,
   OWNER_KEY,
+  OWNER_LEASE_MS,
 } from "./constants.ts";
 import type { Ownership } from "./election.ts";
 import type { IsolationQuestion } from "./types.ts";
@@ -47,6 +49,7 @@
   #firstCheckAt: number;
   /** The first question was answered by more entries than are linked. */
   #isDoubtful = false;
+  #isCutOff = false;
   #isBusy = false;
   #isStopped = false;
 
@@ -62,9 +65,20 @@
       : now + FIRST_ISOLATION_CHECK_MS;
   }
 
+  /**
+   * True while neither most entries nor the store answer: another entry may own the cell,
+   * and callers are better served there.
+   */
+  get isCutOff(): boolean {
+    return this.#isCutOff;
+  }
+
   /** Begins the next step of the check, if one is due and none is under way. */
-  step(now: number): void {
-    if (this.#isBusy || this.#isStopped) return;
+  step(time: CurrentTime): void {
+    if (this.#isStopped) return;
+    this.#updateCutOff(time);
+    if (this.#isBusy) return;
+    const { now } = time;
     const { silent, reachable } = this.#countEntries();
     const isSuspected = silent > reachable || this.#isDoubtful;
     const isDue = isSuspected || now >= this.#firstCheckAt;
@@ -85,6 +99,19 @@
     this.#isStopped = true;
   }
 
+  /** Lasts until the store confirms the lease, as silent entries are forgotten. */
+  #updateCutOff(time: CurrentTime): void {
+    const { ownership, log } = this.#parts;
+    const leaseAgeMs = ownership.confirmation.measureAge(time);
+    const isStoreSilent = leaseAgeMs > OWNER_LEASE_MS;
+    const counts = this.#countEntries();
+    const isCutOff = isStoreSilent &&
+      (this.#isCutOff || counts.silent > counts.reachable);
+    if (isCutOff === this.#isCutOff) return;
+    this.#isCutOff = isCutOff;
+    log.record(EventCode.OwnerCutOff, { isCutOff, leaseAgeMs, ...counts });
+  }
+
   #countEntries(): LinkCounts {
     const { listLinked, listUnresponsive } = this.#parts;
     return {
--- a/packages/scheduler/owner_role.ts
+++ b/packages/scheduler/owner_role.ts
@@ -257,9 +257,13 @@
     return describeEvacuations(this.cell.state, this.#parts.clock.now());
   }
 
-  /** True from the end of the restore until the role begins to stop. */
+  /**
+   * True from the end of the restore until the role begins to stop, while callers are not
+   * better served by other entries.
+   */
   get isReady(): boolean {
-    return this.#journal !== undefined && !this.#isClosing;
+    return this.#journal !== undefined && !this.#isClosing &&
+      !this.#isolationCheck.isCutOff;
   }
 
   /**
@@ -527,7 +531,7 @@
       this.#planLoop.planIfIdle();
       this.#evacuationRole?.updateReports();
       this.cell.dropEnded(this.#parts.clock.readWallTime());
-      this.#isolationCheck.step(now);
+      this.#isolationCheck.step(this.#getCurrentTime());
       this.#scheduleTick();
     }, PLAN_INTERVAL_MS);
   }
--- a/tests/virtual/isolation_test.ts
+++ b/tests/virtual/isolation_test.ts
@@ -159,6 +159,41 @@
   }
 });
 
+// Guards against callers that wait at an owner which can accept nothing, or hear from it
+// what was true before another entry took the cell; and against runs that end meanwhile.
+test("an owner that reaches neither the store nor most entries refuses callers and keeps its runs", async (t) => {
+  const { site, owner, others } = await startSite(3, 2);
+  // The endpoints are cut off with the owner.
+  for (const { control } of others) {
+    for (const id of site.endpoints.keys()) {
+      control.unreachableEndpoints.add(id);
+    }
+  }
+  site.drawRunTime = () => 60_000;
+  const step = makeStep({ tasks: 2, longRunning: true });
+  owner.submit(makeJob("a", [step]), () => {});
+  await site.time.advance(1_000);
+  t.true(owner.role?.isReady);
+  const { role } = owner;
+  site.setTrouble(owner, Trouble.CutFromStore);
+  await site.time.advance(1_500);
+  t.false(role?.isReady);
+  t.true(role?.mayOrder(site.time.now));
+  await site.time.advance(11_000);
+  t.false(role?.isReady, "also when the silence is forgotten");
+  t.is(site.checker.starts, 2);
+});
+
+test("an owner whose peers are dead serves callers while the store does not answer it", async (t) => {
+  const { site, owner, others } = await startSite(3);
+  for (const entry of others) site.setTrouble(entry, Trouble.Dead);
+  await site.time.advance(12_000);
+  t.true(owner.role?.isReady);
+  site.setTrouble(owner, Trouble.CutFromStore);
+  await site.time.advance(3_000);
+  t.true(owner.role?.isReady);
+});
+
 // Guards against an entry in the smaller part that takes the cell of a dead owner and keeps
 // it: the entries of the larger part were never linked to it.
 test("a new owner that most entries do not reach leaves the cell to them", async (t) => {
