--- a/packages/base/text.ts
+++ b/packages/base/text.ts
@@ -39,13 +39,20 @@
 }
 
 /**
- * Decodes a JSON document that was received over HTTP: a byte order mark at its start
- * tells the encoding and is left out (RFC 8259, section 8.1). Returns undefined if the
- * bytes are not UTF-8.
+ * Drops a byte order mark at the start of a JSON document of another writer, where it
+ * tells the encoding (RFC 8259, section 8.1).
+ */
+export function dropByteOrderMark(document: string): string {
+  return document.startsWith(BYTE_ORDER_MARK) ? document.slice(1) : document;
+}
+
+/**
+ * Decodes a JSON document that was received over HTTP, without a byte order mark at its
+ * start. Returns undefined if the bytes are not UTF-8.
  */
 export function decodeDocument(bytes: Buffer): string | undefined {
   const text = decodeUtf8(bytes);
-  return text?.startsWith(BYTE_ORDER_MARK) ? text.slice(1) : text;
+  return text === undefined ? undefined : dropByteOrderMark(text);
 }
 
 /**
--- a/tests/virtual/odd_records_test.ts
+++ b/tests/virtual/odd_records_test.ts
@@ -38,6 +38,14 @@
   return "[".repeat(levels) + "]".repeat(levels);
 }
 
+// Guards against a record or a configuration that is ignored because its writer states
+// the encoding.
+test("a document that begins with a byte order mark is read", (t) => {
+  const text = `\ufeff${JSON.stringify(RECORD)}`;
+  t.like(records.decodeEndpoint("servers/w1", text), { id: "w1" });
+  t.is(records.decodeConfig('\ufeff{"version":7}').version, 7);
+});
+
 test("a usable record is an endpoint", (t) => {
   t.like(decode({}), {
     id: "w1",
