Read the answers to an owner's first question once

The question that every new owner asks once was read ten times in its second, and its log line said that most entries are silent. An owner that asked again after it was also asked on each second without an end if fewer answered then (`#isDoubtful` was only cleared with the question).

Change: the answers to the first question are read once, at its end; those to the question of an owner whose peers are silent at each tick, as before. 7011 is told in neutral words and at info, 7013 when the question is withdrawn.

--- a/packages/events/catalogue.ts
+++ b/packages/events/catalogue.ts
@@ -95,9 +95,9 @@
   LinesDropped = 7008,
   CallRepeated = 7009,
   SnapshotDamaged = 7010,
-  IsolationSuspected = 7011,
+  IsolationAsked = 7011,
   IsolationAnswered = 7012,
-  IsolationDisproved = 7013,
+  IsolationClosed = 7013,
   OwnerCutOff = 7014,
 }
 
@@ -552,20 +552,21 @@
       "the newest snapshot in the store cannot be read; the cell is restored from an older one and all segments after it",
     remedy: "None for the jobs; find out what altered the key in `reason`.",
   },
-  [EventCode.IsolationSuspected]: {
-    severity: Severity.Warn,
+  [EventCode.IsolationAsked]: {
+    severity: Severity.Info,
     message:
-      "most entries are silent; the owner asks in the store which of them do not reach it",
-    remedy: "Check the VMs of the silent entries and the network to them.",
+      "the owner asks in the store which entries do not reach it; with `isSuspected`, most that it knows are silent",
+    remedy: "If `silent` is above 0, check these VMs and the network to them.",
   },
   [EventCode.IsolationAnswered]: {
     severity: Severity.Warn,
     message: "told the owner in the store that this entry does not reach it",
     remedy: "Check the network between the two entries.",
   },
-  [EventCode.IsolationDisproved]: {
+  [EventCode.IsolationClosed]: {
     severity: Severity.Info,
-    message: "most entries are linked to the owner again, or are gone",
+    message:
+      "the owner withdraws its question: most entries are linked to it, or are gone",
     remedy: "None.",
   },
   [EventCode.OwnerCutOff]: {
--- a/packages/scheduler/isolation_check.ts
+++ b/packages/scheduler/isolation_check.ts
@@ -124,10 +124,14 @@
     { isDue, isSuspected }: { isDue: boolean; isSuspected: boolean },
     now: number,
   ): Promise<void> {
-    const isAnswered = now - this.#askedAt >= ISOLATION_CHECK_INTERVAL_MS;
-    if (!isAnswered) return await this.#readAnswers();
-    return isDue
-      ? await this.#askEntries(isSuspected, now)
+    const isOpen = now - this.#askedAt < ISOLATION_CHECK_INTERVAL_MS;
+    const isFirst = this.#question?.isSuspected === false;
+    // The first question is no hurry: its answers are read once.
+    if (isOpen && isFirst && !isSuspected) return;
+    if (isOpen && !isFirst) return await this.#readAnswers();
+    if (isFirst) await this.#readAnswers();
+    return isDue || this.#isDoubtful
+      ? await this.#askEntries(isSuspected || this.#isDoubtful, now)
       : await this.#dropQuestion();
   }
 
@@ -142,12 +146,13 @@
         MAX_ASKED_ENTRIES / Math.max(counts.silent, counts.reachable),
       ),
     };
-    log.record(EventCode.IsolationSuspected, {
+    log.record(EventCode.IsolationAsked, {
       ...counts,
       ...question,
       lastAnswers: this.#answers,
     });
     this.#firstCheckAt = Number.POSITIVE_INFINITY;
+    this.#isDoubtful = false;
     this.#askedAt = now;
     this.#question = question;
     this.#answers = 0;
@@ -176,20 +181,19 @@
     const view = { ...this.#countEntries(), answers: this.#answers, share };
     const reason = explainIsolation(view);
     if (!reason) return;
-    if (question.isSuspected) return this.#parts.onIsolated(reason);
-    // Asked again, as the entries that are linked leave the cell to others then.
-    this.#isDoubtful = true;
-    this.#askedAt = Number.NEGATIVE_INFINITY;
+    // After the first question it asks again, as the entries that are linked leave the
+    // cell to the others then.
+    if (question.isSuspected) this.#parts.onIsolated(reason);
+    else this.#isDoubtful = true;
   }
 
   async #dropQuestion(): Promise<void> {
     const { store, log, ownership } = this.#parts;
-    log.record(EventCode.IsolationDisproved, {
+    log.record(EventCode.IsolationClosed, {
       ...this.#countEntries(),
       lastAnswers: this.#answers,
     });
     this.#question = undefined;
-    this.#isDoubtful = false;
     await store.commit({
       expected: [{ key: OWNER_KEY, revision: ownership.revision }],
       puts: [],
