Move the answers to an owner's question out of the election

`Election` keeps one line: what it has listed goes to `IsolationAnswers`, which knows whether the entry claims later.

--- a/packages/scheduler/election.ts
+++ b/packages/scheduler/election.ts
@@ -15,10 +15,7 @@
 } from "../storage/mod.ts";
 import {
   CELL_PREFIX,
-  CUT_OFF_PREFIX,
-  ISOLATION_CHECK_KEY,
   MAX_CLAIM_DELAY_MS,
-  NEAR_CLAIM_DELAY_MS,
   OWNER_KEY,
   OWNER_LEASE_MS,
   OWNER_READ_INTERVAL_MS,
@@ -29,9 +26,9 @@
   TERM_KEY,
 } from "./constants.ts";
 import { isProofOfExit } from "./claim_rules.ts";
+import { IsolationAnswers } from "./isolation_answers.ts";
 import { LeaseConfirmation } from "./lease_confirmation.ts";
 import {
-  type IsolationQuestion,
   type OwnerRecord,
   type OwnershipEnd,
   OwnershipEndCause,
@@ -74,11 +71,7 @@
   #ownership: Ownership | undefined;
   readonly #getClaimDelay: () => number;
   readonly #isOwnerReachable: () => boolean;
-  readonly #isOwnerUnreachable: () => boolean;
-  /** This entry reached an owner that may have left the cell to others. */
-  #isNear = false;
-  /** Id of the last question of an owner that this entry has read. */
-  #lastQuestion = "";
+  readonly #isolationAnswers: IsolationAnswers;
   /** When a call of the election to the store failed last, in ms. */
   #storeFailedAt = Number.NEGATIVE_INFINITY;
   /** Revision of the last ownership that began in this process. */
@@ -119,7 +112,14 @@
     this.#self = options.self;
     this.#getClaimDelay = options.getClaimDelay ?? (() => 0);
     this.#isOwnerReachable = options.isOwnerReachable ?? (() => false);
-    this.#isOwnerUnreachable = options.isOwnerUnreachable ?? (() => false);
+    this.#isolationAnswers = new IsolationAnswers({
+      store: this.#store,
+      random: this.#random,
+      log: this.#log,
+      entry: this.#self.entry,
+      isOwnerReachable: this.#isOwnerReachable,
+      isOwnerUnreachable: options.isOwnerUnreachable ?? (() => false),
+    });
   }
 
   /**
@@ -223,11 +223,11 @@
       if (record.entry === this.#self.entry) return await this.#claim(item);
       this.#ownerMissingSince = undefined;
       this.#host.handleOwnerChange(record);
-      const question = page.items.find(({ key }) =>
-        key === ISOLATION_CHECK_KEY
-      );
-      this.#isNear = false;
-      if (question) this.#handleQuestion(question, { item, record });
+      this.#isolationAnswers.noteItems(page.items, {
+        ownerItem: item,
+        lease: record.lease,
+        mayClaim: this.#mayClaim && this.#clock.now() >= this.#noClaimBefore,
+      });
       return await this.#waitForChange(page.revision);
     }
     this.#host.handleOwnerChange(undefined);
@@ -237,51 +237,13 @@
       return await this.#clock.sleep(STORE_RETRY_MS);
     }
     const delayMs = this.#getClaimDelay() +
-      (this.#isNear ? NEAR_CLAIM_DELAY_MS : 0);
+      this.#isolationAnswers.claimDelayMs;
     const waitMs = this.#ownerMissingSince + delayMs - now;
     if (waitMs > 0) return await this.#clock.sleep(waitMs);
     await this.#clock.sleep(this.#random.drawInt(MAX_CLAIM_DELAY_MS));
     await this.#claim(undefined);
   }
 
-  /**
-   * Tells an owner that asks for it that this entry does not reach it, if the entry could
-   * take over the cell.
-   */
-  #handleQuestion(
-    questionItem: StoredItem,
-    owner: { item: StoredItem; record: OwnerRecord },
-  ): void {
-    const question = requireJson<IsolationQuestion>(questionItem);
-    this.#isNear = question.isSuspected && this.#isOwnerReachable();
-    const now = this.#clock.now();
-    if (!this.#mayClaim || now < this.#noClaimBefore) return;
-    if (!this.#isOwnerUnreachable()) return;
-    if (question.id === this.#lastQuestion) return;
-    this.#lastQuestion = question.id;
-    if (this.#random.drawFloat() >= question.share) return;
-    this.#sendAnswer(question, owner)
-      .catch((error) => this.#noteStoreFailure(error));
-  }
-
-  /** Writes the answer under the owner's lease: it ends with the ownership. */
-  async #sendAnswer(
-    { id }: IsolationQuestion,
-    { item, record }: { item: StoredItem; record: OwnerRecord },
-  ): Promise<void> {
-    const key = `${CUT_OFF_PREFIX}${this.#self.entry}`;
-    const { result } = await this.#store.commit({
-      expected: [{ key: OWNER_KEY, revision: item.revision }],
-      puts: [{ key, value: id, lease: record.lease }],
-      deletes: [],
-    });
-    this.#log.record(EventCode.IsolationAnswered, {
-      owner: record.entry,
-      question: id,
-      isWritten: result === TransactionResult.Applied,
-    });
-  }
-
   /** Waits until the owner's key changes or `checkOwner` is called. */
   async #waitForChange(revision: number): Promise<void> {
     if (this.#isOwnerSuspected) {
