Advance the store of stored_text_test by one loop

The test's timer began a step of the virtual clock before the last one had ended, so that the clock could go back. The same property, with one step after the other.

--- a/tests/e2e/stored_text_test.ts
+++ b/tests/e2e/stored_text_test.ts
@@ -86,8 +86,15 @@
   const time = new VirtualTime();
   const clock = new ProcessClock(time, "a");
   const store = new MemoryStore(new MemoryStoreState(), clock);
-  const timer = setInterval(() => void time.advance(20), 1);
-  const close = () => Promise.resolve(clearInterval(timer));
+  let isOpen = true;
+  const advance = async () => {
+    while (isOpen) await time.advance(20);
+  };
+  const isClosed = advance();
+  const close = () => {
+    isOpen = false;
+    return isClosed;
+  };
   return Promise.resolve({ store, close });
 }
 
