--- a/packages/scheduler/isolation_answers.ts
+++ b/packages/scheduler/isolation_answers.ts
@@ -35,7 +35,7 @@
   mayClaim: boolean;
 }
 
-/** Answers owners which ask in the store what entries do not reach them. */
+/** Answers owners that ask in the store which entries do not reach them. */
 export class IsolationAnswers {
   readonly #parts: IsolationAnswersParts;
   #lastQuestion = "";
